Set down the folders and the core types

Cause: an empty repository. The shape asks for commands and queries apart, one control thread, unexported fields and sealed interfaces from the first commit.

--- /dev/null
+++ b/core/state/result/reason.go
@@ -0,0 +1,30 @@
+package result
+
+// Reason is why a request was not answered. It is also the value of the
+// Verbena-Reason response header.
+type Reason string
+
+// Reasons for a refusal.
+const (
+	NotReady       Reason = "not-ready"       // this daemon has no current configuration
+	BadRequest     Reason = "bad-request"     // the request is malformed or its key is missing
+	UnknownService Reason = "unknown-service" // no service has this name
+	TooLarge       Reason = "too-large"       // the body or the key is over its limit
+	NoOwner        Reason = "no-owner"        // the key has no owner at present
+	NotOwner       Reason = "not-owner"       // the daemon that was asked owns the key no more
+	NoTarget       Reason = "no-target"       // no target of the service can take work
+	Overloaded     Reason = "overloaded"      // the queue is full or too slow for the deadline
+	Shed           Reason = "shed"            // the target itself refused the work
+	Leaving        Reason = "leaving"         // the target is about to stop
+	Unreachable    Reason = "unreachable"     // no connection to the daemon or target
+	Expired        Reason = "expired"         // the deadline passed before the request was sent
+)
+
+// Reasons for an unknown outcome.
+const (
+	TimedOut    Reason = "timed-out"    // the deadline passed after the request was sent
+	Interrupted Reason = "interrupted"  // the connection broke after the request was sent
+	Truncated   Reason = "truncated"    // the answer ended early
+	LeaseLapsed Reason = "lease-lapsed" // ownership lapsed while the request ran
+	Cancelled   Reason = "cancelled"    // the caller went away
+)
--- /dev/null
+++ b/core/state/result/result.go
@@ -0,0 +1,48 @@
+// Package result holds the outcomes of a request: answered, refused and surely
+// not run, or unknown.
+package result
+
+import "verbenabank/core/clock"
+
+// Outcome is how a request ended: Answered, Refused or Unknown.
+type Outcome interface{ outcome() }
+
+// Answered requests got the whole answer of their target.
+type Answered struct{ status int }
+
+// NewAnswered returns the outcome with the target's HTTP status.
+func NewAnswered(status int) Answered { return Answered{status: status} }
+
+// Status returns the target's HTTP status.
+func (a Answered) Status() int { return a.status }
+
+// Refused requests surely did not run.
+type Refused struct {
+	reason Reason
+	after  clock.Millis
+}
+
+// NewRefused returns the outcome with its reason and how long the caller should
+// wait before it tries again, 0 if trying again is of no use.
+func NewRefused(reason Reason, after clock.Millis) Refused {
+	return Refused{reason: reason, after: after}
+}
+
+// Reason returns why the request was refused.
+func (r Refused) Reason() Reason { return r.reason }
+
+// After returns how long to wait before another try, 0 if none is of use.
+func (r Refused) After() clock.Millis { return r.after }
+
+// Unknown requests may have run, once at most.
+type Unknown struct{ reason Reason }
+
+// NewUnknown returns the outcome with its reason.
+func NewUnknown(reason Reason) Unknown { return Unknown{reason: reason} }
+
+// Reason returns why nobody can tell whether the request ran.
+func (u Unknown) Reason() Reason { return u.reason }
+
+func (Answered) outcome() {}
+func (Refused) outcome()  {}
+func (Unknown) outcome()  {}
--- /dev/null
+++ b/core/state/rules/rules.go
@@ -0,0 +1,41 @@
+// Package rules holds the configuration in force: the merged and checked result
+// of the operators' files, as immutable values.
+package rules
+
+import (
+	"maps"
+	"slices"
+)
+
+// Rules is one accepted configuration. The zero value has version 0 and no
+// services. It is immutable and safe for concurrent use.
+type Rules struct {
+	version  uint64
+	digest   string
+	services map[string]Service
+}
+
+// New returns rules with the given version, the digest of the merged content in
+// lower-case hexadecimal SHA-256, and services.
+func New(version uint64, digest string, services ...Service) Rules {
+	r := Rules{version: version, digest: digest, services: make(map[string]Service, len(services))}
+	for _, s := range services {
+		r.services[s.Name()] = s
+	}
+	return r
+}
+
+// Version returns the number that the operators gave this configuration.
+func (r Rules) Version() uint64 { return r.version }
+
+// Digest returns the SHA-256 of the merged content in hexadecimal.
+func (r Rules) Digest() string { return r.digest }
+
+// Service returns the service called name.
+func (r Rules) Service(name string) (Service, bool) {
+	s, ok := r.services[name]
+	return s, ok
+}
+
+// Names returns the names of all services in order.
+func (r Rules) Names() []string { return slices.Sorted(maps.Keys(r.services)) }
--- /dev/null
+++ b/core/state/snap/snap.go
@@ -0,0 +1,80 @@
+// Package snap holds what traffic goroutines may know of control state: an
+// immutable snapshot behind an atomic pointer.
+package snap
+
+import (
+	"sync/atomic"
+
+	"verbenabank/core/clock"
+	"verbenabank/core/state/table"
+)
+
+// Snap is the state of a daemon at one instant. It is immutable, but for the
+// channel that closes when a newer one takes its place.
+type Snap struct {
+	table      *table.Table
+	self       table.Incarnation
+	leaseEnd   clock.Millis
+	rulesEnd   clock.Millis
+	superseded chan struct{}
+}
+
+// New returns a snapshot of a daemon that is joined as self (0 if it is not
+// joined), holds its shards until leaseEnd and may use the rules until rulesEnd,
+// both on its own clock.
+func New(t *table.Table, self table.Incarnation, leaseEnd, rulesEnd clock.Millis) *Snap {
+	return &Snap{table: t, self: self, leaseEnd: leaseEnd, rulesEnd: rulesEnd, superseded: make(chan struct{})}
+}
+
+// Table returns the routing table.
+func (s *Snap) Table() *table.Table { return s.table }
+
+// Self returns the incarnation of this daemon, 0 if it is not joined.
+func (s *Snap) Self() table.Incarnation { return s.self }
+
+// LeaseEnd returns the instant at which ownership lapses.
+func (s *Snap) LeaseEnd() clock.Millis { return s.leaseEnd }
+
+// RulesEnd returns the instant from which the rules may be out of date.
+func (s *Snap) RulesEnd() clock.Millis { return s.rulesEnd }
+
+// Superseded returns a channel that closes when a newer snapshot is published.
+func (s *Snap) Superseded() <-chan struct{} { return s.superseded }
+
+// Owns reports whether this daemon owns the shard at now, and at which epoch. A
+// shard that is moving away is owned no more for new work.
+func (s *Snap) Owns(service string, sh table.Shard, now clock.Millis) (table.Epoch, bool) {
+	if s.self == 0 || now >= s.leaseEnd {
+		return 0, false
+	}
+	o, ok := s.table.Holding(service, sh).(table.Owned)
+	if !ok || o.Owner() != s.self {
+		return 0, false
+	}
+	return o.Epoch(), true
+}
+
+// Current reports whether the rules may be used at now.
+func (s *Snap) Current(now clock.Millis) bool { return now < s.rulesEnd }
+
+// Cell holds the newest snapshot. Load is safe for concurrent use; Publish is
+// for the control goroutine only.
+type Cell struct {
+	newest atomic.Pointer[Snap]
+}
+
+// NewCell returns a cell that holds an unjoined daemon with an empty table.
+func NewCell() *Cell {
+	c := &Cell{}
+	c.newest.Store(New(table.Empty(), 0, 0, 0))
+	return c
+}
+
+// Load returns the newest snapshot.
+func (c *Cell) Load() *Snap { return c.newest.Load() }
+
+// Publish makes s the newest snapshot and wakes those who wait on the last one.
+func (c *Cell) Publish(s *Snap) {
+	last := c.newest.Swap(s)
+	close(last.superseded)
+}
--- /dev/null
+++ b/core/state/table/change.go
@@ -0,0 +1,170 @@
+package table
+
+import (
+	"maps"
+
+	"verbenabank/core/state/rules"
+)
+
+// Change is one step from a table to the next: RulesSet, MemberSet, MemberGone,
+// HoldingSet, OverrideSet or OverrideGone.
+type Change interface{ change() }
+
+// RulesSet puts a configuration in force.
+type RulesSet struct{ rules rules.Rules }
+
+// NewRulesSet returns the change that puts r in force.
+func NewRulesSet(r rules.Rules) RulesSet { return RulesSet{rules: r} }
+
+// Rules returns the configuration.
+func (c RulesSet) Rules() rules.Rules { return c.rules }
+
+// MemberSet adds or replaces a member.
+type MemberSet struct{ member Member }
+
+// NewMemberSet returns the change that sets m.
+func NewMemberSet(m Member) MemberSet { return MemberSet{member: m} }
+
+// Member returns the member.
+func (c MemberSet) Member() Member { return c.member }
+
+// MemberGone removes a member.
+type MemberGone struct{ incarnation Incarnation }
+
+// NewMemberGone returns the change that removes i.
+func NewMemberGone(i Incarnation) MemberGone { return MemberGone{incarnation: i} }
+
+// Incarnation returns the member that is gone.
+func (c MemberGone) Incarnation() Incarnation { return c.incarnation }
+
+// HoldingSet sets who holds a shard.
+type HoldingSet struct {
+	service string
+	shard   Shard
+	holding Holding
+}
+
+// NewHoldingSet returns the change that sets the holding of a shard.
+func NewHoldingSet(service string, s Shard, h Holding) HoldingSet {
+	return HoldingSet{service: service, shard: s, holding: h}
+}
+
+// Service returns the name of the service.
+func (c HoldingSet) Service() string { return c.service }
+
+// Shard returns the shard.
+func (c HoldingSet) Shard() Shard { return c.shard }
+
+// Holding returns who holds the shard from now on.
+func (c HoldingSet) Holding() Holding { return c.holding }
+
+// OverrideSet places a key alone in a shard of its own.
+type OverrideSet struct {
+	service string
+	key     string
+	shard   Shard
+}
+
+// NewOverrideSet returns the change that places key in s.
+func NewOverrideSet(service, key string, s Shard) OverrideSet {
+	return OverrideSet{service: service, key: key, shard: s}
+}
+
+// Service returns the name of the service.
+func (c OverrideSet) Service() string { return c.service }
+
+// Key returns the key.
+func (c OverrideSet) Key() string { return c.key }
+
+// Shard returns the shard of the key.
+func (c OverrideSet) Shard() Shard { return c.shard }
+
+// OverrideGone returns a key to its hash range and removes its shard.
+type OverrideGone struct {
+	service string
+	key     string
+}
+
+// NewOverrideGone returns the change that returns key to its hash range.
+func NewOverrideGone(service, key string) OverrideGone {
+	return OverrideGone{service: service, key: key}
+}
+
+// Service returns the name of the service.
+func (c OverrideGone) Service() string { return c.service }
+
+// Key returns the key.
+func (c OverrideGone) Key() string { return c.key }
+
+func (RulesSet) change()     {}
+func (MemberSet) change()    {}
+func (MemberGone) change()   {}
+func (HoldingSet) change()   {}
+func (OverrideSet) change()  {}
+func (OverrideGone) change() {}
+
+// With returns the table after the changes, at the version. The receiver stays
+// as it is.
+func (t *Table) With(version uint64, changes ...Change) *Table {
+	next := &Table{version: version, rules: t.rules, members: t.members, services: t.services}
+	e := editor{table: next, copied: map[string]bool{}}
+	for _, c := range changes {
+		e.apply(c)
+	}
+	return next
+}
+
+// editor copies the parts of a table on their first change.
+type editor struct {
+	table    *Table
+	members  bool
+	services bool
+	copied   map[string]bool
+}
+
+func (e *editor) apply(c Change) {
+	switch c := c.(type) {
+	case RulesSet:
+		e.table.rules = c.rules
+	case MemberSet:
+		e.ownMembers()[c.member.incarnation] = c.member
+	case MemberGone:
+		delete(e.ownMembers(), c.incarnation)
+	case HoldingSet:
+		e.ownPlacement(c.service).shards[c.shard] = c.holding
+	case OverrideSet:
+		e.ownPlacement(c.service).overrides[c.key] = c.shard
+	case OverrideGone:
+		p := e.ownPlacement(c.service)
+		delete(p.shards, p.overrides[c.key])
+		delete(p.overrides, c.key)
+	}
+}
+
+func (e *editor) ownMembers() map[Incarnation]Member {
+	if !e.members {
+		e.members = true
+		e.table.members = cloneMap(e.table.members)
+	}
+	return e.table.members
+}
+
+func (e *editor) ownPlacement(service string) placement {
+	if !e.services {
+		e.services = true
+		e.table.services = cloneMap(e.table.services)
+	}
+	if !e.copied[service] {
+		e.copied[service] = true
+		p := e.table.services[service]
+		e.table.services[service] = placement{shards: cloneMap(p.shards), overrides: cloneMap(p.overrides)}
+	}
+	return e.table.services[service]
+}
+
+func cloneMap[K comparable, V any](m map[K]V) map[K]V {
+	if m == nil {
+		return map[K]V{}
+	}
+	return maps.Clone(m)
+}
--- /dev/null
+++ b/core/state/table/list.go
@@ -0,0 +1,51 @@
+package table
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// Override is a key that is placed alone.
+type Override struct {
+	key   string
+	shard Shard
+}
+
+// Key returns the key.
+func (o Override) Key() string { return o.key }
+
+// Shard returns the shard that holds only the key.
+func (o Override) Shard() Shard { return o.shard }
+
+// Members returns all members in the order of their incarnations.
+func (t *Table) Members() []Member {
+	return slices.SortedFunc(maps.Values(t.members), func(a, b Member) int {
+		return cmp.Compare(a.incarnation, b.incarnation)
+	})
+}
+
+// MembersOf returns the members with a target of the service, in the order of
+// their incarnations.
+func (t *Table) MembersOf(service string) []Member {
+	return slices.DeleteFunc(t.Members(), func(m Member) bool { return m.service != service })
+}
+
+// Shards returns the numbers of the shards of the service that were ever
+// granted, in order.
+func (t *Table) Shards(service string) []Shard {
+	return slices.Sorted(maps.Keys(t.services[service].shards))
+}
+
+// Services returns the names of the services that have granted shards, in order.
+func (t *Table) Services() []string { return slices.Sorted(maps.Keys(t.services)) }
+
+// Overrides returns the keys of the service that are placed alone, by shard.
+func (t *Table) Overrides(service string) []Override {
+	var list []Override
+	for k, s := range t.services[service].overrides {
+		list = append(list, Override{key: k, shard: s})
+	}
+	slices.SortFunc(list, func(a, b Override) int { return cmp.Compare(a.shard, b.shard) })
+	return list
+}
--- /dev/null
+++ b/verbena/main.go
@@ -0,0 +1,4 @@
+// Command verbena is a program of verbenabank.
+package main
+
+func main() {}
--- /dev/null
+++ b/verbenad/main.go
@@ -0,0 +1,4 @@
+// Command verbenad is a program of verbenabank.
+package main
+
+func main() {}
--- /dev/null
+++ b/vload/main.go
@@ -0,0 +1,4 @@
+// Command vload is a program of verbenabank.
+package main
+
+func main() {}
