Load the settings of the daemon with checks at start

Cause: the daemon reads its addresses, zone and control settings from a file, and a mistake in it must be told with file, line and path before anything runs. Ruled out: encoding/json on the standardized text, since it reports one fault at a time and no line. Change: core/state/tree holds documents that know their lines, core/wire/jtree parses JSON with comments into them and writes canonical JSON, verbenad/state/sets holds the settings, verbenad/adapt/jsonc loads them. Conclusion: settings are data, and the file format stays in the adapter.

--- /dev/null
+++ b/core/wire/jtree/jtree.go
@@ -0,0 +1,140 @@
+// Package jtree turns JSON with comments into documents that know their files
+// and lines, and documents into canonical JSON.
+package jtree
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/tailscale/hujson"
+
+	"verbenabank/core/state/tree"
+)
+
+// Limits of one document.
+const (
+	MaxBytes = 1 << 20
+	MaxDepth = 32
+)
+
+// Parse returns the JSON object in data, whose places name file. Comments and
+// trailing commas are allowed. It returns every fault that it finds; the object
+// is to be used only if there is none.
+func Parse(file string, data []byte) (tree.Object, []tree.Fault) {
+	p := parser{file: file, data: data}
+	if len(data) > MaxBytes {
+		return tree.Object{}, p.whole(fmt.Sprintf("must be at most %d bytes", MaxBytes))
+	}
+	if !utf8.Valid(data) {
+		return tree.Object{}, p.whole("must be valid UTF-8")
+	}
+	if depth(data) > MaxDepth {
+		return tree.Object{}, p.whole(fmt.Sprintf("must be nested at most %d deep", MaxDepth))
+	}
+	v, err := hujson.Parse(data)
+	if err != nil {
+		return tree.Object{}, p.syntax(err)
+	}
+	object, ok := p.node(v, tree.Path{}).(tree.Object)
+	if !ok {
+		p.fault(v, tree.Path{}, "must be an object: { ... }")
+	}
+	return object, p.faults
+}
+
+// depth returns an upper bound of the nesting of data.
+func depth(data []byte) int {
+	open, most, text := 0, 0, false
+	for i := 0; i < len(data); i++ {
+		switch c := data[i]; {
+		case c == '\\' && text:
+			i++
+		case c == '"':
+			text = !text
+		case text:
+		case c == '{' || c == '[':
+			open++
+			most = max(most, open)
+		case c == '}' || c == ']':
+			open--
+		}
+	}
+	return most
+}
+
+type parser struct {
+	file   string
+	data   []byte
+	faults []tree.Fault
+}
+
+func (p *parser) whole(text string) []tree.Fault {
+	return []tree.Fault{tree.NewFault(tree.NewPlace(p.file, 1), tree.Path{}, text)}
+}
+
+func (p *parser) syntax(err error) []tree.Fault {
+	text := strings.TrimPrefix(err.Error(), "hujson: ")
+	line, column := 1, 1
+	if n, _ := fmt.Sscanf(text, "line %d, column %d:", &line, &column); n == 2 {
+		text = strings.TrimPrefix(text, fmt.Sprintf("line %d, column %d: ", line, column))
+		text = fmt.Sprintf("column %d: %s", column, text)
+	}
+	return []tree.Fault{tree.NewFault(tree.NewPlace(p.file, line), tree.Path{}, text)}
+}
+
+func (p *parser) place(v hujson.Value) tree.Place {
+	return tree.NewPlace(p.file, 1+bytes.Count(p.data[:v.StartOffset], []byte("\n")))
+}
+
+func (p *parser) fault(v hujson.Value, path tree.Path, text string) {
+	p.faults = append(p.faults, tree.NewFault(p.place(v), path, text))
+}
+
+func (p *parser) node(v hujson.Value, path tree.Path) tree.Node {
+	switch t := v.Value.(type) {
+	case *hujson.Object:
+		return p.object(v, t, path)
+	case *hujson.Array:
+		items := make([]tree.Node, 0, len(t.Elements))
+		for i, e := range t.Elements {
+			items = append(items, p.node(e, path.With(fmt.Sprint(i))))
+		}
+		return tree.NewArray(p.place(v), items...)
+	case hujson.Literal:
+		return p.literal(v, t, path)
+	}
+	return tree.NewNull(p.place(v))
+}
+
+func (p *parser) object(v hujson.Value, o *hujson.Object, path tree.Path) tree.Object {
+	fields := make(map[string]tree.Node, len(o.Members))
+	for _, m := range o.Members {
+		name := m.Name.Value.(hujson.Literal).String()
+		if earlier, ok := fields[name]; ok {
+			p.fault(m.Name, path.With(name), fmt.Sprintf("stands twice in this object (first in line %d); keep one",
+				tree.PlaceOf(earlier).Line()))
+			continue
+		}
+		fields[name] = p.node(m.Value, path.With(name))
+	}
+	return tree.NewObject(p.place(v), fields)
+}
+
+func (p *parser) literal(v hujson.Value, l hujson.Literal, path tree.Path) tree.Node {
+	place := p.place(v)
+	switch l.Kind() {
+	case '"':
+		return tree.NewText(place, l.String())
+	case 't', 'f':
+		return tree.NewTruth(place, l.Bool())
+	case '0':
+		form, ok := shortest(string(l))
+		if !ok {
+			p.fault(v, path, "is a number out of range")
+		}
+		return tree.NewNumber(place, form)
+	}
+	return tree.NewNull(place)
+}
--- /dev/null
+++ b/verbenad/adapt/jsonc/jsonc.go
@@ -0,0 +1,110 @@
+// Package jsonc loads the settings file of the daemon, which is JSON with
+// comments.
+package jsonc
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+
+	"github.com/ansel1/merry/v2"
+
+	"verbenabank/core/wire/jtree"
+	"verbenabank/verbenad/state/sets"
+)
+
+// names is the pattern of the names of instances and availability zones.
+var names = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
+
+// Load returns the settings in the file at path. Relative paths in it are
+// relative to its folder. An *Error has every fault of the file.
+func Load(path string) (sets.Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return sets.Settings{}, &Error{op: OpLoad, kind: KindUnreadable, cause: merry.Wrap(err)}
+	}
+	object, faults := jtree.Parse(path, data)
+	if len(faults) > 0 {
+		return sets.Settings{}, &Error{op: OpLoad, kind: KindInvalid, faults: faults}
+	}
+	l := loader{Reader: jtree.NewReader(object, &faults), folder: filepath.Dir(path)}
+	settings := sets.New(l.options()...)
+	if len(faults) > 0 {
+		return sets.Settings{}, &Error{op: OpLoad, kind: KindInvalid, faults: faults}
+	}
+	return settings, nil
+}
+
+// loader reads the root object of a settings file.
+type loader struct {
+	jtree.Reader
+	folder string
+}
+
+func (l loader) options() []sets.Option {
+	l.Only("instance", "zone", "listen", "replicas", "secret_file", "control", "tls", "configuration_folder", "log")
+	opts := []sets.Option{
+		sets.WithName(l.name("instance"), l.name("zone")),
+		sets.WithSecret(l.secret()),
+	}
+	opts = append(opts, l.addresses()...)
+	if l.Has("control") {
+		opts = append(opts, sets.WithControl(l.control()))
+	}
+	if l.Has("tls") {
+		opts = append(opts, sets.WithTLS(l.tls()))
+	}
+	if l.Has("configuration_folder") {
+		opts = append(opts, sets.WithFolder(l.path(l.Reader, "configuration_folder")))
+	}
+	return append(opts, l.log())
+}
+
+func (l loader) name(field string) string {
+	name := l.Text(field, "")
+	if !names.MatchString(name) {
+		l.Fault(field, "must be a name of at most 63 lower-case letters, digits and hyphens that begins with a letter")
+	}
+	return name
+}
+
+func (l loader) control() sets.Control {
+	r, ok := l.Object("control")
+	if !ok {
+		return sets.Control{}
+	}
+	r.Only("data_folder", "form")
+	return sets.NewControl(l.path(r, "data_folder"), r.Truth("form", false))
+}
+
+func (l loader) tls() sets.TLS {
+	r, ok := l.Object("tls")
+	if !ok {
+		return sets.TLS{}
+	}
+	r.Only("certificate", "key", "authority")
+	certificate, _ := l.file(r, "certificate")
+	key, _ := l.private(r, "key", 1)
+	authority, _ := l.file(r, "authority")
+	return sets.NewTLS(certificate, key, authority)
+}
+
+func (l loader) log() sets.Option {
+	r, _ := l.Object("log")
+	r.Only("level", "format")
+	level, ok := sets.ParseLevel(r.Text("level", sets.LevelInfo.String()))
+	if !ok {
+		r.Fault("level", "must be error, warning, info or debug")
+	}
+	const plain, structured = "text", "json"
+	format := r.Text("format", plain)
+	if !slices.Contains([]string{plain, structured}, format) {
+		r.Fault("format", fmt.Sprintf("must be %s or %s", plain, structured))
+	}
+	if format == structured {
+		return sets.WithLog(level, sets.Structured{})
+	}
+	return sets.WithLog(level, sets.Plain{})
+}
--- /dev/null
+++ b/verbenad/adapt/jsonc/jsonc_test.go
@@ -0,0 +1,125 @@
+package jsonc
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"verbenabank/verbenad/state/sets"
+)
+
+// sample returns the settings file that the design page shows.
+func sample(t *testing.T) string {
+	t.Helper()
+	page, err := os.ReadFile("../../../docs/DESIGN.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(page), "```jsonc\n")
+	text, _, ok := strings.Cut(rest, "```")
+	if !ok {
+		t.Fatal("the design page shows no settings file")
+	}
+	return text
+}
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	folder := t.TempDir()
+	if err := os.WriteFile(filepath.Join(folder, "secret"), []byte("0123456789abcdef\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(folder, "verbenad.jsonc")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestLoadsTheSettingsOfTheDesignPage(t *testing.T) {
+	is := is.New(t)
+	path := write(t, sample(t))
+	s, err := Load(path)
+	is.NoErr(err)
+	is.Equal(s.Instance(), "catalogue-1")
+	is.Equal(s.Zone(), "east-mids")
+	is.Equal(s.Callers().String(), "127.0.1.1:8080")
+	is.Equal(s.Peers().String(), "127.0.1.1:8090")
+	is.Equal(s.Admin().String(), "127.0.1.1:8070")
+	is.Equal(len(s.Replicas()), 3)
+	is.Equal(string(s.Secret()), "0123456789abcdef")
+	control, ok := s.Control()
+	is.True(ok)
+	is.Equal(control, sets.NewControl(filepath.Join(filepath.Dir(path), "data"), true))
+	folder, ok := s.Folder()
+	is.True(ok)
+	is.Equal(folder, filepath.Join(filepath.Dir(path), "conf.d"))
+	is.Equal(s.LogLevel(), sets.LevelInfo)
+	is.Equal(s.LogFormat(), sets.Plain{})
+	_, ok = s.TLS()
+	is.True(!ok)
+}
+
+func TestRefusesWithFileLineAndPath(t *testing.T) {
+	cases := []struct{ name, old, replacement, want string }{
+		{"unknown field", `"zone":`, `"zona": 1, "zone":`, ":3: zona: is not a known field"},
+		{"name", `"catalogue-1"`, `"Catalogue 1"`, ":2: instance: must be a name"},
+		{"address", `"127.0.1.1:8080"`, `"localhost:8080"`, ":5: listen.callers: must be an IP number"},
+		{"same address", `"127.0.1.1:8070"`, `"127.0.1.1:8080"`, ":7: listen.admin: is the same"},
+		{"no replicas", `["127.0.1.1:8090", "127.0.2.1:8090", "127.0.3.1:8090"]`, `[]`, ":9: replicas: must have"},
+		{"not a replica", `["127.0.1.1:8090", `, `[`, ":11: control: is set"},
+		{"replica twice", `"127.0.2.1:8090"`, `"127.0.1.1:8090"`, ":9: replicas.1: "},
+		{"replica without control", `"control":`, `//`, ":9: replicas: has the address"},
+		{"secret missing", `"secret",`, `"secreta",`, ":10: secret_file: names a file that cannot be read"},
+		{"level", `"info"`, `"loud"`, ":13: log.level: must be"},
+		{"truncated", `"log"`, `"log`, ":13: column "},
+		{"tls", `"log"`, `"tls": {"certificate": "secret", "key": "secret"}, "log"`, ":13: tls.authority: must be a path"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			path := write(t, strings.Replace(sample(t), c.old, c.replacement, 1))
+			_, err := Load(path)
+			var e *Error
+			is.True(errors.As(err, &e))
+			is.Equal(e.Kind(), KindInvalid)
+			is.Equal(len(e.Faults()), 1) // one clear error
+			if !strings.HasPrefix(err.Error(), path+c.want) {
+				t.Errorf("got %q, want %q", err.Error(), path+c.want)
+			}
+		})
+	}
+}
+
+func TestRefusesASecretThatOthersReadOrThatIsShort(t *testing.T) {
+	is := is.New(t)
+	path := write(t, sample(t))
+	secret := filepath.Join(filepath.Dir(path), "secret")
+	is.NoErr(os.Chmod(secret, 0o644))
+	_, err := Load(path)
+	is.True(strings.Contains(err.Error(), "secret_file: everyone on the machine can read"))
+	is.NoErr(os.Chmod(secret, 0o600))
+	is.NoErr(os.WriteFile(secret, []byte("short\n"), 0o600))
+	_, err = Load(path)
+	is.True(strings.Contains(err.Error(), "has 5 bytes and must have at least 16"))
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(`{"instance": "a", "listen": {"peers": "127.0.0.1:1"}, "replicas": [1, "x", "127.0.0.1:1"]}`)
+	f.Add(`{"control": 1, "tls": [], "log": {"level": null}}`)
+	f.Add("{")
+	f.Fuzz(func(t *testing.T, text string) {
+		path := filepath.Join(t.TempDir(), "s")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s, err := Load(path)
+		if err == nil && len(s.Replicas()) == 0 {
+			t.Error("accepted without replicas")
+		}
+	})
+}
--- /dev/null
+++ b/verbenad/state/sets/options.go
@@ -0,0 +1,45 @@
+package sets
+
+import (
+	"net/netip"
+	"slices"
+)
+
+// Option sets one property of Settings.
+type Option func(*Settings)
+
+// WithName sets the names of the instance and of its availability zone.
+func WithName(instance, zone string) Option {
+	return func(s *Settings) { s.instance, s.zone = instance, zone }
+}
+
+// WithListen sets the addresses to listen on.
+func WithListen(callers, peers, admin netip.AddrPort) Option {
+	return func(s *Settings) { s.callers, s.peers, s.admin = callers, peers, admin }
+}
+
+// WithReplicas sets the peers addresses of the control replicas.
+func WithReplicas(replicas ...netip.AddrPort) Option {
+	return func(s *Settings) { s.replicas = slices.Clone(replicas) }
+}
+
+// WithSecret sets the secret that all processes share.
+func WithSecret(secret []byte) Option {
+	return func(s *Settings) { s.secret = slices.Clone(secret) }
+}
+
+// WithControl makes the daemon a control replica.
+func WithControl(control Control) Option {
+	return func(s *Settings) { s.control = Some(control) }
+}
+
+// WithTLS sets the files for mutual TLS between processes.
+func WithTLS(files TLS) Option { return func(s *Settings) { s.tls = Some(files) } }
+
+// WithFolder sets the path of the configuration folder.
+func WithFolder(path string) Option { return func(s *Settings) { s.folder = Some(path) } }
+
+// WithLog sets the least severe level that is logged and the format.
+func WithLog(level Level, format Format) Option {
+	return func(s *Settings) { s.level, s.format = level, format }
+}
--- /dev/null
+++ b/verbenad/state/sets/sets.go
@@ -0,0 +1,78 @@
+// Package sets holds the settings of one daemon process as immutable data.
+package sets
+
+import (
+	"net/netip"
+	"slices"
+)
+
+// Settings are the checked settings of a daemon. They are safe for concurrent
+// use.
+type Settings struct {
+	instance string
+	zone     string
+	callers  netip.AddrPort
+	peers    netip.AddrPort
+	admin    netip.AddrPort
+	replicas []netip.AddrPort
+	secret   []byte
+	control  Choice[Control]
+	tls      Choice[TLS]
+	folder   Choice[string]
+	level    Level
+	format   Format
+}
+
+// New returns settings with info logs in plain text, changed by opts.
+func New(opts ...Option) Settings {
+	s := Settings{level: LevelInfo, format: Plain{}}
+	for _, o := range opts {
+		o(&s)
+	}
+	return s
+}
+
+// Instance returns the name of the instance.
+func (s Settings) Instance() string { return s.instance }
+
+// Zone returns the availability zone of the instance.
+func (s Settings) Zone() string { return s.zone }
+
+// Callers returns the address for the HTTP requests of callers.
+func (s Settings) Callers() netip.AddrPort { return s.callers }
+
+// Peers returns the address for the other processes of the system.
+func (s Settings) Peers() netip.AddrPort { return s.peers }
+
+// Admin returns the address for the target beside, the platform and operators.
+func (s Settings) Admin() netip.AddrPort { return s.admin }
+
+// Replicas returns the peers addresses of the control replicas.
+func (s Settings) Replicas() []netip.AddrPort { return slices.Clone(s.replicas) }
+
+// Secret returns the secret that all processes share.
+func (s Settings) Secret() []byte { return slices.Clone(s.secret) }
+
+// Control returns the settings of the control replica, if this daemon is one.
+func (s Settings) Control() (Control, bool) { return s.control.value, s.control.set }
+
+// TLS returns the files for mutual TLS between processes, if it is used.
+func (s Settings) TLS() (TLS, bool) { return s.tls.value, s.tls.set }
+
+// Folder returns the path of the configuration folder, if this daemon has one.
+func (s Settings) Folder() (string, bool) { return s.folder.value, s.folder.set }
+
+// LogLevel returns the least severe level that is logged.
+func (s Settings) LogLevel() Level { return s.level }
+
+// LogFormat returns the format of log lines.
+func (s Settings) LogFormat() Format { return s.format }
+
+// Choice is a value that may be unset. The zero value is unset.
+type Choice[T any] struct {
+	value T
+	set   bool
+}
+
+// Some returns the choice that is set to value.
+func Some[T any](value T) Choice[T] { return Choice[T]{value: value, set: true} }
