Merge, check and compare configuration documents

Cause: the operators' files are merged in the order of their names and must either give rules or every fault with file, line and path. Ruled out: the JSON merge patch of RFC 7386 as it stands, whose result depends on grouping when a value replaces one of another kind; this is told in the package comment and the associativity test draws documents without such replacements. Change: core/query/merge has Merge, Explain and Diff over sealed nodes, core/wire/confjs maps the merged document to rules and back.

--- /dev/null
+++ b/core/wire/confjs/confjs.go
@@ -0,0 +1,71 @@
+// Package confjs maps the merged JSON of the operators' files to rules and back.
+package confjs
+
+import (
+	"fmt"
+	"math"
+	"regexp"
+
+	"verbenabank/core/state/rules"
+	"verbenabank/core/state/tree"
+	"verbenabank/core/wire/jtree"
+)
+
+// MaxServices is the largest count of services in one configuration.
+const MaxServices = 1000
+
+// serviceNames is the pattern of service names.
+var serviceNames = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
+
+// Decode returns the rules in content, whose places name file. The digest is
+// that of the canonical content. An *Error has every fault.
+func Decode(file string, content []byte) (rules.Rules, error) {
+	document, faults := jtree.Parse(file, content)
+	if len(faults) > 0 {
+		return rules.Rules{}, NewError(OpParse, faults...)
+	}
+	return Check(document)
+}
+
+// Check returns the rules in a merged document. An *Error has every fault.
+func Check(document tree.Object) (rules.Rules, error) {
+	var faults []tree.Fault
+	r := jtree.NewReader(document, &faults)
+	r.Only("version", "services")
+	version := uint64(0)
+	if r.Has("version") {
+		version = uint64(r.Whole("version", 1, math.MaxInt64, 0))
+	} else {
+		r.Fault("version", "is missing; one file must set it, and each change must raise it")
+	}
+	services := readServices(r)
+	if len(faults) > 0 {
+		return rules.Rules{}, NewError(OpCheck, faults...)
+	}
+	return rules.New(version, jtree.Digest(jtree.Canonical(document)), services...), nil
+}
+
+func readServices(r jtree.Reader) []rules.Service {
+	all, ok := r.Object("services")
+	names := all.Names()
+	switch {
+	case !ok && !r.Has("services"):
+		r.Fault("services", "is missing; at least one service must be set")
+	case ok && len(names) == 0:
+		r.Fault("services", "must have at least one service")
+	case len(names) > MaxServices:
+		r.Fault("services", fmt.Sprintf("must have at most %d services, has %d", MaxServices, len(names)))
+		return nil
+	}
+	services := make([]rules.Service, 0, len(names))
+	for _, name := range names {
+		if !serviceNames.MatchString(name) {
+			all.Fault(name, "is no service name: at most 63 lower-case letters, digits and hyphens, first a letter")
+			continue
+		}
+		if s, ok := all.Object(name); ok {
+			services = append(services, readService(s, name))
+		}
+	}
+	return services
+}
