--- a/core/wire/confjs/confjs.go
+++ b/core/wire/confjs/confjs.go
@@ -39,10 +39,14 @@
 		r.Fault("version", "is missing; one file must set it, and each change must raise it")
 	}
 	services := readServices(r)
+	content := jtree.Canonical(document)
+	if len(content) > jtree.MaxBytes {
+		r.Self(fmt.Sprintf("must be at most %d bytes when merged, is %d", jtree.MaxBytes, len(content)))
+	}
 	if len(faults) > 0 {
 		return rules.Rules{}, NewError(OpCheck, faults...)
 	}
-	return rules.New(version, jtree.Digest(jtree.Canonical(document)), services...), nil
+	return rules.New(version, jtree.Digest(content), services...), nil
 }
 
 func readServices(r jtree.Reader) []rules.Service {
