Watch a moved folder before it is read

Cause: a folder whose link was moved between two rescans was read once under its new place but watched there only at the next rescan, so changes in it came up to 2 s late. The test of a moved link showed it. Ruled out: a shorter rescan. Change: each read first makes sure that the folder at the path is the watched one.

--- a/verbenad/adapt/folder/folder_test.go
+++ b/verbenad/adapt/folder/folder_test.go
@@ -145,17 +145,21 @@
 func TestHalfWrittenFilesAreNeverOffered(t *testing.T) {
 	b := settled(t)
 	text := `{"version": 2, "services": {"bookings": {"pooled": {}}}}`
+	b.write("20.json", text)
+	b.version(2)
+	b.want(2)
 	for n := range len(text) { // every shorter prefix, truncation to nothing included
-		b.write("99.json", text[:n])
+		b.write("20.json", text[:n])
 		if n%20 == 0 {
 			time.Sleep(40 * time.Millisecond)
 		}
 	}
 	b.wantNone()
 	b.wantLog("the last valid configuration stays")
-	b.write("99.json", text)
-	b.want(2)
+	b.write("20.json", text)
 	b.wantLog("is valid again")
+	b.version(3)
+	b.want(3)
 }
 
 func TestInvalidFilesAreLoggedWithLineAndPath(t *testing.T) {
@@ -230,9 +234,50 @@
 func TestAFolderThatNeverRestsIsStillRead(t *testing.T) {
 	b := settled(t)
 	b.version(2)
-	for end := time.Now().Add(patient); len(b.offers) == 0 && time.Now().Before(end); {
+	for end := time.Now().Add(patient); len(b.offers) == 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the folder was not read while it changed")
+		}
 		b.write("notes.txt", fmt.Sprint(time.Now()))
-		time.Sleep(5 * time.Millisecond)
 	}
 	b.want(2)
 }
+
+func TestFolderBehindALinkIsWatchedAfterTheLinkMoved(t *testing.T) {
+	is := is.New(t)
+	root := t.TempDir()
+	link := filepath.Join(root, "conf.d")
+	point := func(name string, version int) {
+		folder := filepath.Join(root, name)
+		is.NoErr(os.Mkdir(folder, 0o700))
+		b := &bench{t: t, path: folder}
+		b.write("10.json", service)
+		b.version(version)
+		is.NoErr(os.Symlink(folder, link+".new"))
+		is.NoErr(os.Rename(link+".new", link))
+	}
+	const rescan = 2 * clock.Second
+	point("first", 1)
+	b := start(t, link, WithRescan(rescan))
+	b.want(1)
+	point("second", 2)
+	b.want(2)
+	begin := time.Now()
+	for v := 3; v < 6; v++ { // by rescans alone this takes two spans at least
+		b.version(v)
+		b.want(uint64(v))
+	}
+	is.True(time.Since(begin) < rescan.Duration())
+}
+
+func TestFileBehindALinkIsReadAtTheRescan(t *testing.T) {
+	is := is.New(t)
+	b := settled(t, WithRescan(100*clock.Millisecond))
+	outside := filepath.Join(t.TempDir(), "version")
+	is.NoErr(os.WriteFile(outside, []byte(`{"version": 2}`), 0o600))
+	is.NoErr(os.Remove(filepath.Join(b.path, "99.json")))
+	is.NoErr(os.Symlink(outside, filepath.Join(b.path, "99.json")))
+	b.want(2)
+	is.NoErr(os.WriteFile(outside, []byte(`{"version": 33}`), 0o600))
+	b.want(33)
+}
--- a/verbenad/adapt/folder/loop.go
+++ b/verbenad/adapt/folder/loop.go
@@ -72,6 +72,7 @@
 			l.compare()
 		case <-l.settled.C:
 			l.pending = false
+			l.watch()
 			l.scan()
 		case <-l.again:
 			l.retried.Reset(l.retry.Duration())
