Add stand-in targets, load schedules and the measures of a run

Cause: the three measures and the promises need numbers that do not come from the system itself. Ruled out: counting from metrics of the daemons, which would repeat their errors. Conclusion: the load tool and the supervisor can build on this.

--- /dev/null
+++ b/vload/command/admit/admit_test.go
@@ -0,0 +1,39 @@
+package admit
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"verbenabank/core/clock"
+	"verbenabank/vload/state/ledger"
+	"verbenabank/vload/state/server"
+)
+
+func order(epoch uint64, lease clock.Millis) ledger.Order {
+	return ledger.NewOrder("1", "tent", "POST", 3, epoch, lease)
+}
+
+func TestSlotsBacklogAndShedding(t *testing.T) {
+	is := is.New(t)
+	d := New(server.New(server.WithSlots(1, 1)))
+	is.Equal(d.Arrive(1, order(1, 0), 10), []Effect{Run{1, 10}})
+	is.Equal(len(d.Arrive(2, order(1, 0), 11)), 0)
+	is.Equal(d.Arrive(3, order(1, 0), 12), []Effect{Shed{3}})
+	is.Equal(d.Commit(1, 13), []Effect{Commit{1, 13}, Run{2, 13}})
+	is.Equal(len(d.Withdraw(2, 14)), 0)
+	is.Equal(d.Running()+d.Waiting(), 0)
+}
+
+func TestFencing(t *testing.T) {
+	is := is.New(t)
+	d := New(server.New(server.WithFencing(server.AtCommit{})))
+	is.Equal(d.Arrive(1, order(2, 100), 50), []Effect{Run{1, 50}})
+	is.Equal(d.Arrive(2, order(1, 100), 51), []Effect{Stale{2}})  // older epoch
+	is.Equal(d.Arrive(3, order(2, 100), 100), []Effect{Stale{3}}) // lapsed lease
+	is.Equal(d.Commit(1, 100), []Effect{Stale{1}})                // frozen past its lease
+
+	u := New(server.New())
+	u.Arrive(1, order(2, 100), 50)
+	is.Equal(u.Arrive(2, order(1, 100), 200), []Effect{Run{2, 200}}) // unfenced targets run it
+}
--- /dev/null
+++ b/vload/command/target/target_test.go
@@ -0,0 +1,95 @@
+package target
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenabank/core/clock"
+	"verbenabank/vload/adapt/book"
+	"verbenabank/vload/query/body"
+	"verbenabank/vload/state/ledger"
+	"verbenabank/vload/state/server"
+)
+
+// start runs a target on a free port of 127.0.0.1 and returns its address and
+// ledger.
+func start(t *testing.T, opts ...server.Option) (string, string) {
+	t.Helper()
+	is := is.New(t)
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := free.Addr().String()
+	is.NoErr(free.Close())
+	path := filepath.Join(t.TempDir(), "ledger")
+	g, stop, err := New(WithSettings(server.NewSettings("catalogue-1", "catalogue", address, "", path, server.New(opts...))))
+	is.NoErr(err)
+	served := make(chan error, 1)
+	go func() { served <- g.Serve() }()
+	t.Cleanup(func() {
+		stop()
+		is.NoErr(<-served)
+	})
+	return address, path
+}
+
+func send(address, id string, epoch int, lease clock.Millis, timeout time.Duration) (int, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/catalogue/tent", nil)
+	if err != nil {
+		return 0, err
+	}
+	request.Header.Set(body.IDHeader, id)
+	request.Header.Set("Verbena-Shard", "3")
+	request.Header.Set("Verbena-Epoch", fmt.Sprint(epoch))
+	request.Header.Set("Verbena-Lease-Until", fmt.Sprint(int64(lease)))
+	answer, err := (&http.Client{Timeout: timeout}).Do(request)
+	if err != nil {
+		return 0, err
+	}
+	return answer.StatusCode, answer.Body.Close()
+}
+
+func TestFencedTargetRefusesOldOwners(t *testing.T) {
+	is := is.New(t)
+	address, path := start(t, server.WithFencing(server.AtCommit{}), server.WithService(map[string]clock.Millis{"POST": 150}, server.Fixed{}))
+	now := clock.New().Now()
+	for _, c := range []struct {
+		id     string
+		epoch  int
+		lease  clock.Millis
+		status int
+	}{
+		{"fresh", 5, now + clock.Minute, 200},
+		{"older", 4, now + clock.Minute, 412},
+		{"lapsed", 5, now - 1, 412},
+		{"lapses", 5, now + 350, 412}, // its lease ends while it runs
+	} {
+		status, err := send(address, c.id, c.epoch, c.lease, 5*time.Second)
+		is.NoErr(err)
+		is.Equal(status, c.status) // unexpected answer
+	}
+	book, err := book.Read(path)
+	is.NoErr(err)
+	is.Equal(len(book.Executions()), 2)
+	_, committed := book.Executions()[0].Ending().(ledger.Committed)
+	is.True(committed)
+	_, aborted := book.Executions()[1].Ending().(ledger.Aborted)
+	is.True(aborted)
+}
+
+func TestGivenUpRequestIsAborted(t *testing.T) {
+	is := is.New(t)
+	address, path := start(t, server.WithService(map[string]clock.Millis{"POST": 2000}, server.Fixed{}))
+	_, err := send(address, "1", 1, 0, 200*time.Millisecond)
+	is.True(err != nil)
+	time.Sleep(200 * time.Millisecond)
+	book, err := book.Read(path)
+	is.NoErr(err)
+	_, aborted := book.Executions()[0].Ending().(ledger.Aborted)
+	is.True(aborted)
+}
--- /dev/null
+++ b/vload/query/body/body.go
@@ -0,0 +1,45 @@
+// Package body makes and checks the bodies of requests and answers, so that
+// each can be told from every other.
+package body
+
+import (
+	"bytes"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"verbenabank/vload/state/call"
+)
+
+// Headers between the load tool and stand-in targets.
+const (
+	IDHeader       = "X-Vload-Id"
+	KeyHeader      = "X-Vload-Key"
+	WantHeader     = "X-Vload-Want"
+	SumHeader      = "X-Vload-Sum"
+	InstanceHeader = "X-Vload-Instance"
+)
+
+// Fill returns the body of length bytes that belongs to the request ID.
+func Fill(id string, length int) []byte {
+	pattern := []byte(id + ";")
+	return bytes.Repeat(pattern, length/len(pattern)+1)[:length]
+}
+
+// Sum returns the checksum of a body.
+func Sum(text []byte) string { return strconv.FormatUint(xxhash.Sum64(text), 16) }
+
+// Check returns what an answer with the ID, key, checksum of the upload and text
+// is to the request.
+func Check(r call.Request, id, key, sum string, text []byte) call.Content {
+	if id != r.ID() || key != r.Key() {
+		return call.Crossed{}
+	}
+	if sum != Sum(Fill(r.ID(), r.UploadBytes())) || len(text) != r.AnswerBytes() {
+		return call.Truncated{}
+	}
+	if !bytes.Equal(text, Fill(r.ID(), r.AnswerBytes())) {
+		return call.Crossed{}
+	}
+	return call.Whole{}
+}
--- /dev/null
+++ b/vload/query/metric/unavailable.go
@@ -0,0 +1,76 @@
+package metric
+
+import (
+	"cmp"
+	"slices"
+
+	"verbenabank/core/clock"
+	"verbenabank/vload/state/call"
+)
+
+// Unavailable says for how long keys were not served.
+type Unavailable struct {
+	seconds int
+	asked   int
+	longest clock.Millis
+}
+
+// NewUnavailable returns the unavailable time of the calls of a run that lasted
+// until an instant.
+func NewUnavailable(calls []call.Call, from, until clock.Millis) Unavailable {
+	groups := make(map[key][]call.Call)
+	for _, c := range calls {
+		k := key{service: c.Request().Service(), name: c.Request().Key()}
+		groups[k] = append(groups[k], c)
+	}
+	var u Unavailable
+	for _, g := range groups {
+		slices.SortStableFunc(g, func(a, b call.Call) int { return cmp.Compare(a.At(), b.At()) })
+		u.count(g, from)
+		u.longest = max(u.longest, gap(g, until))
+	}
+	return u
+}
+
+func (u *Unavailable) count(calls []call.Call, from clock.Millis) {
+	served := make(map[clock.Millis]bool)
+	for _, c := range calls {
+		second := (c.At() - from) / clock.Second
+		served[second] = served[second] || answered(c)
+	}
+	for _, ok := range served {
+		u.asked++
+		if !ok {
+			u.seconds++
+		}
+	}
+}
+
+// gap returns the longest time from a request of a key that was not answered to
+// the next that was, or else to the end.
+func gap(calls []call.Call, until clock.Millis) clock.Millis {
+	longest, since, open := clock.Millis(0), clock.Millis(0), false
+	for _, c := range calls {
+		switch {
+		case answered(c) && open:
+			longest, open = max(longest, c.At()-since), false
+		case !answered(c) && !open:
+			since, open = c.At(), true
+		}
+	}
+	if open {
+		longest = max(longest, until-since)
+	}
+	return longest
+}
+
+// Seconds returns the seconds, summed over keys, in which a key was asked for
+// and no request for it was answered.
+func (u Unavailable) Seconds() int { return u.seconds }
+
+// Share returns these seconds as a share of all seconds in which keys were
+// asked for.
+func (u Unavailable) Share() float64 { return ratio(u.seconds, u.asked) }
+
+// Longest returns the longest time that a key was not served.
+func (u Unavailable) Longest() clock.Millis { return u.longest }
--- /dev/null
+++ b/vload/query/pace/pace.go
@@ -0,0 +1,27 @@
+// Package pace says how long a stand-in target takes to serve a request.
+package pace
+
+import (
+	"math"
+	"time"
+
+	"verbenabank/core/clock"
+	"verbenabank/vload/state/server"
+)
+
+// Serve returns the time to serve a request with the HTTP method on a target
+// that has been up for age and is slowed down by factor. The draw is uniform in
+// [0, 1).
+func Serve(b server.Behavior, method string, age clock.Millis, factor, draw float64) time.Duration {
+	mean := float64(b.Service(method).Duration()) * factor
+	if age < b.ColdFor() {
+		mean *= b.ColdFactor()
+	}
+	switch b.Spread().(type) {
+	case server.Fixed:
+		return time.Duration(mean)
+	case server.Exponential:
+		return time.Duration(-mean * math.Log1p(-draw))
+	}
+	return time.Duration(mean)
+}
--- /dev/null
+++ b/vload/query/show/show.go
@@ -0,0 +1,48 @@
+// Package show answers health and load requests of a stand-in target.
+package show
+
+import (
+	"github.com/gofiber/fiber/v3"
+
+	"verbenabank/vload/state/server"
+)
+
+// Routes adds GET /health and GET /load to app. The reports are made from view,
+// and are no truer than its honesty.
+func Routes(app *fiber.App, behavior server.Behavior, view func() server.View) {
+	app.Get("/health", func(c fiber.Ctx) error { return health(c, view()) })
+	app.Get("/load", func(c fiber.Ctx) error { return load(c, behavior, view()) })
+}
+
+func health(c fiber.Ctx, v server.View) error {
+	well := !v.Leaving()
+	switch v.Honesty().(type) {
+	case server.Honest:
+	case server.ClaimsWell:
+		well = true
+	case server.ClaimsIll:
+		well = false
+	}
+	if !well {
+		c.Status(fiber.StatusServiceUnavailable)
+	}
+	return c.JSON(struct {
+		Healthy bool `json:"healthy"`
+	}{well})
+}
+
+func load(c fiber.Ctx, b server.Behavior, v server.View) error {
+	l := v.Load()
+	switch v.Honesty().(type) {
+	case server.Honest:
+	case server.ClaimsWell:
+		l = server.NewLoad(0, 0)
+	case server.ClaimsIll:
+		l = server.NewLoad(b.Slots(), b.Backlog())
+	}
+	return c.JSON(struct {
+		Running int `json:"running"`
+		Waiting int `json:"waiting"`
+		Slots   int `json:"slots"`
+	}{l.Running(), l.Waiting(), b.Slots()})
+}
