Add the load tool, its experiments and make run

Cause: the system has to be measured against baselines, under faults, from outside. Ruled out: closed-loop callers, which hide stalls; a library that starts processes for the product, which must start none. Change: a supervisor of the processes of a layout with timed faults, an open-loop load tool with baselines, reports as table, JSON and PNG, experiments for both deployments, and make run.

--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,9 @@
 	@mkdir -p $(BIN)
 	go build -o $(BIN)/ ./verbenad ./verbena ./vload
 
+run: build
+	@scripts/run
+
 test: build
 	go test -count=1 $(addsuffix /...,$(addprefix ./,$(MODULES)))
 
--- /dev/null
+++ b/vload/adapt/conf/conf_test.go
@@ -0,0 +1,43 @@
+package conf
+
+import (
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"verbenabank/vload/state/server"
+)
+
+const root = "../../.."
+
+// Every experiment and layout of the repository can be read, and its faults name
+// processes of its layout's services.
+func TestExperimentsOfTheRepository(t *testing.T) {
+	is := is.New(t)
+	paths, err := filepath.Glob(filepath.Join(root, "experiments", "*", "*.jsonc"))
+	is.NoErr(err)
+	is.True(len(paths) > 0)
+	for _, path := range paths {
+		e, layoutPath, err := ReadExperiment(path)
+		is.NoErr(err)
+		l, err := ReadLayout(layoutPath)
+		is.NoErr(err)
+		for _, s := range e.Mix() {
+			_, ok := l.Service(s.Service())
+			is.True(ok) // the layout has no such service
+		}
+		is.Equal(len(l.Replicas()), 3)
+	}
+}
+
+func TestTargetSettingsSurviveAFile(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), TargetFile)
+	s := server.NewSettings("catalogue-1", "catalogue", "127.0.1.1:9000", "127.0.1.1:8070", "ledger",
+		server.New(server.WithSlots(3, 4), server.WithFencing(server.AtStart{})))
+	is.NoErr(WriteTarget(path, s))
+	read, err := ReadTarget(path)
+	is.NoErr(err)
+	is.Equal(read, s)
+}
--- a/vload/command/drive/errors.go
+++ b/vload/adapt/graph/errors.go
@@ -1,4 +1,4 @@
-package drive
+package graph
 
 import (
 	"fmt"
@@ -11,8 +11,8 @@
 
 // Kinds of errors.
 const (
-	Broken   Kind = iota + 1 // the run cannot go on
-	Violated                 // a promise was broken or too little was answered
+	Undrawable Kind = iota + 1 // the values cannot be drawn
+	Unwritable                 // the picture cannot be written
 )
 
 // Error is the error of this package.
--- /dev/null
+++ b/vload/command/fleet/ready.go
@@ -0,0 +1,63 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"verbenabank/core/clock"
+	"verbenabank/vload/state/layout"
+)
+
+const (
+	askEvery   = 100 * clock.Millisecond
+	askTimeout = 1 * clock.Second
+)
+
+// Ready waits until all targets are up and all daemons are ready, and every
+// service answers a request.
+func (f *Fleet) Ready(ctx context.Context) error {
+	for _, i := range f.layout.Instances() {
+		for _, url := range f.signs(i) {
+			if err := await(ctx, url); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// signs returns what must answer with a status below 400 when the processes of
+// an instance are ready.
+func (f *Fleet) signs(i layout.Instance) []string {
+	urls := []string{"http://" + i.Target() + "/health"}
+	if f.daemon == "" {
+		return urls
+	}
+	urls = append(urls, "http://"+i.Admin()+"/ready")
+	for _, s := range f.layout.Services() {
+		urls = append(urls, "http://"+i.Callers()+"/"+s.Name()+"/ready")
+	}
+	return urls
+}
+
+func await(ctx context.Context, url string) error {
+	ticker := time.NewTicker(askEvery.Duration())
+	defer ticker.Stop()
+	for {
+		status, _, err := fasthttp.GetTimeout(nil, url, askTimeout.Duration())
+		if err == nil && status < fasthttp.StatusBadRequest {
+			return nil
+		}
+		if err == nil {
+			err = fmt.Errorf("status %d", status)
+		}
+		select {
+		case <-ctx.Done():
+			return fail("await "+url, NotReady, err)
+		case <-ticker.C:
+		}
+	}
+}
--- a/vload/main.go
+++ b/vload/main.go
@@ -1,4 +1,41 @@
-// Command vload is a program of verbenabank.
+// Command vload has stand-in targets, a supervisor of the processes of a layout,
+// and an open-loop load tool that measures them.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+	"github.com/sirupsen/logrus"
+)
+
+func main() {
+	log := logrus.New()
+	log.SetFormatter(&logrus.TextFormatter{FullTimestamp: true})
+	flaggy.SetName("vload")
+	flaggy.SetDescription("Stand-in targets and load for verbenabank.")
+	flaggy.DefaultParser.DisableShowVersionWithVersion()
+	serve, run, keep := newServe(), newRun(), newKeep()
+	flaggy.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	var err error
+	switch {
+	case serve.command.Used:
+		err = serve.execute(ctx, log)
+	case run.command.Used:
+		err = run.execute(ctx, log)
+	case keep.command.Used:
+		err = keep.execute(ctx, log)
+	default:
+		flaggy.ShowHelpAndExit("")
+	}
+	if err != nil {
+		log.WithError(err).Error("vload failed")
+		stop()
+		os.Exit(1)
+	}
+}
--- a/vload/query/metric/metric.go
+++ b/vload/query/metric/metric.go
@@ -14,8 +14,8 @@
 
 const window = 1 * clock.Second
 
-// answered reports whether a caller got the whole answer to its own request.
-func answered(c call.Call) bool {
+// Answered reports whether a caller got the whole answer to its own request.
+func Answered(c call.Call) bool {
 	switch o := c.Outcome().(type) {
 	case result.Answered:
 		return o.Status() < 400 && c.Content() == call.Content(call.Whole{})
--- a/vload/query/metric/promise.go
+++ b/vload/query/metric/promise.go
@@ -60,7 +60,7 @@
 		}
 		switch c.Outcome().(type) {
 		case result.Answered:
-			if answered(c) && committed[id] == 0 {
+			if Answered(c) && committed[id] == 0 {
 				p.lost++
 			}
 		case result.Refused:
--- a/vload/query/metric/unavailable.go
+++ b/vload/query/metric/unavailable.go
@@ -36,7 +36,7 @@
 	served := make(map[clock.Millis]bool)
 	for _, c := range calls {
 		second := (c.At() - from) / clock.Second
-		served[second] = served[second] || answered(c)
+		served[second] = served[second] || Answered(c)
 	}
 	for _, ok := range served {
 		u.asked++
@@ -52,9 +52,9 @@
 	longest, since, open := clock.Millis(0), clock.Millis(0), false
 	for _, c := range calls {
 		switch {
-		case answered(c) && open:
+		case Answered(c) && open:
 			longest, open = max(longest, c.At()-since), false
-		case !answered(c) && !open:
+		case !Answered(c) && !open:
 			since, open = c.At(), true
 		}
 	}
