Count late answers as unavailable time

Cause: a trial of a baseline with a frozen target showed no unavailable time, though callers waited up to 4 s. Ruled out: a shorter timeout, which would change what is sent. Change: an answer after patience_ms counts as none in the unavailable time; the daemon is started with its settings flag. Conclusion: a frozen server now shows in the measure.

--- a/vload/command/fleet/effect.go
+++ b/vload/command/fleet/effect.go
@@ -23,7 +23,7 @@
 // ends.
 func (f *Fleet) launch(name string) {
 	folder, role := filepath.Join(f.folder, filepath.Dir(name)), filepath.Base(name)
-	binary, arguments := f.daemon, []string{conf.DaemonFile}
+	binary, arguments := f.daemon, []string{"--settings", conf.DaemonFile}
 	if strings.HasSuffix(name, roster.TargetSuffix) {
 		binary, arguments = f.load, []string{"target", conf.TargetFile}
 	}
--- a/vload/query/metric/unavailable.go
+++ b/vload/query/metric/unavailable.go
@@ -15,9 +15,9 @@
 	longest clock.Millis
 }
 
-// NewUnavailable returns the unavailable time of the calls of a run that lasted
-// until an instant.
-func NewUnavailable(calls []call.Call, from, until clock.Millis) Unavailable {
+// NewUnavailable returns the unavailable time of the calls of a run between two
+// instants. An answer that took longer than patience counts as none.
+func NewUnavailable(calls []call.Call, patience, from, until clock.Millis) Unavailable {
 	groups := make(map[key][]call.Call)
 	for _, c := range calls {
 		k := key{service: c.Request().Service(), name: c.Request().Key()}
@@ -26,17 +26,17 @@
 	var u Unavailable
 	for _, g := range groups {
 		slices.SortStableFunc(g, func(a, b call.Call) int { return cmp.Compare(a.At(), b.At()) })
-		u.count(g, from)
-		u.longest = max(u.longest, gap(g, until))
+		u.count(g, patience, from)
+		u.longest = max(u.longest, gap(g, patience, until))
 	}
 	return u
 }
 
-func (u *Unavailable) count(calls []call.Call, from clock.Millis) {
+func (u *Unavailable) count(calls []call.Call, patience, from clock.Millis) {
 	served := make(map[clock.Millis]bool)
 	for _, c := range calls {
 		second := (c.At() - from) / clock.Second
-		served[second] = served[second] || Answered(c)
+		served[second] = served[second] || inTime(c, patience)
 	}
 	for _, ok := range served {
 		u.asked++
@@ -46,15 +46,19 @@
 	}
 }
 
+func inTime(c call.Call, patience clock.Millis) bool {
+	return Answered(c) && c.Latency() <= patience.Duration()
+}
+
 // gap returns the longest time from a request of a key that was not answered to
 // the next that was, or else to the end.
-func gap(calls []call.Call, until clock.Millis) clock.Millis {
+func gap(calls []call.Call, patience, until clock.Millis) clock.Millis {
 	longest, since, open := clock.Millis(0), clock.Millis(0), false
 	for _, c := range calls {
 		switch {
-		case Answered(c) && open:
+		case inTime(c, patience) && open:
 			longest, open = max(longest, c.At()-since), false
-		case !Answered(c) && !open:
+		case !inTime(c, patience) && !open:
 			since, open = c.At(), true
 		}
 	}
@@ -65,7 +69,7 @@
 }
 
 // Seconds returns the seconds, summed over keys, in which a key was asked for
-// and no request for it was answered.
+// and no request for it was answered in time.
 func (u Unavailable) Seconds() int { return u.seconds }
 
 // Share returns these seconds as a share of all seconds in which keys were
--- a/vload/state/plan/plan.go
+++ b/vload/state/plan/plan.go
@@ -10,6 +10,7 @@
 	length   clock.Millis
 	settle   clock.Millis
 	timeout  clock.Millis
+	patience clock.Millis
 	rate     float64
 	inFlight int
 	answered float64
@@ -30,6 +31,7 @@
 	DefaultLength          = 30 * clock.Second
 	DefaultSettle          = 3 * clock.Second
 	DefaultTimeout         = 6 * clock.Second
+	DefaultPatience        = 1 * clock.Second
 	DefaultRate            = 300.0 // requests a second
 	DefaultInFlight        = 2000
 )
@@ -37,7 +39,7 @@
 // New returns an experiment through the daemons, changed by opts.
 func New(opts ...Option) Experiment {
 	e := Experiment{
-		seed: DefaultSeed, length: DefaultLength, settle: DefaultSettle, timeout: DefaultTimeout,
+		seed: DefaultSeed, length: DefaultLength, settle: DefaultSettle, timeout: DefaultTimeout, patience: DefaultPatience,
 		rate: DefaultRate, inFlight: DefaultInFlight,
 		routing: Daemons{}, retry: RetryNone{}, keys: NewKeys(1000, 1, nil),
 	}
@@ -63,8 +65,11 @@
 	return func(e *Experiment) { e.length, e.settle = length, settle }
 }
 
-// WithTimeout sets how long a caller waits.
-func WithTimeout(span clock.Millis) Option { return func(e *Experiment) { e.timeout = span } }
+// WithTimeout sets how long a caller waits, and after what time an answer counts
+// as unavailable time.
+func WithTimeout(span, patience clock.Millis) Option {
+	return func(e *Experiment) { e.timeout, e.patience = span, patience }
+}
 
 // WithRate sets the mean of requests a second, and how many may be in flight.
 func WithRate(rate float64, inFlight int) Option {
@@ -106,6 +111,9 @@
 // Timeout returns how long a caller waits.
 func (e Experiment) Timeout() clock.Millis { return e.timeout }
 
+// Patience returns the time after which an answer counts as unavailable time.
+func (e Experiment) Patience() clock.Millis { return e.patience }
+
 // Rate returns the mean of requests a second.
 func (e Experiment) Rate() float64 { return e.rate }
 
