--- /dev/null
+++ b/core/command/agent/agent.go
@@ -0,0 +1,157 @@
+// Package agent decides for a daemon: when it joins, renews and leaves, what it
+// owns, and what it does when its target comes or goes.
+//
+// An Agent is for the control goroutine only. Step changes it and returns
+// effects; nothing here waits, and nothing knows how messages are encoded.
+package agent
+
+import (
+	"verbenabank/core/clock"
+	"verbenabank/core/command/lease"
+	"verbenabank/core/state/load"
+	"verbenabank/core/state/order"
+	"verbenabank/core/state/rules"
+	"verbenabank/core/state/snap"
+	"verbenabank/core/state/table"
+)
+
+// Agent is the control state of one daemon.
+type Agent struct {
+	instance string
+	zone     string
+	address  string
+	draw     func() uint64
+
+	now       clock.Millis
+	connected bool
+	group     uint64
+	table     *table.Table
+	holder    *lease.Holder
+	self      table.Incarnation
+	joined    bool
+	nextRenew clock.Millis
+	report    load.Report
+	watched   map[order.Release]bool
+	released  []order.Release
+
+	target target
+	next   target
+	leave  exit
+	effect []Effect
+}
+
+// target is the target beside the daemon; the zero value is none.
+type target struct {
+	service string
+	address string
+	boot    string
+}
+
+// Option sets one property of an Agent.
+type Option func(*Agent)
+
+// WithInstance sets the instance, its availability zone, and the address
+// ("ip:port") at which other daemons reach this one.
+func WithInstance(name, zone, address string) Option {
+	return func(a *Agent) { a.instance, a.zone, a.address = name, zone, address }
+}
+
+// WithRandom sets the source of incarnations.
+func WithRandom(draw func() uint64) Option { return func(a *Agent) { a.draw = draw } }
+
+// New returns an agent that has no session, no target and no lease.
+func New(opts ...Option) *Agent {
+	a := &Agent{
+		draw:    func() uint64 { return 1 },
+		table:   table.Empty(),
+		holder:  lease.NewHolder(),
+		watched: map[order.Release]bool{},
+		leave:   staying{},
+	}
+	for _, o := range opts {
+		o(a)
+	}
+	a.self = a.incarnate()
+	return a
+}
+
+// Step reacts to an event at now.
+func (a *Agent) Step(now clock.Millis, e Event) []Effect {
+	a.now, a.effect = now, nil
+	a.react(e)
+	a.progress()
+	return a.effect
+}
+
+func (a *Agent) react(e Event) {
+	switch e := e.(type) {
+	case Ticked:
+		a.tick()
+	case Announced:
+		a.announced(e)
+	case Withdrawn:
+		a.withdrawn()
+	case TargetLost:
+		a.targetLost(e)
+	case Connected:
+		a.connect()
+	case Disconnected:
+		a.connected = false
+	case LeaseGiven:
+		a.leaseGiven(e)
+	case Updated:
+		a.updated(e)
+	case RejoinTold:
+		a.rejoinTold(e)
+	case Measured:
+		a.report = e.report
+	case ShardDrained:
+		a.shardDrained(e)
+	case AllDrained:
+		a.allDrained()
+	case StopAsked:
+		a.stopAsked()
+	}
+}
+
+// Wake returns the instant of the next Ticked event.
+func (a *Agent) Wake() clock.Millis {
+	wake := a.nextRenew
+	if d, ok := a.deadline(); ok && d < wake {
+		wake = d
+	}
+	return wake
+}
+
+// Lease returns the instant at which ownership lapses.
+func (a *Agent) Lease() clock.Millis { return a.holder.End() }
+
+// Table returns the daemon's routing table.
+func (a *Agent) Table() *table.Table { return a.table }
+
+// Self returns the incarnation and whether it is a member.
+func (a *Agent) Self() (table.Incarnation, bool) { return a.self, a.joined }
+
+func (a *Agent) emit(e Effect) { a.effect = append(a.effect, e) }
+
+func (a *Agent) incarnate() table.Incarnation {
+	for {
+		if i := table.Incarnation(a.draw()); i != 0 {
+			return i
+		}
+	}
+}
+
+// publish shows traffic the present state. A daemon that is to leave at once
+// owns nothing.
+func (a *Agent) publish() {
+	self := a.self
+	if !a.joined || a.parted() {
+		self = 0
+	}
+	a.emit(Publish{snap: snap.New(a.table, self, a.holder.End(), a.holder.RulesEnd())})
+}
+
+func (a *Agent) rulesOf(service string) (rules.Service, bool) {
+	return a.table.Rules().Service(service)
+}
--- /dev/null
+++ b/core/command/agent/effect.go
@@ -0,0 +1,133 @@
+package agent
+
+import (
+	"verbenabank/core/state/load"
+	"verbenabank/core/state/order"
+	"verbenabank/core/state/snap"
+	"verbenabank/core/state/table"
+)
+
+// Effect is what an agent asks for: Publish, SendJoin, SendRenew, SendLeave,
+// SendGone, WatchShard, WatchAll, UseTarget, DropTarget, Reconnect, Freed,
+// Violated or Stopped. Effects are carried out in their order.
+type Effect interface{ effect() }
+
+// Publish shows traffic a new snapshot.
+type Publish struct{ snap *snap.Snap }
+
+// Snap returns the snapshot.
+func (e Publish) Snap() *snap.Snap { return e.snap }
+
+// SendJoin announces the member to the leader.
+type SendJoin struct {
+	member table.Member
+	group  uint64
+}
+
+// Member returns the member.
+func (e SendJoin) Member() table.Member { return e.member }
+
+// Group returns the control group of earlier sessions, 0 if there was none.
+func (e SendJoin) Group() uint64 { return e.group }
+
+// SendRenew asks the leader for a longer lease.
+type SendRenew struct {
+	incarnation table.Incarnation
+	sequence    uint64
+	version     uint64
+	releases    []order.Release
+	report      load.Report
+}
+
+// Incarnation returns the member.
+func (e SendRenew) Incarnation() table.Incarnation { return e.incarnation }
+
+// Sequence returns the number of the renewal.
+func (e SendRenew) Sequence() uint64 { return e.sequence }
+
+// Version returns the version of the member's table.
+func (e SendRenew) Version() uint64 { return e.version }
+
+// Releases returns the moving shards without requests in flight.
+func (e SendRenew) Releases() []order.Release { return e.releases }
+
+// Report returns what traffic counted since the last renewal.
+func (e SendRenew) Report() load.Report { return e.report }
+
+// SendLeave tells the leader that the member is about to leave.
+type SendLeave struct{ incarnation table.Incarnation }
+
+// Incarnation returns the member.
+func (e SendLeave) Incarnation() table.Incarnation { return e.incarnation }
+
+// SendGone tells the leader that the incarnation holds nothing any more.
+type SendGone struct{ incarnation table.Incarnation }
+
+// Incarnation returns the member.
+func (e SendGone) Incarnation() table.Incarnation { return e.incarnation }
+
+// WatchShard asks for a ShardDrained event once no request of the shard is in
+// flight.
+type WatchShard struct {
+	service string
+	shard   table.Shard
+	epoch   table.Epoch
+}
+
+// Service returns the name of the service.
+func (e WatchShard) Service() string { return e.service }
+
+// Shard returns the shard.
+func (e WatchShard) Shard() table.Shard { return e.shard }
+
+// Epoch returns the epoch that ends.
+func (e WatchShard) Epoch() table.Epoch { return e.epoch }
+
+// WatchAll asks for an AllDrained event once no request is in flight at the
+// target.
+type WatchAll struct{}
+
+// UseTarget sends traffic to a target.
+type UseTarget struct {
+	service string
+	address string
+}
+
+// Service returns the name of the target's service.
+func (e UseTarget) Service() string { return e.service }
+
+// Address returns where the target listens, as "ip:port".
+func (e UseTarget) Address() string { return e.address }
+
+// DropTarget closes all connections to the target.
+type DropTarget struct{}
+
+// Reconnect ends the session and begins a new one.
+type Reconnect struct{}
+
+// Freed says that the target that withdrew has no request in flight and gets no
+// more.
+type Freed struct{}
+
+// Violated says that something happened that the protocol rules out.
+type Violated struct{ problem string }
+
+// Problem returns what happened.
+func (e Violated) Problem() string { return e.problem }
+
+// Stopped says that the process may end.
+type Stopped struct{}
+
+func (Publish) effect()    {}
+func (SendJoin) effect()   {}
+func (SendRenew) effect()  {}
+func (SendLeave) effect()  {}
+func (SendGone) effect()   {}
+func (WatchShard) effect() {}
+func (WatchAll) effect()   {}
+func (UseTarget) effect()  {}
+func (DropTarget) effect() {}
+func (Reconnect) effect()  {}
+func (Freed) effect()      {}
+func (Violated) effect()   {}
+func (Stopped) effect()    {}
--- /dev/null
+++ b/core/command/agent/event.go
@@ -0,0 +1,129 @@
+package agent
+
+import (
+	"verbenabank/core/clock"
+	"verbenabank/core/state/load"
+	"verbenabank/core/state/table"
+)
+
+// Event is what an agent reacts to: Ticked, Announced, Withdrawn, TargetLost,
+// Connected, Disconnected, LeaseGiven, Updated, RejoinTold, Measured,
+// ShardDrained, AllDrained or StopAsked.
+type Event interface{ event() }
+
+// Ticked says that the instant asked for by Wake has come.
+type Ticked struct{}
+
+// Announced says that the target beside is up.
+type Announced struct {
+	service string
+	address string
+	boot    string
+}
+
+// NewAnnounced returns the announcement of a target of service at address
+// ("ip:port"). boot is new for each start of the target.
+func NewAnnounced(service, address, boot string) Announced {
+	return Announced{service: service, address: address, boot: boot}
+}
+
+// Withdrawn says that the target is about to stop.
+type Withdrawn struct{}
+
+// TargetLost says that the target is gone or answers no more.
+type TargetLost struct{ loss Loss }
+
+// Loss is how a target was lost: Dead or Mute.
+type Loss interface{ loss() }
+
+// Dead targets run nothing: no process listens at their address.
+type Dead struct{}
+
+// Mute targets do not answer and may go on later.
+type Mute struct{}
+
+func (Dead) loss() {}
+func (Mute) loss() {}
+
+// NewTargetLost returns the loss of the target.
+func NewTargetLost(l Loss) TargetLost { return TargetLost{loss: l} }
+
+// Connected says that there is a session with the leader.
+type Connected struct{}
+
+// Disconnected says that the session ended.
+type Disconnected struct{}
+
+// LeaseGiven answers a renewal.
+type LeaseGiven struct {
+	sequence  uint64
+	span      clock.Millis
+	rulesSpan clock.Millis
+	version   uint64
+	group     uint64
+}
+
+// NewLeaseGiven returns the answer to the renewal numbered sequence: the spans
+// count from its sending, and the table was at version when it was given by the
+// group.
+func NewLeaseGiven(sequence uint64, span, rulesSpan clock.Millis, version, group uint64) LeaseGiven {
+	return LeaseGiven{sequence: sequence, span: span, rulesSpan: rulesSpan, version: version, group: group}
+}
+
+// Updated brings the table from one version to another.
+type Updated struct {
+	full    bool
+	from    uint64
+	to      uint64
+	changes []table.Change
+}
+
+// NewUpdated returns the changes between two versions, or from the empty table
+// if full.
+func NewUpdated(full bool, from, to uint64, changes []table.Change) Updated {
+	return Updated{full: full, from: from, to: to, changes: changes}
+}
+
+// RejoinTold says that the incarnation is not a member.
+type RejoinTold struct{ incarnation table.Incarnation }
+
+// NewRejoinTold returns the event for the incarnation.
+func NewRejoinTold(i table.Incarnation) RejoinTold { return RejoinTold{incarnation: i} }
+
+// Measured carries what traffic counted since the last time.
+type Measured struct{ report load.Report }
+
+// NewMeasured returns the event with the report.
+func NewMeasured(r load.Report) Measured { return Measured{report: r} }
+
+// ShardDrained says that no request of a moving shard is in flight.
+type ShardDrained struct {
+	service string
+	shard   table.Shard
+	epoch   table.Epoch
+}
+
+// NewShardDrained returns the event for the shard at the epoch.
+func NewShardDrained(service string, s table.Shard, e table.Epoch) ShardDrained {
+	return ShardDrained{service: service, shard: s, epoch: e}
+}
+
+// AllDrained says that no request is in flight at the target.
+type AllDrained struct{}
+
+// StopAsked says that the process is to stop.
+type StopAsked struct{}
+
+func (Ticked) event()       {}
+func (Announced) event()    {}
+func (Withdrawn) event()    {}
+func (TargetLost) event()   {}
+func (Connected) event()    {}
+func (Disconnected) event() {}
+func (LeaseGiven) event()   {}
+func (Updated) event()      {}
+func (RejoinTold) event()   {}
+func (Measured) event()     {}
+func (ShardDrained) event() {}
+func (AllDrained) event()   {}
+func (StopAsked) event()    {}
--- /dev/null
+++ b/core/command/agent/session.go
@@ -0,0 +1,146 @@
+package agent
+
+import (
+	"verbenabank/core/command/lease"
+	"verbenabank/core/state/load"
+	"verbenabank/core/state/table"
+)
+
+// connect greets the leader: a member renews, others join.
+func (a *Agent) connect() {
+	a.connected = true
+	if !a.joined {
+		a.join()
+		return
+	}
+	a.renew()
+	if _, ok := a.leave.(leaving); ok {
+		a.emit(SendLeave{incarnation: a.self})
+	}
+}
+
+func (a *Agent) join() {
+	if _, ok := a.leave.(staying); !ok || !a.connected {
+		return
+	}
+	m := table.NewMember(a.self, a.instance, a.zone, a.address, a.target.service, table.Warming{})
+	a.emit(SendJoin{member: m, group: a.group})
+	a.nextRenew = a.now.Add(lease.Every)
+}
+
+func (a *Agent) tick() {
+	if a.now < a.nextRenew {
+		return
+	}
+	if a.joined {
+		a.renew()
+		return
+	}
+	a.join()
+	a.nextRenew = a.now.Add(lease.Every)
+}
+
+func (a *Agent) renew() {
+	a.nextRenew = a.now.Add(lease.Every)
+	if !a.connected || a.silent() {
+		return
+	}
+	a.holder.Send(a.now)
+	a.emit(SendRenew{
+		incarnation: a.self,
+		sequence:    a.holder.Sequence(),
+		version:     a.table.Version(),
+		releases:    a.released,
+		report:      a.report,
+	})
+	a.report = load.Report{}
+}
+
+// leaseGiven counts an answered renewal. An answer from a group other than that
+// of earlier sessions comes from a group that was founded anew: it may know less
+// than this daemon, so nothing of it is used.
+func (a *Agent) leaseGiven(e LeaseGiven) {
+	if a.group != 0 && e.group != a.group {
+		a.emit(Violated{problem: "the control group is not the one of earlier sessions; restart the daemon if it was founded anew on purpose"})
+		return
+	}
+	if e.version > a.table.Version() {
+		a.emit(Reconnect{})
+		return
+	}
+	a.group = e.group
+	a.holder.Given(e.sequence, e.span, e.rulesSpan)
+	a.publish()
+}
+
+// updated brings the table forward. A gap between versions means that a message
+// is missing, so the session starts again with the whole table.
+func (a *Agent) updated(e Updated) {
+	base := a.table
+	if e.full {
+		base = table.Empty()
+	} else if e.from != a.table.Version() {
+		a.emit(Reconnect{})
+		return
+	}
+	if e.to < a.table.Version() {
+		a.emit(Violated{problem: "an update would take the table back"})
+		a.emit(Reconnect{})
+		return
+	}
+	a.table = base.With(e.to, e.changes...)
+	a.checkMembership()
+	a.publish()
+	for _, c := range e.changes {
+		a.follow(c)
+	}
+	a.dropSettled()
+}
+
+// checkMembership compares the table with what this daemon believes of itself.
+func (a *Agent) checkMembership() {
+	_, present := a.table.Member(a.self)
+	switch {
+	case present && !a.joined:
+		a.joined = true
+		a.nextRenew = a.now
+	case !present && a.joined:
+		a.renewIdentity()
+	}
+}
+
+// follow watches the shards that are to be handed over.
+func (a *Agent) follow(c table.Change) {
+	h, ok := c.(table.HoldingSet)
+	if !ok {
+		return
+	}
+	m, ok := h.Holding().(table.Moving)
+	if !ok || m.From() != a.self || !a.joined {
+		return
+	}
+	key := release(h.Service(), h.Shard(), m.Epoch())
+	if !a.watched[key] {
+		a.watched[key] = true
+		a.emit(WatchShard{service: h.Service(), shard: h.Shard(), epoch: m.Epoch()})
+	}
+}
+
+// rejoinTold gives up an incarnation that is not a member.
+func (a *Agent) rejoinTold(e RejoinTold) {
+	if e.incarnation == a.self {
+		a.renewIdentity()
+		a.publish()
+	}
+}
+
+// renewIdentity gives up all that this incarnation held and joins as a new one.
+func (a *Agent) renewIdentity() {
+	a.joined = false
+	a.holder.GiveUp()
+	clear(a.watched)
+	a.released = nil
+	a.self = a.incarnate()
+	a.settleExit()
+	a.join()
+}
--- /dev/null
+++ b/core/command/agent/target.go
@@ -0,0 +1,76 @@
+package agent
+
+// announced takes note of the target beside. A new boot of a known target means
+// that the old one is dead.
+func (a *Agent) announced(e Announced) {
+	t := target(e)
+	switch {
+	case t == a.target, t == a.next:
+	case a.target.service == "" && a.stays():
+		a.next = t
+		a.replaceIdentity()
+	case a.stays():
+		a.next = t
+		a.targetLost(NewTargetLost(Dead{}))
+	default:
+		a.next = t
+	}
+}
+
+func (a *Agent) stays() bool {
+	_, ok := a.leave.(staying)
+	return ok
+}
+
+func (a *Agent) withdrawn() {
+	if a.target.service == "" {
+		a.emit(Freed{})
+		return
+	}
+	if a.stays() {
+		a.startLeaving(withdrawing{})
+	}
+}
+
+// targetLost gives up what the daemon owns. A dead target runs nothing, so all is
+// given back once traffic noticed; a mute one may go on under the lease that it
+// was told, so the lease must lapse first.
+func (a *Agent) targetLost(e TargetLost) {
+	if a.target.service == "" || a.parted() {
+		return
+	}
+	switch e.loss.(type) {
+	case Dead:
+		a.emit(DropTarget{})
+		a.drain(a.afterLoss())
+	case Mute:
+		a.loseMute()
+	}
+}
+
+// afterLoss keeps the purpose of an exit that was under way.
+func (a *Agent) afterLoss() purpose {
+	if l, ok := a.leave.(leaving); ok {
+		return l.purpose
+	}
+	return losing{}
+}
+
+func (a *Agent) loseMute() {
+	a.leave = fading{until: max(a.now, a.holder.End()), purpose: a.afterLoss()}
+	a.publish()
+	a.emit(DropTarget{})
+}
+
+func (a *Agent) stopAsked() {
+	switch l := a.leave.(type) {
+	case staying:
+		a.startLeaving(stopping{})
+	case leaving:
+		a.leave = leaving{until: l.until, purpose: stopping{}}
+	case draining:
+		a.leave = draining{purpose: stopping{}}
+	case fading:
+		a.leave = fading{until: l.until, purpose: stopping{}}
+	}
+}
--- /dev/null
+++ b/core/command/apply/member.go
@@ -0,0 +1,85 @@
+package apply
+
+import (
+	"fmt"
+
+	"verbenabank/core/state/order"
+	"verbenabank/core/state/table"
+)
+
+// control is the author of changes that no operator asked for.
+const control = "control"
+
+func (s *step) join(c order.Join) {
+	m := c.Member()
+	if _, ok := s.table().Member(m.Incarnation()); ok {
+		s.reject("join", KnownMember)
+		return
+	}
+	s.change(table.NewMemberSet(m))
+	s.record(control, "member "+m.Instance(), "", incarnation(m.Incarnation()), "joined")
+}
+
+func (s *step) setPhase(c order.SetPhase) {
+	m, ok := s.table().Member(c.Incarnation())
+	if !ok {
+		s.reject("set phase", UnknownMember)
+		return
+	}
+	if _, ok := m.Phase().(table.Leaving); ok {
+		s.reject("set phase", MemberLeaving)
+		return
+	}
+	next := m.WithPhase(c.Phase())
+	s.change(table.NewMemberSet(next))
+	s.record(control, "member "+m.Instance(), phase(m.Phase()), phase(next.Phase()), "changed")
+}
+
+// expire removes a member. What it held is vacant; what was on its way to it
+// stays with its owner under the next epoch, so that a release under way is void.
+func (s *step) expire(c order.Expire) {
+	gone := c.Incarnation()
+	m, ok := s.table().Member(gone)
+	if !ok {
+		s.reject("expire", UnknownMember)
+		return
+	}
+	for _, v := range s.table().Services() {
+		for _, sh := range s.table().Shards(v) {
+			s.expireShard(v, sh, gone)
+		}
+	}
+	s.change(table.NewMemberGone(gone))
+	s.record(control, "member "+m.Instance(), incarnation(gone), "", string(c.Cause()))
+}
+
+func (s *step) expireShard(service string, sh table.Shard, gone table.Incarnation) {
+	switch h := s.table().Holding(service, sh).(type) {
+	case table.Vacant:
+	case table.Owned:
+		if h.Owner() == gone {
+			s.hold(service, sh, table.NewVacant(h.Epoch()))
+		}
+	case table.Moving:
+		switch gone {
+		case h.From():
+			s.hold(service, sh, table.NewVacant(h.Epoch()))
+		case h.To():
+			s.hold(service, sh, table.NewOwned(h.From(), h.Epoch()+1))
+		}
+	}
+}
+
+func incarnation(i table.Incarnation) string { return fmt.Sprintf("%016x", uint64(i)) }
+
+func phase(p table.Phase) string {
+	switch p.(type) {
+	case table.Warming:
+		return "warming"
+	case table.Serving:
+		return "serving"
+	case table.Leaving:
+		return "leaving"
+	}
+	return ""
+}
--- /dev/null
+++ b/core/command/leader/event.go
@@ -0,0 +1,102 @@
+package leader
+
+import (
+	"verbenabank/core/command/apply"
+	"verbenabank/core/state/fleet"
+	"verbenabank/core/state/load"
+	"verbenabank/core/state/order"
+	"verbenabank/core/state/table"
+)
+
+// Session numbers a session of a daemon. Numbers are not used again.
+type Session uint64
+
+// Event is what a leader reacts to: Ticked, Applied, Opened, Closed, JoinAsked,
+// RenewAsked, LeaveAsked, GoneTold or Confirmed.
+type Event interface{ event() }
+
+// Ticked says that the instant asked for by Wake has come.
+type Ticked struct{}
+
+// Applied says that a command of the log was carried out.
+type Applied struct {
+	fleet   *fleet.Fleet
+	command order.Command
+	effects []apply.Effect
+}
+
+// NewApplied returns the event for a command with its effects and the state
+// after it.
+func NewApplied(f *fleet.Fleet, c order.Command, effects []apply.Effect) Applied {
+	return Applied{fleet: f, command: c, effects: effects}
+}
+
+// Opened says that a daemon began a session.
+type Opened struct{ session Session }
+
+// NewOpened returns the event for the session.
+func NewOpened(s Session) Opened { return Opened{session: s} }
+
+// Closed says that a session ended.
+type Closed struct{ session Session }
+
+// NewClosed returns the event for the session.
+func NewClosed(s Session) Closed { return Closed{session: s} }
+
+// JoinAsked says that a daemon wants to be a member.
+type JoinAsked struct {
+	session Session
+	member  table.Member
+	group   uint64
+}
+
+// NewJoinAsked returns the event for a member that knew the control group by the
+// number group, 0 if it knew none.
+func NewJoinAsked(s Session, m table.Member, group uint64) JoinAsked {
+	return JoinAsked{session: s, member: m, group: group}
+}
+
+// RenewAsked says that a member wants a longer lease.
+type RenewAsked struct {
+	session     Session
+	incarnation table.Incarnation
+	sequence    uint64
+	version     uint64
+	releases    []order.Release
+	report      load.Report
+}
+
+// NewRenewAsked returns the event for a renewal of a member whose table is at
+// version.
+func NewRenewAsked(s Session, i table.Incarnation, sequence, version uint64, releases []order.Release, r load.Report) RenewAsked {
+	return RenewAsked{session: s, incarnation: i, sequence: sequence, version: version, releases: releases, report: r}
+}
+
+// LeaveAsked says that a member wants to hand over what it owns.
+type LeaveAsked struct{ incarnation table.Incarnation }
+
+// NewLeaveAsked returns the event for the member.
+func NewLeaveAsked(i table.Incarnation) LeaveAsked { return LeaveAsked{incarnation: i} }
+
+// GoneTold says that a member holds nothing any more and never will.
+type GoneTold struct{ incarnation table.Incarnation }
+
+// NewGoneTold returns the event for the member.
+func NewGoneTold(i table.Incarnation) GoneTold { return GoneTold{incarnation: i} }
+
+// Confirmed says that a quorum acknowledged this leader in a round that began
+// after the token was handed out.
+type Confirmed struct{ token uint64 }
+
+// NewConfirmed returns the event for the token.
+func NewConfirmed(token uint64) Confirmed { return Confirmed{token: token} }
+
+func (Ticked) event()     {}
+func (Applied) event()    {}
+func (Opened) event()     {}
+func (Closed) event()     {}
+func (JoinAsked) event()  {}
+func (RenewAsked) event() {}
+func (LeaveAsked) event() {}
+func (GoneTold) event()   {}
+func (Confirmed) event()  {}
--- /dev/null
+++ b/core/command/leader/leader.go
@@ -0,0 +1,158 @@
+// Package leader decides for the leader of the control group: it answers
+// renewals, expires the silent, grants and moves shards, and keeps the tables of
+// all daemons up to date.
+//
+// A Leader lives from taking office to losing it and is for the control
+// goroutine only. All that must survive it is in the log.
+package leader
+
+import (
+	"verbenabank/core/clock"
+	"verbenabank/core/command/apply"
+	"verbenabank/core/command/gauge"
+	"verbenabank/core/command/lease"
+	"verbenabank/core/state/fleet"
+	"verbenabank/core/state/order"
+	"verbenabank/core/state/table"
+)
+
+// planEvery is the longest time between two looks at the placement of shards.
+const planEvery = 100 * clock.Millisecond
+
+// Leader is the volatile state of a leader.
+type Leader struct {
+	group    uint64
+	now      clock.Millis
+	fleet    *fleet.Fleet
+	book     *lease.Book
+	sessions map[Session]*session
+	history  *history
+	rounds   rounds
+	planned  map[subject]bool
+	joining  map[table.Incarnation]bool
+	gauge    *gauge.Gauge
+	nextPlan clock.Millis
+	effect   []Effect
+}
+
+// session is one daemon's session.
+type session struct {
+	incarnation table.Incarnation
+	version     uint64
+}
+
+// subject is what a command is about, so that one is proposed at a time.
+type subject struct {
+	service string
+	shard   table.Shard
+	key     string
+	member  table.Incarnation
+}
+
+// New returns the leader of the control group that took office at now, when all
+// earlier entries of the log had been applied to f.
+func New(now clock.Millis, group uint64, f *fleet.Fleet) *Leader {
+	l := &Leader{
+		group:    group,
+		fleet:    f,
+		book:     lease.NewBook(now, f.Table().Members()),
+		sessions: map[Session]*session{},
+		history:  newHistory(f.Table().Version()),
+		planned:  map[subject]bool{},
+		joining:  map[table.Incarnation]bool{},
+		gauge:    gauge.New(),
+		nextPlan: now,
+	}
+	for _, m := range f.Table().Members() {
+		l.gauge.Joined(m.Incarnation(), now)
+	}
+	return l
+}
+
+// Step reacts to an event at now.
+func (l *Leader) Step(now clock.Millis, e Event) []Effect {
+	l.now, l.effect = now, nil
+	l.react(e)
+	return l.effect
+}
+
+func (l *Leader) react(e Event) {
+	switch e := e.(type) {
+	case Ticked:
+		l.expire()
+		l.plan()
+	case Applied:
+		l.applied(e)
+	case Opened:
+		l.sessions[e.session] = &session{}
+	case Closed:
+		delete(l.sessions, e.session)
+	case JoinAsked:
+		l.joinAsked(e)
+	case RenewAsked:
+		l.renewAsked(e)
+	case LeaveAsked:
+		l.leaveAsked(e)
+	case GoneTold:
+		l.gone(e.incarnation, order.Left)
+	case Confirmed:
+		l.confirmed(e)
+	}
+}
+
+// Wake returns the instant of the next Ticked event.
+func (l *Leader) Wake() clock.Millis {
+	if end, ok := l.book.Next(); ok && end < l.nextPlan {
+		return end
+	}
+	return l.nextPlan
+}
+
+// Sessions returns the count of daemons with a session.
+func (l *Leader) Sessions() int { return len(l.sessions) }
+
+func (l *Leader) emit(e Effect) { l.effect = append(l.effect, e) }
+
+func (l *Leader) offer(c order.Command) { l.emit(Offer{command: c}) }
+
+// applied follows a command of the log: the books first, then the daemons.
+func (l *Leader) applied(e Applied) {
+	l.fleet = e.fleet
+	delete(l.planned, subjectOf(e.command))
+	if j, ok := e.command.(order.Join); ok {
+		delete(l.joining, j.Member().Incarnation())
+	}
+	for _, f := range e.effects {
+		if c, ok := f.(apply.Changed); ok {
+			l.follow(c.Changes())
+		}
+	}
+}
+
+func (l *Leader) follow(changes []table.Change) {
+	for _, c := range changes {
+		switch c := c.(type) {
+		case table.MemberSet:
+			l.followMember(c.Member())
+		case table.MemberGone:
+			l.book.Forget(c.Incarnation())
+			l.gauge.Left(c.Incarnation())
+		case table.RulesSet, table.HoldingSet, table.OverrideSet, table.OverrideGone:
+		}
+	}
+	l.history.add(l.fleet.Table().Version(), changes)
+	for id, s := range l.sessions {
+		if s.incarnation != 0 {
+			l.update(id, s)
+		}
+	}
+	l.nextPlan = l.now
+}
+
+func (l *Leader) followMember(m table.Member) {
+	i := m.Incarnation()
+	if !l.gauge.Knows(i) {
+		l.gauge.Joined(i, l.now)
+		l.book.Arrived(i, l.now)
+	}
+}
--- /dev/null
+++ b/core/command/leader/member.go
@@ -0,0 +1,129 @@
+package leader
+
+import (
+	"verbenabank/core/command/lease"
+	"verbenabank/core/state/order"
+	"verbenabank/core/state/table"
+)
+
+// renewal waits for the round that confirms this leader.
+type renewal struct {
+	session     Session
+	incarnation table.Incarnation
+	sequence    uint64
+}
+
+// rounds gathers renewals: one round is under way, the next one fills.
+type rounds struct {
+	token   uint64
+	asked   []renewal
+	waiting []renewal
+}
+
+func (l *Leader) joinAsked(e JoinAsked) {
+	s, ok := l.sessions[e.session]
+	if !ok || (e.group != 0 && e.group != l.group) {
+		return
+	}
+	i := e.member.Incarnation()
+	s.incarnation = i
+	if _, ok := l.fleet.Table().Member(i); ok {
+		s.version = 0
+		l.update(e.session, s)
+		return
+	}
+	if !l.joining[i] {
+		l.joining[i] = true
+		l.offer(order.NewJoin(e.member))
+	}
+	l.update(e.session, s)
+}
+
+// renewAsked counts the lease from this arrival and answers it once a quorum
+// confirmed that this is still the leader.
+func (l *Leader) renewAsked(e RenewAsked) {
+	s, ok := l.sessions[e.session]
+	if !ok {
+		return
+	}
+	if _, ok := l.fleet.Table().Member(e.incarnation); !ok {
+		if !l.joining[e.incarnation] {
+			l.emit(SendRejoin{session: e.session, incarnation: e.incarnation})
+		}
+		return
+	}
+	if s.incarnation == 0 {
+		s.version = e.version
+	}
+	s.incarnation = e.incarnation
+	l.update(e.session, s)
+	l.release(e)
+	l.gauge.Report(e.incarnation, e.report, l.now)
+	if !l.book.MayRenew(e.incarnation) {
+		return
+	}
+	l.book.Arrived(e.incarnation, l.now)
+	l.rounds.waiting = append(l.rounds.waiting, renewal{session: e.session, incarnation: e.incarnation, sequence: e.sequence})
+	l.ask()
+}
+
+// release passes on the shards that a member gives back. It asks again only
+// after the last time was carried out.
+func (l *Leader) release(e RenewAsked) {
+	for _, r := range e.releases {
+		m, ok := l.fleet.Table().Holding(r.Service(), r.Shard()).(table.Moving)
+		if ok && m.From() == e.incarnation && m.Epoch() == r.Epoch() {
+			l.propose(r)
+		}
+	}
+}
+
+// ask starts a round if none is under way.
+func (l *Leader) ask() {
+	if len(l.rounds.asked) > 0 || len(l.rounds.waiting) == 0 {
+		return
+	}
+	l.rounds.token++
+	l.rounds.asked, l.rounds.waiting = l.rounds.waiting, nil
+	l.emit(Confirm{token: l.rounds.token})
+}
+
+// confirmed answers the renewals of a round. A member that is to be expired by
+// now gets no answer.
+func (l *Leader) confirmed(e Confirmed) {
+	if e.token != l.rounds.token {
+		return
+	}
+	for _, r := range l.rounds.asked {
+		s, ok := l.sessions[r.session]
+		if !ok || !l.book.MayRenew(r.incarnation) {
+			continue
+		}
+		l.emit(SendLease{session: r.session, sequence: r.sequence, span: lease.Span, rulesSpan: lease.RulesSpan, version: s.version})
+	}
+	l.rounds.asked = nil
+	l.ask()
+}
+
+func (l *Leader) leaveAsked(e LeaveAsked) {
+	m, ok := l.fleet.Table().Member(e.incarnation)
+	if _, leaving := m.Phase().(table.Leaving); ok && !leaving {
+		l.propose(order.NewSetPhase(e.incarnation, table.Leaving{}))
+	}
+}
+
+// expire proposes to remove the members whose lease surely ran out.
+func (l *Leader) expire() {
+	for _, i := range l.book.Lapsed(l.now) {
+		l.gone(i, order.Silent)
+	}
+}
+
+// gone proposes to remove a member and never renews it again.
+func (l *Leader) gone(i table.Incarnation, cause order.Cause) {
+	if !l.book.MayRenew(i) {
+		return
+	}
+	l.book.Bar(i)
+	l.offer(order.NewExpire(i, cause))
+}
--- /dev/null
+++ b/core/command/lease/book.go
@@ -0,0 +1,91 @@
+// Package lease counts leases on both sides: the leader's book of when each
+// member's lease surely ran out, and the daemon's own lease.
+//
+// The leader counts from the arrival of a renewal, the daemon from its sending,
+// so the daemon's count ends first whatever the message took. Both count on
+// their own clock; Margin covers the difference in rate over one lease. The
+// scheme is that of Gray and Cheriton, "Leases", 1989.
+package lease
+
+import (
+	"maps"
+	"slices"
+
+	"verbenabank/core/clock"
+	"verbenabank/core/state/table"
+)
+
+// Spans of a lease in milliseconds.
+const (
+	// Span is how long ownership lasts from the sending of a renewal.
+	Span = 700 * clock.Millisecond
+	// RulesSpan is how long the rules may be used from the sending of a renewal.
+	RulesSpan = 3 * clock.Second
+	// Margin is by how much a daemon stops early and the leader waits longer, so
+	// the rates of their clocks may differ by 15 in 100.
+	Margin = 50 * clock.Millisecond
+	// Every is the time between two renewals of a daemon.
+	Every = 200 * clock.Millisecond
+)
+
+// Book is the leader's count of leases. It is for the control goroutine only.
+type Book struct {
+	ends   map[table.Incarnation]clock.Millis
+	barred map[table.Incarnation]bool
+}
+
+// NewBook returns the book of a leader that took office at now. Each member may
+// hold a lease that the last leader gave just before.
+func NewBook(now clock.Millis, members []table.Member) *Book {
+	b := &Book{ends: map[table.Incarnation]clock.Millis{}, barred: map[table.Incarnation]bool{}}
+	for _, m := range members {
+		b.ends[m.Incarnation()] = now.Add(Span + Margin)
+	}
+	return b
+}
+
+// Arrived counts a renewal that arrived at now, whether or not it is answered.
+func (b *Book) Arrived(i table.Incarnation, now clock.Millis) {
+	if !b.barred[i] {
+		b.ends[i] = max(b.ends[i], now.Add(Span+Margin))
+	}
+}
+
+// Bar stops renewals of a member that is to be expired, for good.
+func (b *Book) Bar(i table.Incarnation) { b.barred[i] = true }
+
+// Forget drops a member that is gone.
+func (b *Book) Forget(i table.Incarnation) {
+	delete(b.ends, i)
+	delete(b.barred, i)
+}
+
+// MayRenew reports whether the member may get a longer lease.
+func (b *Book) MayRenew(i table.Incarnation) bool {
+	_, known := b.ends[i]
+	return known && !b.barred[i]
+}
+
+// Lapsed returns the members whose lease surely ran out before now and that are
+// not barred yet.
+func (b *Book) Lapsed(now clock.Millis) []table.Incarnation {
+	var lapsed []table.Incarnation
+	for i, end := range b.ends {
+		if end <= now && !b.barred[i] {
+			lapsed = append(lapsed, i)
+		}
+	}
+	slices.Sort(lapsed)
+	return lapsed
+}
+
+// Next returns the instant at which the next lease runs out.
+func (b *Book) Next() (clock.Millis, bool) {
+	next, found := clock.Millis(0), false
+	for i := range maps.Keys(b.ends) {
+		if !b.barred[i] && (!found || b.ends[i] < next) {
+			next, found = b.ends[i], true
+		}
+	}
+	return next, found
+}
--- /dev/null
+++ b/core/command/lease/holder.go
@@ -0,0 +1,52 @@
+package lease
+
+import "verbenabank/core/clock"
+
+// waiting is the most renewals that may be on their way at once.
+const waiting = 32
+
+// Holder is a daemon's own count of its lease. It is for the control goroutine
+// only.
+type Holder struct {
+	sequence uint64
+	sent     map[uint64]clock.Millis
+	end      clock.Millis
+	rulesEnd clock.Millis
+}
+
+// NewHolder returns a holder without a lease.
+func NewHolder() *Holder { return &Holder{sent: map[uint64]clock.Millis{}} }
+
+// Send numbers a renewal that is sent at now.
+func (h *Holder) Send(now clock.Millis) {
+	h.sequence++
+	h.sent[h.sequence] = now
+	delete(h.sent, h.sequence-waiting)
+}
+
+// Sequence returns the number of the last renewal.
+func (h *Holder) Sequence() uint64 { return h.sequence }
+
+// Given counts the answer to the renewal with the number. Answers to renewals
+// that are not known, or are answered already, count for nothing.
+func (h *Holder) Given(sequence uint64, span, rulesSpan clock.Millis) {
+	sent, ok := h.sent[sequence]
+	if !ok {
+		return
+	}
+	delete(h.sent, sequence)
+	h.end = max(h.end, sent.Add(span-Margin))
+	h.rulesEnd = max(h.rulesEnd, sent.Add(rulesSpan-Margin))
+}
+
+// GiveUp ends ownership at once. The rules stay usable to their end.
+func (h *Holder) GiveUp() {
+	h.end = 0
+	clear(h.sent)
+}
+
+// End returns the instant at which ownership lapses.
+func (h *Holder) End() clock.Millis { return h.end }
+
+// RulesEnd returns the instant from which the rules may be out of date.
+func (h *Holder) RulesEnd() clock.Millis { return h.rulesEnd }
--- /dev/null
+++ b/core/state/order/owner.go
@@ -0,0 +1,113 @@
+package order
+
+import "verbenabank/core/state/table"
+
+// Grant gives a vacant shard to an owner.
+type Grant struct {
+	service string
+	shard   table.Shard
+	epoch   table.Epoch
+	owner   table.Incarnation
+}
+
+// NewGrant returns the command that gives the shard, vacant since epoch e, to
+// owner.
+func NewGrant(service string, s table.Shard, e table.Epoch, owner table.Incarnation) Grant {
+	return Grant{service: service, shard: s, epoch: e, owner: owner}
+}
+
+// Service returns the name of the service.
+func (c Grant) Service() string { return c.service }
+
+// Shard returns the shard.
+func (c Grant) Shard() table.Shard { return c.shard }
+
+// Epoch returns the epoch of the last owner.
+func (c Grant) Epoch() table.Epoch { return c.epoch }
+
+// Owner returns the new owner.
+func (c Grant) Owner() table.Incarnation { return c.owner }
+
+// Move asks the owner of a shard to hand it over.
+type Move struct {
+	service   string
+	shard     table.Shard
+	epoch     table.Epoch
+	successor table.Incarnation
+}
+
+// NewMove returns the command that moves the shard, owned at epoch e, to
+// successor.
+func NewMove(service string, s table.Shard, e table.Epoch, successor table.Incarnation) Move {
+	return Move{service: service, shard: s, epoch: e, successor: successor}
+}
+
+// Service returns the name of the service.
+func (c Move) Service() string { return c.service }
+
+// Shard returns the shard.
+func (c Move) Shard() table.Shard { return c.shard }
+
+// Epoch returns the epoch of the present owner.
+func (c Move) Epoch() table.Epoch { return c.epoch }
+
+// Successor returns the next owner.
+func (c Move) Successor() table.Incarnation { return c.successor }
+
+// Release gives a moving shard back, with no request for it in flight.
+type Release struct {
+	service string
+	shard   table.Shard
+	epoch   table.Epoch
+}
+
+// NewRelease returns the command by which the owner at epoch e gives the shard
+// back.
+func NewRelease(service string, s table.Shard, e table.Epoch) Release {
+	return Release{service: service, shard: s, epoch: e}
+}
+
+// Service returns the name of the service.
+func (c Release) Service() string { return c.service }
+
+// Shard returns the shard.
+func (c Release) Shard() table.Shard { return c.shard }
+
+// Epoch returns the epoch that ends.
+func (c Release) Epoch() table.Epoch { return c.epoch }
+
+// Place gives a key a shard of its own.
+type Place struct {
+	service string
+	key     string
+}
+
+// NewPlace returns the command that places key alone.
+func NewPlace(service, key string) Place { return Place{service: service, key: key} }
+
+// Service returns the name of the service.
+func (c Place) Service() string { return c.service }
+
+// Key returns the key.
+func (c Place) Key() string { return c.key }
+
+// Unplace returns a key to its hash range.
+type Unplace struct {
+	service string
+	key     string
+}
+
+// NewUnplace returns the command that returns key to its hash range.
+func NewUnplace(service, key string) Unplace { return Unplace{service: service, key: key} }
+
+// Service returns the name of the service.
+func (c Unplace) Service() string { return c.service }
+
+// Key returns the key.
+func (c Unplace) Key() string { return c.key }
+
+func (Grant) command()   {}
+func (Move) command()    {}
+func (Release) command() {}
+func (Place) command()   {}
+func (Unplace) command() {}
--- a/core/state/rules/rules.go
+++ b/core/state/rules/rules.go
@@ -12,6 +12,7 @@
 type Rules struct {
 	version  uint64
 	digest   string
+	content  []byte
 	services map[string]Service
 }
 
@@ -25,6 +26,16 @@
 	return r
 }
 
+// WithContent returns the rules with their canonical encoding, which must not be
+// changed afterwards.
+func (r Rules) WithContent(content []byte) Rules {
+	r.content = content
+	return r
+}
+
+// Content returns the canonical encoding of the rules. It must not be changed.
+func (r Rules) Content() []byte { return r.content }
+
 // Version returns the number that the operators gave this configuration.
 func (r Rules) Version() uint64 { return r.version }
 
--- a/core/state/table/list.go
+++ b/core/state/table/list.go
@@ -49,3 +49,23 @@
 	slices.SortFunc(list, func(a, b Override) int { return cmp.Compare(a.shard, b.shard) })
 	return list
 }
+
+// Changes returns the steps from the empty table to this one.
+func (t *Table) Changes() []Change {
+	var list []Change
+	if t.rules.Version() > 0 {
+		list = append(list, NewRulesSet(t.rules))
+	}
+	for _, m := range t.Members() {
+		list = append(list, NewMemberSet(m))
+	}
+	for _, n := range t.Services() {
+		for _, o := range t.Overrides(n) {
+			list = append(list, NewOverrideSet(n, o.key, o.shard))
+		}
+		for _, s := range t.Shards(n) {
+			list = append(list, NewHoldingSet(n, s, t.Holding(n, s)))
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/core/wire/codec/command.go
@@ -0,0 +1,121 @@
+package codec
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"verbenabank/core/state/order"
+	"verbenabank/core/state/table"
+	"verbenabank/core/wire/wirepb"
+)
+
+// EncodeCommand returns the log entry of a command proposed at the stamp.
+func EncodeCommand(c order.Command, stamp order.Stamp) ([]byte, error) {
+	m := commandMessage(c)
+	m.UnixMs = int64(stamp)
+	b, err := proto.Marshal(m)
+	if err != nil {
+		return nil, fail("command", Unreadable, err)
+	}
+	return b, nil
+}
+
+func commandMessage(c order.Command) *wirepb.Command {
+	switch c := c.(type) {
+	case order.Join:
+		return &wirepb.Command{Command: &wirepb.Command_Join{Join: encodeJoin(c.Member(), 0)}}
+	case order.Expire:
+		e := &wirepb.Expire{Incarnation: uint64(c.Incarnation()), Cause: string(c.Cause())}
+		return &wirepb.Command{Command: &wirepb.Command_Expire{Expire: e}}
+	case order.SetPhase:
+		p := &wirepb.PhaseChange{Incarnation: uint64(c.Incarnation()), Phase: encodePhase(c.Phase())}
+		return &wirepb.Command{Command: &wirepb.Command_Phase{Phase: p}}
+	case order.Grant:
+		g := &wirepb.Grant{Service: c.Service(), Shard: uint32(c.Shard()), Epoch: uint64(c.Epoch()), Owner: uint64(c.Owner())}
+		return &wirepb.Command{Command: &wirepb.Command_Grant{Grant: g}}
+	case order.Move:
+		v := &wirepb.Move{Service: c.Service(), Shard: uint32(c.Shard()), Epoch: uint64(c.Epoch()), Successor: uint64(c.Successor())}
+		return &wirepb.Command{Command: &wirepb.Command_Move{Move: v}}
+	case order.Release:
+		return &wirepb.Command{Command: &wirepb.Command_Release{Release: encodeRelease(c)}}
+	case order.Accept:
+		return &wirepb.Command{Command: &wirepb.Command_Accept{Accept: EncodeProposal(c)}}
+	case order.Place:
+		return overrideCommand(&wirepb.OverrideRecord{Service: c.Service(), Key: c.Key()})
+	case order.Unplace:
+		return overrideCommand(&wirepb.OverrideRecord{Service: c.Service(), Key: c.Key(), Gone: true})
+	}
+	return nil
+}
+
+func overrideCommand(r *wirepb.OverrideRecord) *wirepb.Command {
+	return &wirepb.Command{Command: &wirepb.Command_Override{Override: r}}
+}
+
+func encodeRelease(r order.Release) *wirepb.Release {
+	return &wirepb.Release{Service: r.Service(), Shard: uint32(r.Shard()), Epoch: uint64(r.Epoch())}
+}
+
+func decodeRelease(r *wirepb.Release) order.Release {
+	return order.NewRelease(r.GetService(), table.Shard(r.GetShard()), table.Epoch(r.GetEpoch()))
+}
+
+// EncodeProposal returns the message of an offered configuration.
+func EncodeProposal(c order.Accept) *wirepb.Proposal {
+	return &wirepb.Proposal{Configuration: EncodeRules(c.Rules()), Instance: c.Instance(), Folder: c.Folder()}
+}
+
+// DecodeProposal returns the offered configuration of a message.
+func (c *Codec) DecodeProposal(m *wirepb.Proposal) (order.Accept, error) {
+	r, err := c.DecodeRules(m.GetConfiguration())
+	return order.NewAccept(r, m.GetInstance(), m.GetFolder()), err
+}
+
+// DecodeCommand returns the command of a log entry and when it was proposed.
+func (c *Codec) DecodeCommand(data []byte) (order.Command, order.Stamp, error) {
+	var m wirepb.Command
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return nil, 0, fail("command", Unreadable, err)
+	}
+	d, err := c.command(&m)
+	return d, order.Stamp(m.GetUnixMs()), err
+}
+
+func (c *Codec) command(m *wirepb.Command) (order.Command, error) {
+	switch x := m.GetCommand().(type) {
+	case *wirepb.Command_Join:
+		return order.NewJoin(decodeJoin(x.Join)), nil
+	case *wirepb.Command_Expire:
+		return order.NewExpire(table.Incarnation(x.Expire.GetIncarnation()), order.Cause(x.Expire.GetCause())), nil
+	case *wirepb.Command_Phase:
+		p, err := decodePhase(x.Phase.GetPhase())
+		return order.NewSetPhase(table.Incarnation(x.Phase.GetIncarnation()), p), err
+	case *wirepb.Command_Grant:
+		g := x.Grant
+		return order.NewGrant(g.GetService(), table.Shard(g.GetShard()), table.Epoch(g.GetEpoch()), table.Incarnation(g.GetOwner())), nil
+	case *wirepb.Command_Move:
+		v := x.Move
+		return order.NewMove(v.GetService(), table.Shard(v.GetShard()), table.Epoch(v.GetEpoch()), table.Incarnation(v.GetSuccessor())), nil
+	case *wirepb.Command_Release:
+		return decodeRelease(x.Release), nil
+	case *wirepb.Command_Accept:
+		return c.DecodeProposal(x.Accept)
+	case *wirepb.Command_Override:
+		if x.Override.GetGone() {
+			return order.NewUnplace(x.Override.GetService(), x.Override.GetKey()), nil
+		}
+		return order.NewPlace(x.Override.GetService(), x.Override.GetKey()), nil
+	}
+	return nil, fail("command", Missing, nil)
+}
+
+func encodeJoin(m table.Member, group uint64) *wirepb.Join {
+	return &wirepb.Join{
+		Incarnation: uint64(m.Incarnation()), Instance: m.Instance(), Zone: m.Zone(),
+		Address: m.Address(), Service: m.Service(), Group: group,
+	}
+}
+
+func decodeJoin(j *wirepb.Join) table.Member {
+	return table.NewMember(table.Incarnation(j.GetIncarnation()), j.GetInstance(), j.GetZone(),
+		j.GetAddress(), j.GetService(), table.Warming{})
+}
--- /dev/null
+++ b/core/wire/codec/session.go
@@ -0,0 +1,121 @@
+package codec
+
+import (
+	"verbenabank/core/clock"
+	"verbenabank/core/command/agent"
+	"verbenabank/core/command/leader"
+	"verbenabank/core/state/load"
+	"verbenabank/core/state/order"
+	"verbenabank/core/state/table"
+	"verbenabank/core/wire/wirepb"
+)
+
+// EncodeJoin returns the report of a daemon that joins.
+func EncodeJoin(e agent.SendJoin) *wirepb.Report {
+	return &wirepb.Report{Report: &wirepb.Report_Join{Join: encodeJoin(e.Member(), e.Group())}}
+}
+
+// EncodeLeave returns the report of a daemon that is about to leave.
+func EncodeLeave(e agent.SendLeave) *wirepb.Report {
+	return &wirepb.Report{Report: &wirepb.Report_Leave{Leave: &wirepb.Leave{Incarnation: uint64(e.Incarnation())}}}
+}
+
+// EncodeGone returns the report of a daemon whose incarnation holds nothing.
+func EncodeGone(e agent.SendGone) *wirepb.Report {
+	return &wirepb.Report{Report: &wirepb.Report_Leave{Leave: &wirepb.Leave{Incarnation: uint64(e.Incarnation()), Gone: true}}}
+}
+
+// EncodeRenew returns the report of a daemon that renews.
+func EncodeRenew(e agent.SendRenew) *wirepb.Report {
+	m := &wirepb.Renew{Incarnation: uint64(e.Incarnation()), Sequence: e.Sequence(), TableVersion: e.Version()}
+	for _, r := range e.Releases() {
+		m.Releases = append(m.Releases, encodeRelease(r))
+	}
+	for _, s := range e.Report().Shards() {
+		m.Loads = append(m.Loads, &wirepb.ShardLoad{Shard: uint32(s.Shard()), Requests: s.Requests(), BusyMs: s.Busy()})
+	}
+	for _, k := range e.Report().Keys() {
+		m.Hot = append(m.Hot, &wirepb.KeyLoad{Key: k.Key(), Requests: k.Requests()})
+	}
+	return &wirepb.Report{Report: &wirepb.Report_Renew{Renew: m}}
+}
+
+// DecodeReport returns what a report asks of the leader.
+func DecodeReport(s leader.Session, m *wirepb.Report) (leader.Event, error) {
+	switch x := m.GetReport().(type) {
+	case *wirepb.Report_Join:
+		if x.Join.GetIncarnation() == 0 {
+			return nil, fail("join", Missing, nil)
+		}
+		return leader.NewJoinAsked(s, decodeJoin(x.Join), x.Join.GetGroup()), nil
+	case *wirepb.Report_Renew:
+		return decodeRenew(s, x.Renew), nil
+	case *wirepb.Report_Leave:
+		i := table.Incarnation(x.Leave.GetIncarnation())
+		if x.Leave.GetGone() {
+			return leader.NewGoneTold(i), nil
+		}
+		return leader.NewLeaveAsked(i), nil
+	}
+	return nil, fail("report", Missing, nil)
+}
+
+func decodeRenew(s leader.Session, m *wirepb.Renew) leader.Event {
+	releases := make([]order.Release, 0, len(m.GetReleases()))
+	for _, r := range m.GetReleases() {
+		releases = append(releases, decodeRelease(r))
+	}
+	shards := make([]load.Shard, 0, len(m.GetLoads()))
+	for _, l := range m.GetLoads() {
+		shards = append(shards, load.NewShard(table.Shard(l.GetShard()), l.GetRequests(), l.GetBusyMs()))
+	}
+	keys := make([]load.Key, 0, len(m.GetHot()))
+	for _, k := range m.GetHot() {
+		keys = append(keys, load.NewKey(k.GetKey(), k.GetRequests()))
+	}
+	return leader.NewRenewAsked(s, table.Incarnation(m.GetIncarnation()), m.GetSequence(), m.GetTableVersion(),
+		releases, load.NewReport(shards, keys))
+}
+
+// EncodeLease returns the answer to a renewal, given by the control group.
+func EncodeLease(e leader.SendLease, group uint64) *wirepb.Order {
+	return &wirepb.Order{Order: &wirepb.Order_Lease{Lease: &wirepb.Lease{
+		Sequence: e.Sequence(), LeaseMs: int64(e.Span()), RulesMs: int64(e.RulesSpan()),
+		TableVersion: e.Version(), Group: group,
+	}}}
+}
+
+// EncodeUpdate returns the order that brings a table forward.
+func EncodeUpdate(u leader.Update) *wirepb.Order {
+	return &wirepb.Order{Order: &wirepb.Order_Update{Update: &wirepb.Update{
+		Full: u.Full(), From: u.From(), To: u.To(), Changes: EncodeChanges(u.Changes()),
+	}}}
+}
+
+// EncodeRejoin returns the order to join anew.
+func EncodeRejoin(e leader.SendRejoin) *wirepb.Order {
+	return &wirepb.Order{Order: &wirepb.Order_Rejoin{Rejoin: &wirepb.Rejoin{Incarnation: uint64(e.Incarnation())}}}
+}
+
+// EncodeRedirect returns the order to ask the replica at address instead.
+func EncodeRedirect(address string) *wirepb.Order {
+	return &wirepb.Order{Order: &wirepb.Order_Redirect{Redirect: &wirepb.Redirect{Address: address}}}
+}
+
+// DecodeOrder returns what an order of the leader means to a daemon. A redirect
+// is for the session, not for the agent, and gives an error here.
+func (c *Codec) DecodeOrder(m *wirepb.Order) (agent.Event, error) {
+	switch x := m.GetOrder().(type) {
+	case *wirepb.Order_Lease:
+		l := x.Lease
+		return agent.NewLeaseGiven(l.GetSequence(), clock.Millis(l.GetLeaseMs()), clock.Millis(l.GetRulesMs()),
+			l.GetTableVersion(), l.GetGroup()), nil
+	case *wirepb.Order_Update:
+		changes, err := c.DecodeChanges(x.Update.GetChanges())
+		return agent.NewUpdated(x.Update.GetFull(), x.Update.GetFrom(), x.Update.GetTo(), changes), err
+	case *wirepb.Order_Rejoin:
+		return agent.NewRejoinTold(table.Incarnation(x.Rejoin.GetIncarnation())), nil
+	case *wirepb.Order_Redirect:
+	}
+	return nil, fail("order", Missing, nil)
+}
--- /dev/null
+++ b/core/wire/codec/table.go
@@ -0,0 +1,137 @@
+package codec
+
+import (
+	"verbenabank/core/state/table"
+	"verbenabank/core/wire/wirepb"
+)
+
+// EncodeChanges returns the messages for table changes.
+func EncodeChanges(changes []table.Change) []*wirepb.TableChange {
+	list := make([]*wirepb.TableChange, 0, len(changes))
+	for _, c := range changes {
+		list = append(list, encodeChange(c))
+	}
+	return list
+}
+
+func encodeChange(c table.Change) *wirepb.TableChange {
+	switch c := c.(type) {
+	case table.RulesSet:
+		return &wirepb.TableChange{Change: &wirepb.TableChange_Rules{Rules: EncodeRules(c.Rules())}}
+	case table.MemberSet:
+		return &wirepb.TableChange{Change: &wirepb.TableChange_Member{Member: encodeMember(c.Member())}}
+	case table.MemberGone:
+		return &wirepb.TableChange{Change: &wirepb.TableChange_Gone{Gone: uint64(c.Incarnation())}}
+	case table.HoldingSet:
+		return &wirepb.TableChange{Change: &wirepb.TableChange_Holding{Holding: encodeHolding(c)}}
+	case table.OverrideSet:
+		return override(&wirepb.OverrideRecord{Service: c.Service(), Key: c.Key(), Shard: uint32(c.Shard())})
+	case table.OverrideGone:
+		return override(&wirepb.OverrideRecord{Service: c.Service(), Key: c.Key(), Gone: true})
+	}
+	return nil
+}
+
+func override(r *wirepb.OverrideRecord) *wirepb.TableChange {
+	return &wirepb.TableChange{Change: &wirepb.TableChange_Override{Override: r}}
+}
+
+func encodeHolding(c table.HoldingSet) *wirepb.HoldingRecord {
+	r := &wirepb.HoldingRecord{Service: c.Service(), Shard: uint32(c.Shard()), Epoch: uint64(c.Holding().Epoch())}
+	switch h := c.Holding().(type) {
+	case table.Vacant:
+	case table.Owned:
+		r.Owner = uint64(h.Owner())
+	case table.Moving:
+		r.Owner, r.Successor = uint64(h.From()), uint64(h.To())
+	}
+	return r
+}
+
+func encodeMember(m table.Member) *wirepb.MemberRecord {
+	return &wirepb.MemberRecord{
+		Incarnation: uint64(m.Incarnation()), Instance: m.Instance(), Zone: m.Zone(),
+		Address: m.Address(), Service: m.Service(), Phase: encodePhase(m.Phase()),
+	}
+}
+
+func encodePhase(p table.Phase) wirepb.PhaseCode {
+	switch p.(type) {
+	case table.Warming:
+		return wirepb.PhaseCode_PHASE_CODE_WARMING
+	case table.Serving:
+		return wirepb.PhaseCode_PHASE_CODE_SERVING
+	case table.Leaving:
+		return wirepb.PhaseCode_PHASE_CODE_LEAVING
+	}
+	return wirepb.PhaseCode_PHASE_CODE_UNSPECIFIED
+}
+
+// DecodeChanges returns the table changes of messages.
+func (c *Codec) DecodeChanges(messages []*wirepb.TableChange) ([]table.Change, error) {
+	list := make([]table.Change, 0, len(messages))
+	for _, m := range messages {
+		d, err := c.decodeChange(m)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, d)
+	}
+	return list, nil
+}
+
+func (c *Codec) decodeChange(m *wirepb.TableChange) (table.Change, error) {
+	switch x := m.GetChange().(type) {
+	case *wirepb.TableChange_Rules:
+		r, err := c.DecodeRules(x.Rules)
+		return table.NewRulesSet(r), err
+	case *wirepb.TableChange_Member:
+		d, err := decodeMember(x.Member)
+		return table.NewMemberSet(d), err
+	case *wirepb.TableChange_Gone:
+		return table.NewMemberGone(table.Incarnation(x.Gone)), nil
+	case *wirepb.TableChange_Holding:
+		h := x.Holding
+		return table.NewHoldingSet(h.GetService(), table.Shard(h.GetShard()), decodeHolding(h)), nil
+	case *wirepb.TableChange_Override:
+		o := x.Override
+		if o.GetGone() {
+			return table.NewOverrideGone(o.GetService(), o.GetKey()), nil
+		}
+		return table.NewOverrideSet(o.GetService(), o.GetKey(), table.Shard(o.GetShard())), nil
+	}
+	return nil, fail("table change", Missing, nil)
+}
+
+func decodeHolding(h *wirepb.HoldingRecord) table.Holding {
+	owner, e := table.Incarnation(h.GetOwner()), table.Epoch(h.GetEpoch())
+	switch {
+	case h.GetSuccessor() != 0:
+		return table.NewMoving(owner, table.Incarnation(h.GetSuccessor()), e)
+	case h.GetOwner() != 0:
+		return table.NewOwned(owner, e)
+	}
+	return table.NewVacant(e)
+}
+
+func decodeMember(m *wirepb.MemberRecord) (table.Member, error) {
+	p, err := decodePhase(m.GetPhase())
+	if m.GetIncarnation() == 0 {
+		err = fail("member", Missing, nil)
+	}
+	return table.NewMember(table.Incarnation(m.GetIncarnation()), m.GetInstance(), m.GetZone(),
+		m.GetAddress(), m.GetService(), p), err
+}
+
+func decodePhase(p wirepb.PhaseCode) (table.Phase, error) {
+	switch p {
+	case wirepb.PhaseCode_PHASE_CODE_WARMING:
+		return table.Warming{}, nil
+	case wirepb.PhaseCode_PHASE_CODE_SERVING:
+		return table.Serving{}, nil
+	case wirepb.PhaseCode_PHASE_CODE_LEAVING:
+		return table.Leaving{}, nil
+	case wirepb.PhaseCode_PHASE_CODE_UNSPECIFIED:
+	}
+	return table.Warming{}, fail("phase", OutOfRange, nil)
+}
