Run control state on one goroutine

Cause: agent, leader and replicated log need one owner and an order of effects. Ruled out: carrying out effects of a nested step at once; a proposal made while entries are applied would reach the disk before the batch that is still in hand. Change: package ctrl with events, ports and a queue for events that arise from effects. It is not built into the daemon yet.

--- a/core/command/agent/session.go
+++ b/core/command/agent/session.go
@@ -6,9 +6,14 @@
 	"verbenabank/core/state/table"
 )
 
+// answerWait is how long a renewal may go unanswered before the daemon looks for
+// another leader.
+const answerWait = lease.Every
+
 // connect greets the leader: a member renews, others join.
 func (a *Agent) connect() {
 	a.connected = true
+	a.holder.Lose()
 	if !a.joined {
 		a.join()
 		return
@@ -45,6 +50,11 @@
 	if !a.connected || a.silent() {
 		return
 	}
+	if a.holder.Unanswered(a.now) >= answerWait {
+		a.connected = false
+		a.emit(Reconnect{})
+		return
+	}
 	a.holder.Send(a.now)
 	a.emit(SendRenew{
 		incarnation: a.self,
--- a/core/command/lease/holder.go
+++ b/core/command/lease/holder.go
@@ -34,11 +34,28 @@
 	if !ok {
 		return
 	}
-	delete(h.sent, sequence)
+	for n := range h.sent {
+		if n <= sequence {
+			delete(h.sent, n)
+		}
+	}
 	h.end = max(h.end, sent.Add(span-Margin))
 	h.rulesEnd = max(h.rulesEnd, sent.Add(rulesSpan-Margin))
 }
 
+// Unanswered returns the age at now of the oldest renewal without an answer, 0 if
+// there is none.
+func (h *Holder) Unanswered(now clock.Millis) clock.Millis {
+	age := clock.Millis(0)
+	for _, sent := range h.sent {
+		age = max(age, now.Sub(sent))
+	}
+	return age
+}
+
+// Lose forgets renewals that went to a session which ended.
+func (h *Holder) Lose() { clear(h.sent) }
+
 // GiveUp ends ownership at once. The rules stay usable to their end.
 func (h *Holder) GiveUp() {
 	h.end = 0
--- a/core/wire/codec/session.go
+++ b/core/wire/codec/session.go
@@ -102,8 +102,13 @@
 	return &wirepb.Order{Order: &wirepb.Order_Redirect{Redirect: &wirepb.Redirect{Address: address}}}
 }
 
-// DecodeOrder returns what an order of the leader means to a daemon. A redirect
-// is for the session, not for the agent, and gives an error here.
+// EncodeWelcome returns the order that opens a session with the leader of group.
+func EncodeWelcome(group uint64) *wirepb.Order {
+	return &wirepb.Order{Order: &wirepb.Order_Welcome{Welcome: &wirepb.Welcome{Group: group}}}
+}
+
+// DecodeOrder returns what an order of the leader means to a daemon. Redirect and
+// Welcome are for the session, not for the agent, and give an error here.
 func (c *Codec) DecodeOrder(m *wirepb.Order) (agent.Event, error) {
 	switch x := m.GetOrder().(type) {
 	case *wirepb.Order_Lease:
@@ -115,7 +120,7 @@
 		return agent.NewUpdated(x.Update.GetFull(), x.Update.GetFrom(), x.Update.GetTo(), changes), err
 	case *wirepb.Order_Rejoin:
 		return agent.NewRejoinTold(table.Incarnation(x.Rejoin.GetIncarnation())), nil
-	case *wirepb.Order_Redirect:
+	case *wirepb.Order_Redirect, *wirepb.Order_Welcome:
 	}
 	return nil, fail("order", Missing, nil)
 }
--- /dev/null
+++ b/verbenad/command/ctrl/ctrl.go
@@ -0,0 +1,157 @@
+// Package ctrl runs the one goroutine that owns all control state of a process:
+// the daemon's agent and, on control replicas, the replicated log, the fleet
+// state and the leader.
+//
+// All others reach it by events. It calls the decisions of core/command and hands
+// their effects to ports that do not block.
+package ctrl
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"verbenabank/core/clock"
+	"verbenabank/core/command/agent"
+	"verbenabank/core/command/leader"
+	"verbenabank/core/command/raft"
+	"verbenabank/core/state/fleet"
+	"verbenabank/core/state/peer"
+	"verbenabank/core/state/snap"
+	"verbenabank/core/wire/codec"
+)
+
+// queueLength is how many events may wait for the control goroutine.
+const queueLength = 8192
+
+// Loop is the control goroutine with its state. Post and View are safe for
+// concurrent use; all else belongs to Run.
+type Loop struct {
+	clock  *clock.Clock
+	stamp  Stamp
+	codec  *codec.Codec
+	log    *logrus.Entry
+	events chan Event
+	view   atomic.Pointer[View]
+
+	agent  *agent.Agent
+	cell   *snap.Cell
+	uplink Uplink
+	target Target
+	flight Flight
+	waiter Waiter
+
+	node    *raft.Node
+	waiting []raft.Event
+	peers   Peers
+	disk    Log
+	fleet   *fleet.Fleet
+	leader  *leader.Leader
+	outlets map[leader.Session]Outlet
+	pending map[uint64]pending
+	token   uint64
+	packed  uint64
+	failed  error
+}
+
+// New returns a loop with opts applied.
+func New(opts ...Option) *Loop {
+	l := &Loop{
+		clock:   clock.New(),
+		codec:   codec.New(),
+		log:     logrus.NewEntry(logrus.StandardLogger()),
+		events:  make(chan Event, queueLength),
+		fleet:   fleet.New(),
+		outlets: map[leader.Session]Outlet{},
+		pending: map[uint64]pending{},
+	}
+	for _, o := range opts {
+		o(l)
+	}
+	l.view.Store(&View{fleet: l.fleet})
+	return l
+}
+
+// Post hands the loop an event. It waits while the queue is full.
+func (l *Loop) Post(e Event) { l.events <- e }
+
+// Run carries out events until ctx ends or the state cannot be trusted any more.
+func (l *Loop) Run(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	if l.node != nil {
+		l.stepNode(raft.Started{})
+	}
+	for l.failed == nil {
+		l.show()
+		timer.Reset(max(0, l.wake().Sub(l.clock.Now())).Duration())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+			l.tick()
+		case e := <-l.events:
+			l.react(e)
+		}
+	}
+	l.waiter.Failed(l.failed)
+	return l.failed
+}
+
+func (l *Loop) wake() clock.Millis {
+	wake := l.agent.Wake()
+	if l.node != nil {
+		wake = min(wake, l.node.Wake())
+	}
+	if l.leader != nil {
+		wake = min(wake, l.leader.Wake())
+	}
+	return wake
+}
+
+func (l *Loop) tick() {
+	now := l.clock.Now()
+	if l.agent.Wake() <= now {
+		l.stepAgent(agent.Ticked{})
+	}
+	if l.node != nil && l.node.Wake() <= now {
+		l.stepNode(raft.Ticked{})
+	}
+	if l.leader != nil && l.leader.Wake() <= now {
+		l.stepLeader(leader.Ticked{})
+	}
+}
+
+func (l *Loop) react(e Event) {
+	switch e := e.(type) {
+	case Local:
+		l.stepAgent(e.inner)
+	case Peer:
+		l.stepNode(raft.NewReceived(e.message))
+	case Synced:
+		l.stepNode(raft.NewPersisted(e.sequence))
+	case Opened:
+		l.open(e)
+	case Closed:
+		l.closed(e.session)
+	case Asked:
+		l.stepLeader(e.inner)
+	case Offered:
+		l.offered(e)
+	case Compacted:
+		l.stepNode(raft.NewCompacted(peer.Index(e.index), e.data))
+	case DiskFailed:
+		l.fail("append", Storage, e.err)
+	case Handover:
+		l.stepNode(raft.TransferAsked{})
+	}
+}
+
+func (l *Loop) fail(op string, k Kind, cause error) {
+	if l.failed == nil {
+		l.failed = &Error{op: op, kind: k, cause: cause}
+		l.log.WithError(l.failed).Error("ctrl: cannot go on")
+	}
+}
--- /dev/null
+++ b/verbenad/command/ctrl/office.go
@@ -0,0 +1,120 @@
+package ctrl
+
+import (
+	"verbenabank/core/command/leader"
+	"verbenabank/core/command/raft"
+)
+
+// became takes or loses office as leader.
+func (l *Loop) became(f raft.Became) {
+	l.log.WithField("term", f.Term()).Infof("ctrl: replica is %s", roleName(f.Role()))
+	switch f.Role().(type) {
+	case raft.Leader:
+		l.takeOffice()
+	case raft.Blank, raft.Learner, raft.Follower, raft.PreCandidate, raft.Candidate, raft.Elected:
+		l.loseOffice()
+	}
+}
+
+func (l *Loop) takeOffice() {
+	elections.Add(1)
+	l.leader = leader.New(l.clock.Now(), l.group(), l.fleet)
+}
+
+// loseOffice sends all daemons elsewhere.
+func (l *Loop) loseOffice() {
+	if l.leader == nil {
+		return
+	}
+	l.leader = nil
+	for s, o := range l.outlets {
+		o.Redirect(l.node.Status().LeaderAddress())
+		delete(l.outlets, s)
+	}
+}
+
+func (l *Loop) group() uint64 { return uint64(l.node.Status().Group()) }
+
+// open begins a session if this replica leads.
+func (l *Loop) open(e Opened) {
+	if l.leader == nil {
+		address := ""
+		if l.node != nil {
+			address = l.node.Status().LeaderAddress()
+		}
+		e.outlet.Redirect(address)
+		return
+	}
+	l.outlets[e.session] = e.outlet
+	e.outlet.Welcome(l.group())
+	l.stepLeader(leader.NewOpened(e.session))
+}
+
+func (l *Loop) closed(s leader.Session) {
+	delete(l.outlets, s)
+	l.stepLeader(leader.NewClosed(s))
+}
+
+// offered appends an offered configuration if this replica leads.
+func (l *Loop) offered(e Offered) {
+	if l.leader == nil {
+		address := ""
+		if l.node != nil {
+			address = l.node.Status().LeaderAddress()
+		}
+		e.answer(Undecided{leader: address})
+		return
+	}
+	l.propose(e.accept, offer{answer: e.answer})
+}
+
+// stepLeader carries out what the leader decides.
+func (l *Loop) stepLeader(e leader.Event) {
+	if l.leader == nil {
+		return
+	}
+	for _, f := range l.leader.Step(l.clock.Now(), e) {
+		l.lead(f)
+	}
+}
+
+func (l *Loop) lead(f leader.Effect) {
+	switch f := f.(type) {
+	case leader.Offer:
+		l.propose(f.Command(), nil)
+	case leader.Confirm:
+		l.stepNode(raft.NewConfirmAsked(l.nextToken(round{token: f.Token()})))
+	case leader.SendLease:
+		l.send(f.Session(), f)
+	case leader.SendUpdate:
+		l.send(f.Session(), f)
+	case leader.SendRejoin:
+		l.send(f.Session(), f)
+	}
+}
+
+func (l *Loop) send(s leader.Session, f leader.Effect) {
+	if o, ok := l.outlets[s]; ok {
+		o.Send(f, l.group())
+	}
+}
+
+func roleName(r raft.Role) string {
+	switch r.(type) {
+	case raft.Blank:
+		return "blank"
+	case raft.Learner:
+		return "a learner"
+	case raft.Follower:
+		return "a follower"
+	case raft.PreCandidate:
+		return "a pre-candidate"
+	case raft.Candidate:
+		return "a candidate"
+	case raft.Elected:
+		return "elected"
+	case raft.Leader:
+		return "the leader"
+	}
+	return "unknown"
+}
