Decide elections, replication and membership of the replicated log

Cause: control state must survive the loss of a minority of disks, with no ready-made consensus library. Ruled out: decisions that wait for the disk inside the control goroutine; a commit index that is only in memory, since a promoted replica could then not tell after a restart that its promotion was committed.

--- /dev/null
+++ b/core/command/raft/form.go
@@ -0,0 +1,69 @@
+package raft
+
+import "verbenabank/core/state/peer"
+
+// The first term and index of a group hold its first members.
+const (
+	firstTerm  peer.Term  = 1
+	firstIndex peer.Index = 1
+)
+
+// found proposes a new group, if this replica may: it has the lowest address of
+// the settings, and all others just said that they are blank too.
+func (n *Node) found() {
+	if !n.form || n.group != 0 || len(n.seeds) == 0 || n.seeds[0] != n.address {
+		return
+	}
+	var replicas []peer.Replica
+	for _, s := range n.seeds {
+		id := n.id
+		if s != n.address {
+			a, ok := n.greet.answers[s]
+			if !ok || n.now.Sub(a.at) > helloFresh || n.greet.known[s].current != a.id {
+				return
+			}
+			id = a.id
+		}
+		replicas = append(replicas, peer.NewReplica(id, s, peer.Voter{}))
+	}
+	n.enter(peer.Group(n.draw()), peer.NewMembers(replicas...))
+	for _, r := range n.others() {
+		n.sendDurable(r.ID(), peer.NewForm(n.members))
+	}
+	n.timer.election = n.now
+}
+
+// enter begins the log of a new group.
+func (n *Node) enter(g peer.Group, m peer.Members) {
+	n.group = g
+	n.setTerm(firstTerm, 0)
+	n.appendLog(peer.NewEntry(firstIndex, firstTerm, peer.NewChange(m)))
+	n.commitTo(firstIndex)
+	n.greet.answers = map[string]answer{}
+}
+
+// onForm enters the group that another blank replica founded.
+func (n *Node) onForm(m peer.Message, f peer.Form) {
+	if n.group != 0 || m.To() != n.id || m.Group() == 0 || !n.seed(m.Address()) {
+		return
+	}
+	if _, current := n.greet.meet(m.Address(), m.From()); !current {
+		return
+	}
+	own, ok := f.Members().Find(n.id)
+	if !ok || own.Address() != n.address || !f.Members().Votes(m.From()) {
+		return
+	}
+	n.enter(m.Group(), f.Members())
+}
+
+// passForm repeats the founding for a first member that it did not reach.
+func (n *Node) passForm(m peer.Message) {
+	if n.group == 0 || m.Group() != 0 || n.log.base != 0 || n.log.last() < firstIndex {
+		return
+	}
+	first, ok := n.log.at(firstIndex).Payload().(peer.Change)
+	if ok && first.Members().Votes(m.From()) {
+		n.greetAt(m.Address(), m.From(), peer.NewForm(first.Members()))
+	}
+}
--- /dev/null
+++ b/core/command/raft/lead.go
@@ -0,0 +1,101 @@
+package raft
+
+import (
+	"verbenabank/core/clock"
+	"verbenabank/core/state/peer"
+)
+
+// leadership is what only an elected replica knows.
+type leadership struct {
+	first    peer.Index // the first entry of the own term
+	told     peer.Index // the last change of the group that was announced as committed
+	progress map[peer.ID]*progress
+	offers   map[peer.Index]uint64
+	round    uint64
+	started  clock.Millis // of the last round
+	asks     []ask
+	target   peer.ID // of the handover, 0 if there is none
+}
+
+// takeOffice begins the term of an elected replica with an entry of its own.
+func (n *Node) takeOffice() {
+	n.leader = n.id
+	n.timer.election = Never
+	n.timer.quorum = n.now.Add(ElectionMax)
+	n.lead = leadership{
+		first: n.log.last() + 1, told: n.commit,
+		progress: map[peer.ID]*progress{}, offers: map[peer.Index]uint64{},
+	}
+	n.become(Elected{})
+	n.trackMembers()
+	n.appendLog(peer.NewEntry(n.log.last()+1, n.term, peer.Noop{}))
+	n.startRound()
+}
+
+// stepDown leaves office: what was offered and asked stays unanswered.
+func (n *Node) stepDown() {
+	if !n.leads() {
+		return
+	}
+	var tokens []uint64
+	for _, t := range n.lead.offers {
+		tokens = append(tokens, t)
+	}
+	for _, a := range n.lead.asks {
+		tokens = append(tokens, a.token)
+	}
+	if len(tokens) > 0 {
+		n.emit(Dropped{tokens: sorted(tokens)})
+	}
+	n.lead = leadership{}
+	n.timer.heartbeat, n.timer.round = Never, Never
+	n.timer.quorum, n.timer.transfer = Never, Never
+	n.role = Follower{}
+	n.emit(Became{role: n.role, term: n.term})
+}
+
+// trackMembers follows the progress of all members but itself.
+func (n *Node) trackMembers() {
+	next := map[peer.ID]*progress{}
+	for _, r := range n.others() {
+		p, ok := n.lead.progress[r.ID()]
+		if !ok {
+			p = &progress{next: n.log.last() + 1, heard: n.now, state: probing{}}
+		}
+		next[r.ID()] = p
+	}
+	n.lead.progress = next
+}
+
+// offer appends a command.
+func (n *Node) offer(o Offered) {
+	if !n.leads() || n.lead.target != 0 {
+		n.emit(Dropped{tokens: []uint64{o.token}})
+		return
+	}
+	i := n.log.last() + 1
+	n.lead.offers[i] = o.token
+	n.appendLog(peer.NewEntry(i, n.term, peer.NewCommand(o.command)))
+	n.sendAll(false)
+}
+
+// checkQuorum leaves office if a quorum was silent for the longest election
+// timeout.
+func (n *Node) checkQuorum() {
+	n.timer.quorum = n.now.Add(ElectionMax)
+	heard := 0
+	for _, r := range n.members.List() {
+		if r.Votes() && (r.ID() == n.id || n.lives(r.ID())) {
+			heard++
+		}
+	}
+	if heard < n.members.Quorum() {
+		n.follow(n.term, 0)
+	}
+}
+
+// lives reports whether a follower was heard from lately.
+func (n *Node) lives(id peer.ID) bool {
+	p, ok := n.lead.progress[id]
+	return ok && n.now.Sub(p.heard) <= ElectionMax
+}
--- /dev/null
+++ b/core/command/raft/options.go
@@ -0,0 +1,52 @@
+package raft
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"verbenabank/core/state/peer"
+)
+
+// Option sets one property of a Node.
+type Option func(*Node)
+
+// WithAddress sets where peers reach this replica, as "ip:port".
+func WithAddress(address string) Option {
+	return func(n *Node) { n.address = address }
+}
+
+// WithSeeds sets the addresses of all control replicas in the settings, this one
+// included.
+func WithSeeds(addresses ...string) Option {
+	return func(n *Node) {
+		n.seeds = slices.Clone(addresses)
+		slices.Sort(n.seeds)
+	}
+}
+
+// WithForm allows the replica to found the group if all others are blank too.
+func WithForm(form bool) Option {
+	return func(n *Node) { n.form = form }
+}
+
+// WithRandom sets the seed of identities, nonces and election timeouts. Each
+// start of a process needs another one.
+func WithRandom(high, low uint64) Option {
+	return func(n *Node) { n.random = rand.New(rand.NewPCG(high, low)) }
+}
+
+// WithStored sets what the storage holds.
+func WithStored(s peer.Stored) Option {
+	return func(n *Node) { n.stored = s }
+}
+
+// WithTrail sets how many entries before a snapshot stay in memory, so that
+// followers a little behind need no snapshot.
+func WithTrail(entries int) Option {
+	return func(n *Node) { n.trail = peer.Index(entries) }
+}
+
+// WithChunk sets the greatest number of bytes of a snapshot in one message.
+func WithChunk(bytes int) Option {
+	return func(n *Node) { n.chunk = bytes }
+}
--- /dev/null
+++ b/core/command/raft/snapshot.go
@@ -0,0 +1,110 @@
+package raft
+
+import "verbenabank/core/state/peer"
+
+// incoming is a snapshot that arrives in chunks.
+type incoming struct {
+	leader peer.ID
+	index  peer.Index
+	term   peer.Term
+	data   []byte
+}
+
+// compact cuts the log behind a snapshot of the applied state.
+func (n *Node) compact(c Compacted) {
+	if c.index <= n.snapshot.Index() || c.index > n.applied || c.index <= n.log.base {
+		return
+	}
+	members, _ := n.log.membersAt(c.index)
+	n.keepSnapshot(peer.NewSnapshot(c.index, n.log.termAt(c.index), members, c.data))
+	if c.index > n.log.base+n.trail {
+		n.log.compact(c.index - n.trail)
+	}
+}
+
+// keepSnapshot puts a snapshot, and all entries after it, into the next batch.
+func (n *Node) keepSnapshot(s peer.Snapshot) {
+	n.snapshot = s
+	n.disk.snapshot = s
+	n.disk.entries = nil
+	if s.Index() < n.log.last() {
+		n.disk.entries = append(n.disk.entries, n.log.entries[s.Index()-n.log.base:]...)
+	}
+	n.disk.dirty = true
+}
+
+// sendChunk sends the next part of a snapshot.
+func (n *Node) sendChunk(id peer.ID, p *progress) {
+	s, ok := p.state.(installing)
+	if !ok {
+		return
+	}
+	data := s.snapshot.Data()
+	begin := min(s.offset, uint64(len(data)))
+	end := min(begin+uint64(n.chunk), uint64(len(data)))
+	part := peer.NewSnapshot(s.snapshot.Index(), s.snapshot.Term(), s.snapshot.Members(), data[begin:end])
+	s.sent = n.now
+	p.state = s
+	n.send(id, n.term, peer.NewSnapshotChunk(part, begin, end == uint64(len(data)), n.lead.round))
+}
+
+// onSnapshotReply sends the chunk that the follower asks for.
+func (n *Node) onSnapshotReply(from peer.ID, r peer.SnapshotReply) {
+	p, ok := n.lead.progress[from]
+	if !ok {
+		return
+	}
+	n.heard(p, r.Round())
+	if s, ok := p.state.(installing); ok && r.Index() == s.snapshot.Index() && r.Next() != s.offset {
+		s.offset = r.Next()
+		p.state = s
+		n.sendChunk(from, p)
+	}
+	n.checkConfirm()
+}
+
+// onChunk gathers a snapshot of the leader and installs it when it is whole.
+func (n *Node) onChunk(m peer.Message, c peer.SnapshotChunk) {
+	if !n.obey(m) {
+		return
+	}
+	part := c.Part()
+	if part.Index() <= n.commit {
+		n.acknowledge(m.From(), part.Index(), c.Round())
+		return
+	}
+	in := &n.inward
+	if in.leader != m.From() || in.index != part.Index() || in.term != m.Term() {
+		*in = incoming{leader: m.From(), index: part.Index(), term: m.Term()}
+	}
+	have := uint64(len(in.data))
+	if c.Offset() != have {
+		n.reply(m.From(), peer.NewSnapshotReply(part.Index(), have, c.Round()))
+		return
+	}
+	in.data = append(in.data, part.Data()...)
+	if !c.Last() {
+		n.reply(m.From(), peer.NewSnapshotReply(part.Index(), uint64(len(in.data)), c.Round()))
+		return
+	}
+	data := in.data
+	*in = incoming{}
+	n.install(peer.NewSnapshot(part.Index(), part.Term(), part.Members(), data))
+	n.acknowledge(m.From(), part.Index(), c.Round())
+}
+
+// install replaces the state by a snapshot that is ahead of the commit index.
+func (n *Node) install(s peer.Snapshot) {
+	if n.log.matches(s.Index(), s.Term()) {
+		n.commitTo(s.Index())
+		return
+	}
+	n.log.reset(s)
+	n.disk.durable, n.disk.marks = 0, nil
+	n.commit, n.applied = s.Index(), s.Index()
+	n.settled = s.Members()
+	n.setMembers(s.Members(), s.Index())
+	n.keepSnapshot(s)
+	n.emit(Restore{snapshot: s})
+	n.standAnew()
+}
