--- /dev/null
+++ b/verbenad/adapt/link/peers.go
@@ -0,0 +1,106 @@
+package link
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"google.golang.org/grpc"
+
+	"verbenabank/core/state/peer"
+	"verbenabank/core/wire/peers"
+	"verbenabank/core/wire/wirepb"
+)
+
+// Peers sends messages to other control replicas, one stream for each. Messages
+// that cannot be sent are lost, which the replicated log allows for. It is safe
+// for concurrent use.
+type Peers struct {
+	ctx     context.Context
+	options []grpc.DialOption
+	log     *logrus.Entry
+	group   conc.WaitGroup
+
+	mu     sync.Mutex
+	queues map[string]chan *wirepb.PeerMessage
+}
+
+// NewPeers returns a sender and the function that ends it.
+func NewPeers(options []grpc.DialOption, log *logrus.Entry) (*Peers, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &Peers{ctx: ctx, options: options, log: log, queues: map[string]chan *wirepb.PeerMessage{}}
+	return p, func() {
+		cancel()
+		p.group.Wait()
+	}
+}
+
+// Send queues m for the replica at address, or loses it if the queue is full.
+func (p *Peers) Send(address string, m peer.Message) {
+	select {
+	case p.queue(address) <- peers.EncodeMessage(m):
+	default:
+	}
+}
+
+func (p *Peers) queue(address string) chan *wirepb.PeerMessage {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	q, ok := p.queues[address]
+	if !ok {
+		q = make(chan *wirepb.PeerMessage, queueLength)
+		p.queues[address] = q
+		p.group.Go(func() { p.serve(address, q) })
+	}
+	return q
+}
+
+// serve keeps a stream to one replica until the sender ends.
+func (p *Peers) serve(address string, q chan *wirepb.PeerMessage) {
+	for p.ctx.Err() == nil {
+		if err := p.stream(address, q); err != nil {
+			p.log.WithError(err).WithField("address", address).Debug("link: stream to replica ended")
+		}
+		pause(p.ctx, backoffLeast)
+	}
+}
+
+func (p *Peers) stream(address string, q chan *wirepb.PeerMessage) error {
+	c, err := dial(address, p.options)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = c.Close() }()
+	ctx, cancel := context.WithCancel(p.ctx)
+	defer cancel()
+	s, err := wirepb.NewPeerClient(c).Exchange(ctx)
+	if err != nil {
+		return &Error{op: "exchange", kind: Unreachable, cause: err}
+	}
+	p.group.Go(func() {
+		_, _ = s.Recv()
+		cancel()
+	})
+	for {
+		select {
+		case <-ctx.Done():
+			return &Error{op: "exchange", kind: Unreachable, cause: ctx.Err()}
+		case m := <-q:
+			if err := s.Send(m); err != nil {
+				return &Error{op: "exchange", kind: Unreachable, cause: err}
+			}
+		}
+	}
+}
+
+// pause waits for the span or the end of ctx.
+func pause(ctx context.Context, span time.Duration) {
+	t := time.NewTimer(span)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/verbenad/adapt/trust/trust.go
@@ -0,0 +1,119 @@
+// Package trust guards the port between processes: every call carries the shared
+// secret of the settings, and with TLS both ends show a certificate.
+//
+// The secret keeps out strangers and processes of other deployments. Without TLS
+// it crosses the network as it is, so whoever can read the traffic can learn it.
+package trust
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/hex"
+	"os"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"verbenabank/verbenad/state/sets"
+)
+
+// header is the metadata that carries the proof of the secret.
+const header = "verbena-secret"
+
+// Trust holds the secret and the transport credentials of a process. It is
+// immutable and safe for concurrent use.
+type Trust struct {
+	proof     string
+	transport credentials.TransportCredentials
+}
+
+// New returns the trust of the settings.
+func New(s sets.Settings) (*Trust, error) {
+	sum := hmac.New(sha256.New, s.Secret())
+	sum.Write([]byte("verbenabank peers"))
+	t := &Trust{proof: hex.EncodeToString(sum.Sum(nil)), transport: insecure.NewCredentials()}
+	if files, ok := s.TLS(); ok {
+		c, err := mutual(files)
+		if err != nil {
+			return nil, err
+		}
+		t.transport = credentials.NewTLS(c)
+	}
+	return t, nil
+}
+
+// mutual reads the certificates for TLS in both directions.
+func mutual(files sets.TLS) (*tls.Config, error) {
+	pair, err := tls.LoadX509KeyPair(files.Certificate(), files.Key())
+	if err != nil {
+		return nil, &Error{op: "load certificate", kind: BadFile, cause: err}
+	}
+	text, err := os.ReadFile(files.Authority())
+	if err != nil {
+		return nil, &Error{op: "load authority", kind: BadFile, cause: err}
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return nil, &Error{op: "load authority", kind: NoCertificate}
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{pair}, RootCAs: pool, ClientCAs: pool,
+		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
+	}, nil
+}
+
+// Transport returns the credentials of connections.
+func (t *Trust) Transport() credentials.TransportCredentials { return t.transport }
+
+// GetRequestMetadata adds the proof to a call.
+func (t *Trust) GetRequestMetadata(context.Context, ...string) (map[string]string, error) {
+	return map[string]string{header: t.proof}, nil
+}
+
+// RequireTransportSecurity returns false: without TLS in the settings the proof is
+// sent over plain TCP.
+func (t *Trust) RequireTransportSecurity() bool { return false }
+
+// DialOptions returns the options of connections to other processes.
+func (t *Trust) DialOptions() []grpc.DialOption {
+	return []grpc.DialOption{
+		grpc.WithTransportCredentials(t.transport), grpc.WithPerRPCCredentials(t),
+		grpc.WithDisableRetry(), grpc.WithDisableServiceConfig(),
+	}
+}
+
+// ServerOptions returns the options of the server, which refuses calls without
+// the proof.
+func (t *Trust) ServerOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{
+		grpc.Creds(t.transport),
+		grpc.UnaryInterceptor(func(ctx context.Context, r any, _ *grpc.UnaryServerInfo, next grpc.UnaryHandler) (any, error) {
+			if err := t.check(ctx); err != nil {
+				return nil, err
+			}
+			return next(ctx, r)
+		}),
+		grpc.StreamInterceptor(func(s any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, next grpc.StreamHandler) error {
+			if err := t.check(stream.Context()); err != nil {
+				return err
+			}
+			return next(s, stream)
+		}),
+	}
+}
+
+func (t *Trust) check(ctx context.Context) error {
+	m, _ := metadata.FromIncomingContext(ctx)
+	shown := m.Get(header)
+	if len(shown) == 1 && hmac.Equal([]byte(shown[0]), []byte(t.proof)) {
+		return nil
+	}
+	return status.Error(codes.Unauthenticated, "trust: the shared secret is missing or another one; compare secret_file in the settings of both processes")
+}
--- a/verbenad/command/ctrl/ctrl.go
+++ b/verbenad/command/ctrl/ctrl.go
@@ -34,6 +34,7 @@
 	codec  *codec.Codec
 	log    *logrus.Entry
 	events chan Event
+	done   chan struct{}
 	view   atomic.Pointer[View]
 
 	agent  *agent.Agent
@@ -63,6 +64,7 @@
 		codec:   codec.New(),
 		log:     logrus.NewEntry(logrus.StandardLogger()),
 		events:  make(chan Event, queueLength),
+		done:    make(chan struct{}),
 		fleet:   fleet.New(),
 		outlets: map[leader.Session]Outlet{},
 		pending: map[uint64]pending{},
@@ -74,11 +76,18 @@
 	return l
 }
 
-// Post hands the loop an event. It waits while the queue is full.
-func (l *Loop) Post(e Event) { l.events <- e }
+// Post hands the loop an event. It waits while the queue is full, and loses the
+// event if the loop has ended.
+func (l *Loop) Post(e Event) {
+	select {
+	case l.events <- e:
+	case <-l.done:
+	}
+}
 
 // Run carries out events until ctx ends or the state cannot be trusted any more.
 func (l *Loop) Run(ctx context.Context) error {
+	defer close(l.done)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	if l.node != nil {
--- /dev/null
+++ b/verbenad/query/admin/status.go
@@ -0,0 +1,139 @@
+package admin
+
+import (
+	"fmt"
+
+	"github.com/gofiber/fiber/v3"
+
+	"verbenabank/core/state/table"
+)
+
+func (a *Admin) status(c fiber.Ctx) error {
+	now, s := a.clock.Now(), a.cell.Load()
+	t := s.Table()
+	status := struct {
+		Instance string    `json:"instance"`
+		Zone     string    `json:"zone"`
+		Self     string    `json:"incarnation"`
+		Lease    int64     `json:"lease_left_ms"`
+		Rules    int64     `json:"rules_left_ms"`
+		Version  uint64    `json:"rules_version"`
+		Digest   string    `json:"rules_digest"`
+		Table    uint64    `json:"table_version"`
+		Control  *control  `json:"control,omitempty"`
+		Members  []member  `json:"members"`
+		Services []service `json:"services"`
+	}{
+		Instance: a.instance, Zone: a.zone, Self: hex(s.Self()),
+		Lease: int64(max(0, s.LeaseEnd().Sub(now))), Rules: int64(max(0, s.RulesEnd().Sub(now))),
+		Version: t.Rules().Version(), Digest: t.Rules().Digest(), Table: t.Version(),
+		Control: a.control(), Members: members(t), Services: services(t),
+	}
+	return c.JSON(status)
+}
+
+// control is the state of a control replica.
+type control struct {
+	ID       string   `json:"id"`
+	Group    string   `json:"group"`
+	Term     uint64   `json:"term"`
+	Leader   string   `json:"leader"`
+	Commit   uint64   `json:"commit"`
+	Applied  uint64   `json:"applied"`
+	Sessions int      `json:"sessions"`
+	Replicas []string `json:"replicas"`
+}
+
+func (a *Admin) control() *control {
+	v := a.view()
+	s, ok := v.Status()
+	if !ok {
+		return nil
+	}
+	c := &control{
+		ID: fmt.Sprintf("%016x", uint64(s.ID())), Group: fmt.Sprintf("%016x", uint64(s.Group())),
+		Term: uint64(s.Term()), Leader: s.LeaderAddress(), Commit: uint64(s.Commit()),
+		Applied: uint64(s.Applied()), Sessions: v.Sessions(),
+	}
+	for _, r := range s.Members().List() {
+		c.Replicas = append(c.Replicas, r.Address())
+	}
+	return c
+}
+
+// member is one row of the members.
+type member struct {
+	Instance    string `json:"instance"`
+	Zone        string `json:"zone"`
+	Service     string `json:"service"`
+	Phase       string `json:"phase"`
+	Address     string `json:"address"`
+	Incarnation string `json:"incarnation"`
+	Shards      int    `json:"shards"`
+}
+
+func members(t *table.Table) []member {
+	counts := map[table.Incarnation]int{}
+	for _, n := range t.Services() {
+		for _, s := range t.Shards(n) {
+			if o, ok := t.Holding(n, s).(table.Owned); ok {
+				counts[o.Owner()]++
+			}
+		}
+	}
+	list := []member{}
+	for _, m := range t.Members() {
+		list = append(list, member{
+			Instance: m.Instance(), Zone: m.Zone(), Service: m.Service(), Phase: phase(m.Phase()),
+			Address: m.Address(), Incarnation: hex(m.Incarnation()), Shards: counts[m.Incarnation()],
+		})
+	}
+	return list
+}
+
+// service is one row of the services.
+type service struct {
+	Name   string `json:"name"`
+	Owned  int    `json:"owned"`
+	Moving int    `json:"moving"`
+	Vacant int    `json:"vacant"`
+	Alone  int    `json:"keys_placed_alone"`
+}
+
+func services(t *table.Table) []service {
+	list := []service{}
+	for _, n := range t.Rules().Names() {
+		v := service{Name: n, Alone: len(t.Overrides(n))}
+		for _, s := range t.Shards(n) {
+			switch t.Holding(n, s).(type) {
+			case table.Vacant:
+				v.Vacant++
+			case table.Owned:
+				v.Owned++
+			case table.Moving:
+				v.Moving++
+			}
+		}
+		list = append(list, v)
+	}
+	return list
+}
+
+func phase(p table.Phase) string {
+	switch p.(type) {
+	case table.Warming:
+		return "warming"
+	case table.Serving:
+		return "serving"
+	case table.Leaving:
+		return "leaving"
+	}
+	return ""
+}
+
+func hex(i table.Incarnation) string {
+	if i == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%016x", uint64(i))
+}
