Carry requests from callers to the owner's target and back

Cause: the daemon had no data path.

Ruled out: fasthttp.HostClient towards targets (it sends a request again by itself when a kept connection breaks, cannot be cancelled, and does not tell whether a byte was written); middleware routes in fiber (it runs them also for requests that it could not parse); a count of requests in flight that is taken after the ownership check (a release could pass between the two).

Change: decisions in core (route, retry, budget, admit, heavy) with requests and replies as data (call); the codec of the Hop service (parts); in verbenad the count in flight, the owner's guard, exclusive connections to the target, the hop over gRPC and the server of callers.

Conclusion: the path works end to end; choice of pooled targets is random as yet, and the failure tests are still to come.

--- /dev/null
+++ b/core/command/admit/admit.go
@@ -0,0 +1,214 @@
+// Package admit bounds the work of one target: so many slots, and a short queue in
+// front of them that turns requests away while they surely did not run.
+//
+// The queue is first in, first out while it empties now and then. Once it did not
+// empty for Interval it serves the newest first, so that the callers who still wait
+// for their answer get it, and the oldest make room for newcomers (adaptive LIFO with the
+// standing-queue test of CoDel).
+package admit
+
+import (
+	"sync"
+
+	"verbenabank/core/clock"
+	"verbenabank/core/state/result"
+)
+
+const (
+	// Interval is how long the queue may stand before the newest go first.
+	Interval = 100 * clock.Millisecond
+	// FirstService is the time of service that is assumed before any was seen.
+	FirstService = 5 * clock.Millisecond
+	// smoothing is the weight of the latest service time in the mean, as 1/n.
+	smoothing = 8
+)
+
+// Limits are the bounds of one target.
+type Limits struct {
+	slots int
+	queue int
+	wait  clock.Millis
+}
+
+// NewLimits returns limits of slots that run at once, queue requests that wait, and
+// the longest wait.
+func NewLimits(slots, queue int, wait clock.Millis) Limits {
+	return Limits{slots: slots, queue: queue, wait: wait}
+}
+
+// Grant is what became of a waiting request: Admitted or Refused.
+type Grant interface{ grant() }
+
+// Admitted requests hold a slot until Leave.
+type Admitted struct{}
+
+// Refused requests did not get a slot.
+type Refused struct {
+	reason result.Reason
+	after  clock.Millis
+}
+
+// Reason returns why.
+func (r Refused) Reason() result.Reason { return r.reason }
+
+// After returns when another try may be of use.
+func (r Refused) After() clock.Millis { return r.after }
+
+func (Admitted) grant() {}
+func (Refused) grant()  {}
+
+// Ticket is the place of one request.
+type Ticket struct {
+	arrived  clock.Millis
+	deadline clock.Millis
+	ready    chan Grant
+}
+
+// Ready returns the channel that gets the one grant.
+func (t *Ticket) Ready() <-chan Grant { return t.ready }
+
+// Gate admits requests. It is safe for concurrent use.
+type Gate struct {
+	mu      sync.Mutex
+	limits  Limits
+	busy    int
+	waiting []*Ticket
+	stood   clock.Millis // since when the queue was never empty
+	service clock.Millis // mean time of service in 1/1000 ms
+}
+
+// New returns a gate with the limits.
+func New(l Limits) *Gate { return &Gate{limits: l, service: FirstService * 1000} }
+
+// Arrive asks for a slot at now, for a request with a deadline. The grant comes
+// on the ticket's channel, at once if there is a slot or no hope.
+func (g *Gate) Arrive(now, deadline clock.Millis, l Limits) *Ticket {
+	t := &Ticket{arrived: now, deadline: deadline, ready: make(chan Grant, 1)}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limits = l
+	g.fill(now)
+	if g.busy < g.limits.slots {
+		g.admit(t)
+		return t
+	}
+	if !g.hope(now, deadline) {
+		t.ready <- g.overloaded()
+		return t
+	}
+	g.enqueue(t, now)
+	return t
+}
+
+// hope reports whether a newcomer can be served in time.
+func (g *Gate) hope(now, deadline clock.Millis) bool {
+	if g.limits.queue <= 0 {
+		return false
+	}
+	ahead := len(g.waiting)
+	if g.overloadedAt(now) {
+		ahead = 0
+	}
+	wait := g.estimate(ahead)
+	return wait <= g.limits.wait && now+wait+g.service/1000 < deadline
+}
+
+func (g *Gate) enqueue(t *Ticket, now clock.Millis) {
+	if len(g.waiting) >= g.limits.queue {
+		if !g.overloadedAt(now) {
+			t.ready <- g.overloaded()
+			return
+		}
+		g.waiting[0].ready <- g.overloaded()
+		g.waiting = g.waiting[1:]
+	}
+	if len(g.waiting) == 0 {
+		g.stood = now
+	}
+	g.waiting = append(g.waiting, t)
+}
+
+// Leave gives a slot back that was held for the span held.
+func (g *Gate) Leave(now, held clock.Millis) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.busy--
+	g.service += (held*1000 - g.service) / smoothing
+	g.fill(now)
+}
+
+// Cancel withdraws a request that waits no more. It reports whether the request
+// was admitted meanwhile, so that it holds a slot that the caller must Leave.
+func (g *Gate) Cancel(t *Ticket) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i, w := range g.waiting {
+		if w == t {
+			g.waiting = append(g.waiting[:i], g.waiting[i+1:]...)
+			return false
+		}
+	}
+	select {
+	case o := <-t.ready:
+		_, ok := o.(Admitted)
+		return ok
+	default:
+		return false
+	}
+}
+
+// fill admits waiting requests to free slots and refuses those that came too
+// late.
+func (g *Gate) fill(now clock.Millis) {
+	for len(g.waiting) > 0 && g.busy < g.limits.slots {
+		t := g.next(now)
+		if now-t.arrived > g.limits.wait || now+g.service/1000 >= t.deadline {
+			t.ready <- g.overloaded()
+			continue
+		}
+		g.admit(t)
+	}
+}
+
+// next takes the request whose turn it is.
+func (g *Gate) next(now clock.Millis) *Ticket {
+	i := 0
+	if g.overloadedAt(now) {
+		i = len(g.waiting) - 1
+	}
+	t := g.waiting[i]
+	g.waiting = append(g.waiting[:i], g.waiting[i+1:]...)
+	return t
+}
+
+func (g *Gate) admit(t *Ticket) {
+	g.busy++
+	t.ready <- Admitted{}
+}
+
+func (g *Gate) overloadedAt(now clock.Millis) bool {
+	return len(g.waiting) > 0 && now-g.stood > Interval
+}
+
+func (g *Gate) overloaded() Refused {
+	return Refused{reason: result.Overloaded, after: max(1, g.estimate(len(g.waiting)))}
+}
+
+// estimate returns how long a request waits behind ahead others.
+func (g *Gate) estimate(ahead int) clock.Millis {
+	return g.service * clock.Millis(ahead+1) / clock.Millis(max(1, g.limits.slots)) / 1000
+}
+
+// Busy returns how many slots are held.
+func (g *Gate) Busy() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.busy
+}
+
+// Waiting returns how many requests wait.
+func (g *Gate) Waiting() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.waiting)
+}
--- /dev/null
+++ b/core/query/retry/retry.go
@@ -0,0 +1,193 @@
+// Package retry decides what to do after an attempt that failed.
+//
+// The rule is that of X402.Facilitator.Failover v0.9.0 (the Elixir library X402):
+// an operation that must not run twice fails over only when the first attempt
+// provably never reached the endpoint. Here the proof is an outcome of
+// result.Refused, which every hop gives only for requests that did not run.
+package retry
+
+import (
+	"verbenabank/core/clock"
+	"verbenabank/core/state/result"
+)
+
+// Policy says which failures lead to another attempt: Proven, All or None.
+type Policy interface{ policy() }
+
+// Proven repeats what may run twice, and whatever surely did not run.
+type Proven struct{}
+
+// All repeats every failure, for comparison only: it may run a request twice.
+type All struct{}
+
+// None repeats nothing, for comparison only.
+type None struct{}
+
+func (Proven) policy() {}
+func (All) policy()    {}
+func (None) policy()   {}
+
+// Verdict is what to do next: Stop, Again or Await.
+type Verdict interface{ verdict() }
+
+// Stop ends the request with the outcome of the attempt.
+type Stop struct{}
+
+// Again tries once more, elsewhere if there is a choice.
+type Again struct{ after clock.Millis }
+
+// After returns how long to wait first.
+func (a Again) After() clock.Millis { return a.after }
+
+// Await tries once more when a newer snapshot is there or a pause is over,
+// whichever comes first.
+type Await struct{ pause clock.Millis }
+
+// Pause returns the longest time to wait.
+func (a Await) Pause() clock.Millis { return a.pause }
+
+func (Stop) verdict()  {}
+func (Again) verdict() {}
+func (Await) verdict() {}
+
+// Attempt describes the attempt that failed.
+type Attempt struct {
+	outcome    result.Outcome
+	count      int
+	limit      int
+	left       clock.Millis
+	awaited    clock.Millis
+	repeatable bool
+	replayable bool
+	choice     bool
+}
+
+// Option sets one property of an Attempt.
+type Option func(*Attempt)
+
+// WithCount sets how many attempts were made and how many are allowed.
+func WithCount(made, limit int) Option { return func(a *Attempt) { a.count, a.limit = made, limit } }
+
+// WithLeft sets the time to the deadline.
+func WithLeft(left clock.Millis) Option { return func(a *Attempt) { a.left = left } }
+
+// WithAwaited sets for how long the request has waited for an owner.
+func WithAwaited(span clock.Millis) Option { return func(a *Attempt) { a.awaited = span } }
+
+// WithRepeatable says that the request may run twice.
+func WithRepeatable(yes bool) Option { return func(a *Attempt) { a.repeatable = yes } }
+
+// WithReplayable says that the body can be sent once more.
+func WithReplayable(yes bool) Option { return func(a *Attempt) { a.replayable = yes } }
+
+// WithChoice says that other targets could serve the request.
+func WithChoice(yes bool) Option { return func(a *Attempt) { a.choice = yes } }
+
+// NewAttempt returns an attempt that ended with o, is not repeatable, not
+// replayable and has no time left, unless opts say otherwise.
+func NewAttempt(o result.Outcome, opts ...Option) Attempt {
+	a := Attempt{outcome: o}
+	for _, f := range opts {
+		f(&a)
+	}
+	return a
+}
+
+const (
+	// MinLeft is the least time to the deadline that is worth an attempt.
+	MinLeft = 2 * clock.Millisecond
+	// Pause is the wait before the same target is tried again, if the refusal
+	// names none.
+	Pause = 20 * clock.Millisecond
+	// MaxAwait is how long a request may wait for an owner in all.
+	MaxAwait = 2 * clock.Second
+	// MaxPause is the longest wait between two attempts at an owner.
+	MaxPause = 320 * clock.Millisecond
+)
+
+// Decide returns what to do after the attempt.
+func Decide(p Policy, a Attempt) Verdict {
+	if !a.replayable || a.left <= MinLeft {
+		return Stop{}
+	}
+	switch p.(type) {
+	case None:
+		return Stop{}
+	case All:
+		if a.count >= a.limit {
+			return Stop{}
+		}
+		return Again{after: a.pause(0)}
+	case Proven:
+		return proven(a)
+	}
+	return Stop{}
+}
+
+func proven(a Attempt) Verdict {
+	switch o := a.outcome.(type) {
+	case result.Answered:
+		return Stop{}
+	case result.Refused:
+		return refused(a, o)
+	case result.Unknown:
+		if !a.repeatable || a.count >= a.limit || ended(o.Reason()) {
+			return Stop{}
+		}
+		return Again{after: a.pause(0)}
+	}
+	return Stop{}
+}
+
+func refused(a Attempt, o result.Refused) Verdict {
+	switch o.Reason() {
+	case result.NoOwner:
+		return a.await(MaxAwait)
+	case result.NotOwner:
+		return a.await(Pause << min(a.count, 4))
+	case result.Unreachable, result.NoTarget, result.Leaving, result.NotReady:
+		if !a.choice {
+			return a.await(min(MaxPause, Pause<<min(a.count, 4)))
+		}
+		if a.count >= a.limit {
+			return Stop{}
+		}
+		return Again{}
+	case result.Overloaded, result.Shed:
+		if a.count >= a.limit {
+			return Stop{}
+		}
+		return a.again(o.After())
+	case result.BadRequest, result.UnknownService, result.TooLarge, result.Expired, result.TimedOut,
+		result.Interrupted, result.Truncated, result.LeaseLapsed, result.Cancelled:
+		return Stop{}
+	}
+	return Stop{}
+}
+
+// await waits for an owner while that is of use.
+func (a Attempt) await(pause clock.Millis) Verdict {
+	w := min(pause, MaxAwait-a.awaited, a.left-MinLeft)
+	if w <= 0 {
+		return Stop{}
+	}
+	return Await{pause: w}
+}
+
+// again waits for as long as asked, unless the deadline comes first.
+func (a Attempt) again(after clock.Millis) Verdict {
+	if w := a.pause(after); w+MinLeft < a.left {
+		return Again{after: w}
+	}
+	return Stop{}
+}
+
+func (a Attempt) pause(after clock.Millis) clock.Millis {
+	if a.choice {
+		return 0
+	}
+	return max(after, Pause)
+}
+
+// ended reports that trying again is of no use.
+func ended(r result.Reason) bool { return r == result.Cancelled || r == result.TimedOut }
--- /dev/null
+++ b/core/query/route/route.go
@@ -0,0 +1,158 @@
+// Package route decides from the table who may serve a request.
+package route
+
+import (
+	"verbenabank/core/state/result"
+	"verbenabank/core/state/rules"
+	"verbenabank/core/state/table"
+)
+
+// MaxKeyBytes is the length of the longest key.
+const MaxKeyBytes = 1024
+
+// Facts are what a request tells about where it belongs.
+type Facts struct {
+	path   string
+	header func(name string) string
+}
+
+// NewFacts returns the facts of a request with the path as it was sent and a lookup
+// of header fields by canonical name.
+func NewFacts(path string, header func(name string) string) Facts {
+	return Facts{path: path, header: header}
+}
+
+// Decision is where a request goes: Keyed, Pooled or Refuse.
+type Decision interface{ decision() }
+
+// Keyed requests go to the one owner of their key.
+type Keyed struct {
+	service rules.Service
+	key     string
+	shard   table.Shard
+	owner   table.Member
+}
+
+// Service returns the service.
+func (k Keyed) Service() rules.Service { return k.service }
+
+// Key returns the key.
+func (k Keyed) Key() string { return k.key }
+
+// Shard returns the shard of the key.
+func (k Keyed) Shard() table.Shard { return k.shard }
+
+// Owner returns the owner.
+func (k Keyed) Owner() table.Member { return k.owner }
+
+// Pooled requests go to one of the candidates.
+type Pooled struct {
+	service    rules.Service
+	candidates []table.Member
+}
+
+// Service returns the service.
+func (p Pooled) Service() rules.Service { return p.service }
+
+// Candidates returns the members that take work, never none; the caller must not
+// change them.
+func (p Pooled) Candidates() []table.Member { return p.candidates }
+
+// Refuse means that nobody can serve the request at present.
+type Refuse struct{ reason result.Reason }
+
+// Reason returns why.
+func (r Refuse) Reason() result.Reason { return r.reason }
+
+func (Keyed) decision()  {}
+func (Pooled) decision() {}
+func (Refuse) decision() {}
+
+// Index answers questions about one table. It is immutable and safe for
+// concurrent use.
+type Index struct {
+	table      *table.Table
+	candidates map[string][]table.Member
+}
+
+// NewIndex returns the index of t.
+func NewIndex(t *table.Table) *Index {
+	x := &Index{table: t, candidates: map[string][]table.Member{}}
+	for _, m := range t.Members() {
+		if m.Service() != "" && takesWork(m.Phase()) {
+			x.candidates[m.Service()] = append(x.candidates[m.Service()], m)
+		}
+	}
+	return x
+}
+
+// Table returns the table that is indexed.
+func (x *Index) Table() *table.Table { return x.table }
+
+func takesWork(p table.Phase) bool {
+	switch p.(type) {
+	case table.Warming, table.Serving:
+		return true
+	case table.Leaving:
+		return false
+	}
+	return false
+}
+
+// Service returns the service of a request, named by the first path segment.
+func (x *Index) Service(f Facts) (rules.Service, bool) {
+	return x.table.Rules().Service(segment(f.path, 1))
+}
+
+// Decide returns where the request goes.
+func (x *Index) Decide(f Facts) Decision {
+	s, ok := x.Service(f)
+	if !ok {
+		return Refuse{reason: result.UnknownService}
+	}
+	switch k := s.Kind().(type) {
+	case rules.Keyed:
+		return x.keyed(s, k, f)
+	case rules.Pooled:
+		return x.pooled(s)
+	}
+	return Refuse{reason: result.UnknownService}
+}
+
+func (x *Index) pooled(s rules.Service) Decision {
+	c := x.candidates[s.Name()]
+	if len(c) == 0 {
+		return Refuse{reason: result.NoTarget}
+	}
+	return Pooled{service: s, candidates: c}
+}
+
+func (x *Index) keyed(s rules.Service, k rules.Keyed, f Facts) Decision {
+	key := keyOf(k.Source(), f)
+	switch {
+	case key == "", len(key) > MaxKeyBytes, ambiguous(f.path):
+		return Refuse{reason: result.BadRequest}
+	}
+	sh := x.table.ShardOf(s.Name(), key, k.Shards())
+	switch h := x.table.Holding(s.Name(), sh).(type) {
+	case table.Owned:
+		m, ok := x.table.Member(h.Owner())
+		if !ok {
+			return Refuse{reason: result.NoOwner}
+		}
+		return Keyed{service: s, key: key, shard: sh, owner: m}
+	case table.Moving, table.Vacant:
+		return Refuse{reason: result.NoOwner}
+	}
+	return Refuse{reason: result.NoOwner}
+}
+
+func keyOf(source rules.KeySource, f Facts) string {
+	switch s := source.(type) {
+	case rules.PathSegment:
+		return segment(f.path, s.Index())
+	case rules.Header:
+		return f.header(s.Name())
+	}
+	return ""
+}
--- /dev/null
+++ b/core/state/call/call.go
@@ -0,0 +1,95 @@
+// Package call holds a request and its reply on the way between the caller and
+// the target, apart from any encoding.
+package call
+
+import (
+	"io"
+
+	"verbenabank/core/state/table"
+)
+
+// Field is one header field.
+type Field struct {
+	name  string
+	value string
+}
+
+// NewField returns the header field with the canonical name and value.
+func NewField(name, value string) Field { return Field{name: name, value: value} }
+
+// Name returns the canonical name.
+func (f Field) Name() string { return f.name }
+
+// Value returns the value.
+func (f Field) Value() string { return f.value }
+
+// Request is one attempt of a request. Its head is immutable; its body can be
+// read once.
+type Request struct {
+	service     string
+	method      string
+	uri         string
+	fields      []Field
+	key         string
+	shard       table.Shard
+	incarnation table.Incarnation
+	length      int64
+	body        io.Reader
+}
+
+// Option sets one property of a Request.
+type Option func(*Request)
+
+// WithFields sets the header fields.
+func WithFields(fields []Field) Option { return func(r *Request) { r.fields = fields } }
+
+// WithKey sets the key and its shard.
+func WithKey(key string, s table.Shard) Option {
+	return func(r *Request) { r.key, r.shard = key, s }
+}
+
+// WithMember sets the incarnation that is to run the request.
+func WithMember(i table.Incarnation) Option { return func(r *Request) { r.incarnation = i } }
+
+// WithBody sets the body and its announced length in bytes, -1 if it is not
+// announced.
+func WithBody(body io.Reader, length int64) Option {
+	return func(r *Request) { r.body, r.length = body, length }
+}
+
+// NewRequest returns a request for a service without a key, fields and body,
+// changed by opts.
+func NewRequest(service, method, uri string, opts ...Option) Request {
+	r := Request{service: service, method: method, uri: uri}
+	for _, o := range opts {
+		o(&r)
+	}
+	return r
+}
+
+// Service returns the name of the service.
+func (r Request) Service() string { return r.service }
+
+// Method returns the HTTP method.
+func (r Request) Method() string { return r.method }
+
+// URI returns path and query.
+func (r Request) URI() string { return r.uri }
+
+// Fields returns the header fields; the caller must not change them.
+func (r Request) Fields() []Field { return r.fields }
+
+// Key returns the key, "" for pooled services.
+func (r Request) Key() string { return r.key }
+
+// Shard returns the shard of the key.
+func (r Request) Shard() table.Shard { return r.shard }
+
+// Incarnation returns the member that is to run the request.
+func (r Request) Incarnation() table.Incarnation { return r.incarnation }
+
+// Length returns the announced length of the body in bytes, -1 if unknown.
+func (r Request) Length() int64 { return r.length }
+
+// Body returns the body, nil if there is none.
+func (r Request) Body() io.Reader { return r.body }
--- /dev/null
+++ b/core/wire/parts/parts.go
@@ -0,0 +1,106 @@
+// Package parts maps between core/state/call and the messages of the Hop
+// service.
+package parts
+
+import (
+	"io"
+
+	"verbenabank/core/clock"
+	"verbenabank/core/state/call"
+	"verbenabank/core/state/result"
+	"verbenabank/core/state/table"
+	"verbenabank/core/wire/wirepb"
+)
+
+// Head returns the first message of a request.
+func Head(r call.Request) *wirepb.RequestPart {
+	return &wirepb.RequestPart{Part: &wirepb.RequestPart_Head{Head: &wirepb.RequestHead{
+		Service: r.Service(), Method: r.Method(), Uri: r.URI(), Headers: headers(r.Fields()),
+		Key: r.Key(), Shard: uint32(r.Shard()), Incarnation: uint64(r.Incarnation()), ContentLength: length(r),
+	}}}
+}
+
+func length(r call.Request) int64 {
+	if r.Body() == nil {
+		return 0
+	}
+	return r.Length()
+}
+
+// Chunk returns a message with a part of a request's body.
+func Chunk(p []byte) *wirepb.RequestPart {
+	return &wirepb.RequestPart{Part: &wirepb.RequestPart_Body{Body: p}}
+}
+
+// Request returns the request with the head h and the body.
+func Request(h *wirepb.RequestHead, body io.Reader) call.Request {
+	opts := []call.Option{
+		call.WithFields(fields(h.GetHeaders())),
+		call.WithKey(h.GetKey(), table.Shard(h.GetShard())),
+		call.WithMember(table.Incarnation(h.GetIncarnation())),
+	}
+	if h.GetContentLength() != 0 {
+		opts = append(opts, call.WithBody(body, h.GetContentLength()))
+	}
+	return call.NewRequest(h.GetService(), h.GetMethod(), h.GetUri(), opts...)
+}
+
+// AnswerHead returns the first message of an answer.
+func AnswerHead(a call.Answer) *wirepb.AnswerPart {
+	return &wirepb.AnswerPart{Part: &wirepb.AnswerPart_Head{Head: &wirepb.AnswerHead{
+		Status: uint32(a.Status()), Headers: headers(a.Fields()), ContentLength: a.Length(),
+	}}}
+}
+
+// Answer returns the answer with the head h and the body.
+func Answer(h *wirepb.AnswerHead, body io.ReadCloser) call.Answer {
+	return call.NewAnswer(int(h.GetStatus()), fields(h.GetHeaders()), body, h.GetContentLength())
+}
+
+// AnswerChunk returns a message with a part of an answer's body.
+func AnswerChunk(p []byte) *wirepb.AnswerPart {
+	return &wirepb.AnswerPart{Part: &wirepb.AnswerPart_Body{Body: p}}
+}
+
+// AnswerEnd returns the message that says that the answer was whole.
+func AnswerEnd() *wirepb.AnswerPart {
+	return &wirepb.AnswerPart{Part: &wirepb.AnswerPart_End{End: &wirepb.AnswerEnd{}}}
+}
+
+// Failure returns the message for an attempt without a whole answer.
+func Failure(o result.Outcome) *wirepb.AnswerPart {
+	f := &wirepb.Failure{}
+	switch o := o.(type) {
+	case result.Refused:
+		f.NotRun, f.Reason, f.RetryAfterMs = true, string(o.Reason()), int64(o.After())
+	case result.Unknown:
+		f.Reason = string(o.Reason())
+	case result.Answered:
+		f.Reason = string(result.Interrupted)
+	}
+	return &wirepb.AnswerPart{Part: &wirepb.AnswerPart_Failure{Failure: f}}
+}
+
+// Outcome returns the outcome that a failure tells.
+func Outcome(f *wirepb.Failure) result.Outcome {
+	if f.GetNotRun() {
+		return result.NewRefused(result.Reason(f.GetReason()), clock.Millis(f.GetRetryAfterMs()))
+	}
+	return result.NewUnknown(result.Reason(f.GetReason()))
+}
+
+func headers(list []call.Field) []*wirepb.HeaderField {
+	out := make([]*wirepb.HeaderField, 0, len(list))
+	for _, f := range list {
+		out = append(out, &wirepb.HeaderField{Name: f.Name(), Value: []byte(f.Value())})
+	}
+	return out
+}
+
+func fields(list []*wirepb.HeaderField) []call.Field {
+	out := make([]call.Field, 0, len(list))
+	for _, h := range list {
+		out = append(out, call.NewField(h.GetName(), string(h.GetValue())))
+	}
+	return out
+}
--- /dev/null
+++ b/verbenad/adapt/hop/errand.go
@@ -0,0 +1,159 @@
+package hop
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"github.com/sourcegraph/conc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"verbenabank/core/state/call"
+	"verbenabank/core/state/result"
+	"verbenabank/core/wire/parts"
+	"verbenabank/core/wire/wirepb"
+)
+
+// errand is one request on its way to another daemon.
+type errand struct {
+	ctx     context.Context
+	cancel  context.CancelFunc
+	stream  wirepb.Hop_ForwardClient
+	request call.Request
+	upload  conc.WaitGroup
+}
+
+// run sends the request and waits for the head of the answer.
+func (e *errand) run() call.Reply {
+	if err := e.stream.Send(parts.Head(e.request)); err != nil {
+		e.cancel()
+		return call.Refuse(result.Unreachable)
+	}
+	switch length := e.request.Length(); {
+	case e.request.Body() == nil:
+		_ = e.stream.CloseSend()
+	case length >= 0 && length <= inlineBytes:
+		e.sendBody()
+	default:
+		e.upload.Go(e.sendBody)
+	}
+	p, err := e.stream.Recv()
+	if err != nil {
+		e.cancel()
+		return e.failed(err)
+	}
+	switch p := p.GetPart().(type) {
+	case *wirepb.AnswerPart_Head:
+		return parts.Answer(p.Head, &answerBody{errand: e})
+	case *wirepb.AnswerPart_Failure:
+		e.cancel()
+		return call.NewFailure(parts.Outcome(p.Failure))
+	default:
+		e.cancel()
+		return call.Unknown(result.Interrupted)
+	}
+}
+
+// inlineBytes is the size of the largest body that is sent before the answer is
+// read.
+const inlineBytes = 8 << 10
+
+// sendBody sends the body. If it cannot be read whole the stream is cancelled, so
+// that the other daemon does not take it for whole.
+func (e *errand) sendBody() {
+	buffer := make([]byte, chunkSize(e.request.Length()))
+	for {
+		n, err := e.request.Body().Read(buffer)
+		if n > 0 && e.stream.Send(parts.Chunk(buffer[:n])) != nil {
+			return
+		}
+		if err == io.EOF {
+			_ = e.stream.CloseSend()
+			return
+		}
+		if err != nil {
+			e.cancel()
+			return
+		}
+	}
+}
+
+func chunkSize(length int64) int64 {
+	if length < 0 {
+		return chunkBytes
+	}
+	return min(length, chunkBytes)
+}
+
+// failed returns the failure of a request whose head was sent.
+func (e *errand) failed(err error) call.Reply {
+	if c := status.Code(err); c == codes.Unauthenticated || c == codes.Unimplemented {
+		return call.Refuse(result.Unreachable)
+	}
+	return call.Unknown(reason(err))
+}
+
+// reason returns why the stream ended before the answer did.
+func reason(err error) result.Reason {
+	c := status.Code(err)
+	if c == codes.DeadlineExceeded {
+		return result.TimedOut
+	}
+	if c == codes.Canceled {
+		return result.Cancelled
+	}
+	return result.Interrupted
+}
+
+// answerBody reads the body of an answer from the stream.
+type answerBody struct {
+	errand *errand
+	chunk  []byte
+	err    error
+}
+
+// Read returns io.EOF only after the other daemon said that the answer was whole.
+func (b *answerBody) Read(p []byte) (int, error) {
+	for len(b.chunk) == 0 {
+		if b.err != nil {
+			return 0, b.err
+		}
+		b.receive()
+	}
+	n := copy(p, b.chunk)
+	b.chunk = b.chunk[n:]
+	return n, nil
+}
+
+func (b *answerBody) receive() {
+	const op = "read answer of peer"
+	p, err := b.errand.stream.Recv()
+	if err != nil {
+		b.end(call.NewError(op, reason(err)))
+		return
+	}
+	switch p := p.GetPart().(type) {
+	case *wirepb.AnswerPart_Body:
+		b.chunk = p.Body
+	case *wirepb.AnswerPart_End:
+		b.end(io.EOF)
+	case *wirepb.AnswerPart_Failure:
+		b.end(call.NewError(op, result.Reason(p.Failure.GetReason())))
+	default:
+		b.end(call.NewError(op, result.Interrupted))
+	}
+}
+
+func (b *answerBody) end(err error) {
+	b.err = err
+	b.errand.cancel()
+}
+
+// Close cancels the request if the answer was not read to its end.
+func (b *answerBody) Close() error {
+	if b.err == nil {
+		b.end(errors.New("hop: answer was closed"))
+	}
+	return nil
+}
--- /dev/null
+++ b/verbenad/adapt/hop/server.go
@@ -0,0 +1,91 @@
+package hop
+
+import (
+	"context"
+	"io"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"verbenabank/core/state/call"
+	"verbenabank/core/state/result"
+	"verbenabank/core/wire/parts"
+	"verbenabank/core/wire/wirepb"
+)
+
+// Owner serves one request with the target beside the daemon.
+type Owner interface {
+	Serve(ctx context.Context, r call.Request) call.Reply
+}
+
+// Server takes requests of other daemons. It is safe for concurrent use.
+type Server struct {
+	wirepb.UnimplementedHopServer
+	owner Owner
+}
+
+// NewServer returns the server that hands requests to owner.
+func NewServer(owner Owner) *Server { return &Server{owner: owner} }
+
+// Forward carries one request.
+func (s *Server) Forward(stream wirepb.Hop_ForwardServer) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	h := first.GetHead()
+	if h == nil {
+		return status.Error(codes.InvalidArgument, "hop: first part is not a head")
+	}
+	r := parts.Request(h, &requestBody{stream: stream})
+	switch reply := s.owner.Serve(stream.Context(), r).(type) {
+	case call.Answer:
+		return sendAnswer(stream, reply)
+	case call.Failure:
+		return stream.Send(parts.Failure(reply.Outcome()))
+	}
+	return stream.Send(parts.Failure(result.NewUnknown(result.Interrupted)))
+}
+
+// sendAnswer sends the answer with its end, or the reason why it is not whole.
+func sendAnswer(stream wirepb.Hop_ForwardServer, a call.Answer) error {
+	defer func() { _ = a.Body().Close() }()
+	if err := stream.Send(parts.AnswerHead(a)); err != nil {
+		return err
+	}
+	buffer := make([]byte, chunkSize(max(a.Length(), -1))+1)
+	for {
+		n, err := a.Body().Read(buffer)
+		if n > 0 {
+			if err := stream.Send(parts.AnswerChunk(buffer[:n])); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			return stream.Send(parts.AnswerEnd())
+		}
+		if err != nil {
+			return stream.Send(parts.Failure(result.NewUnknown(call.ReasonOf(err))))
+		}
+	}
+}
+
+// requestBody reads the body of a request from the stream.
+type requestBody struct {
+	stream wirepb.Hop_ForwardServer
+	chunk  []byte
+}
+
+// Read returns io.EOF when the other daemon has sent the whole body.
+func (b *requestBody) Read(p []byte) (int, error) {
+	for len(b.chunk) == 0 {
+		part, err := b.stream.Recv()
+		if err != nil {
+			return 0, err
+		}
+		b.chunk = part.GetBody()
+	}
+	n := copy(p, b.chunk)
+	b.chunk = b.chunk[n:]
+	return n, nil
+}
--- /dev/null
+++ b/verbenad/adapt/target/conn.go
@@ -0,0 +1,69 @@
+package target
+
+import (
+	"bufio"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// conn is one connection to the target with its buffers.
+type conn struct {
+	net.Conn
+	address string
+	since   time.Time
+	reader  *bufio.Reader
+	writer  *bufio.Writer
+	wrote   atomic.Bool
+}
+
+func newConn(n net.Conn, address string) *conn {
+	c := &conn{Conn: n, address: address}
+	c.reader = bufio.NewReaderSize(n, bufferBytes)
+	c.writer = bufio.NewWriterSize(c, bufferBytes)
+	return c
+}
+
+// Write notes that a byte may have left the daemon.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if n > 0 {
+		c.wrote.Store(true)
+	}
+	return n, err
+}
+
+// rest prepares the connection for its next exchange.
+func (c *conn) rest() {
+	c.wrote.Store(false)
+	c.since = time.Now()
+}
+
+func (c *conn) close() { _ = c.Close() }
+
+// usable reports whether the connection is young, open, and without unread bytes:
+// such bytes could only belong to an earlier request.
+func (c *conn) usable(idle time.Duration) bool {
+	if time.Since(c.since) > idle || c.reader.Buffered() > 0 {
+		return false
+	}
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, e := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = e == unix.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/verbenad/adapt/target/target.go
@@ -0,0 +1,147 @@
+// Package target exchanges requests and answers with the target beside the daemon
+// over HTTP connections that carry one request at a time.
+//
+// It uses the codec of fasthttp, but not its HostClient: that one sends a request
+// again by itself when a kept connection breaks, cannot be cancelled, and does not
+// tell whether a byte was written. Here a failure is a proof that the request did
+// not run only if the dial failed or no byte left the daemon, and a connection is
+// used again only after a whole exchange.
+package target
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"verbenabank/core/state/call"
+	"verbenabank/core/state/result"
+)
+
+const (
+	// DefaultDialTimeout bounds the dial of the target.
+	DefaultDialTimeout = 250 * time.Millisecond
+	// DefaultIdleTimeout is how long a connection is kept without a request.
+	DefaultIdleTimeout = 10 * time.Second
+	// bufferBytes is the size of the buffers of a connection; the head of an answer
+	// must fit one.
+	bufferBytes = 16 << 10
+)
+
+// Target is the target beside the daemon. It is safe for concurrent use.
+type Target struct {
+	dial        func(ctx context.Context, address string) (net.Conn, error)
+	dialTimeout time.Duration
+	idleTimeout time.Duration
+
+	mu      sync.Mutex
+	address string
+	idle    []*conn
+}
+
+// Option sets one property of a Target.
+type Option func(*Target)
+
+// WithDial sets how connections are made.
+func WithDial(dial func(ctx context.Context, address string) (net.Conn, error)) Option {
+	return func(t *Target) { t.dial = dial }
+}
+
+// WithDialTimeout bounds the dial of the target.
+func WithDialTimeout(span time.Duration) Option { return func(t *Target) { t.dialTimeout = span } }
+
+// WithIdleTimeout sets how long a connection is kept without a request.
+func WithIdleTimeout(span time.Duration) Option { return func(t *Target) { t.idleTimeout = span } }
+
+// New returns a target without an address. The clean-up function closes idle
+// connections.
+func New(opts ...Option) (*Target, func()) {
+	t := &Target{dial: dialTCP, dialTimeout: DefaultDialTimeout, idleTimeout: DefaultIdleTimeout}
+	for _, o := range opts {
+		o(t)
+	}
+	return t, func() { t.Point("") }
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// Point sets the address of the target, "" if there is none, and closes idle
+// connections to the last one. Requests in flight go on.
+func (t *Target) Point(address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if address == t.address {
+		return
+	}
+	t.address = address
+	for _, c := range t.idle {
+		c.close()
+	}
+	t.idle = nil
+}
+
+// Address returns the address of the target, "" if there is none.
+func (t *Target) Address() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.address
+}
+
+// Send sends the request and returns the answer, whose body is still to be read,
+// or a failure. The end of ctx ends the exchange.
+func (t *Target) Send(ctx context.Context, r call.Request) call.Reply {
+	c, failure := t.take(ctx)
+	if c == nil {
+		return failure
+	}
+	x := newExchange(ctx, t, c, r)
+	return x.run()
+}
+
+// take returns a connection that is open and has nothing unread.
+func (t *Target) take(ctx context.Context) (*conn, call.Failure) {
+	address, c := t.kept()
+	if c != nil {
+		return c, call.Failure{}
+	}
+	if address == "" {
+		return nil, call.Refuse(result.NoTarget)
+	}
+	ctx, cancel := context.WithTimeout(ctx, t.dialTimeout)
+	defer cancel()
+	n, err := t.dial(ctx, address)
+	if err != nil {
+		return nil, call.Refuse(result.Unreachable)
+	}
+	return newConn(n, address), call.Failure{}
+}
+
+// kept returns an idle connection if one is still usable.
+func (t *Target) kept() (string, *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for len(t.idle) > 0 {
+		c := t.idle[len(t.idle)-1]
+		t.idle = t.idle[:len(t.idle)-1]
+		if c.usable(t.idleTimeout) {
+			return t.address, c
+		}
+		c.close()
+	}
+	return t.address, nil
+}
+
+// keep puts a connection back after a whole exchange.
+func (t *Target) keep(c *conn) {
+	c.rest()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c.address != t.address {
+		c.close()
+		return
+	}
+	t.idle = append(t.idle, c)
+}
--- /dev/null
+++ b/verbenad/command/entry/handle.go
@@ -0,0 +1,124 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"strconv"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/valyala/fasthttp"
+
+	"verbenabank/core/clock"
+	"verbenabank/core/query/route"
+	"verbenabank/core/state/call"
+	"verbenabank/core/state/result"
+	"verbenabank/core/state/rules"
+)
+
+// newApp returns the HTTP server. The handler must stand on routes, not be used as
+// middleware: fiber runs middleware also for requests that it could not parse.
+func newApp(handle fiber.Handler) *fiber.App {
+	app := fiber.New(fiber.Config{
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
+		DisableDefaultContentType:    true,
+		DisableDefaultDate:           true,
+		ReadBufferSize:               MaxHeadBytes,
+		Concurrency:                  MaxConnections,
+		IdleTimeout:                  time.Minute,
+		ErrorHandler:                 refuseMalformed,
+	})
+	app.All("/*", handle)
+	return app
+}
+
+// refuseMalformed answers requests that could not be parsed.
+func refuseMalformed(c fiber.Ctx, err error) error {
+	r := &c.RequestCtx().Response
+	r.Reset()
+	writeFailure(r, result.NewRefused(result.BadRequest, 0))
+	r.SetBodyString(err.Error() + "\n")
+	r.Header.SetConnectionClose()
+	return nil
+}
+
+// handle serves one request of a caller.
+func (e *Entry) handle(c fiber.Ctx) error {
+	t := e.newTask(c.RequestCtx())
+	defer t.close()
+	e.meter.begin()
+	began := e.clock.Now()
+	o := t.run()
+	e.meter.end(o, e.clock.Now()-began)
+	return nil
+}
+
+// newTask reads the head of a request.
+func (e *Entry) newTask(c *fasthttp.RequestCtx) *task {
+	t := &task{entry: e, http: c, id: rand.Text(), cancel: func() {}}
+	t.caller, _ = c.Conn().(*conn)
+	t.facts = route.NewFacts(string(c.URI().PathOriginal()), func(name string) string {
+		return string(c.Request.Header.Peek(name))
+	})
+	return t
+}
+
+// prepare reads what depends on the rules of the service. It returns a refusal if the
+// request cannot be taken.
+func (t *task) prepare(s rules.Service) (result.Reason, bool) {
+	h := &t.http.Request.Header
+	deadline := s.Deadline()
+	if v := h.Peek(HeaderDeadlineMs); len(v) > 0 {
+		ms, err := strconv.ParseInt(string(v), 10, 64)
+		if err != nil || ms <= 0 {
+			return result.BadRequest, false
+		}
+		deadline = min(deadline, clock.Millis(ms))
+	}
+	t.deadline = t.entry.clock.Now().Add(deadline)
+	t.ctx, t.cancel = context.WithTimeout(context.Background(), deadline.Duration())
+	t.method = string(h.Method())
+	t.uri = originForm(t.http.URI())
+	t.fields = requestFields(h, t.id)
+	t.repeatable = s.Repeatable(t.method) && string(h.Peek(HeaderRepeatable)) != "no"
+	return t.takeBody(s)
+}
+
+// originForm returns path and query as they were sent, also if the caller named the
+// host before them.
+func originForm(u *fasthttp.URI) string {
+	path := string(u.PathOriginal())
+	if path == "" {
+		path = "/"
+	}
+	if q := u.QueryString(); len(q) > 0 {
+		path += "?" + string(q)
+	}
+	return path
+}
+
+func (t *task) takeBody(s rules.Service) (result.Reason, bool) {
+	length := int64(t.http.Request.Header.ContentLength())
+	stream := t.http.Request.BodyStream()
+	switch {
+	case length > s.BodyBytes():
+		return result.TooLarge, false
+	case length == 0 || stream == nil:
+		if t.caller != nil {
+			t.caller.watch(t.cancel)
+		}
+		return "", true
+	}
+	t.body = newBody(stream, max(length, -1), s.BodyBytes())
+	return "", true
+}
+
+// request returns the request of the next attempt.
+func (t *task) request(s rules.Service, opts ...call.Option) call.Request {
+	opts = append(opts, call.WithFields(t.fields))
+	if t.body != nil {
+		opts = append(opts, call.WithBody(t.body.open(), t.body.length))
+	}
+	return call.NewRequest(s.Name(), t.method, t.uri, opts...)
+}
--- /dev/null
+++ b/verbenad/command/owner/guard.go
@@ -0,0 +1,221 @@
+package owner
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"verbenabank/core/clock"
+	"verbenabank/core/command/admit"
+	"verbenabank/core/state/call"
+	"verbenabank/core/state/result"
+	"verbenabank/core/state/rules"
+)
+
+// Header fields between the daemon and the target beside it.
+const (
+	HeaderShard    = "Verbena-Shard"
+	HeaderEpoch    = "Verbena-Epoch"
+	HeaderLease    = "Verbena-Lease-Until"
+	HeaderDeadline = "Verbena-Deadline-Ms"
+	HeaderRefused  = "Verbena-Refused"
+	refusedStale   = "stale"
+)
+
+// reserve is kept of the deadline so that a refusal reaches the entry before it.
+const reserve = 5 * clock.Millisecond
+
+// refusalBytes of a refusal's body are read, so that the connection can be kept.
+const refusalBytes = 4 << 10
+
+// guard takes one request past the checks and to the target.
+type guard struct {
+	owner    *Owner
+	request  call.Request
+	deadline clock.Millis
+	leave    func()
+	pass     admission
+	slotted  bool
+	since    clock.Millis
+}
+
+// serve runs the request. The caller must call done after a failure.
+func (g *guard) serve(ctx context.Context) call.Reply {
+	pass, reason := g.owner.check(g.request)
+	if reason != "" {
+		return call.Refuse(reason)
+	}
+	g.owner.count(g.request)
+	if failure, ok := g.admit(ctx, pass.service); !ok {
+		return failure
+	}
+	if g.pass, reason = g.owner.check(g.request); reason != "" {
+		return call.Refuse(reason)
+	}
+	switch reply := g.owner.target.Send(ctx, g.ordered()).(type) {
+	case call.Answer:
+		return g.judge(reply)
+	case call.Failure:
+		return reply
+	}
+	return call.Unknown(result.Interrupted)
+}
+
+// admit waits for a slot.
+func (g *guard) admit(ctx context.Context, s rules.Service) (call.Failure, bool) {
+	now, gate := g.owner.clock.Now(), g.owner.gate
+	deadline := g.deadline - reserve
+	slots := min(s.Slots(), s.Connections())
+	t := gate.Arrive(now, deadline, admit.NewLimits(slots, s.Queue(), s.QueueWait()))
+	select {
+	case o := <-t.Ready():
+		return g.granted(o)
+	default:
+	}
+	timer := time.NewTimer(min(s.QueueWait(), deadline-now).Duration())
+	defer timer.Stop()
+	select {
+	case o := <-t.Ready():
+		return g.granted(o)
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	if gate.Cancel(t) {
+		g.hold()
+	}
+	if g.owner.clock.Now() >= deadline {
+		return call.Refuse(result.Expired), false
+	}
+	if ctx.Err() != nil {
+		return call.Refuse(result.Expired), false
+	}
+	return call.NewFailure(result.NewRefused(result.Overloaded, s.QueueWait())), false
+}
+
+func (g *guard) granted(o admit.Grant) (call.Failure, bool) {
+	switch o := o.(type) {
+	case admit.Admitted:
+		g.hold()
+		return call.Failure{}, true
+	case admit.Refused:
+		return call.NewFailure(result.NewRefused(o.Reason(), o.After())), false
+	}
+	return call.Refuse(result.Overloaded), false
+}
+
+func (g *guard) hold() {
+	g.slotted = true
+	g.since = g.owner.clock.Now()
+}
+
+// ordered returns the request with the fields that a target may check.
+func (g *guard) ordered() call.Request {
+	r := g.request
+	left := max(1, g.deadline-g.owner.clock.Now())
+	fields := append([]call.Field{}, r.Fields()...)
+	fields = append(fields, call.NewField(HeaderDeadline, strconv.FormatInt(int64(left), 10)))
+	if r.Key() != "" {
+		fields = append(fields,
+			call.NewField(HeaderShard, strconv.FormatUint(uint64(r.Shard()), 10)),
+			call.NewField(HeaderEpoch, strconv.FormatUint(uint64(g.pass.epoch), 10)),
+			call.NewField(HeaderLease, strconv.FormatInt(int64(g.pass.until), 10)))
+	}
+	return call.NewRequest(r.Service(), r.Method(), r.URI(), call.WithFields(fields),
+		call.WithKey(r.Key(), r.Shard()), call.WithMember(r.Incarnation()), call.WithBody(r.Body(), r.Length()))
+}
+
+// judge decides what the target's answer proves.
+func (g *guard) judge(a call.Answer) call.Reply {
+	if reason, refused := g.refused(a); refused {
+		_, _ = io.CopyN(io.Discard, a.Body(), refusalBytes)
+		_ = a.Body().Close()
+		return call.NewFailure(result.NewRefused(reason, retryAfter(a)))
+	}
+	if !g.valid() {
+		_ = a.Body().Close()
+		return call.Unknown(result.LeaseLapsed)
+	}
+	return a
+}
+
+// refused reports whether the target surely did not run the request.
+func (g *guard) refused(a call.Answer) (result.Reason, bool) {
+	switch a.Status() {
+	case http.StatusServiceUnavailable:
+		_, ok := g.pass.service.Shedding().(rules.ShedNotRun)
+		return result.Shed, ok
+	case http.StatusPreconditionFailed:
+		_, ok := g.pass.service.Fencing().(rules.Checked)
+		return result.NotOwner, ok && a.Field(HeaderRefused) == refusedStale
+	default:
+		return "", false
+	}
+}
+
+// valid reports whether the answer was given under ownership: by the target's own
+// check, or because the daemon holds the shard still.
+func (g *guard) valid() bool {
+	if g.request.Key() == "" {
+		return true
+	}
+	switch g.pass.service.Fencing().(type) {
+	case rules.Checked:
+		return true
+	case rules.Unchecked:
+		return g.owner.holds(g.request, g.pass.epoch)
+	}
+	return false
+}
+
+func retryAfter(a call.Answer) clock.Millis {
+	seconds, err := strconv.Atoi(a.Field("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return clock.Millis(seconds) * clock.Second
+}
+
+// done gives back the slot and the place in the count of requests in flight.
+func (g *guard) done() {
+	if g.slotted {
+		now := g.owner.clock.Now()
+		g.owner.gate.Leave(now, now-g.since)
+	}
+	g.leave()
+}
+
+// guarded is the body of an answer that may be read while ownership holds.
+type guarded struct {
+	guard *guard
+	body  io.ReadCloser
+	ended bool
+}
+
+// Read returns io.EOF only if the answer is whole and ownership held until then.
+func (b *guarded) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	if err == nil {
+		return n, nil
+	}
+	if err == io.EOF && !b.guard.valid() {
+		err = call.NewError("read answer under lease", result.LeaseLapsed)
+	}
+	b.end()
+	return n, err
+}
+
+// Close cancels what is left of the exchange.
+func (b *guarded) Close() error {
+	err := b.body.Close()
+	b.end()
+	return err
+}
+
+func (b *guarded) end() {
+	if !b.ended {
+		b.ended = true
+		b.guard.done()
+	}
+}
--- /dev/null
+++ b/verbenad/command/owner/owner.go
@@ -0,0 +1,192 @@
+// Package owner guards the target beside the daemon: it lets a request through only
+// while the daemon may serve it, and reports honestly when that is in doubt.
+package owner
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"verbenabank/core/clock"
+	"verbenabank/core/command/admit"
+	"verbenabank/core/command/heavy"
+	"verbenabank/core/state/call"
+	"verbenabank/core/state/result"
+	"verbenabank/core/state/rules"
+	"verbenabank/core/state/snap"
+	"verbenabank/core/state/table"
+	"verbenabank/verbenad/command/flight"
+)
+
+// HotCounters is how many keys are counted at once, and so 1/HotCounters the
+// least share of requests at which a key is surely found.
+const HotCounters = 256
+
+// DefaultTimeout bounds requests that arrive without a deadline.
+const DefaultTimeout = 30 * clock.Second
+
+// Sender exchanges one request with the target beside the daemon.
+type Sender interface {
+	Send(ctx context.Context, r call.Request) call.Reply
+}
+
+// Owner serves requests with the target beside the daemon. It is safe for
+// concurrent use.
+type Owner struct {
+	clock  *clock.Clock
+	cell   *snap.Cell
+	target Sender
+	flight *flight.Flight
+	gate   *admit.Gate
+	closed atomic.Bool
+
+	mu  sync.Mutex
+	hot *heavy.Sketch
+}
+
+// Option sets one property of an Owner.
+type Option func(*Owner)
+
+// WithClock sets the clock of leases and deadlines.
+func WithClock(c *clock.Clock) Option { return func(o *Owner) { o.clock = c } }
+
+// WithCell sets where snapshots are read.
+func WithCell(c *snap.Cell) Option { return func(o *Owner) { o.cell = c } }
+
+// WithTarget sets the target.
+func WithTarget(t Sender) Option { return func(o *Owner) { o.target = t } }
+
+// WithFlight sets the count of requests in flight.
+func WithFlight(f *flight.Flight) Option { return func(o *Owner) { o.flight = f } }
+
+// New returns an owner. Cell and target must be set by options.
+func New(opts ...Option) *Owner {
+	o := &Owner{
+		clock:  clock.New(),
+		flight: flight.New(),
+		gate:   admit.New(admit.NewLimits(rules.DefaultSlots, rules.DefaultQueue, rules.DefaultQueueWait)),
+		hot:    heavy.New(HotCounters),
+	}
+	for _, f := range opts {
+		f(o)
+	}
+	return o
+}
+
+// Flight returns the count of requests in flight.
+func (o *Owner) Flight() *flight.Flight { return o.flight }
+
+// Close refuses all requests from now on; those in flight go on.
+func (o *Owner) Close() { o.closed.Store(true) }
+
+// Waiting returns how many requests wait for a slot.
+func (o *Owner) Waiting() int { return o.gate.Waiting() }
+
+// TakeHot returns at most n keys with the most requests since the last call, the
+// first first, and starts anew.
+func (o *Owner) TakeHot(n int) []heavy.Count {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	top := o.hot.Top(n)
+	o.hot.Reset()
+	return top
+}
+
+// Serve runs one request. The reply is a call.Answer whose body must be closed, or
+// a call.Failure.
+func (o *Owner) Serve(ctx context.Context, r call.Request) call.Reply {
+	g := &guard{owner: o, request: r, deadline: o.deadline(ctx)}
+	g.leave = o.flight.Enter(r.Service(), r.Shard())
+	reply := g.serve(ctx)
+	a, ok := reply.(call.Answer)
+	if !ok {
+		g.done()
+		return reply
+	}
+	return call.NewAnswer(a.Status(), a.Fields(), &guarded{guard: g, body: a.Body()}, a.Length())
+}
+
+// deadline returns the instant of the end of ctx.
+func (o *Owner) deadline(ctx context.Context) clock.Millis {
+	end, ok := ctx.Deadline()
+	if !ok {
+		return o.clock.Now().Add(DefaultTimeout)
+	}
+	return o.clock.Now().Add(clock.Millis(time.Until(end).Milliseconds()))
+}
+
+// count adds the request to the hot keys.
+func (o *Owner) count(r call.Request) {
+	if r.Key() == "" {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.hot.Add(r.Key())
+}
+
+// admission is what the daemon knew when it let a request pass.
+type admission struct {
+	service rules.Service
+	epoch   table.Epoch
+	until   clock.Millis
+}
+
+// check decides whether the request may go to the target at this instant.
+func (o *Owner) check(r call.Request) (admission, result.Reason) {
+	s, now := o.cell.Load(), o.clock.Now()
+	service, ok := s.Table().Rules().Service(r.Service())
+	switch {
+	case o.closed.Load():
+		return admission{}, result.Leaving
+	case !s.Current(now):
+		return admission{}, result.NotReady
+	case !ok:
+		return admission{}, result.UnknownService
+	case s.Self() == 0 || s.Self() != r.Incarnation():
+		return admission{}, result.NotOwner
+	}
+	switch service.Kind().(type) {
+	case rules.Keyed:
+		epoch, owns := s.Owns(r.Service(), r.Shard(), now)
+		if !owns {
+			return admission{}, result.NotOwner
+		}
+		return admission{service: service, epoch: epoch, until: s.LeaseEnd()}, ""
+	case rules.Pooled:
+		return o.checkPooled(s, service)
+	}
+	return admission{}, result.UnknownService
+}
+
+func (o *Owner) checkPooled(s *snap.Snap, service rules.Service) (admission, result.Reason) {
+	m, ok := s.Table().Member(s.Self())
+	if !ok || m.Service() != service.Name() {
+		return admission{}, result.NotOwner
+	}
+	switch m.Phase().(type) {
+	case table.Leaving:
+		return admission{}, result.Leaving
+	case table.Warming, table.Serving:
+	}
+	return admission{service: service, until: s.RulesEnd()}, ""
+}
+
+// holds reports whether a keyed request that was admitted at the epoch is still covered
+// by ownership: the shard may be on its way to a successor, but not gone.
+func (o *Owner) holds(r call.Request, epoch table.Epoch) bool {
+	s := o.cell.Load()
+	if s.Self() != r.Incarnation() || o.clock.Now() >= s.LeaseEnd() {
+		return false
+	}
+	switch h := s.Table().Holding(r.Service(), r.Shard()).(type) {
+	case table.Owned:
+		return h.Owner() == s.Self() && h.Epoch() == epoch
+	case table.Moving:
+		return h.From() == s.Self() && h.Epoch() == epoch
+	case table.Vacant:
+		return false
+	}
+	return false
+}
