--- /dev/null
+++ b/verbenad/command/serve/replica.go
@@ -0,0 +1,29 @@
+package serve
+
+import (
+	"math/rand/v2"
+
+	"verbenabank/core/command/raft"
+	"verbenabank/core/state/fleet"
+	"verbenabank/verbenad/adapt/disk"
+	"verbenabank/verbenad/adapt/link"
+	"verbenabank/verbenad/command/ctrl"
+	"verbenabank/verbenad/state/sets"
+)
+
+// buildReplica makes this daemon a control replica.
+func (d *Daemon) buildReplica(c sets.Control, replicas []string) (ctrl.Option, error) {
+	store, stored, stop, err := disk.Open(disk.WithFolder(c.DataFolder()),
+		disk.WithSynced(func(sequence uint64) { d.loop.Post(ctrl.NewSynced(sequence)) }),
+		disk.WithFailed(func(err error) { d.loop.Post(ctrl.NewDiskFailed(err)) }))
+	if err != nil {
+		return nil, &Error{op: "open " + c.DataFolder(), kind: BadData, cause: err}
+	}
+	d.atEnd(stop)
+	node := raft.New(
+		raft.WithAddress(d.settings.Peers().String()), raft.WithSeeds(replicas...), raft.WithForm(c.Form()),
+		raft.WithRandom(rand.Uint64(), rand.Uint64()), raft.WithStored(stored))
+	senders, stopSenders := link.NewPeers(d.trust.DialOptions(), d.part())
+	d.atEnd(stopSenders)
+	return ctrl.WithReplica(node, fleet.New(), senders, store), nil
+}
