--- a/verbenad/command/serve/serve.go
+++ b/verbenad/command/serve/serve.go
@@ -20,6 +20,7 @@
 	"verbenabank/core/state/snap"
 	"verbenabank/core/wire/codec"
 	"verbenabank/core/wire/confjs"
+	"verbenabank/core/wire/wirepb"
 	"verbenabank/verbenad/adapt/hop"
 	"verbenabank/verbenad/adapt/link"
 	"verbenabank/verbenad/adapt/probe"
@@ -162,7 +163,7 @@
 func (d *Daemon) buildServers() error {
 	d.peers = grpc.NewServer(d.trust.ServerOptions()...)
 	link.NewServer(d.loop, d.codec, d.part()).Register(d.peers)
-	hop.Register(d.peers, d.owner)
+	wirepb.RegisterHopServer(d.peers, hop.NewServer(d.owner))
 	d.admin = fiber.New(fiber.Config{AppName: "verbenad", BodyLimit: adminBodyBytes})
 	n := notice.New(d.post)
 	d.waiter.notice = n
