Run the replicated log under random faults

Cause: the protocol is to be proved by randomised runs over the real node. Change: a fake network, disk and clock drive raft.Node through loss, delay, cuts, freezes, crashes and lost disks; invariants are checked at each step. Status.Whole says when the group bears the next loss. Conclusion: a first version; soak runs go on.

--- /dev/null
+++ b/core/command/raft/check_test.go
@@ -0,0 +1,182 @@
+package raft
+
+import (
+	"fmt"
+
+	"verbenabank/core/state/peer"
+)
+
+// checker holds what all hosts did and finds broken invariants.
+type checker struct {
+	err       error
+	first     peer.Entry
+	groups    map[peer.Group]bool
+	leaders   map[peer.Term]peer.ID
+	elected   map[peer.Term]int // event number
+	votes     map[ballotKey]peer.ID
+	entries   map[entryKey]entryFacts
+	history   map[peer.Index]entryKey
+	states    map[peer.Index]uint64
+	top       peer.Index
+	started   map[roundKey]int
+	asks      map[uint64]roundKey
+	events    int
+	applied   int
+	confirms  int
+	elections int
+}
+
+type ballotKey struct {
+	id   peer.ID
+	term peer.Term
+}
+
+type entryKey struct {
+	index peer.Index
+	term  peer.Term
+}
+
+type entryFacts struct {
+	payload  string
+	previous peer.Term
+}
+
+type roundKey struct {
+	term  peer.Term
+	round uint64
+}
+
+func newChecker() *checker {
+	return &checker{
+		groups: map[peer.Group]bool{}, leaders: map[peer.Term]peer.ID{}, elected: map[peer.Term]int{},
+		votes: map[ballotKey]peer.ID{}, entries: map[entryKey]entryFacts{}, history: map[peer.Index]entryKey{},
+		states: map[peer.Index]uint64{}, started: map[roundKey]int{}, asks: map[uint64]roundKey{},
+	}
+}
+
+func (c *checker) fail(format string, args ...any) {
+	if c.err == nil {
+		c.err = fmt.Errorf(format, args...)
+	}
+}
+
+// written checks batches: one vote in a term, equal entries at equal index and
+// term, with equal entries before them.
+func (c *checker) written(h *host, b peer.Batch) {
+	if hard := b.Hard(); hard.Vote() != 0 {
+		k := ballotKey{hard.ID(), hard.Term()}
+		if v, ok := c.votes[k]; ok && v != hard.Vote() {
+			c.fail("one vote: host %d voted twice in term %d", h.number, hard.Term())
+		}
+		c.votes[k] = hard.Vote()
+	}
+	for _, e := range b.Entries() {
+		if e.Index() == firstIndex {
+			c.first = e // a group that was given up may have another one
+			continue
+		}
+		k := entryKey{e.Index(), e.Term()}
+		f := entryFacts{payload: fmt.Sprint(e.Payload()), previous: h.node.log.termAt(e.Index() - 1)}
+		old, ok := c.entries[k]
+		if ok && (old.payload != f.payload || (old.previous != f.previous && old.previous != 0 && f.previous != 0)) {
+			c.fail("log matching: index %d term %d: %v and %v", e.Index(), e.Term(), old, f)
+		}
+		c.entries[k] = f
+	}
+}
+
+// became checks that a term has one leader and that it holds all that was
+// committed.
+func (c *checker) became(h *host, b Became) {
+	c.events++
+	if _, ok := b.Role().(Elected); !ok {
+		return
+	}
+	c.elections++
+	id := h.node.id
+	if other, ok := c.leaders[b.Term()]; ok && other != id {
+		c.fail("election safety: term %d elected %x and %x", b.Term(), other, id)
+	}
+	c.leaders[b.Term()] = id
+	if _, ok := c.elected[b.Term()]; !ok {
+		c.elected[b.Term()] = c.events
+	}
+	if h.node.log.last() < c.top {
+		c.fail("committed entries: leader of term %d ends at %d, committed %d", b.Term(), h.node.log.last(), c.top)
+	}
+	for i := max(h.node.log.base, firstIndex) + 1; i <= c.top && c.err == nil; i++ {
+		if t := h.node.log.termAt(i); t != c.history[i].term {
+			c.fail("committed entries: leader of term %d has term %d at %d, committed %d", b.Term(), t, i, c.history[i].term)
+		}
+	}
+}
+
+// committed checks that all hosts commit the same entries, in one group.
+func (c *checker) committed(h *host, e peer.Entry) {
+	if e.Index() == firstIndex {
+		return
+	}
+	c.applied++
+	c.groups[h.node.group] = true
+	if len(c.groups) > 1 {
+		c.fail("one group: host %d committed in a second one", h.number)
+	}
+	k := entryKey{e.Index(), e.Term()}
+	if old, ok := c.history[e.Index()]; ok && old != k {
+		c.fail("committed entries: %v and %v", old, k)
+	}
+	c.history[e.Index()] = k
+	c.top = max(c.top, e.Index())
+}
+
+// reached checks that all hosts have the same state at the same index.
+func (c *checker) reached(h *host, operation string) {
+	old, ok := c.states[h.index]
+	if ok && old != h.state && h.index > firstIndex {
+		c.fail("same state: host %d differs at %d after %s", h.number, h.index, operation)
+	}
+	c.states[h.index] = h.state
+}
+
+// rounds takes note of when rounds start.
+func (c *checker) rounds(h *host) {
+	c.events++
+	if h.node == nil || !h.node.leads() {
+		return
+	}
+	for r := h.node.lead.round; r > 0; r-- {
+		k := roundKey{h.node.term, r}
+		if _, ok := c.started[k]; ok {
+			return
+		}
+		c.started[k] = c.events
+	}
+}
+
+// asked takes note of the round that a question needs, at the earliest the next.
+func (c *checker) asked(h *host, token uint64) {
+	if h.node != nil && h.node.leads() {
+		c.asks[token] = roundKey{h.node.term, h.node.lead.round + 1}
+	}
+}
+
+// confirmed checks that no newer leader was elected before the round of the
+// question started.
+func (c *checker) confirmed(h *host, tokens []uint64) {
+	for _, t := range tokens {
+		c.confirms++
+		k, ok := c.asks[t]
+		if !ok {
+			continue
+		}
+		began, ok := c.started[k]
+		if !ok {
+			began = c.events
+		}
+		for term, at := range c.elected {
+			if term > h.node.term && at < began {
+				c.fail("confirmed: host %d of term %d, while term %d was elected before the round", h.number, h.node.term, term)
+			}
+		}
+	}
+}
--- a/core/command/raft/commit.go
+++ b/core/command/raft/commit.go
@@ -31,7 +31,7 @@
 	for _, c := range slices.Backward(entries) {
 		if change, ok := c.entry.Payload().(peer.Change); ok {
 			n.settled = change.Members()
-			n.disk.dirty = true
+			n.disk.dirty, n.disk.promising = true, true
 			n.standAnew()
 			return
 		}
@@ -87,11 +87,10 @@
 func (n *Node) afterCommit() {
 	if _, ok := n.role.(Elected); ok && n.commit >= n.lead.first {
 		n.become(Leader{})
-		n.checkConfirm()
+		n.announce()
 	}
 	if n.changed > n.lead.told && n.commit >= n.changed {
-		n.lead.told = n.changed
-		n.startRound()
+		n.announce()
 		if !n.settled.Votes(n.id) {
 			n.follow(n.term, 0)
 			return
@@ -99,3 +98,10 @@
 	}
 	n.repair()
 }
+
+// announce tells all followers that the newest members are committed.
+func (n *Node) announce() {
+	n.lead.told = min(n.changed, n.commit)
+	n.lead.telling = n.lead.round + 1
+	n.startRound()
+}
--- /dev/null
+++ b/core/command/raft/host_test.go
@@ -0,0 +1,200 @@
+package raft
+
+import (
+	"encoding/binary"
+	"strings"
+
+	"verbenabank/core/clock"
+	"verbenabank/core/state/peer"
+)
+
+// host runs a node with a fake disk and a fake state machine.
+type host struct {
+	world   *world
+	number  int
+	address string
+	seeds   []string
+	node    *Node
+	inbox   []peer.Message
+	frozen  clock.Millis // until then it does nothing
+	down    clock.Millis // when a stopped process starts again
+	rate    clock.Millis // of its clock, in thousandths
+	syncMax int          // greatest time of a sync in ms
+	disk    peer.Stored
+	pending []write
+	index   peer.Index
+	state   uint64
+	wiped   int
+	later   []Event // to take after the effects of the present step
+}
+
+// write is a batch that is not yet durable.
+type write struct {
+	at    clock.Millis
+	batch peer.Batch
+}
+
+func (h *host) local() clock.Millis { return h.world.now * h.rate / 1000 }
+
+func (h *host) start() {
+	r := h.world.random
+	h.node = New(WithAddress(h.address), WithSeeds(h.seeds...), WithForm(true), WithTrail(20), WithChunk(64),
+		WithRandom(r.Uint64(), r.Uint64()), WithStored(h.disk))
+	h.inbox, h.pending, h.index, h.state = nil, nil, 0, 0
+	h.step(Started{})
+}
+
+// crash stops the process. Of the writes that were not synced any number may
+// have reached the disk.
+func (h *host) crash() {
+	if h.node == nil {
+		return
+	}
+	kept := h.world.random.IntN(len(h.pending) + 1)
+	for _, p := range h.pending[:kept] {
+		h.disk = stored(h.disk, p.batch)
+	}
+	if h.world.weak.forgetVote {
+		d := h.disk.Hard()
+		h.disk = peer.NewStored(peer.NewHard(d.ID(), d.Group(), d.Term(), 0, d.Commit()), h.disk.Snapshot(), h.disk.Entries())
+	}
+	h.node, h.pending, h.inbox = nil, nil, nil
+}
+
+// wipe stops the process and loses the disk.
+func (h *host) wipe() {
+	h.crash()
+	h.wiped++
+	d := h.disk.Hard()
+	h.disk = peer.Stored{}
+	if h.world.weak.emptyMemory && d.Group() != 0 {
+		first := h.world.check.first
+		h.disk = peer.NewStored(peer.NewHard(d.ID(), d.Group(), 1, 0, 1), peer.Snapshot{}, []peer.Entry{first})
+	}
+}
+
+func (h *host) take(m peer.Message) {
+	if h.node != nil {
+		h.inbox = append(h.inbox, m)
+	}
+}
+
+func (h *host) tick() {
+	w := h.world
+	if h.node == nil {
+		if w.now >= h.down {
+			h.start()
+		}
+		return
+	}
+	if w.now < h.frozen {
+		return
+	}
+	var durable uint64
+	for len(h.pending) > 0 && h.pending[0].at <= w.now {
+		durable = h.pending[0].batch.Sequence()
+		h.disk = stored(h.disk, h.pending[0].batch)
+		h.pending = h.pending[1:]
+	}
+	if durable > 0 {
+		h.step(NewPersisted(durable))
+	}
+	inbox := h.inbox
+	h.inbox = nil
+	for _, m := range inbox {
+		h.step(NewReceived(m))
+	}
+	if h.local() >= h.node.Wake() {
+		h.step(Ticked{})
+	}
+}
+
+func (h *host) step(e Event) {
+	if h.node == nil {
+		return
+	}
+	for _, f := range h.node.Step(h.local(), e) {
+		h.obey(f)
+	}
+	h.world.check.rounds(h)
+	for len(h.later) > 0 {
+		next := h.later[0]
+		h.later = h.later[1:]
+		h.step(next)
+	}
+}
+
+func (h *host) ask(token uint64) {
+	h.world.check.asked(h, token)
+	h.step(NewConfirmAsked(token))
+}
+
+func (h *host) obey(f Effect) {
+	w := h.world
+	switch f := f.(type) {
+	case Send:
+		w.send(h, f)
+	case Persist:
+		h.write(f.Batch())
+	case Apply:
+		h.apply(f.Entries())
+	case Restore:
+		s := f.Snapshot()
+		h.index, h.state = s.Index(), binary.BigEndian.Uint64(s.Data())
+		w.check.reached(h, "restore")
+	case Confirmed:
+		w.check.confirmed(h, f.Tokens())
+	case Dropped:
+	case Became:
+		w.check.became(h, f)
+	case Violated:
+		w.check.fail("node %d: %v", h.number, f.Err())
+	}
+}
+
+func (h *host) write(b peer.Batch) {
+	w := h.world
+	w.check.written(h, b)
+	at := w.now + 1 + clock.Millis(w.random.IntN(h.syncMax))
+	if k := len(h.pending); k > 0 {
+		at = max(at, h.pending[k-1].at)
+	}
+	h.pending = append(h.pending, write{at: at, batch: b})
+	if w.weak.ackBeforeSync {
+		h.later = append(h.later, NewPersisted(b.Sequence()))
+	}
+}
+
+func (h *host) apply(entries []Committed) {
+	for _, c := range entries {
+		e := c.Entry()
+		if e.Index() != h.index+1 {
+			h.world.check.fail("host %d applied %d after %d", h.number, e.Index(), h.index)
+			return
+		}
+		h.index = e.Index()
+		if p, ok := e.Payload().(peer.Command); ok {
+			h.state = digest(h.state, p.Data())
+		}
+		h.world.check.committed(h, e)
+		h.world.check.reached(h, "apply")
+	}
+	if h.node.Status().First()+60 < h.index {
+		data := binary.BigEndian.AppendUint64(nil, h.state)
+		data = append(data, strings.Repeat("s", 500)...)
+		h.later = append(h.later, NewCompacted(h.index, data))
+	}
+}
+
+// stored is what a storage holds after a batch.
+func stored(s peer.Stored, b peer.Batch) peer.Stored {
+	if b.Snapshot().Index() > 0 {
+		return peer.NewStored(b.Hard(), b.Snapshot(), b.Entries())
+	}
+	entries := s.Entries()
+	if len(b.Entries()) > 0 {
+		keep := int(b.Entries()[0].Index() - s.Snapshot().Index() - 1)
+		entries = append(append([]peer.Entry(nil), entries[:keep]...), b.Entries()...)
+	}
+	return peer.NewStored(b.Hard(), s.Snapshot(), entries)
+}
--- a/core/command/raft/lead.go
+++ b/core/command/raft/lead.go
@@ -9,6 +9,7 @@
 type leadership struct {
 	first    peer.Index // the first entry of the own term
 	told     peer.Index // the last change of the group that was announced as committed
+	telling  uint64     // the round that announced it
 	progress map[peer.ID]*progress
 	offers   map[peer.Index]uint64
 	round    uint64
--- a/core/command/raft/progress.go
+++ b/core/command/raft/progress.go
@@ -10,6 +10,7 @@
 	match    peer.Index // equal and durable at the follower
 	next     peer.Index // first entry to send
 	round    uint64     // last acknowledged
+	told     uint64     // last round that brought the commit index
 	heard    clock.Millis
 	inFlight []peer.Index // last entry of each request that is not yet answered
 	state    flow
--- a/core/command/raft/replicate.go
+++ b/core/command/raft/replicate.go
@@ -71,6 +71,9 @@
 		n.violate("accept", CommittedLost, "%x stored %d, own log ends at %d", from, match, n.log.last())
 		return
 	}
+	if match >= n.changed {
+		p.told = max(p.told, min(round, n.lead.round))
+	}
 	risen := match > p.match
 	p.acknowledged(match)
 	switch s := p.state.(type) {
--- a/core/command/raft/start.go
+++ b/core/command/raft/start.go
@@ -23,7 +23,6 @@
 	n.setMembers(n.log.membersAt(n.log.last()))
 	n.disk.durable = n.log.last()
 	n.commitTo(max(hard.Commit(), n.commit))
-	n.disk.dirty = n.disk.promising
 	n.settle()
 	n.resetElection()
 }
--- a/core/command/raft/status.go
+++ b/core/command/raft/status.go
@@ -15,6 +15,7 @@
 	first   peer.Index
 	last    peer.Index
 	members peer.Members
+	whole   bool
 }
 
 // Status returns the present status.
@@ -23,10 +24,24 @@
 		id: n.id, group: n.group, role: n.role, term: n.term,
 		leader: n.leader, address: n.addressOf(n.leader),
 		commit: n.commit, applied: n.applied, first: n.log.base + 1, last: n.log.last(),
-		members: n.members,
+		members: n.members, whole: n.whole(),
 	}
 }
 
+// whole reports whether this replica leads, and all members are voters that were
+// heard from lately and have stored that the newest members are committed.
+func (n *Node) whole() bool {
+	if _, ok := n.role.(Leader); !ok || n.changed > n.commit {
+		return false
+	}
+	for _, r := range n.others() {
+		if !r.Votes() || !n.lives(r.ID()) || n.lead.progress[r.ID()].told < n.lead.telling {
+			return false
+		}
+	}
+	return true
+}
+
 // ID returns the identity of the replica, 0 before Started.
 func (s Status) ID() peer.ID { return s.id }
 
@@ -60,3 +75,7 @@
 
 // Members returns the newest members of the group, committed or not.
 func (s Status) Members() peer.Members { return s.members }
+
+// Whole reports whether this replica leads a group in which no repair is open:
+// the group bears the loss of any minority of its members from now on.
+func (s Status) Whole() bool { return s.whole }
--- /dev/null
+++ b/core/command/raft/world_test.go
@@ -0,0 +1,195 @@
+package raft
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+
+	"verbenabank/core/clock"
+	"verbenabank/core/state/peer"
+)
+
+// world is a fake network with hosts that each run one real Node. It moves in
+// steps of a millisecond.
+type world struct {
+	random *rand.Rand
+	now    clock.Millis
+	hosts  []*host
+	posts  []post
+	cut    map[[2]int]clock.Millis // until when messages from one host to another are lost
+	loss   float64
+	double float64
+	delay  int // greatest delay in ms
+	weak   breakage
+	check  *checker
+	tokens uint64
+	steps  int
+	faults int
+}
+
+// post is a message on its way.
+type post struct {
+	at       clock.Millis
+	from, to int
+	message  peer.Message
+}
+
+// breakage removes one guard of the environment or of the protocol, so that a
+// checker must find it.
+type breakage struct {
+	ackBeforeSync bool // the disk answers before data is durable
+	forgetVote    bool // a crash loses the vote
+	emptyMemory   bool // a lost disk keeps its identity
+	forgeRound    bool // answers acknowledge rounds that did not start yet
+	forgeLog      bool // candidates claim a longer log than theirs
+	oldTerm       bool // followers acknowledge terms that are over
+}
+
+func newWorld(seed uint64, count int) *world {
+	w := &world{
+		random: rand.New(rand.NewPCG(seed, 7)), now: 1000, cut: map[[2]int]clock.Millis{},
+		delay: 3, check: newChecker(),
+	}
+	var seeds []string
+	for k := range count {
+		seeds = append(seeds, fmt.Sprintf("127.0.0.%d:1", k+1))
+	}
+	for k := range count {
+		h := &host{world: w, number: k, address: seeds[k], seeds: seeds, syncMax: 8, rate: 1000}
+		w.hosts = append(w.hosts, h)
+		h.start()
+	}
+	return w
+}
+
+// run moves the world forward and returns the first broken invariant.
+func (w *world) run(span clock.Millis) error {
+	for end := w.now + span; w.now < end; {
+		w.now++
+		w.deliver()
+		for _, h := range w.hosts {
+			h.tick()
+		}
+		w.steps++
+		if w.check.err != nil {
+			return fmt.Errorf("at %d ms: %w", w.now, w.check.err)
+		}
+	}
+	return nil
+}
+
+func (w *world) send(from *host, s Send) {
+	for _, to := range w.hosts {
+		if to.address != s.address {
+			continue
+		}
+		for range w.copies() {
+			at := w.now + 1 + clock.Millis(w.random.IntN(w.delay))
+			if w.random.IntN(200) == 0 {
+				at += clock.Millis(w.random.IntN(1000) * w.delay / 3)
+			}
+			w.posts = append(w.posts, post{at: at, from: from.number, to: to.number, message: w.forge(s.message)})
+		}
+	}
+}
+
+func (w *world) copies() int {
+	switch p := w.random.Float64(); {
+	case p < w.loss:
+		return 0
+	case p < w.loss+w.double:
+		return 2
+	}
+	return 1
+}
+
+func (w *world) deliver() {
+	var later, due []post
+	for _, p := range w.posts {
+		if p.at > w.now {
+			later = append(later, p)
+		} else {
+			due = append(due, p)
+		}
+	}
+	w.posts = later
+	for _, p := range due {
+		if w.cut[[2]int{p.from, p.to}] <= w.now {
+			w.hosts[p.to].take(p.message)
+		}
+	}
+}
+
+// forge changes messages as the breakage says.
+func (w *world) forge(m peer.Message) peer.Message {
+	route := peer.NewRoute(m.Group(), m.From(), m.Address(), m.To())
+	switch b := m.Body().(type) {
+	case peer.AppendAccepted:
+		if w.weak.forgeRound {
+			return peer.NewMessage(route, m.Term(), peer.NewAppendAccepted(b.Match(), b.Round()+1<<20))
+		}
+	case peer.AppendRejected:
+		if w.weak.oldTerm && m.Term() > 0 {
+			return peer.NewMessage(route, m.Term()-1, peer.NewAppendAccepted(0, 1<<40))
+		}
+	case peer.VoteRequest:
+		if w.weak.forgeLog {
+			return peer.NewMessage(route, m.Term(), peer.NewVoteRequest(b.LastIndex()+1000, m.Term(), true))
+		}
+	case peer.PreVoteRequest:
+		if w.weak.forgeLog {
+			return peer.NewMessage(route, m.Term(), peer.NewPreVoteRequest(b.LastIndex()+1000, m.Term()))
+		}
+	}
+	return m
+}
+
+// leader returns the host that leads at the newest term, nil if none does.
+func (w *world) leader() *host {
+	var found *host
+	for _, h := range w.hosts {
+		if h.node == nil {
+			continue
+		}
+		s := h.node.Status()
+		if _, ok := s.Role().(Leader); ok && (found == nil || s.Term() > found.node.Status().Term()) {
+			found = h
+		}
+	}
+	return found
+}
+
+// traffic offers commands to, and asks questions of, all hosts that lead.
+func (w *world) traffic() {
+	for _, h := range w.hosts {
+		if h.node == nil || !h.node.leads() {
+			continue
+		}
+		if w.random.IntN(3) == 0 {
+			w.tokens++
+			h.step(NewOffered(w.tokens, fmt.Appendf(nil, "command %d", w.tokens)))
+		}
+		if w.random.IntN(3) == 0 {
+			w.tokens++
+			h.ask(w.tokens)
+		}
+	}
+}
+
+// heal ends all faults.
+func (w *world) heal() {
+	clear(w.cut)
+	w.loss, w.double, w.delay = 0, 0, 3
+	for _, h := range w.hosts {
+		h.frozen, h.rate, h.syncMax = 0, 1000, 8
+		if h.node == nil {
+			h.start()
+		}
+	}
+}
+
+func digest(last uint64, data []byte) uint64 {
+	f := fnv.New64a()
+	_, _ = fmt.Fprintf(f, "%d %s", last, data)
+	return f.Sum64()
+}
