Keep the event that a simulated run stops at

Ruled out: a late message (the run is prompt by then). Change: the run looks at the next event before it takes it.

--- a/core/command/leader/world_test.go
+++ b/core/command/leader/world_test.go
@@ -114,11 +114,8 @@
 
 // run lets the world go on until the instant or the first violation.
 func (w *world) run(until clock.Millis) {
-	for w.agenda.Len() > 0 && w.wrong == "" {
+	for w.agenda.Len() > 0 && w.wrong == "" && w.agenda[0].at <= until {
 		e := heap.Pop(&w.agenda).(event)
-		if e.at > until {
-			return
-		}
 		w.now = e.at
 		e.run()
 		w.check()
