Ask again for a round that the log dropped

Cause: a planned handover drops questions while the leader stays in office; its renewals would have waited for ever. Change: the event Unconfirmed puts them into the next round. Measured: tests of core/command/leader pass.

--- a/core/command/leader/event.go
+++ b/core/command/leader/event.go
@@ -12,7 +12,7 @@
 type Session uint64
 
 // Event is what a leader reacts to: Ticked, Applied, Opened, Closed, JoinAsked,
-// RenewAsked, LeaveAsked, GoneTold or Confirmed.
+// RenewAsked, LeaveAsked, GoneTold, Confirmed or Unconfirmed.
 type Event interface{ event() }
 
 // Ticked says that the instant asked for by Wake has come.
@@ -91,12 +91,19 @@
 // NewConfirmed returns the event for the token.
 func NewConfirmed(token uint64) Confirmed { return Confirmed{token: token} }
 
-func (Ticked) event()     {}
-func (Applied) event()    {}
-func (Opened) event()     {}
-func (Closed) event()     {}
-func (JoinAsked) event()  {}
-func (RenewAsked) event() {}
-func (LeaveAsked) event() {}
-func (GoneTold) event()   {}
-func (Confirmed) event()  {}
+// Unconfirmed says that the round of a token will not be confirmed.
+type Unconfirmed struct{ token uint64 }
+
+// NewUnconfirmed returns the event for the token.
+func NewUnconfirmed(token uint64) Unconfirmed { return Unconfirmed{token: token} }
+
+func (Ticked) event()      {}
+func (Applied) event()     {}
+func (Opened) event()      {}
+func (Closed) event()      {}
+func (JoinAsked) event()   {}
+func (RenewAsked) event()  {}
+func (LeaveAsked) event()  {}
+func (GoneTold) event()    {}
+func (Confirmed) event()   {}
+func (Unconfirmed) event() {}
--- a/core/command/leader/leader.go
+++ b/core/command/leader/leader.go
@@ -81,6 +81,7 @@
 	case Ticked:
 		l.expire()
 		l.plan()
+		l.ask()
 	case Applied:
 		l.applied(e)
 	case Opened:
@@ -97,6 +98,8 @@
 		l.gone(e.incarnation, order.Left)
 	case Confirmed:
 		l.confirmed(e)
+	case Unconfirmed:
+		l.unconfirmed(e)
 	}
 }
 
--- a/core/command/leader/member.go
+++ b/core/command/leader/member.go
@@ -105,6 +105,15 @@
 	l.ask()
 }
 
+// unconfirmed puts the renewals of a round into the next one, which begins at the
+// next tick.
+func (l *Leader) unconfirmed(e Unconfirmed) {
+	if e.token == l.rounds.token {
+		l.rounds.waiting = append(l.rounds.asked, l.rounds.waiting...)
+		l.rounds.asked = nil
+	}
+}
+
 func (l *Leader) leaveAsked(e LeaveAsked) {
 	m, ok := l.fleet.Table().Member(e.incarnation)
 	if _, leaving := m.Phase().(table.Leaving); ok && !leaving {
--- a/verbenad/command/ctrl/replica.go
+++ b/verbenad/command/ctrl/replica.go
@@ -167,8 +167,14 @@
 func (l *Loop) dropped(token uint64) {
 	p, ok := l.pending[token]
 	delete(l.pending, token)
-	if o, is := p.(offer); ok && is {
-		o.answer(Undecided{leader: l.node.Status().LeaderAddress()})
+	if !ok {
+		return
+	}
+	switch p := p.(type) {
+	case offer:
+		p.answer(Undecided{leader: l.node.Status().LeaderAddress()})
+	case round:
+		l.stepLeader(leader.NewUnconfirmed(p.token))
 	}
 }
 
