--- /dev/null
+++ b/core/wire/peers/decode.go
@@ -0,0 +1,116 @@
+package peers
+
+import (
+	"verbenabank/core/state/peer"
+	"verbenabank/core/wire/wirepb"
+)
+
+// greatest bounds indices, terms and offsets, so that sums of them cannot
+// overflow.
+const greatest = 1 << 62
+
+// Decode returns the message from the wire, or an error for one that no replica
+// sends.
+func Decode(p *wirepb.PeerMessage) (peer.Message, error) {
+	if p.GetFrom() == 0 || p.GetTerm() >= greatest {
+		return peer.Message{}, &Error{operation: "decode route", kind: OutOfRange}
+	}
+	b, err := decodeBody(p)
+	if err != nil {
+		return peer.Message{}, err
+	}
+	route := peer.NewRoute(peer.Group(p.GetGroup()), peer.ID(p.GetFrom()), p.GetAddress(), peer.ID(p.GetTo()))
+	return peer.NewMessage(route, peer.Term(p.GetTerm()), b), nil
+}
+
+func decodeBody(p *wirepb.PeerMessage) (peer.Body, error) {
+	switch b := p.GetMessage().(type) {
+	case *wirepb.PeerMessage_VoteRequest:
+		return decodeVoteRequest(b.VoteRequest)
+	case *wirepb.PeerMessage_VoteReply:
+		if b.VoteReply.GetPre() {
+			return peer.NewPreVoteReply(b.VoteReply.GetGranted()), nil
+		}
+		return peer.NewVoteReply(b.VoteReply.GetGranted()), nil
+	case *wirepb.PeerMessage_AppendRequest:
+		return decodeAppend(b.AppendRequest)
+	case *wirepb.PeerMessage_AppendReply:
+		return decodeAppendReply(b.AppendReply)
+	case *wirepb.PeerMessage_SnapshotChunk:
+		return decodeChunk(b.SnapshotChunk)
+	case *wirepb.PeerMessage_SnapshotReply:
+		r := b.SnapshotReply
+		if err := inRange("decode snapshot reply", r.GetIndex(), r.GetNextOffset()); err != nil {
+			return nil, err
+		}
+		return peer.NewSnapshotReply(peer.Index(r.GetIndex()), r.GetNextOffset(), r.GetRound()), nil
+	case *wirepb.PeerMessage_Hello:
+		return peer.NewHello(b.Hello.GetEcho()), nil
+	case *wirepb.PeerMessage_HelloReply:
+		return peer.NewHelloReply(b.HelloReply.GetNonce()), nil
+	case *wirepb.PeerMessage_Form:
+		m, err := decodeMembers(b.Form.GetMembers())
+		return peer.NewForm(m), err
+	case *wirepb.PeerMessage_TimeoutNow:
+		return peer.TimeoutNow{}, nil
+	}
+	return nil, &Error{operation: "decode message", kind: Missing}
+}
+
+func decodeVoteRequest(r *wirepb.VoteRequest) (peer.Body, error) {
+	if err := inRange("decode vote request", r.GetLastIndex(), r.GetLastTerm()); err != nil {
+		return nil, err
+	}
+	i, t := peer.Index(r.GetLastIndex()), peer.Term(r.GetLastTerm())
+	if r.GetPre() {
+		return peer.NewPreVoteRequest(i, t), nil
+	}
+	return peer.NewVoteRequest(i, t, r.GetTransfer()), nil
+}
+
+func decodeAppend(r *wirepb.AppendRequest) (peer.Body, error) {
+	if err := inRange("decode append request", r.GetPreviousIndex(), r.GetPreviousTerm(), r.GetCommit()); err != nil {
+		return nil, err
+	}
+	entries, err := decodeEntries(r.GetEntries())
+	if err != nil {
+		return nil, err
+	}
+	return peer.NewAppendRequest(peer.Index(r.GetPreviousIndex()), peer.Term(r.GetPreviousTerm()),
+		peer.Index(r.GetCommit()), r.GetRound(), entries), nil
+}
+
+func decodeAppendReply(r *wirepb.AppendReply) (peer.Body, error) {
+	if err := inRange("decode append reply", r.GetMatch(), r.GetHint()); err != nil {
+		return nil, err
+	}
+	if r.GetAccepted() {
+		return peer.NewAppendAccepted(peer.Index(r.GetMatch()), r.GetRound()), nil
+	}
+	return peer.NewAppendRejected(peer.Index(r.GetMatch()), peer.Index(r.GetHint()), r.GetRound()), nil
+}
+
+func decodeChunk(c *wirepb.SnapshotChunk) (peer.Body, error) {
+	if err := inRange("decode snapshot chunk", c.GetIndex(), c.GetSnapshotTerm(), c.GetOffset()); err != nil {
+		return nil, err
+	}
+	if c.GetIndex() == 0 {
+		return nil, &Error{operation: "decode snapshot chunk", kind: OutOfRange}
+	}
+	m, err := decodeMembers(c.GetGroup())
+	if err != nil {
+		return nil, err
+	}
+	part := peer.NewSnapshot(peer.Index(c.GetIndex()), peer.Term(c.GetSnapshotTerm()), m, c.GetData())
+	return peer.NewSnapshotChunk(part, c.GetOffset(), c.GetLast(), c.GetRound()), nil
+}
+
+// inRange returns an error if a number is too great.
+func inRange(operation string, numbers ...uint64) error {
+	for _, x := range numbers {
+		if x >= greatest {
+			return &Error{operation: operation, kind: OutOfRange}
+		}
+	}
+	return nil
+}
