--- a/verbenad/adapt/link/peers.go
+++ b/verbenad/adapt/link/peers.go
@@ -40,7 +40,7 @@
 // Send queues m for the replica at address, or loses it if the queue is full.
 func (p *Peers) Send(address string, m peer.Message) {
 	select {
-	case p.queue(address) <- peers.EncodeMessage(m):
+	case p.queue(address) <- peers.Encode(m):
 	default:
 	}
 }
--- a/verbenad/adapt/link/server.go
+++ b/verbenad/adapt/link/server.go
@@ -45,7 +45,7 @@
 		if err != nil {
 			return err
 		}
-		d, err := peers.DecodeMessage(m)
+		d, err := peers.Decode(m)
 		if err != nil {
 			s.log.WithError(err).Warn("link: message of a replica refused")
 			return status.Error(codes.InvalidArgument, err.Error())
--- a/verbenad/command/serve/metric.go
+++ b/verbenad/command/serve/metric.go
@@ -43,3 +43,6 @@
 	}
 	return count
 }
+
+// syncMs is how long the last sync of the log took, in milliseconds.
+var syncMs = expvar.NewInt("verbenad.log_sync_ms")
--- a/verbenad/command/serve/replica.go
+++ b/verbenad/command/serve/replica.go
@@ -13,16 +13,17 @@
 
 // buildReplica makes this daemon a control replica.
 func (d *Daemon) buildReplica(c sets.Control, replicas []string) (ctrl.Option, error) {
-	store, stored, stop, err := disk.Open(disk.WithFolder(c.DataFolder()),
-		disk.WithSynced(func(sequence uint64) { d.loop.Post(ctrl.NewSynced(sequence)) }),
-		disk.WithFailed(func(err error) { d.loop.Post(ctrl.NewDiskFailed(err)) }))
+	store, stop, err := disk.New(disk.WithFolder(c.DataFolder()),
+		disk.WithDone(func(sequence uint64) { d.loop.Post(ctrl.NewSynced(sequence)) }),
+		disk.WithFatal(func(err error) { d.loop.Post(ctrl.NewDiskFailed(err)) }),
+		disk.WithSynced(func(s disk.Sync) { syncMs.Set(int64(s.Span())) }))
 	if err != nil {
 		return nil, &Error{op: "open " + c.DataFolder(), kind: BadData, cause: err}
 	}
 	d.atEnd(stop)
 	node := raft.New(
 		raft.WithAddress(d.settings.Peers().String()), raft.WithSeeds(replicas...), raft.WithForm(c.Form()),
-		raft.WithRandom(rand.Uint64(), rand.Uint64()), raft.WithStored(stored))
+		raft.WithRandom(rand.Uint64(), rand.Uint64()), raft.WithStored(store.Stored()))
 	senders, stopSenders := link.NewPeers(d.trust.DialOptions(), d.part())
 	d.atEnd(stopSenders)
 	return ctrl.WithReplica(node, fleet.New(), senders, store), nil
