Choose pooled targets by observed load, and test the path against faults

Cause: pooled targets were chosen at random, ownership that lapsed during a request was noticed only at its end, and nothing showed what the path does under faults.

Ruled out: health and load reports as input of the choice (they lag and mislead); a goroutine for each request that waits for the lease (one watch for all is enough).

Change: choose (two random choices, near zone first), eject (leaving and probing), a watch in owner that cancels keyed requests of unchecked targets when ownership lapses, and stricter heads: names of fields with spaces, and a length beside chunks, are refused, since fasthttp lets both pass. A caller that goes away is noticed once its body was read.

--- /dev/null
+++ b/core/command/eject/eject.go
@@ -0,0 +1,234 @@
+// Package eject leaves a target of a pooled service before it is dead, and comes back
+// to it by probing with a growing share of its work.
+package eject
+
+import (
+	"verbenabank/core/clock"
+	"verbenabank/core/query/choose"
+	"verbenabank/core/state/table"
+)
+
+const (
+	// Failures in a row that eject a target.
+	Failures = 5
+	// Outlier is how many times the median of the latencies ejects a target.
+	Outlier = 4.0
+	// OutlierFloor is the latency in milliseconds under which no target is ejected.
+	OutlierFloor = 50.0
+	// Samples is how many answers a target must have given before it can be an outlier.
+	Samples = 20
+	// Away is how long a target is left at first; each time in a row doubles it.
+	Away = 1 * clock.Second
+	// MaxAway is the longest time that a target is left.
+	MaxAway = 30 * clock.Second
+	// Return is how long a target takes from the first probe to its full share.
+	Return = 5 * clock.Second
+	// Review is the time between two comparisons of latencies.
+	Review = 500 * clock.Millisecond
+	// leastShare is the share of a target that is probed or begins to warm up.
+	leastShare = 0.05
+	// restShare is the share of a target that just turned work away.
+	restShare = 0.1
+	smoothing = 0.2
+)
+
+// Sample is how one attempt went: Good, Bad or Busy.
+type Sample interface{ sample() }
+
+// Good attempts were answered.
+type Good struct{ span clock.Millis }
+
+// NewGood returns the sample of an attempt that was answered after the span.
+func NewGood(span clock.Millis) Good { return Good{span: span} }
+
+// Bad attempts failed on the target's side.
+type Bad struct{}
+
+// Busy attempts were turned away.
+type Busy struct{ after clock.Millis }
+
+// NewBusy returns the sample of an attempt that was turned away for the span.
+func NewBusy(after clock.Millis) Busy { return Busy{after: after} }
+
+func (Good) sample() {}
+func (Bad) sample()  {}
+func (Busy) sample() {}
+
+// standing is where a target stands: active, away or probed.
+type standing interface{ standing() }
+
+type active struct{}
+
+type away struct{ until clock.Millis }
+
+type probed struct{ since clock.Millis }
+
+func (active) standing() {}
+func (away) standing()   {}
+func (probed) standing() {}
+
+// peer is what is known of one target.
+type peer struct {
+	standing standing
+	seen     clock.Millis
+	rest     clock.Millis
+	inFlight int
+	latency  float64
+	samples  int
+	failures int
+	times    int
+}
+
+// Tracker knows the targets of one service. It is not safe for concurrent use.
+type Tracker struct {
+	peers  map[table.Incarnation]*peer
+	review clock.Millis
+}
+
+// New returns a tracker that knows no target.
+func New() *Tracker { return &Tracker{peers: map[table.Incarnation]*peer{}} }
+
+// Keep makes members the targets that are known.
+func (t *Tracker) Keep(members []table.Member, now clock.Millis) {
+	next := make(map[table.Incarnation]*peer, len(members))
+	for _, m := range members {
+		p, ok := t.peers[m.Incarnation()]
+		if !ok {
+			p = &peer{standing: active{}, seen: now}
+		}
+		next[m.Incarnation()] = p
+	}
+	t.peers = next
+}
+
+// Begin counts a request to the target.
+func (t *Tracker) Begin(i table.Incarnation) {
+	if p, ok := t.peers[i]; ok {
+		p.inFlight++
+	}
+}
+
+// End counts a request to the target as over.
+func (t *Tracker) End(i table.Incarnation) {
+	if p, ok := t.peers[i]; ok && p.inFlight > 0 {
+		p.inFlight--
+	}
+}
+
+// Note takes in how an attempt at the target went.
+func (t *Tracker) Note(i table.Incarnation, s Sample, now clock.Millis) {
+	p, ok := t.peers[i]
+	if !ok {
+		return
+	}
+	switch s := s.(type) {
+	case Good:
+		p.answered(float64(s.span))
+	case Bad:
+		t.failed(p, now)
+	case Busy:
+		p.rest = now + max(s.after, 100*clock.Millisecond)
+	}
+	if now >= t.review {
+		t.review = now + Review
+		t.outliers(now)
+	}
+}
+
+func (p *peer) answered(span float64) {
+	p.failures = 0
+	p.samples++
+	if p.samples == 1 {
+		p.latency = span
+		return
+	}
+	p.latency += smoothing * (span - p.latency)
+}
+
+// failed ejects the target after enough failures in a row, or after one while it is probed.
+func (t *Tracker) failed(p *peer, now clock.Millis) {
+	p.failures++
+	switch p.standing.(type) {
+	case probed:
+		t.eject(p, now)
+	case active:
+		if p.failures >= Failures && t.mayEject() {
+			t.eject(p, now)
+		}
+	case away:
+	}
+}
+
+func (t *Tracker) eject(p *peer, now clock.Millis) {
+	p.standing = away{until: now + min(Away<<min(p.times, 5), MaxAway)}
+	p.times++
+	p.failures, p.samples, p.latency = 0, 0, 0
+}
+
+// mayEject reports whether a third of the targets at most will be away or probed.
+func (t *Tracker) mayEject() bool {
+	out := 0
+	for _, p := range t.peers {
+		if _, ok := p.standing.(active); !ok {
+			out++
+		}
+	}
+	return (out+1)*3 <= len(t.peers)
+}
+
+// View returns what is known of the member, and moves it on when its time is over. warmUp
+// is how long a warming member takes to its full share.
+func (t *Tracker) View(m table.Member, warmUp, now clock.Millis) choose.View {
+	p, ok := t.peers[m.Incarnation()]
+	if !ok {
+		return choose.NewView(0, 0, 1)
+	}
+	p.advance(now)
+	share := p.share(now)
+	switch m.Phase().(type) {
+	case table.Warming:
+		share *= ramp(now-p.seen, warmUp)
+	case table.Serving:
+	case table.Leaving:
+		share = 0
+	}
+	return choose.NewView(p.inFlight, p.latency, share)
+}
+
+// advance ends the time away and the probing.
+func (p *peer) advance(now clock.Millis) {
+	switch s := p.standing.(type) {
+	case away:
+		if now >= s.until {
+			p.standing = probed{since: now}
+		}
+	case probed:
+		if now-s.since >= Return {
+			p.standing, p.times = active{}, 0
+		}
+	case active:
+	}
+}
+
+func (p *peer) share(now clock.Millis) float64 {
+	share := 1.0
+	switch s := p.standing.(type) {
+	case away:
+		return 0
+	case probed:
+		share = ramp(now-s.since, Return)
+	case active:
+	}
+	if now < p.rest {
+		share *= restShare
+	}
+	return share
+}
+
+// ramp grows from leastShare to 1 over the span.
+func ramp(passed, span clock.Millis) float64 {
+	if span <= 0 || passed >= span {
+		return 1
+	}
+	return max(leastShare, float64(passed)/float64(span))
+}
--- /dev/null
+++ b/core/command/eject/eject_test.go
@@ -0,0 +1,77 @@
+package eject_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"verbenabank/core/clock"
+	"verbenabank/core/command/eject"
+	"verbenabank/core/query/choose"
+	"verbenabank/core/state/table"
+)
+
+func fleet(n int) []table.Member {
+	var list []table.Member
+	for i := range n {
+		list = append(list, table.NewMember(table.Incarnation(i+1), "", "z", "", "s", table.Serving{}))
+	}
+	return list
+}
+
+func TestAtMostAThirdIsEjected(t *testing.T) {
+	is := is.New(t)
+	members := fleet(6)
+	k := eject.New()
+	k.Keep(members, 0)
+	for range 100 {
+		for _, m := range members {
+			k.Note(m.Incarnation(), eject.Bad{}, 1)
+		}
+	}
+	out := 0
+	for _, m := range members {
+		if k.View(m, 0, 1).Share() == 0 {
+			out++
+		}
+	}
+	is.Equal(out, 2)
+}
+
+func TestEjectedTargetComesBackByProbes(t *testing.T) {
+	is := is.New(t)
+	members := fleet(3)
+	k := eject.New()
+	k.Keep(members, 0)
+	for range eject.Failures {
+		k.Note(1, eject.Bad{}, 10)
+	}
+	is.Equal(k.View(members[0], 0, 10+eject.Away-1).Share(), 0.0)
+	now := 10 + eject.Away
+	is.True(k.View(members[0], 0, now).Share() < 0.1)
+	is.True(k.View(members[0], 0, now+eject.Return/2).Share() == 0.5)
+	k.Note(1, eject.Bad{}, now+eject.Return/2)
+	is.Equal(k.View(members[0], 0, now+eject.Return/2+2*eject.Away-1).Share(), 0.0) // longer than before
+}
+
+func TestSlowTargetIsLeftAndLoadGoesElsewhere(t *testing.T) {
+	is := is.New(t)
+	members := fleet(4)
+	k := eject.New()
+	k.Keep(members, 0)
+	random := rand.New(rand.NewPCG(1, 2))
+	taken := map[table.Incarnation]int{}
+	for now := clock.Millis(0); now < 3000; now++ {
+		view := func(m table.Member) choose.View { return k.View(m, 0, now) }
+		m, ok := choose.Pick(members, members, view, random.IntN)
+		is.True(ok)
+		taken[m.Incarnation()]++
+		span := clock.Millis(5)
+		if m.Incarnation() == 1 && now > 500 {
+			span = 400
+		}
+		k.Note(m.Incarnation(), eject.NewGood(span), now)
+	}
+	is.True(taken[1] < 300) // of 3000, 125 of them before it became slow
+}
--- a/core/query/route/route.go
+++ b/core/query/route/route.go
@@ -47,8 +47,8 @@
 
 // Pooled requests go to one of the candidates.
 type Pooled struct {
-	service    rules.Service
-	candidates []table.Member
+	service rules.Service
+	pool    *pool
 }
 
 // Service returns the service.
@@ -56,7 +56,11 @@
 
 // Candidates returns the members that take work, never none; the caller must not
 // change them.
-func (p Pooled) Candidates() []table.Member { return p.candidates }
+func (p Pooled) Candidates() []table.Member { return p.pool.all }
+
+// Near returns the candidates in the availability zone; the caller must not change
+// them.
+func (p Pooled) Near(zone string) []table.Member { return p.pool.byZone[zone] }
 
 // Refuse means that nobody can serve the request at present.
 type Refuse struct{ reason result.Reason }
@@ -71,21 +75,37 @@
 // Index answers questions about one table. It is immutable and safe for
 // concurrent use.
 type Index struct {
-	table      *table.Table
-	candidates map[string][]table.Member
+	table *table.Table
+	pools map[string]*pool
+}
+
+// pool is the members of one service that take work.
+type pool struct {
+	all    []table.Member
+	byZone map[string][]table.Member
 }
 
 // NewIndex returns the index of t.
 func NewIndex(t *table.Table) *Index {
-	x := &Index{table: t, candidates: map[string][]table.Member{}}
+	x := &Index{table: t, pools: map[string]*pool{}}
 	for _, m := range t.Members() {
 		if m.Service() != "" && takesWork(m.Phase()) {
-			x.candidates[m.Service()] = append(x.candidates[m.Service()], m)
+			x.add(m)
 		}
 	}
 	return x
 }
 
+func (x *Index) add(m table.Member) {
+	p, ok := x.pools[m.Service()]
+	if !ok {
+		p = &pool{byZone: map[string][]table.Member{}}
+		x.pools[m.Service()] = p
+	}
+	p.all = append(p.all, m)
+	p.byZone[m.Zone()] = append(p.byZone[m.Zone()], m)
+}
+
 // Table returns the table that is indexed.
 func (x *Index) Table() *table.Table { return x.table }
 
@@ -120,11 +140,11 @@
 }
 
 func (x *Index) pooled(s rules.Service) Decision {
-	c := x.candidates[s.Name()]
-	if len(c) == 0 {
+	p, ok := x.pools[s.Name()]
+	if !ok {
 		return Refuse{reason: result.NoTarget}
 	}
-	return Pooled{service: s, candidates: c}
+	return Pooled{service: s, pool: p}
 }
 
 func (x *Index) keyed(s rules.Service, k rules.Keyed, f Facts) Decision {
--- a/verbenad/command/entry/body.go
+++ b/verbenad/command/entry/body.go
@@ -21,26 +21,26 @@
 // body is the body of a request, read from the caller once and kept in part, so that
 // attempts which surely did not run can be made again.
 type body struct {
-	source io.Reader
-	length int64
-	limit  int64
+	source  io.Reader
+	length  int64
+	limit   int64
+	onWhole func()
 
 	reading sync.Mutex // held while the source is read
 
-	mu       sync.Mutex
-	kept     []byte
-	read     int64
-	attempt  int
-	over     bool // kept is not all that was read
-	whole    bool
-	err      error
-	finished bool
+	mu      sync.Mutex
+	kept    []byte
+	read    int64
+	attempt int
+	over    bool // kept is not all that was read
+	whole   bool
+	err     error
 }
 
 // newBody returns the body of announced length, -1 if it is not announced, and at
-// most limit bytes.
-func newBody(source io.Reader, length, limit int64) *body {
-	return &body{source: source, length: length, limit: limit}
+// most limit bytes. onWhole is called when all of it was read.
+func newBody(source io.Reader, length, limit int64, onWhole func()) *body {
+	return &body{source: source, length: length, limit: limit, onWhole: onWhole}
 }
 
 // open returns the reader of a new attempt; the readers of earlier ones fail.
@@ -72,7 +72,6 @@
 func (b *body) finish(interrupt func()) bool {
 	b.mu.Lock()
 	b.attempt++
-	b.finished = true
 	whole := b.whole
 	b.mu.Unlock()
 	if whole {
@@ -146,6 +145,7 @@
 	case err == io.EOF, err == nil && b.read == b.length:
 		b.whole = true
 		err = io.EOF
+		b.onWhole()
 	case err != nil:
 		b.err = err
 	}
--- a/verbenad/command/entry/entry.go
+++ b/verbenad/command/entry/entry.go
@@ -83,7 +83,7 @@
 	for _, o := range opts {
 		o(e)
 	}
-	e.peers = newPeers(e.zone)
+	e.peers = newPeers(e.clock, e.zone)
 	e.index.Store(route.NewIndex(e.cell.Load().Table()))
 	e.app = newApp(e.handle)
 	return e
--- a/verbenad/command/entry/handle.go
+++ b/verbenad/command/entry/handle.go
@@ -68,6 +68,9 @@
 // request cannot be taken.
 func (t *task) prepare(s rules.Service) (result.Reason, bool) {
 	h := &t.http.Request.Header
+	if !wellFormed(h) {
+		return result.BadRequest, false
+	}
 	deadline := s.Deadline()
 	if v := h.Peek(HeaderDeadlineMs); len(v) > 0 {
 		ms, err := strconv.ParseInt(string(v), 10, 64)
@@ -105,15 +108,20 @@
 	case length > s.BodyBytes():
 		return result.TooLarge, false
 	case length == 0 || stream == nil:
-		if t.caller != nil {
-			t.caller.watch(t.cancel)
-		}
+		t.watch()
 		return "", true
 	}
-	t.body = newBody(stream, max(length, -1), s.BodyBytes())
+	t.body = newBody(stream, max(length, -1), s.BodyBytes(), t.watch)
 	return "", true
 }
 
+// watch ends the request if its caller goes away.
+func (t *task) watch() {
+	if t.caller != nil {
+		t.caller.watch(t.cancel)
+	}
+}
+
 // request returns the request of the next attempt.
 func (t *task) request(s rules.Service, opts ...call.Option) call.Request {
 	opts = append(opts, call.WithFields(t.fields))
--- a/verbenad/command/entry/peers.go
+++ b/verbenad/command/entry/peers.go
@@ -1,29 +1,160 @@
 package entry
 
 import (
+	"io"
 	"math/rand/v2"
+	"sync"
 
 	"verbenabank/core/clock"
+	"verbenabank/core/command/eject"
+	"verbenabank/core/query/choose"
 	"verbenabank/core/query/route"
+	"verbenabank/core/state/call"
+	"verbenabank/core/state/result"
 	"verbenabank/core/state/table"
 )
 
-// peers chooses targets of pooled services.
+// peers knows the targets of pooled services by what their answers showed.
 type peers struct {
-	zone string
+	clock *clock.Clock
+	zone  string
+
+	mu       sync.Mutex
+	services map[string]*service
 }
 
-func newPeers(zone string) *peers { return &peers{zone: zone} }
+// service is what is known of one pooled service.
+type service struct {
+	tracker    *eject.Tracker
+	candidates []table.Member
+}
 
-// choose returns a candidate that was not tried, if there is one.
-func (p *peers) choose(d route.Pooled, tried map[table.Incarnation]bool, _ clock.Millis) table.Member {
-	c := d.Candidates()
-	start := rand.IntN(len(c))
-	for i := range c {
-		m := c[(start+i)%len(c)]
-		if !tried[m.Incarnation()] {
-			return m
+func newPeers(c *clock.Clock, zone string) *peers {
+	return &peers{clock: c, zone: zone, services: map[string]*service{}}
+}
+
+// choose returns a candidate, one that was not tried if possible.
+func (p *peers) choose(d route.Pooled, tried map[table.Incarnation]bool) (table.Member, bool) {
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	k := p.tracker(d, now)
+	view := func(m table.Member) choose.View {
+		if tried[m.Incarnation()] {
+			return choose.NewView(0, 0, 0)
 		}
+		return k.View(m, d.Service().WarmUp(), now)
+	}
+	near, all := d.Near(p.zone), d.Candidates()
+	if m, ok := choose.Pick(near, all, view, rand.IntN); ok {
+		return m, true
+	}
+	return choose.Pick(near, all, func(m table.Member) choose.View {
+		v := k.View(m, 0, now)
+		return choose.NewView(v.InFlight(), v.Latency(), 1)
+	}, rand.IntN)
+}
+
+// tracker returns the tracker of the service, which knows its present candidates.
+func (p *peers) tracker(d route.Pooled, now clock.Millis) *eject.Tracker {
+	s, ok := p.services[d.Service().Name()]
+	if !ok {
+		s = &service{tracker: eject.New()}
+		p.services[d.Service().Name()] = s
+	}
+	if c := d.Candidates(); len(s.candidates) != len(c) || &s.candidates[0] != &c[0] {
+		s.candidates = c
+		s.tracker.Keep(c, now)
 	}
-	return c[start]
+	return s.tracker
+}
+
+// begin counts an attempt at m. The function that it returns takes the reply, and
+// returns it with a body that ends the count.
+func (p *peers) begin(name string, m table.Member) func(call.Reply) call.Reply {
+	began := p.clock.Now()
+	p.mu.Lock()
+	k := p.services[name].tracker
+	k.Begin(m.Incarnation())
+	p.mu.Unlock()
+	v := &visit{peers: p, tracker: k, member: m.Incarnation()}
+	return func(reply call.Reply) call.Reply {
+		span := p.clock.Now() - began
+		switch reply := reply.(type) {
+		case call.Answer:
+			v.note(eject.NewGood(span))
+			return call.NewAnswer(reply.Status(), reply.Fields(), &visited{ReadCloser: reply.Body(), visit: v}, reply.Length())
+		case call.Failure:
+			v.note(sampleOf(reply.Outcome()))
+			v.end()
+		}
+		return reply
+	}
+}
+
+// sampleOf returns what a failure says of the target, nil if nothing.
+func sampleOf(o result.Outcome) eject.Sample {
+	switch o := o.(type) {
+	case result.Refused:
+		if o.Reason() == result.Unreachable {
+			return eject.Bad{}
+		}
+		if o.Reason() == result.Expired {
+			return nil
+		}
+		return eject.NewBusy(o.After())
+	case result.Unknown:
+		if o.Reason() == result.Cancelled {
+			return nil
+		}
+		return eject.Bad{}
+	case result.Answered:
+	}
+	return nil
+}
+
+// visit is one attempt at one member.
+type visit struct {
+	peers   *peers
+	tracker *eject.Tracker
+	member  table.Incarnation
+	once    sync.Once
+}
+
+func (v *visit) note(s eject.Sample) {
+	if s == nil {
+		return
+	}
+	v.peers.mu.Lock()
+	defer v.peers.mu.Unlock()
+	v.tracker.Note(v.member, s, v.peers.clock.Now())
+}
+
+func (v *visit) end() {
+	v.once.Do(func() {
+		v.peers.mu.Lock()
+		defer v.peers.mu.Unlock()
+		v.tracker.End(v.member)
+	})
+}
+
+// visited is the body of an answer whose end is the end of the visit.
+type visited struct {
+	io.ReadCloser
+	visit *visit
+}
+
+// Read notes an answer that is not whole.
+func (b *visited) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && err != io.EOF {
+		b.visit.note(sampleOf(result.NewUnknown(call.ReasonOf(err))))
+	}
+	return n, err
+}
+
+// Close ends the visit.
+func (b *visited) Close() error {
+	b.visit.end()
+	return b.ReadCloser.Close()
 }
--- a/verbenad/command/entry/respond.go
+++ b/verbenad/command/entry/respond.go
@@ -74,8 +74,8 @@
 
 // respond writes the target's answer.
 func (t *task) respond(a call.Answer) result.Outcome {
-	if t.body != nil && t.caller != nil && t.body.finish(t.interrupt) {
-		t.caller.watch(t.cancel)
+	if t.body != nil {
+		t.body.finish(t.interrupt)
 	}
 	bodiless := t.method == fasthttp.MethodHead || a.Status() == fasthttp.StatusNoContent ||
 		a.Status() == fasthttp.StatusNotModified
--- a/verbenad/command/entry/task.go
+++ b/verbenad/command/entry/task.go
@@ -89,12 +89,17 @@
 // pooled chooses one of the candidates and reports how it did.
 func (t *task) pooled(s *snap.Snap, d route.Pooled) call.Reply {
 	t.choice = len(d.Candidates()) > 1
-	m := t.entry.peers.choose(d, t.tried, t.entry.clock.Now())
 	if t.tried == nil {
 		t.tried = map[table.Incarnation]bool{}
 	}
+	m, ok := t.entry.peers.choose(d, t.tried)
+	if !ok {
+		return call.Refuse(result.NoTarget)
+	}
 	t.tried[m.Incarnation()] = true
-	return t.forward(s, m, t.request(d.Service(), call.WithMember(m.Incarnation())))
+	done := t.entry.peers.begin(d.Service().Name(), m)
+	reply := t.forward(s, m, t.request(d.Service(), call.WithMember(m.Incarnation())))
+	return done(reply)
 }
 
 // forward sends the request to the member, in process if it is this one.
--- a/verbenad/command/owner/guard.go
+++ b/verbenad/command/owner/guard.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"verbenabank/core/clock"
@@ -39,6 +40,8 @@
 	pass     admission
 	slotted  bool
 	since    clock.Millis
+	cancel   context.CancelFunc
+	lapsed   atomic.Bool
 }
 
 // serve runs the request. The caller must call done after a failure.
@@ -54,11 +57,11 @@
 	if g.pass, reason = g.owner.check(g.request); reason != "" {
 		return call.Refuse(reason)
 	}
-	switch reply := g.owner.target.Send(ctx, g.ordered()).(type) {
+	switch reply := g.owner.target.Send(g.enlist(ctx), g.ordered()).(type) {
 	case call.Answer:
 		return g.judge(reply)
 	case call.Failure:
-		return reply
+		return g.explain(reply)
 	}
 	return call.Unknown(result.Interrupted)
 }
@@ -179,6 +182,7 @@
 
 // done gives back the slot and the place in the count of requests in flight.
 func (g *guard) done() {
+	g.delist()
 	if g.slotted {
 		now := g.owner.clock.Now()
 		g.owner.gate.Leave(now, now-g.since)
@@ -199,7 +203,7 @@
 	if err == nil {
 		return n, nil
 	}
-	if err == io.EOF && !b.guard.valid() {
+	if (err == io.EOF && !b.guard.valid()) || (err != io.EOF && b.guard.lapsed.Load()) {
 		err = call.NewError("read answer under lease", result.LeaseLapsed)
 	}
 	b.end()
--- /dev/null
+++ b/verbenad/command/owner/lapse.go
@@ -0,0 +1,84 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"verbenabank/core/state/call"
+	"verbenabank/core/state/result"
+	"verbenabank/core/state/rules"
+	"verbenabank/core/state/snap"
+)
+
+// Watch cancels requests at targets that do not check epochs as soon as the
+// daemon's ownership of their shards lapses. It returns when ctx ends.
+func (o *Owner) Watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		s := o.cell.Load()
+		o.cancelLapsed()
+		o.rest(ctx, s)
+	}
+}
+
+// rest waits until the lease of s ends, if it did not yet, or a newer snapshot is
+// there.
+func (o *Owner) rest(ctx context.Context, s *snap.Snap) {
+	left := s.LeaseEnd() - o.clock.Now()
+	if left <= 0 {
+		select {
+		case <-s.Superseded():
+		case <-ctx.Done():
+		}
+		return
+	}
+	timer := time.NewTimer(left.Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-s.Superseded():
+	case <-ctx.Done():
+	}
+}
+
+// cancelLapsed cancels what runs without ownership.
+func (o *Owner) cancelLapsed() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for g := range o.running {
+		if !o.holds(g.request, g.pass.epoch) {
+			g.lapsed.Store(true)
+			g.cancel()
+		}
+	}
+}
+
+// enlist makes the request one that a lapse of ownership cancels, if only the daemon
+// guards its target.
+func (g *guard) enlist(ctx context.Context) context.Context {
+	ctx, g.cancel = context.WithCancel(ctx)
+	if _, ok := g.pass.service.Fencing().(rules.Unchecked); !ok || g.request.Key() == "" {
+		return ctx
+	}
+	g.owner.mu.Lock()
+	defer g.owner.mu.Unlock()
+	g.owner.running[g] = struct{}{}
+	return ctx
+}
+
+func (g *guard) delist() {
+	if g.cancel == nil {
+		return
+	}
+	g.cancel()
+	g.owner.mu.Lock()
+	defer g.owner.mu.Unlock()
+	delete(g.owner.running, g)
+}
+
+// explain names the lapse as the reason of a failure that it caused.
+func (g *guard) explain(f call.Failure) call.Failure {
+	if _, ok := f.Outcome().(result.Unknown); ok && g.lapsed.Load() {
+		return call.Unknown(result.LeaseLapsed)
+	}
+	return f
+}
--- a/verbenad/command/owner/owner.go
+++ b/verbenad/command/owner/owner.go
@@ -41,8 +41,9 @@
 	gate   *admit.Gate
 	closed atomic.Bool
 
-	mu  sync.Mutex
-	hot *heavy.Sketch
+	mu      sync.Mutex
+	hot     *heavy.Sketch
+	running map[*guard]struct{}
 }
 
 // Option sets one property of an Owner.
@@ -63,10 +64,11 @@
 // New returns an owner. Cell and target must be set by options.
 func New(opts ...Option) *Owner {
 	o := &Owner{
-		clock:  clock.New(),
-		flight: flight.New(),
-		gate:   admit.New(admit.NewLimits(rules.DefaultSlots, rules.DefaultQueue, rules.DefaultQueueWait)),
-		hot:    heavy.New(HotCounters),
+		clock:   clock.New(),
+		flight:  flight.New(),
+		gate:    admit.New(admit.NewLimits(rules.DefaultSlots, rules.DefaultQueue, rules.DefaultQueueWait)),
+		hot:     heavy.New(HotCounters),
+		running: map[*guard]struct{}{},
 	}
 	for _, f := range opts {
 		f(o)
