Find values of a document in one place

Cause: the command line and the merge queries each walked a path on their own. Change: merge.Find is used by both. Measured: go test of core/query/merge and verbena passes.

--- a/core/query/merge/explain.go
+++ b/core/query/merge/explain.go
@@ -75,6 +75,12 @@
 	return Set{value: named}, true
 }
 
+// Find returns the value at path below root.
+func Find(root tree.Object, path tree.Path) (tree.Node, bool) {
+	n, _ := find(root, path)
+	return n, n != nil
+}
+
 // find returns the value at path below root, or nil and the place of the
 // innermost value on the way to it.
 func find(root tree.Object, path tree.Path) (tree.Node, tree.Place) {
--- a/verbena/query/local/explain.go
+++ b/verbena/query/local/explain.go
@@ -36,7 +36,7 @@
 		return show.Report{}, err
 	}
 	at := tree.ParsePath(path)
-	if n, ok := find(merge.Merge(layers...), at); ok {
+	if n, ok := merge.Find(merge.Merge(layers...), at); ok {
 		return inForce(at, n, origins(layers, at)), nil
 	}
 	return absent(layers, at), nil
@@ -89,7 +89,7 @@
 	}{Path: path.String(), Origins: rows}
 	var text strings.Builder
 	c, err := confd.Check(layers)
-	n, ok := find(effective(c), path)
+	n, ok := merge.Find(effective(c), path)
 	if err != nil || !ok {
 		fmt.Fprintf(&text, "%s: no file sets it\n", path)
 		writeOrigins(&text, rows)
--- a/verbena/query/local/local.go
+++ b/verbena/query/local/local.go
@@ -65,21 +65,6 @@
 	return document
 }
 
-// find returns the value at path.
-func find(document tree.Object, path tree.Path) (tree.Node, bool) {
-	var n tree.Node = document
-	for _, name := range path.Fields() {
-		object, ok := n.(tree.Object)
-		if !ok {
-			return nil, false
-		}
-		if n, ok = object.Field(name); !ok {
-			return nil, false
-		}
-	}
-	return n, true
-}
-
 // value is one value of a document with its path.
 type value struct {
 	path tree.Path
