--- a/core/command/admit/admit.go
+++ b/core/command/admit/admit.go
@@ -137,8 +137,16 @@
 	g.fill(now)
 }
 
+// Return gives a slot back that was not used.
+func (g *Gate) Return(now clock.Millis) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.busy--
+	g.fill(now)
+}
+
 // Cancel withdraws a request that waits no more. It reports whether the request
-// was admitted meanwhile, so that it holds a slot that the caller must Leave.
+// was admitted meanwhile, so that it holds a slot that the caller must Return.
 func (g *Gate) Cancel(t *Ticket) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/verbenad/command/entry/entry.go
+++ b/verbenad/command/entry/entry.go
@@ -17,6 +17,7 @@
 	"verbenabank/core/query/route"
 	"verbenabank/core/state/call"
 	"verbenabank/core/state/snap"
+	"verbenabank/verbenad/command/meter"
 )
 
 const (
@@ -45,7 +46,7 @@
 	policy   retry.Policy
 	instance string
 	zone     string
-	meter    *meter
+	meter    *meter.Meter
 
 	app     *fiber.App
 	watches conc.WaitGroup
@@ -79,7 +80,7 @@
 
 // New returns an entry. Cell, local and remote must be set by options.
 func New(opts ...Option) *Entry {
-	e := &Entry{clock: clock.New(), policy: retry.Proven{}, meter: metrics()}
+	e := &Entry{clock: clock.New(), policy: retry.Proven{}, meter: meter.Of("entry")}
 	for _, o := range opts {
 		o(e)
 	}
--- a/verbenad/command/entry/handle.go
+++ b/verbenad/command/entry/handle.go
@@ -47,10 +47,10 @@
 func (e *Entry) handle(c fiber.Ctx) error {
 	t := e.newTask(c.RequestCtx())
 	defer t.close()
-	e.meter.begin()
+	e.meter.Begin()
 	began := e.clock.Now()
 	o := t.run()
-	e.meter.end(o, e.clock.Now()-began)
+	e.meter.End(o, e.clock.Now()-began)
 	return nil
 }
 
--- a/verbenad/command/entry/task.go
+++ b/verbenad/command/entry/task.go
@@ -141,13 +141,13 @@
 		return false
 	case retry.Again:
 		if !t.entry.budget(service.Name()).Spend() {
-			t.entry.meter.exhausted.Add(1)
+			t.entry.meter.Event("budget_exhausted", 1)
 			return false
 		}
-		t.entry.meter.retries.Add(1)
+		t.entry.meter.Event("retries", 1)
 		return t.wait(nil, v.After())
 	case retry.Await:
-		t.entry.meter.awaits.Add(1)
+		t.entry.meter.Event("awaits", 1)
 		since := t.entry.clock.Now()
 		ok := t.wait(s.Superseded(), v.Pause())
 		t.awaited += t.entry.clock.Now() - since
--- a/verbenad/command/owner/guard.go
+++ b/verbenad/command/owner/guard.go
@@ -36,10 +36,11 @@
 	owner    *Owner
 	request  call.Request
 	deadline clock.Millis
+	entered  clock.Millis
 	leave    func()
 	pass     admission
 	slotted  bool
-	since    clock.Millis
+	sent     clock.Millis
 	cancel   context.CancelFunc
 	lapsed   atomic.Bool
 }
@@ -57,6 +58,7 @@
 	if g.pass, reason = g.owner.check(g.request); reason != "" {
 		return call.Refuse(reason)
 	}
+	g.sent = g.owner.clock.Now()
 	switch reply := g.owner.target.Send(g.enlist(ctx), g.ordered()).(type) {
 	case call.Answer:
 		return g.judge(reply)
@@ -77,6 +79,8 @@
 		return g.granted(o)
 	default:
 	}
+	g.owner.meter.Event("waiting", 1)
+	defer g.owner.meter.Event("waiting", -1)
 	timer := time.NewTimer(min(s.QueueWait(), deadline-now).Duration())
 	defer timer.Stop()
 	select {
@@ -85,13 +89,8 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	if gate.Cancel(t) {
-		g.hold()
-	}
-	if g.owner.clock.Now() >= deadline {
-		return call.Refuse(result.Expired), false
-	}
-	if ctx.Err() != nil {
+	g.slotted = gate.Cancel(t)
+	if ctx.Err() != nil || g.owner.clock.Now() >= deadline {
 		return call.Refuse(result.Expired), false
 	}
 	return call.NewFailure(result.NewRefused(result.Overloaded, s.QueueWait())), false
@@ -100,7 +99,7 @@
 func (g *guard) granted(o admit.Grant) (call.Failure, bool) {
 	switch o := o.(type) {
 	case admit.Admitted:
-		g.hold()
+		g.slotted = true
 		return call.Failure{}, true
 	case admit.Refused:
 		return call.NewFailure(result.NewRefused(o.Reason(), o.After())), false
@@ -108,11 +107,6 @@
 	return call.Refuse(result.Overloaded), false
 }
 
-func (g *guard) hold() {
-	g.slotted = true
-	g.since = g.owner.clock.Now()
-}
-
 // ordered returns the request with the fields that a target may check.
 func (g *guard) ordered() call.Request {
 	r := g.request
@@ -181,20 +175,25 @@
 }
 
 // done gives back the slot and the place in the count of requests in flight.
-func (g *guard) done() {
+func (g *guard) done(o result.Outcome) {
 	g.delist()
-	if g.slotted {
-		now := g.owner.clock.Now()
-		g.owner.gate.Leave(now, now-g.since)
+	now := g.owner.clock.Now()
+	switch {
+	case g.slotted && g.sent > 0:
+		g.owner.gate.Leave(now, now-g.sent)
+	case g.slotted:
+		g.owner.gate.Return(now)
 	}
 	g.leave()
+	g.owner.meter.End(o, now-g.entered)
 }
 
 // guarded is the body of an answer that may be read while ownership holds.
 type guarded struct {
-	guard *guard
-	body  io.ReadCloser
-	ended bool
+	guard  *guard
+	status int
+	body   io.ReadCloser
+	ended  bool
 }
 
 // Read returns io.EOF only if the answer is whole and ownership held until then.
@@ -206,20 +205,24 @@
 	if (err == io.EOF && !b.guard.valid()) || (err != io.EOF && b.guard.lapsed.Load()) {
 		err = call.NewError("read answer under lease", result.LeaseLapsed)
 	}
-	b.end()
+	if err == io.EOF {
+		b.end(result.NewAnswered(b.status))
+	} else {
+		b.end(result.NewUnknown(call.ReasonOf(err)))
+	}
 	return n, err
 }
 
 // Close cancels what is left of the exchange.
 func (b *guarded) Close() error {
 	err := b.body.Close()
-	b.end()
+	b.end(result.NewUnknown(result.Cancelled))
 	return err
 }
 
-func (b *guarded) end() {
+func (b *guarded) end(o result.Outcome) {
 	if !b.ended {
 		b.ended = true
-		b.guard.done()
+		b.guard.done(o)
 	}
 }
--- a/verbenad/command/owner/owner.go
+++ b/verbenad/command/owner/owner.go
@@ -17,6 +17,7 @@
 	"verbenabank/core/state/snap"
 	"verbenabank/core/state/table"
 	"verbenabank/verbenad/command/flight"
+	"verbenabank/verbenad/command/meter"
 )
 
 // HotCounters is how many keys are counted at once, and so 1/HotCounters the
@@ -40,6 +41,7 @@
 	flight *flight.Flight
 	gate   *admit.Gate
 	closed atomic.Bool
+	meter  *meter.Meter
 
 	mu      sync.Mutex
 	hot     *heavy.Sketch
@@ -67,6 +69,7 @@
 		clock:   clock.New(),
 		flight:  flight.New(),
 		gate:    admit.New(admit.NewLimits(rules.DefaultSlots, rules.DefaultQueue, rules.DefaultQueueWait)),
+		meter:   meter.Of("owner"),
 		hot:     heavy.New(HotCounters),
 		running: map[*guard]struct{}{},
 	}
@@ -98,15 +101,18 @@
 // Serve runs one request. The reply is a call.Answer whose body must be closed, or
 // a call.Failure.
 func (o *Owner) Serve(ctx context.Context, r call.Request) call.Reply {
-	g := &guard{owner: o, request: r, deadline: o.deadline(ctx)}
+	g := &guard{owner: o, request: r, deadline: o.deadline(ctx), entered: o.clock.Now()}
 	g.leave = o.flight.Enter(r.Service(), r.Shard())
-	reply := g.serve(ctx)
-	a, ok := reply.(call.Answer)
-	if !ok {
-		g.done()
+	o.meter.Begin()
+	switch reply := g.serve(ctx).(type) {
+	case call.Answer:
+		b := &guarded{guard: g, status: reply.Status(), body: reply.Body()}
+		return call.NewAnswer(reply.Status(), reply.Fields(), b, reply.Length())
+	case call.Failure:
+		g.done(reply.Outcome())
 		return reply
 	}
-	return call.NewAnswer(a.Status(), a.Fields(), &guarded{guard: g, body: a.Body()}, a.Length())
+	return call.Unknown(result.Interrupted)
 }
 
 // deadline returns the instant of the end of ctx.
