Let callers read refusals of large bodies, and bound slow ones

Cause: a refusal before a large body was read reset the connection, so the caller lost the response (seen with 8 MiB in TestRefusalsBeforeAnyAttempt); heads, bodies and responses that trickle were not bounded.

Ruled out: reading every unwanted body to its end (a caller could hold a connection for as long as it likes).

Change: a connection with an unread body closes its sending half first and reads for 500 ms and 16 MiB at most; heads are bounded by 10 s, bodies and streamed answers by the deadline of the request.

Conclusion: refusals reach their callers.

--- a/verbenad/command/entry/caller_test.go
+++ b/verbenad/command/entry/caller_test.go
@@ -39,6 +39,7 @@
 		{"/catalogue/" + long, "refused bad-request", 400, nil},
 		{"/catalogue/k", "refused too-large", 413, bytes.NewReader(make([]byte, 1001))},
 		{"/catalogue/k", "refused too-large", 413, bytes.NewReader(make([]byte, 100_000))},
+		{"/catalogue/k", "refused too-large", 413, bytes.NewReader(make([]byte, 8<<20))},
 	} {
 		r, err := http.NewRequest("POST", e.url, k.body)
 		is.NoErr(err)
--- a/verbenad/command/entry/conn.go
+++ b/verbenad/command/entry/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -33,8 +34,10 @@
 	net.Conn
 	watches *conc.WaitGroup
 
-	mu    sync.Mutex
-	ahead *ahead
+	mu      sync.Mutex
+	ahead   *ahead
+	unread  bool
+	aborted bool
 }
 
 // ahead is one read ahead.
@@ -65,6 +68,34 @@
 	})
 }
 
+const (
+	// lingerSpan and lingerBytes bound what is read of a body that nobody wants.
+	lingerSpan  = 500 * time.Millisecond
+	lingerBytes = 16 << 20
+)
+
+// leave says that a part of the request will stay unread.
+func (c *conn) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unread = true
+}
+
+// Close closes the connection. If the caller may still be sending a body, it is read for a
+// while first: closing at once would reset the connection, and the caller would lose the
+// response.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	linger := c.unread && !c.aborted
+	c.mu.Unlock()
+	if t, ok := c.Conn.(*net.TCPConn); ok && linger {
+		_ = t.CloseWrite()
+		_ = t.SetReadDeadline(time.Now().Add(lingerSpan))
+		_, _ = io.CopyN(io.Discard, t, lingerBytes)
+	}
+	return c.Conn.Close()
+}
+
 // Read returns what was read ahead first.
 func (c *conn) Read(p []byte) (int, error) {
 	c.mu.Lock()
@@ -89,6 +120,9 @@
 // abort makes the close of the connection show as a reset, so that no caller takes
 // a broken answer for a whole one.
 func (c *conn) abort() {
+	c.mu.Lock()
+	c.aborted = true
+	c.mu.Unlock()
 	if t, ok := c.Conn.(*net.TCPConn); ok {
 		_ = t.SetLinger(0)
 	}
--- a/verbenad/command/entry/handle.go
+++ b/verbenad/command/entry/handle.go
@@ -16,6 +16,14 @@
 	"verbenabank/core/state/rules"
 )
 
+const (
+	// headTimeout bounds the reading of a request's head; its body is bounded by the
+	// deadline of the request.
+	headTimeout = 10 * time.Second
+	// writeTimeout bounds the writing of a response that is in memory.
+	writeTimeout = 10 * time.Second
+)
+
 // newApp returns the HTTP server. The handler must stand on routes, not be used as
 // middleware: fiber runs middleware also for requests that it could not parse.
 func newApp(handle fiber.Handler) *fiber.App {
@@ -26,6 +34,8 @@
 		DisableDefaultDate:           true,
 		ReadBufferSize:               MaxHeadBytes,
 		Concurrency:                  MaxConnections,
+		ReadTimeout:                  headTimeout,
+		WriteTimeout:                 writeTimeout,
 		IdleTimeout:                  time.Minute,
 		ErrorHandler:                 refuseMalformed,
 	})
@@ -111,10 +121,18 @@
 		t.watch()
 		return "", true
 	}
+	if t.caller != nil {
+		_ = t.caller.SetReadDeadline(t.end())
+	}
 	t.body = newBody(stream, max(length, -1), s.BodyBytes(), t.watch)
 	return "", true
 }
 
+// end returns the deadline on the clock of connections.
+func (t *task) end() time.Time {
+	return time.Now().Add((t.deadline - t.entry.clock.Now()).Duration())
+}
+
 // watch ends the request if its caller goes away.
 func (t *task) watch() {
 	if t.caller != nil {
--- a/verbenad/command/entry/respond.go
+++ b/verbenad/command/entry/respond.go
@@ -25,7 +25,7 @@
 	writeFailure(r, o)
 	r.Header.Set(HeaderRequestID, t.id)
 	if t.body == nil && t.http.Request.Header.ContentLength() != 0 {
-		r.Header.SetConnectionClose()
+		t.leaveUnread()
 	}
 	return o
 }
@@ -84,6 +84,7 @@
 	}
 	t.writeHead(a)
 	t.streamed = true
+	_ = t.http.SetWriteDeadline(t.end())
 	s := &stream{task: t, body: a.Body(), left: a.Length()}
 	t.http.Response.SetBodyStream(s, int(a.Length()))
 	return result.NewAnswered(a.Status())
--- a/verbenad/command/entry/task.go
+++ b/verbenad/command/entry/task.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"os"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -117,11 +119,13 @@
 	if _, ok := o.(result.Unknown); !ok || t.body == nil {
 		return o
 	}
-	switch t.body.fault() {
-	case nil:
+	switch fault := t.body.fault(); {
+	case fault == nil:
 		return o
-	case errTooLarge:
+	case errors.Is(fault, errTooLarge):
 		return result.NewUnknown(result.TooLarge)
+	case errors.Is(fault, os.ErrDeadlineExceeded):
+		return result.NewUnknown(result.TimedOut)
 	default:
 		return result.NewUnknown(result.Cancelled)
 	}
@@ -177,13 +181,22 @@
 // close ends what the request still holds, unless its answer is being streamed.
 func (t *task) close() {
 	if t.body != nil && !t.body.finish(t.interrupt) {
-		t.http.Response.Header.SetConnectionClose()
+		t.leaveUnread()
 	}
 	if !t.streamed {
 		t.cancel()
 	}
 }
 
+// leaveUnread closes the connection after the response, since a part of the request's
+// body was not read.
+func (t *task) leaveUnread() {
+	t.http.Response.Header.SetConnectionClose()
+	if t.caller != nil {
+		t.caller.leave()
+	}
+}
+
 // interrupt ends a read of the caller's body; the connection is closed after the response.
 func (t *task) interrupt() {
 	if t.caller != nil {
