Send keys in a header where a service expects them

Cause: the certifier takes its key from the header X-Rug. Ruled out: changing the operators' files to suit the load tool.

--- a/vload/adapt/client/client.go
+++ b/vload/adapt/client/client.go
@@ -14,6 +14,7 @@
 	"verbenabank/core/state/result"
 	"verbenabank/vload/query/body"
 	"verbenabank/vload/state/call"
+	"verbenabank/vload/state/layout"
 	"verbenabank/vload/state/plan"
 )
 
@@ -23,6 +24,7 @@
 type Client struct {
 	http    fasthttp.Client
 	routing plan.Routing
+	headers map[string]string
 }
 
 // Option sets one property of a Client.
@@ -31,6 +33,15 @@
 // WithRouting sets whether daemons or targets are asked.
 func WithRouting(r plan.Routing) Option { return func(c *Client) { c.routing = r } }
 
+// WithLayout sets where the services of the layout take their keys from.
+func WithLayout(l layout.Layout) Option {
+	return func(c *Client) {
+		for _, s := range l.Services() {
+			c.headers[s.Name()] = s.KeyHeader()
+		}
+	}
+}
+
 // New returns a client that asks daemons, and its clean-up function.
 func New(opts ...Option) (*Client, func()) {
 	c := &Client{
@@ -39,7 +50,7 @@
 			MaxIdemponentCallAttempts: 1,
 			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		},
-		routing: plan.Daemons{},
+		routing: plan.Daemons{}, headers: make(map[string]string),
 	}
 	for _, o := range opts {
 		o(c)
@@ -69,6 +80,9 @@
 	request.Header.Set(body.IDHeader, r.ID())
 	request.Header.Set(body.KeyHeader, r.Key())
 	request.Header.Set(body.WantHeader, strconv.Itoa(r.AnswerBytes()))
+	if name := c.headers[r.Service()]; name != "" {
+		request.Header.Set(name, r.Key())
+	}
 	if r.UploadBytes() > 0 {
 		request.SetBody(body.Fill(r.ID(), r.UploadBytes()))
 	}
--- a/vload/adapt/conf/layout.go
+++ b/vload/adapt/conf/layout.go
@@ -15,6 +15,7 @@
 			Name    string `json:"name"`
 			Servers int    `json:"servers"`
 			Keyed   bool   `json:"keyed"`
+			Header  string `json:"key_header"`
 			behavior
 		} `json:"services"`
 		Replicas      []string `json:"replicas"`
@@ -29,7 +30,7 @@
 		if err != nil {
 			return layout.Layout{}, err
 		}
-		services = append(services, layout.NewService(s.Name, s.Servers, s.Keyed, b))
+		services = append(services, layout.NewService(s.Name, s.Servers, s.Keyed, b).WithKeyHeader(s.Header))
 	}
 	folder := filepath.Join(filepath.Dir(path), wire.Configuration)
 	return layout.New(wire.Zones, services, wire.Replicas, folder), nil
--- a/vload/command/drive/drive.go
+++ b/vload/command/drive/drive.go
@@ -63,7 +63,7 @@
 	}
 	d.slots = make(chan struct{}, d.experiment.InFlight())
 	d.servers = servers(d.experiment.Routing(), d.layout)
-	c, stop := client.New(client.WithRouting(d.experiment.Routing()))
+	c, stop := client.New(client.WithRouting(d.experiment.Routing()), client.WithLayout(d.layout))
 	d.client = c
 	return d, stop
 }
--- a/vload/command/fleet/ready.go
+++ b/vload/command/fleet/ready.go
@@ -21,7 +21,7 @@
 func (f *Fleet) Ready(ctx context.Context) error {
 	for _, i := range f.layout.Instances() {
 		for _, url := range f.signs(i) {
-			if err := await(ctx, url); err != nil {
+			if err := f.await(ctx, url); err != nil {
 				return err
 			}
 		}
@@ -43,11 +43,11 @@
 	return urls
 }
 
-func await(ctx context.Context, url string) error {
+func (f *Fleet) await(ctx context.Context, url string) error {
 	ticker := time.NewTicker(askEvery.Duration())
 	defer ticker.Stop()
 	for {
-		status, _, err := fasthttp.GetTimeout(nil, url, askTimeout.Duration())
+		status, err := f.get(url)
 		if err == nil && status < fasthttp.StatusBadRequest {
 			return nil
 		}
@@ -61,3 +61,19 @@
 		}
 	}
 }
+
+// get asks for url with every header in which a service of the layout expects a
+// key.
+func (f *Fleet) get(url string) (int, error) {
+	request, answer := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(answer)
+	request.SetRequestURI(url)
+	for _, s := range f.layout.Services() {
+		if s.KeyHeader() != "" {
+			request.Header.Set(s.KeyHeader(), "ready")
+		}
+	}
+	err := fasthttp.DoTimeout(request, answer, askTimeout.Duration())
+	return answer.StatusCode(), err
+}
--- a/vload/state/layout/layout.go
+++ b/vload/state/layout/layout.go
@@ -20,6 +20,7 @@
 	name     string
 	count    int
 	keyed    bool
+	header   string
 	behavior server.Behavior
 }
 
@@ -28,6 +29,15 @@
 	return Service{name: name, count: count, keyed: keyed, behavior: behavior}
 }
 
+// WithKeyHeader returns the service with its keys in a request header.
+func (s Service) WithKeyHeader(name string) Service {
+	s.header = name
+	return s
+}
+
+// KeyHeader returns the request header that carries the key, "" if the path does.
+func (s Service) KeyHeader() string { return s.header }
+
 // Name returns the name of the service.
 func (s Service) Name() string { return s.name }
 
