Count only witnessed time in the longest gap of a key

Cause: in trials the longest gap of keys that are seldom asked for was the time to their next request, up to 25 s, though the service was back after less than 1 s. Ruled out: leaving seldom keys out, which would hide a key that is never served. Change: a gap ends with the last request that was not answered in time; liars can be slow as well. Conclusion: the measure is a lower bound for seldom keys and exact for hot ones.

--- a/vload/adapt/conf/fault.go
+++ b/vload/adapt/conf/fault.go
@@ -29,8 +29,9 @@
 		ForMs  clock.Millis `json:"for_ms"`
 	} `json:"slow"`
 	Lie *struct {
-		Claim string       `json:"claim"`
-		ForMs clock.Millis `json:"for_ms"`
+		Claim  string       `json:"claim"`
+		Factor float64      `json:"factor"`
+		ForMs  clock.Millis `json:"for_ms"`
 	} `json:"lie"`
 	Replace *replace `json:"replace"`
 }
@@ -93,7 +94,7 @@
 		if err != nil {
 			return nil, err
 		}
-		actions = append(actions, plan.NewTune(server.NewTuning(1, honesty), f.Lie.ForMs))
+		actions = append(actions, plan.NewTune(server.NewTuning(max(f.Lie.Factor, 1), honesty), f.Lie.ForMs))
 	}
 	if f.Replace == nil {
 		return actions, nil
--- a/vload/query/metric/unavailable.go
+++ b/vload/query/metric/unavailable.go
@@ -15,9 +15,9 @@
 	longest clock.Millis
 }
 
-// NewUnavailable returns the unavailable time of the calls of a run between two
-// instants. An answer that took longer than patience counts as none.
-func NewUnavailable(calls []call.Call, patience, from, until clock.Millis) Unavailable {
+// NewUnavailable returns the unavailable time of the calls of a run whose load
+// began at an instant. An answer that took longer than patience counts as none.
+func NewUnavailable(calls []call.Call, patience, from clock.Millis) Unavailable {
 	groups := make(map[key][]call.Call)
 	for _, c := range calls {
 		k := key{service: c.Request().Service(), name: c.Request().Key()}
@@ -27,7 +27,7 @@
 	for _, g := range groups {
 		slices.SortStableFunc(g, func(a, b call.Call) int { return cmp.Compare(a.At(), b.At()) })
 		u.count(g, patience, from)
-		u.longest = max(u.longest, gap(g, patience, until))
+		u.longest = max(u.longest, gap(g, patience))
 	}
 	return u
 }
@@ -50,17 +50,19 @@
 	return Answered(c) && c.Latency() <= patience.Duration()
 }
 
-// gap returns the longest time from a request of a key that was not answered to
-// the next that was, or else to the end.
-func gap(calls []call.Call, patience, until clock.Millis) clock.Millis {
-	longest, since, open := clock.Millis(0), clock.Millis(0), false
+// gap returns the longest time from a request of a key that was not answered in
+// time to the end of the last such request before the next that was.
+func gap(calls []call.Call, patience clock.Millis) clock.Millis {
+	longest, since, until, open := clock.Millis(0), clock.Millis(0), clock.Millis(0), false
 	for _, c := range calls {
-		switch {
-		case inTime(c, patience) && open:
-			longest, open = max(longest, c.At()-since), false
-		case !inTime(c, patience) && !open:
+		if inTime(c, patience) {
+			longest, open, until = max(longest, min(until, c.At())-since), false, 0
+			continue
+		}
+		if !open {
 			since, open = c.At(), true
 		}
+		until = max(until, c.At()+clock.Millis(c.Latency().Milliseconds()))
 	}
 	if open {
 		longest = max(longest, until-since)
@@ -76,5 +78,5 @@
 // asked for.
 func (u Unavailable) Share() float64 { return ratio(u.seconds, u.asked) }
 
-// Longest returns the longest time that a key was not served.
+// Longest returns the longest time that a key was seen not to be served.
 func (u Unavailable) Longest() clock.Millis { return u.longest }
