Tell when a repair is open, and step down on time

Cause: Whole was true between the removal of a lost replica and the coming of the next one, and a leader cut off just after a look at its quorum stayed for up to two election timeouts. Ruled out: a shorter period of that look. Change: Whole asks for a member at each seed; the quorum timer stands at the instant at which the quorum lapses; nonces given and taken are kept apart; offers are dropped beyond 16384 entries that are not committed.

--- a/core/command/raft/event.go
+++ b/core/command/raft/event.go
@@ -33,7 +33,8 @@
 // NewPersisted returns the event for all batches up to sequence.
 func NewPersisted(sequence uint64) Persisted { return Persisted{sequence: sequence} }
 
-// Offered asks to append a command. The token comes back with the committed
+// Offered asks to append a command. It is dropped by a replica that does not
+// lead, hands over, or has too many entries that are not committed. The token comes back with the committed
 // entry or in Dropped.
 type Offered struct {
 	token   uint64
--- a/core/command/raft/form.go
+++ b/core/command/raft/form.go
@@ -8,6 +8,12 @@
 	firstIndex peer.Index = 1
 )
 
+// The founding is safe since a replica enters one group in its life, the majorities
+// of two foundings at the same addresses share a replica unless one of them lost
+// its disk, and a replica that lost its disk founds only after all others said,
+// to its new identity, that they are blank: then no entry was committed in an
+// earlier founding. From that answer on they refuse its earlier identity.
+
 // found proposes a new group, if this replica may: it has the lowest address of
 // the settings, and all others just said that they are blank too.
 func (n *Node) found() {
--- a/core/command/raft/greet.go
+++ b/core/command/raft/greet.go
@@ -18,9 +18,8 @@
 type acquaintance struct {
 	current peer.ID
 	retired map[peer.ID]bool // earlier identities
-	nonce   uint64
-	proven  clock.Millis // when it last echoed a nonce
-	fresh   bool         // whether it ever did
+	echo    uint64           // nonce of its last answer
+	issued  uint64           // nonce that it is to echo, 0 if there is none
 }
 
 // answer is a blank replica's answer to Hello.
@@ -77,7 +76,7 @@
 		}
 		var echo uint64
 		if a, ok := n.greet.known[s]; ok {
-			echo = a.nonce
+			echo = a.echo
 		}
 		n.greetAt(s, 0, peer.NewHello(echo))
 	}
@@ -101,20 +100,17 @@
 	if !current || (m.Group() != 0 && m.Group() != n.group) {
 		return
 	}
+	n.passForm(m)
 	if !n.leads() {
 		n.greetAt(m.Address(), m.From(), peer.NewHelloReply(0))
-		n.passForm(m)
 		return
 	}
-	if a.nonce != 0 && h.Echo() == a.nonce {
-		a.proven, a.fresh, a.nonce = n.now, true, 0
-	}
-	if a.nonce == 0 {
-		a.nonce = n.draw()
+	proven := a.issued != 0 && h.Echo() == a.issued
+	if proven || a.issued == 0 {
+		a.issued = n.draw()
 	}
-	n.greetAt(m.Address(), m.From(), peer.NewHelloReply(a.nonce))
-	n.passForm(m)
-	if a.fresh && n.now == a.proven {
+	n.greetAt(m.Address(), m.From(), peer.NewHelloReply(a.issued))
+	if proven {
 		n.admit(m)
 	}
 }
@@ -128,7 +124,7 @@
 	if !current {
 		return
 	}
-	a.nonce = r.Nonce()
+	a.echo = r.Nonce()
 	if m.Group() != 0 {
 		delete(n.greet.answers, m.Address())
 		return
--- a/core/command/raft/lead.go
+++ b/core/command/raft/lead.go
@@ -1,6 +1,8 @@
 package raft
 
 import (
+	"slices"
+
 	"verbenabank/core/clock"
 	"verbenabank/core/state/peer"
 )
@@ -70,7 +72,7 @@
 
 // offer appends a command.
 func (n *Node) offer(o Offered) {
-	if !n.leads() || n.lead.target != 0 {
+	if !n.leads() || n.lead.target != 0 || n.log.last()-n.commit >= maxUncommitted {
 		n.emit(Dropped{tokens: []uint64{o.token}})
 		return
 	}
@@ -80,17 +82,22 @@
 	n.sendAll(false)
 }
 
-// checkQuorum leaves office if a quorum was silent for the longest election
-// timeout.
+// checkQuorum leaves office if no quorum was heard from for the longest election
+// timeout, or looks again when that will be so.
 func (n *Node) checkQuorum() {
-	n.timer.quorum = n.now.Add(ElectionMax)
-	heard := 0
+	var heard []clock.Millis
 	for _, r := range n.members.List() {
-		if r.Votes() && (r.ID() == n.id || n.lives(r.ID())) {
-			heard++
+		switch {
+		case !r.Votes():
+		case r.ID() == n.id:
+			heard = append(heard, n.now)
+		default:
+			heard = append(heard, n.lead.progress[r.ID()].heard)
 		}
 	}
-	if heard < n.members.Quorum() {
+	slices.Sort(heard)
+	n.timer.quorum = heard[len(heard)-n.members.Quorum()].Add(ElectionMax)
+	if n.now >= n.timer.quorum {
 		n.follow(n.term, 0)
 	}
 }
--- a/core/command/raft/raft.go
+++ b/core/command/raft/raft.go
@@ -29,7 +29,8 @@
 	helloFresh   = 2 * clock.Second      // how long an answer to Hello counts
 
 	maxAppendBytes = 256 << 10
-	maxInFlight    = 8 // requests with entries, per follower
+	maxInFlight    = 8       // requests with entries, per follower
+	maxUncommitted = 1 << 14 // entries, beyond which offers are dropped
 
 	// Never is the instant of a timer that is not set.
 	Never clock.Millis = math.MaxInt64
--- a/core/command/raft/status.go
+++ b/core/command/raft/status.go
@@ -28,12 +28,18 @@
 	}
 }
 
-// whole reports whether this replica leads, and all members are voters that were
-// heard from lately and have stored that the newest members are committed.
+// whole reports whether this replica leads, the group has a member at each seed,
+// and all members are voters that were heard from lately and have stored that
+// the newest members are committed.
 func (n *Node) whole() bool {
 	if _, ok := n.role.(Leader); !ok || n.changed > n.commit {
 		return false
 	}
+	for _, s := range n.seeds {
+		if _, ok := n.members.At(s); !ok {
+			return false
+		}
+	}
 	for _, r := range n.others() {
 		if !r.Votes() || !n.lives(r.ID()) || n.lead.progress[r.ID()].told < n.lead.telling {
 			return false
