--- a/verbenad/query/admin/admin.go
+++ b/verbenad/query/admin/admin.go
@@ -59,6 +59,7 @@
 	r.Get("/status", a.status)
 	r.Get("/route", a.route)
 	r.Get("/audit", a.trail)
+	r.Get("/rules", a.rules)
 	r.Get("/debug/vars", adaptor.HTTPHandler(expvar.Handler()))
 }
 
--- a/verbenad/query/admin/route.go
+++ b/verbenad/query/admin/route.go
@@ -58,6 +58,16 @@
 	}{Error: text})
 }
 
+// rules answers the configuration in force, as canonical JSON.
+func (a *Admin) rules(c fiber.Ctx) error {
+	r := a.cell.Load().Table().Rules()
+	if r.Version() == 0 {
+		return problem(c, fiber.StatusServiceUnavailable, "no configuration is known yet")
+	}
+	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+	return c.Send(r.Content())
+}
+
 // trail answers the audit trail, oldest first.
 func (a *Admin) trail(c fiber.Ctx) error {
 	records, err := a.audit()
