Serve a moving shard until it can be closed shortly

Cause: process tests of a planned stop saw refusals for up to the length of an upload: a shard that moved took no new work while a slow request was in flight. Ruled out: moving the shard under the upload (two targets would run the key). Change: the owner serves a moving shard until no request in flight is older than 50 ms or the drain span is over; only then it closes, drains and releases.

--- a/core/command/agent/agent.go
+++ b/core/command/agent/agent.go
@@ -31,8 +31,7 @@
 	joined    bool
 	nextRenew clock.Millis
 	report    load.Report
-	watched   map[order.Release]bool
-	released  []order.Release
+	handing   map[order.Release]handover
 
 	target target
 	next   target
@@ -65,7 +64,7 @@
 		draw:    func() uint64 { return 1 },
 		table:   table.Empty(),
 		holder:  lease.NewHolder(),
-		watched: map[order.Release]bool{},
+		handing: map[order.Release]handover{},
 		leave:   staying{},
 	}
 	for _, o := range opts {
@@ -105,6 +104,8 @@
 		a.rejoinTold(e)
 	case Measured:
 		a.report = e.report
+	case ShardQuiet:
+		a.shardQuiet(e)
 	case ShardDrained:
 		a.shardDrained(e)
 	case AllDrained:
@@ -149,7 +150,7 @@
 	if !a.joined || a.parted() {
 		self = 0
 	}
-	a.emit(Publish{snap: snap.New(a.table, self, a.holder.End(), a.holder.RulesEnd())})
+	a.emit(Publish{snap: snap.New(a.table, self, a.holder.End(), a.holder.RulesEnd(), snap.WithClosed(a.closedPlaces()))})
 }
 
 func (a *Agent) rulesOf(service string) (rules.Service, bool) {
--- a/core/command/agent/drain.go
+++ b/core/command/agent/drain.go
@@ -1,36 +1,93 @@
 package agent
 
 import (
+	"cmp"
 	"slices"
 
+	"verbenabank/core/clock"
 	"verbenabank/core/state/order"
+	"verbenabank/core/state/snap"
 	"verbenabank/core/state/table"
 )
 
+// Patience is the age of a request in milliseconds from which a moving shard is
+// not closed because of it: the other keys of the shard would wait for its end.
+const Patience = 50 * clock.Millisecond
+
+// handover is how far the handing over of a shard is: waiting, closed or
+// released.
+type handover interface{ handover() }
+
+// waiting shards still take new work.
+type waiting struct{}
+
+// closed shards take no new work and wait for what is in flight.
+type closed struct{}
+
+// released shards have nothing in flight; the leader is being told.
+type released struct{}
+
+func (waiting) handover()  {}
+func (closed) handover()   {}
+func (released) handover() {}
+
 func release(service string, s table.Shard, e table.Epoch) order.Release {
 	return order.NewRelease(service, s, e)
 }
 
-// shardDrained gives a moving shard back at once.
+// shardQuiet closes a moving shard for new work.
+func (a *Agent) shardQuiet(e ShardQuiet) {
+	key := release(e.service, e.shard, e.epoch)
+	if _, ok := a.handing[key].(waiting); !ok {
+		return
+	}
+	a.handing[key] = closed{}
+	a.publish()
+	a.emit(WatchShard{service: e.service, shard: e.shard, epoch: e.epoch})
+}
+
+// shardDrained gives a closed shard back at once.
 func (a *Agent) shardDrained(e ShardDrained) {
 	key := release(e.service, e.shard, e.epoch)
-	if !a.watched[key] || slices.Contains(a.released, key) {
+	if _, ok := a.handing[key].(closed); !ok {
 		return
 	}
-	a.released = append(a.released, key)
+	a.handing[key] = released{}
 	if a.joined {
 		a.renew()
 	}
 }
 
-// dropSettled forgets releases that the table has already followed.
-func (a *Agent) dropSettled() {
-	a.released = slices.DeleteFunc(slices.Clone(a.released), func(r order.Release) bool {
-		return !a.moving(r)
+// releases returns the shards to give back, in order.
+func (a *Agent) releases() []order.Release {
+	var list []order.Release
+	for k, h := range a.handing {
+		if _, ok := h.(released); ok {
+			list = append(list, k)
+		}
+	}
+	slices.SortFunc(list, func(a, b order.Release) int {
+		return cmp.Or(cmp.Compare(a.Service(), b.Service()), cmp.Compare(a.Shard(), b.Shard()))
 	})
-	for k := range a.watched {
+	return list
+}
+
+// closedPlaces returns the moving shards that take no new work.
+func (a *Agent) closedPlaces() map[snap.Place]bool {
+	places := map[snap.Place]bool{}
+	for k, h := range a.handing {
+		if _, ok := h.(waiting); !ok {
+			places[snap.NewPlace(k.Service(), k.Shard())] = true
+		}
+	}
+	return places
+}
+
+// dropSettled forgets handovers that the table has already followed.
+func (a *Agent) dropSettled() {
+	for k := range a.handing {
 		if !a.moving(k) {
-			delete(a.watched, k)
+			delete(a.handing, k)
 		}
 	}
 }
--- a/core/command/agent/effect.go
+++ b/core/command/agent/effect.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"verbenabank/core/clock"
 	"verbenabank/core/state/load"
 	"verbenabank/core/state/order"
 	"verbenabank/core/state/snap"
@@ -8,7 +9,7 @@
 )
 
 // Effect is what an agent asks for: Publish, SendJoin, SendRenew, SendLeave,
-// SendGone, WatchShard, WatchAll, UseTarget, DropTarget, Reconnect, Freed,
+// SendGone, AwaitQuiet, WatchShard, WatchAll, UseTarget, DropTarget, Reconnect, Freed,
 // Violated or Stopped. Effects are carried out in their order.
 type Effect interface{ effect() }
 
@@ -66,6 +67,27 @@
 // Incarnation returns the member.
 func (e SendGone) Incarnation() table.Incarnation { return e.incarnation }
 
+// AwaitQuiet asks for a ShardQuiet event once no request of the shard is in flight
+// for longer than Patience, or after the span.
+type AwaitQuiet struct {
+	service string
+	shard   table.Shard
+	epoch   table.Epoch
+	span    clock.Millis
+}
+
+// Service returns the name of the service.
+func (e AwaitQuiet) Service() string { return e.service }
+
+// Shard returns the shard.
+func (e AwaitQuiet) Shard() table.Shard { return e.shard }
+
+// Epoch returns the epoch that ends.
+func (e AwaitQuiet) Epoch() table.Epoch { return e.epoch }
+
+// Span returns the longest wait in milliseconds.
+func (e AwaitQuiet) Span() clock.Millis { return e.span }
+
 // WatchShard asks for a ShardDrained event once no request of the shard is in
 // flight.
 type WatchShard struct {
@@ -123,6 +145,7 @@
 func (SendRenew) effect()  {}
 func (SendLeave) effect()  {}
 func (SendGone) effect()   {}
+func (AwaitQuiet) effect() {}
 func (WatchShard) effect() {}
 func (WatchAll) effect()   {}
 func (UseTarget) effect()  {}
--- a/core/command/agent/event.go
+++ b/core/command/agent/event.go
@@ -8,7 +8,7 @@
 
 // Event is what an agent reacts to: Ticked, Announced, Withdrawn, TargetLost,
 // Connected, Disconnected, LeaseGiven, Updated, RejoinTold, Measured,
-// ShardDrained, AllDrained or StopAsked.
+// ShardQuiet, ShardDrained, AllDrained or StopAsked.
 type Event interface{ event() }
 
 // Ticked says that the instant asked for by Wake has come.
@@ -96,6 +96,19 @@
 // NewMeasured returns the event with the report.
 func NewMeasured(r load.Report) Measured { return Measured{report: r} }
 
+// ShardQuiet says that a moving shard can be closed without keeping its keys
+// waiting for long.
+type ShardQuiet struct {
+	service string
+	shard   table.Shard
+	epoch   table.Epoch
+}
+
+// NewShardQuiet returns the event for the shard at the epoch.
+func NewShardQuiet(service string, s table.Shard, e table.Epoch) ShardQuiet {
+	return ShardQuiet{service: service, shard: s, epoch: e}
+}
+
 // ShardDrained says that no request of a moving shard is in flight.
 type ShardDrained struct {
 	service string
@@ -124,6 +137,7 @@
 func (Updated) event()      {}
 func (RejoinTold) event()   {}
 func (Measured) event()     {}
+func (ShardQuiet) event()   {}
 func (ShardDrained) event() {}
 func (AllDrained) event()   {}
 func (StopAsked) event()    {}
--- a/core/command/agent/session.go
+++ b/core/command/agent/session.go
@@ -60,7 +60,7 @@
 		incarnation: a.self,
 		sequence:    a.holder.Sequence(),
 		version:     a.table.Version(),
-		releases:    a.released,
+		releases:    a.releases(),
 		report:      a.report,
 	})
 	a.report = load.Report{}
@@ -100,11 +100,11 @@
 	}
 	a.table = base.With(e.to, e.changes...)
 	a.checkMembership()
+	a.dropSettled()
 	a.publish()
 	for _, c := range e.changes {
 		a.follow(c)
 	}
-	a.dropSettled()
 }
 
 // checkMembership compares the table with what this daemon believes of itself.
@@ -119,7 +119,7 @@
 	}
 }
 
-// follow watches the shards that are to be handed over.
+// follow begins to hand over the shards that move away.
 func (a *Agent) follow(c table.Change) {
 	h, ok := c.(table.HoldingSet)
 	if !ok {
@@ -130,9 +130,9 @@
 		return
 	}
 	key := release(h.Service(), h.Shard(), m.Epoch())
-	if !a.watched[key] {
-		a.watched[key] = true
-		a.emit(WatchShard{service: h.Service(), shard: h.Shard(), epoch: m.Epoch()})
+	if _, known := a.handing[key]; !known {
+		a.handing[key] = waiting{}
+		a.emit(AwaitQuiet{service: h.Service(), shard: h.Shard(), epoch: m.Epoch(), span: a.drainSpan()})
 	}
 }
 
@@ -148,8 +148,7 @@
 func (a *Agent) renewIdentity() {
 	a.joined = false
 	a.holder.GiveUp()
-	clear(a.watched)
-	a.released = nil
+	clear(a.handing)
 	a.self = a.incarnate()
 	a.settleExit()
 	a.join()
--- a/core/command/leader/daemon_test.go
+++ b/core/command/leader/daemon_test.go
@@ -99,6 +99,15 @@
 		d.send(leader.NewLeaveAsked(f.Incarnation()))
 	case agent.SendGone:
 		d.send(leader.NewGoneTold(f.Incarnation()))
+	case agent.AwaitQuiet:
+		life, quiet := d.life, agent.NewShardQuiet(f.Service(), f.Shard(), f.Epoch())
+		d.world.after(d.world.span(100), func() {
+			d.awake(func() {
+				if life == d.life {
+					d.step(quiet)
+				}
+			})
+		})
 	case agent.WatchShard:
 		d.watch(f)
 	case agent.WatchAll:
--- a/core/query/route/route.go
+++ b/core/query/route/route.go
@@ -156,17 +156,25 @@
 	sh := x.table.ShardOf(s.Name(), key, k.Shards())
 	switch h := x.table.Holding(s.Name(), sh).(type) {
 	case table.Owned:
-		m, ok := x.table.Member(h.Owner())
-		if !ok {
-			return Refuse{reason: result.NoOwner}
-		}
-		return Keyed{service: s, key: key, shard: sh, owner: m}
-	case table.Moving, table.Vacant:
+		return x.owned(s, key, sh, h.Owner())
+	case table.Moving:
+		return x.owned(s, key, sh, h.From())
+	case table.Vacant:
 		return Refuse{reason: result.NoOwner}
 	}
 	return Refuse{reason: result.NoOwner}
 }
 
+// owned sends a request to the owner of its shard, which takes work until it
+// closes the shard.
+func (x *Index) owned(s rules.Service, key string, sh table.Shard, owner table.Incarnation) Decision {
+	m, ok := x.table.Member(owner)
+	if !ok {
+		return Refuse{reason: result.NoOwner}
+	}
+	return Keyed{service: s, key: key, shard: sh, owner: m}
+}
+
 func keyOf(source rules.KeySource, f Facts) string {
 	switch s := source.(type) {
 	case rules.PathSegment:
--- a/core/state/snap/snap.go
+++ b/core/state/snap/snap.go
@@ -16,14 +16,35 @@
 	self       table.Incarnation
 	leaseEnd   clock.Millis
 	rulesEnd   clock.Millis
+	closed     map[Place]bool
 	superseded chan struct{}
 }
 
+// Place is one shard of one service.
+type Place struct {
+	service string
+	shard   table.Shard
+}
+
+// NewPlace returns the place of a shard.
+func NewPlace(service string, s table.Shard) Place { return Place{service: service, shard: s} }
+
+// Option sets one part of a Snap.
+type Option func(*Snap)
+
+// WithClosed sets the moving shards that take no new work. The map must not be
+// changed afterwards.
+func WithClosed(places map[Place]bool) Option { return func(s *Snap) { s.closed = places } }
+
 // New returns a snapshot of a daemon that is joined as self (0 if it is not
 // joined), holds its shards until leaseEnd and may use the rules until rulesEnd,
 // both on its own clock.
-func New(t *table.Table, self table.Incarnation, leaseEnd, rulesEnd clock.Millis) *Snap {
-	return &Snap{table: t, self: self, leaseEnd: leaseEnd, rulesEnd: rulesEnd, superseded: make(chan struct{})}
+func New(t *table.Table, self table.Incarnation, leaseEnd, rulesEnd clock.Millis, opts ...Option) *Snap {
+	s := &Snap{table: t, self: self, leaseEnd: leaseEnd, rulesEnd: rulesEnd, superseded: make(chan struct{})}
+	for _, o := range opts {
+		o(s)
+	}
+	return s
 }
 
 // Table returns the routing table.
@@ -41,17 +62,21 @@
 // Superseded returns a channel that closes when a newer snapshot is published.
 func (s *Snap) Superseded() <-chan struct{} { return s.superseded }
 
-// Owns reports whether this daemon owns the shard at now, and at which epoch. A
-// shard that is moving away is owned no more for new work.
+// Owns reports whether this daemon may take new work for the shard at now, and at
+// which epoch. A shard that is moving away is owned until it is closed.
 func (s *Snap) Owns(service string, sh table.Shard, now clock.Millis) (table.Epoch, bool) {
 	if s.self == 0 || now >= s.leaseEnd {
 		return 0, false
 	}
-	o, ok := s.table.Holding(service, sh).(table.Owned)
-	if !ok || o.Owner() != s.self {
+	switch h := s.table.Holding(service, sh).(type) {
+	case table.Vacant:
 		return 0, false
+	case table.Owned:
+		return h.Epoch(), h.Owner() == s.self
+	case table.Moving:
+		return h.Epoch(), h.From() == s.self && !s.closed[NewPlace(service, sh)]
 	}
-	return o.Epoch(), true
+	return 0, false
 }
 
 // Current reports whether the rules may be used at now.
--- a/verbenad/command/ctrl/local.go
+++ b/verbenad/command/ctrl/local.go
@@ -19,6 +19,9 @@
 		l.cell.Publish(f.Snap())
 	case agent.SendJoin, agent.SendRenew, agent.SendLeave, agent.SendGone:
 		l.uplink.Send(f)
+	case agent.AwaitQuiet:
+		quiet := agent.NewShardQuiet(f.Service(), f.Shard(), f.Epoch())
+		l.flight.Quiet(f.Service(), f.Shard(), agent.Patience, f.Span(), func() { go l.Post(NewLocal(quiet)) })
 	case agent.WatchShard:
 		done := agent.NewShardDrained(f.Service(), f.Shard(), f.Epoch())
 		l.flight.Drained(f.Service(), f.Shard(), func() { go l.Post(NewLocal(done)) })
--- a/verbenad/command/ctrl/ports.go
+++ b/verbenad/command/ctrl/ports.go
@@ -1,6 +1,7 @@
 package ctrl
 
 import (
+	"verbenabank/core/clock"
 	"verbenabank/core/command/agent"
 	"verbenabank/core/command/leader"
 	"verbenabank/core/state/order"
@@ -43,6 +44,7 @@
 
 // Flight tells when requests in flight are done, from any goroutine.
 type Flight interface {
+	Quiet(service string, s table.Shard, patience, span clock.Millis, notify func())
 	Drained(service string, s table.Shard, notify func())
 	Empty(notify func())
 }
--- a/verbenad/command/flight/flight.go
+++ b/verbenad/command/flight/flight.go
@@ -21,12 +21,16 @@
 
 // tally is what is known of one place.
 type tally struct {
-	inside   int
+	inside   map[*visit]struct{}
 	requests uint64
 	busy     clock.Millis
 	waiters  []func()
+	quiet    []quiet
 }
 
+// visit is one request in flight.
+type visit struct{ since clock.Millis }
+
 // Flight counts requests. It is safe for concurrent use.
 type Flight struct {
 	clock   *clock.Clock
@@ -59,21 +63,23 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := f.tally(p)
-	t.inside++
+	v := &visit{since: since}
+	t.inside[v] = struct{}{}
 	t.requests++
 	f.total++
-	return func() { f.leave(t, since) }
+	return func() { f.leave(t, v) }
 }
 
 // leave takes one request out and tells those who waited for the last.
-func (f *Flight) leave(t *tally, since clock.Millis) {
+func (f *Flight) leave(t *tally, v *visit) {
 	f.mu.Lock()
-	t.inside--
-	t.busy += f.clock.Now() - since
+	now := f.clock.Now()
+	delete(t.inside, v)
+	t.busy += now - v.since
 	f.total--
-	var told []func()
-	if t.inside == 0 {
-		told, t.waiters = t.waiters, nil
+	told := t.hush(now)
+	if len(t.inside) == 0 {
+		told, t.waiters = append(told, t.waiters...), nil
 	}
 	if f.total == 0 {
 		told, f.waiters = append(told, f.waiters...), nil
@@ -90,7 +96,7 @@
 func (f *Flight) Drained(service string, s table.Shard, notify func()) {
 	f.mu.Lock()
 	t := f.tally(place{service: service, shard: s})
-	if t.inside > 0 {
+	if len(t.inside) > 0 {
 		t.waiters = append(t.waiters, notify)
 		f.mu.Unlock()
 		return
@@ -114,7 +120,7 @@
 func (f *Flight) tally(p place) *tally {
 	t, ok := f.places[p]
 	if !ok {
-		t = &tally{}
+		t = &tally{inside: map[*visit]struct{}{}}
 		f.places[p] = t
 	}
 	return t
--- a/verbenad/command/flight/load.go
+++ b/verbenad/command/flight/load.go
@@ -38,7 +38,7 @@
 			list = append(list, Load{service: p.service, shard: p.shard, requests: t.requests, busy: t.busy})
 		}
 		t.requests, t.busy = 0, 0
-		if t.inside == 0 && len(t.waiters) == 0 {
+		if len(t.inside) == 0 && len(t.waiters) == 0 && len(t.quiet) == 0 {
 			delete(f.places, p)
 		}
 	}
--- /dev/null
+++ b/vload/proof/host_test.go
@@ -0,0 +1,250 @@
+// Package proof holds the process tests: real daemons and stand-in targets that
+// are killed, frozen, wiped and raced. What counts is what the targets recorded.
+package proof
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"verbenabank/vload/adapt/proc"
+)
+
+const (
+	shards  = 16
+	secret  = "the secret of the process tests"
+	service = "bookings"
+)
+
+// programs is the folder of the programs under test.
+var programs string
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "proof")
+	if err != nil {
+		panic(err)
+	}
+	programs = folder
+	for _, p := range []string{"verbenad", "vload"} {
+		c := exec.Command("go", "build", "-o", folder+"/", "./"+p)
+		c.Dir = "../.."
+		if out, err := c.CombinedOutput(); err != nil {
+			panic(string(out))
+		}
+	}
+	code := m.Run()
+	_ = os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// host is one instance: a daemon and the target beside it.
+type host struct {
+	t       *testing.T
+	name    string
+	ip      string
+	folder  string
+	daemon  *proc.Process
+	target  *proc.Process
+	replica bool
+}
+
+// fleet is a small deployment: the daemons of the first three hosts are control
+// replicas.
+type fleet struct {
+	t      *testing.T
+	folder string
+	hosts  []*host
+}
+
+// newFleet starts hosts on addresses of a subnet of their own and waits until all
+// shards have owners.
+func newFleet(t *testing.T, subnet, hosts int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, folder: t.TempDir()}
+	f.must(os.WriteFile(filepath.Join(f.folder, "secret"), []byte(secret), 0o600))
+	for n := range hosts {
+		h := &host{t: t, name: fmt.Sprintf("b-%d", n+1), ip: fmt.Sprintf("127.%d.%d.1", subnet, n+1), replica: n < 3}
+		h.folder = filepath.Join(f.folder, h.name)
+		f.must(os.MkdirAll(filepath.Join(h.folder, "conf.d"), 0o700))
+		f.hosts = append(f.hosts, h)
+		f.settings(h, subnet, true)
+	}
+	f.configure(f.hosts[0], 1, "")
+	for _, h := range f.hosts {
+		h.startDaemon()
+		h.startTarget()
+	}
+	t.Cleanup(f.end)
+	f.await(20*time.Second, "all shards have owners", func() bool { return f.owned() == shards })
+	return f
+}
+
+func (f *fleet) must(err error) {
+	f.t.Helper()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fleet) settings(h *host, subnet int, form bool) {
+	control, folder := "", ""
+	if h.replica {
+		control = fmt.Sprintf(`"control": {"data_folder": "data", "form": %v},`, form)
+	}
+	folder = `"configuration_folder": "conf.d",`
+	text := fmt.Sprintf(`{"instance": %q, "zone": "z%s",
+		"listen": {"callers": "%s:8080", "peers": "%s:8090", "admin": "%s:8070"},
+		"replicas": ["127.%d.1.1:8090", "127.%d.2.1:8090", "127.%d.3.1:8090"], %s %s
+		"secret_file": "../secret"}`, h.name, h.name[2:], h.ip, h.ip, h.ip, subnet, subnet, subnet, control, folder)
+	f.must(os.WriteFile(filepath.Join(h.folder, "daemon.jsonc"), []byte(text), 0o600))
+	text = fmt.Sprintf(`{"instance": %q, "service": %q, "listen": "%s:9000", "admin": "%s:8070", "ledger": "ledger.jsonl",
+		"slots": 12, "backlog": 12, "connections": 130, "connect_ms": 1, "drain_ms": 3000, "fencing": "commit",
+		"spread": "fixed", "service_ms": {"GET": 3, "POST": 8, "PUT": 30}}`, h.name, service, h.ip, h.ip)
+	f.must(os.WriteFile(filepath.Join(h.folder, "target.jsonc"), []byte(text), 0o600))
+}
+
+// configure writes the configuration of a version into the folder of a host, with
+// extra text in the service.
+func (f *fleet) configure(h *host, version int, extra string) {
+	text := fmt.Sprintf(`{"version": %d, "services": {%q: {"keyed": {"key": {"path_segment": 2}, "shards": %d},
+		"target": {"checks_epoch": true, "shed_is_not_run": true, "slots": 12, "connections": 130}, "deadline_ms": 4000%s}}}`,
+		version, service, shards, extra)
+	path := filepath.Join(h.folder, "conf.d", "10.json")
+	f.must(os.WriteFile(path+".new", []byte(text), 0o600))
+	f.must(os.Rename(path+".new", path))
+}
+
+func (h *host) startDaemon() {
+	h.t.Helper()
+	p, err := proc.Start(filepath.Join(programs, "verbenad"), h.folder, "daemon.log", "--settings", "daemon.jsonc")
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.daemon = p
+}
+
+func (h *host) startTarget() {
+	h.t.Helper()
+	p, err := proc.Start(filepath.Join(programs, "vload"), h.folder, "target.log", "target", "target.jsonc")
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.target = p
+}
+
+// end kills what is left, once the test looked at it.
+func (f *fleet) end() {
+	for _, h := range f.hosts {
+		for _, p := range []*proc.Process{h.daemon, h.target} {
+			_ = p.Signal(syscall.SIGKILL)
+			_ = p.Wait()
+		}
+		if f.t.Failed() {
+			text, _ := os.ReadFile(filepath.Join(h.folder, "daemon.log"))
+			f.t.Logf("%s:\n%s", h.name, text)
+		}
+	}
+}
+
+// kill ends a process at once and waits for its end.
+func kill(p *proc.Process) {
+	_ = p.Signal(syscall.SIGKILL)
+	_ = p.Wait()
+}
+
+// await waits until the condition holds.
+func (f *fleet) await(within time.Duration, what string, holds func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	f.t.Fatalf("not within %v: %s", within, what)
+}
+
+// state is what a daemon says of itself.
+type state struct {
+	Version uint64 `json:"rules_version"`
+	Digest  string `json:"rules_digest"`
+	Rules   int    `json:"rules_left_ms"`
+	Control *struct {
+		Leader   string   `json:"leader"`
+		Commit   uint64   `json:"commit"`
+		Replicas []string `json:"replicas"`
+	} `json:"control"`
+	Members []struct {
+		Instance string `json:"instance"`
+		Service  string `json:"service"`
+		Shards   int    `json:"shards"`
+	} `json:"members"`
+	Services []struct {
+		Owned int `json:"owned"`
+	} `json:"services"`
+}
+
+func (h *host) get(path string, into any) bool {
+	c := http.Client{Timeout: 500 * time.Millisecond}
+	r, err := c.Get("http://" + h.ip + ":8070" + path)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = r.Body.Close() }()
+	text, err := io.ReadAll(r.Body)
+	return err == nil && json.Unmarshal(text, into) == nil
+}
+
+func (h *host) state() state {
+	var s state
+	h.get("/status", &s)
+	return s
+}
+
+// owned returns the least count of owned shards that any daemon knows of.
+func (f *fleet) owned() int {
+	least := shards
+	for _, h := range f.hosts {
+		s := h.state()
+		if len(s.Services) != 1 || s.Rules == 0 {
+			return 0
+		}
+		least = min(least, s.Services[0].Owned)
+	}
+	return least
+}
+
+// owner returns the host that owns a key by the table of another host.
+func (f *fleet) owner(asked *host, key string) *host {
+	var route struct {
+		Owner string `json:"owner"`
+	}
+	asked.get("/route?service="+service+"&key="+key, &route)
+	for _, h := range f.hosts {
+		if h.name == route.Owner {
+			return h
+		}
+	}
+	return nil
+}
+
+// leader returns the host whose replica leads.
+func (f *fleet) leader() *host {
+	var found *host
+	f.await(5*time.Second, "there is a leader", func() bool {
+		for _, h := range f.hosts[:3] {
+			if s := h.state(); s.Control != nil && strings.HasPrefix(s.Control.Leader, h.ip+":") {
+				found = h
+			}
+		}
+		return found != nil
+	})
+	return found
+}
--- /dev/null
+++ b/vload/proof/traffic_test.go
@@ -0,0 +1,170 @@
+package proof
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"verbenabank/vload/adapt/book"
+	"verbenabank/vload/state/ledger"
+)
+
+// call is what a caller saw of one request.
+type call struct {
+	id      string
+	key     string
+	begin   time.Time
+	end     time.Time
+	outcome string
+}
+
+// traffic sends requests that must not run twice, and remembers how they ended.
+type traffic struct {
+	fleet *fleet
+	stop  chan struct{}
+	group sync.WaitGroup
+	mu    sync.Mutex
+	calls []call
+}
+
+// send begins to send requests for the keys through the entries.
+func (f *fleet) send(entries []*host, keys ...string) *traffic {
+	r := &traffic{fleet: f, stop: make(chan struct{})}
+	for n, k := range keys {
+		r.group.Add(1)
+		go r.serve(entries[n%len(entries)], k)
+	}
+	return r
+}
+
+// serve sends one request every 10 ms, whether or not the last one is answered.
+func (r *traffic) serve(entry *host, key string) {
+	defer r.group.Done()
+	client := &http.Client{Timeout: 6 * time.Second}
+	ticker := time.NewTicker(10 * time.Millisecond)
+	defer ticker.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-r.stop:
+			return
+		case <-ticker.C:
+		}
+		r.group.Add(1)
+		go func() {
+			defer r.group.Done()
+			c := post(client, entry, key, fmt.Sprintf("%s-%d", key, n))
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.calls = append(r.calls, c)
+		}()
+	}
+}
+
+func post(client *http.Client, entry *host, key, id string) call {
+	c := call{id: id, key: key, begin: time.Now(), outcome: "unknown"}
+	q, err := http.NewRequest(http.MethodPost, "http://"+entry.ip+":8080/"+service+"/"+key, bytes.NewReader(make([]byte, 200)))
+	if err == nil {
+		q.Header.Set("X-Vload-Id", id)
+		q.Header.Set("X-Vload-Key", key)
+		var a *http.Response
+		if a, err = client.Do(q); err == nil {
+			c.outcome = a.Header.Get("Verbena-Outcome")
+			if _, err = io.Copy(io.Discard, a.Body); err != nil {
+				c.outcome = "unknown"
+			}
+			_ = a.Body.Close()
+		}
+	}
+	c.end = time.Now()
+	return c
+}
+
+// finish ends the traffic and returns its calls.
+func (r *traffic) finish() []call {
+	close(r.stop)
+	r.group.Wait()
+	return r.calls
+}
+
+// gap returns the longest time between two answers of one key after an instant.
+func gap(calls []call, key string, after time.Time) time.Duration {
+	longest, last := time.Duration(0), after
+	for _, c := range answers(calls, key, after) {
+		longest = max(longest, c.Sub(last))
+		last = c
+	}
+	return longest
+}
+
+func answers(calls []call, key string, after time.Time) []time.Time {
+	var list []time.Time
+	for _, c := range calls {
+		if c.key == key && c.outcome == "answered" && c.end.After(after) {
+			list = append(list, c.end)
+		}
+	}
+	for i := range list {
+		for j := i; j > 0 && list[j].Before(list[j-1]); j-- {
+			list[j], list[j-1] = list[j-1], list[j]
+		}
+	}
+	return list
+}
+
+// judge compares what callers were told with what the targets recorded.
+func (f *fleet) judge(calls []call) {
+	f.t.Helper()
+	var paths []string
+	for _, h := range f.hosts {
+		paths = append(paths, filepath.Join(h.folder, "ledger.jsonl"))
+	}
+	l, err := book.Read(paths...)
+	f.must(err)
+	ran := map[string]int{}
+	for _, x := range l.Executions() {
+		if x.Ran() {
+			ran[x.Order().ID()]++
+		}
+	}
+	outcomes := map[string]int{}
+	for _, c := range calls {
+		outcomes[c.outcome]++
+		switch n := ran[c.id]; {
+		case n > 1:
+			f.t.Errorf("%s ran %d times", c.id, n)
+		case n == 1 && c.outcome == "refused":
+			f.t.Errorf("%s was refused and ran", c.id)
+		case n == 0 && c.outcome == "answered":
+			f.t.Errorf("%s was answered and did not run", c.id)
+		}
+	}
+	f.overlap(l.Executions())
+	f.t.Logf("outcomes %v, executions %d", outcomes, len(l.Executions()))
+	if outcomes["answered"] < len(calls)/4 || len(calls) < 100 {
+		f.t.Errorf("too little was answered to prove anything: %v", outcomes)
+	}
+}
+
+// overlap finds two targets that ran one key at the same time, or an older epoch
+// after a newer one.
+func (f *fleet) overlap(executions []ledger.Execution) {
+	f.t.Helper()
+	for i, x := range executions {
+		for _, y := range executions[i+1:] {
+			if x.Order().Key() != y.Order().Key() || x.Instance() == y.Instance() || !x.Ran() || !y.Ran() {
+				continue
+			}
+			if x.Begin() < y.End() && y.Begin() < x.End() {
+				f.t.Errorf("key %s ran at %s and %s at once", x.Order().Key(), x.Instance(), y.Instance())
+			}
+			if x.Order().Shard() == y.Order().Shard() && (x.Order().Epoch() < y.Order().Epoch()) != (x.Begin() < y.Begin()) {
+				f.t.Errorf("key %s: epoch %d at %s and %d at %s out of order", x.Order().Key(),
+					x.Order().Epoch(), x.Instance(), y.Order().Epoch(), y.Instance())
+			}
+		}
+	}
+}
