End requests to lost peers at once, and judge late answers fairly

Cause: the close of a connection to a lost peer was told as the caller's cancellation (found by TestRequestsToAPeerThatIsGoneEndAtOnce); a caller with a short deadline could get a healthy target ejected; refusals named no time to try again unless the target gave one.

Ruled out: waiting for keepalive (12 s) or the deadline when a peer is gone from the table.

Change: the reason is taken from the caller's own context; late answers count against a target only beyond four times its mean and 50 ms; refusals that may pass name a wait; connections are closed with their last response during a shutdown; at most 4096 callers with heads of 8 KiB.

--- a/core/command/eject/eject.go
+++ b/core/command/eject/eject.go
@@ -32,7 +32,7 @@
 	smoothing = 0.2
 )
 
-// Sample is how one attempt went: Good, Bad or Busy.
+// Sample is how one attempt went: Good, Late, Bad or Busy.
 type Sample interface{ sample() }
 
 // Good attempts were answered.
@@ -41,6 +41,12 @@
 // NewGood returns the sample of an attempt that was answered after the span.
 func NewGood(span clock.Millis) Good { return Good{span: span} }
 
+// Late attempts were not answered before the caller's deadline.
+type Late struct{ span clock.Millis }
+
+// NewLate returns the sample of an attempt that was given up after the span.
+func NewLate(span clock.Millis) Late { return Late{span: span} }
+
 // Bad attempts failed on the target's side.
 type Bad struct{}
 
@@ -51,6 +57,7 @@
 func NewBusy(after clock.Millis) Busy { return Busy{after: after} }
 
 func (Good) sample() {}
+func (Late) sample() {}
 func (Bad) sample()  {}
 func (Busy) sample() {}
 
@@ -124,6 +131,8 @@
 	switch s := s.(type) {
 	case Good:
 		p.answered(float64(s.span))
+	case Late:
+		t.late(p, float64(s.span), now)
 	case Bad:
 		t.failed(p, now)
 	case Busy:
@@ -145,6 +154,16 @@
 	p.latency += smoothing * (span - p.latency)
 }
 
+// late is a failure of the target only if it took far longer than it does at other times: the
+// deadline may have been too short for any target.
+func (t *Tracker) late(p *peer, span float64, now clock.Millis) {
+	if span >= max(OutlierFloor, Outlier*p.latency) {
+		t.failed(p, now)
+		return
+	}
+	p.latency += smoothing * max(0, span-p.latency)
+}
+
 // failed ejects the target after enough failures in a row, or after one while it is probed.
 func (t *Tracker) failed(p *peer, now clock.Millis) {
 	p.failures++
--- a/verbenad/adapt/hop/errand.go
+++ b/verbenad/adapt/hop/errand.go
@@ -17,7 +17,7 @@
 
 // errand is one request on its way to another daemon.
 type errand struct {
-	ctx     context.Context
+	caller  context.Context
 	cancel  context.CancelFunc
 	stream  wirepb.Hop_ForwardClient
 	request call.Request
@@ -91,16 +91,15 @@
 	if c := status.Code(err); c == codes.Unauthenticated || c == codes.Unimplemented {
 		return call.Refuse(result.Unreachable)
 	}
-	return call.Unknown(reason(err))
+	return call.Unknown(e.reason(err))
 }
 
 // reason returns why the stream ended before the answer did.
-func reason(err error) result.Reason {
-	c := status.Code(err)
-	if c == codes.DeadlineExceeded {
+func (e *errand) reason(err error) result.Reason {
+	if status.Code(err) == codes.DeadlineExceeded || errors.Is(e.caller.Err(), context.DeadlineExceeded) {
 		return result.TimedOut
 	}
-	if c == codes.Canceled {
+	if e.caller.Err() != nil {
 		return result.Cancelled
 	}
 	return result.Interrupted
@@ -130,7 +129,7 @@
 	const op = "read answer of peer"
 	p, err := b.errand.stream.Recv()
 	if err != nil {
-		b.end(call.NewError(op, reason(err)))
+		b.end(call.NewError(op, b.errand.reason(err)))
 		return
 	}
 	switch p := p.GetPart().(type) {
--- a/verbenad/adapt/hop/hop.go
+++ b/verbenad/adapt/hop/hop.go
@@ -135,12 +135,12 @@
 	if !ok {
 		return call.Refuse(result.Unreachable)
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	stream, err := wirepb.NewHopClient(n).Forward(ctx)
+	inner, cancel := context.WithCancel(ctx)
+	stream, err := wirepb.NewHopClient(n).Forward(inner)
 	if err != nil {
 		cancel()
 		return call.Refuse(result.Unreachable)
 	}
-	e := &errand{ctx: ctx, cancel: cancel, stream: stream, request: r}
+	e := &errand{caller: ctx, cancel: cancel, stream: stream, request: r}
 	return e.run()
 }
--- a/verbenad/command/entry/entry.go
+++ b/verbenad/command/entry/entry.go
@@ -22,9 +22,9 @@
 
 const (
 	// MaxHeadBytes is the size of the largest head of a request.
-	MaxHeadBytes = 16 << 10
+	MaxHeadBytes = 8 << 10
 	// MaxConnections is how many callers may be connected at once.
-	MaxConnections = 16 << 10
+	MaxConnections = 4 << 10
 )
 
 // Local serves a request with the target beside this daemon.
--- a/verbenad/command/entry/handle.go
+++ b/verbenad/command/entry/handle.go
@@ -39,6 +39,7 @@
 		IdleTimeout:                  time.Minute,
 		ErrorHandler:                 refuseMalformed,
 	})
+	app.Server().CloseOnShutdown = true
 	app.All("/*", handle)
 	return app
 }
--- a/verbenad/command/entry/peers.go
+++ b/verbenad/command/entry/peers.go
@@ -77,7 +77,7 @@
 	k := p.services[name].tracker
 	k.Begin(m.Incarnation())
 	p.mu.Unlock()
-	v := &visit{peers: p, tracker: k, member: m.Incarnation()}
+	v := &visit{peers: p, tracker: k, member: m.Incarnation(), began: began}
 	return func(reply call.Reply) call.Reply {
 		span := p.clock.Now() - began
 		switch reply := reply.(type) {
@@ -85,7 +85,7 @@
 			v.note(eject.NewGood(span))
 			return call.NewAnswer(reply.Status(), reply.Fields(), &visited{ReadCloser: reply.Body(), visit: v}, reply.Length())
 		case call.Failure:
-			v.note(sampleOf(reply.Outcome()))
+			v.note(sampleOf(reply.Outcome(), span))
 			v.end()
 		}
 		return reply
@@ -93,7 +93,7 @@
 }
 
 // sampleOf returns what a failure says of the target, nil if nothing.
-func sampleOf(o result.Outcome) eject.Sample {
+func sampleOf(o result.Outcome, span clock.Millis) eject.Sample {
 	switch o := o.(type) {
 	case result.Refused:
 		if o.Reason() == result.Unreachable {
@@ -107,6 +107,9 @@
 		if o.Reason() == result.Cancelled {
 			return nil
 		}
+		if o.Reason() == result.TimedOut {
+			return eject.NewLate(span)
+		}
 		return eject.Bad{}
 	case result.Answered:
 	}
@@ -118,6 +121,7 @@
 	peers   *peers
 	tracker *eject.Tracker
 	member  table.Incarnation
+	began   clock.Millis
 	once    sync.Once
 }
 
@@ -148,7 +152,8 @@
 func (b *visited) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err != nil && err != io.EOF {
-		b.visit.note(sampleOf(result.NewUnknown(call.ReasonOf(err))))
+		span := b.visit.peers.clock.Now() - b.visit.began
+		b.visit.note(sampleOf(result.NewUnknown(call.ReasonOf(err)), span))
 	}
 	return n, err
 }
--- a/verbenad/command/entry/respond.go
+++ b/verbenad/command/entry/respond.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"verbenabank/core/clock"
+	"verbenabank/core/query/retry"
 	"verbenabank/core/state/call"
 	"verbenabank/core/state/result"
 )
@@ -38,11 +39,7 @@
 		r.SetStatusCode(status(o.Reason(), fasthttp.StatusServiceUnavailable))
 		r.Header.Set(HeaderOutcome, "refused")
 		r.Header.Set(HeaderReason, string(o.Reason()))
-		if o.After() > 0 {
-			seconds := (o.After() + clock.Second - 1) / clock.Second
-			r.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(int64(seconds), 10))
-			r.Header.Set(HeaderRetryAfterMs, strconv.FormatInt(int64(o.After()), 10))
-		}
+		writeAfter(r, retry.After(o))
 		r.SetBodyString("refused, not run: " + string(o.Reason()) + "\n")
 	case result.Unknown:
 		r.SetStatusCode(status(o.Reason(), fasthttp.StatusBadGateway))
@@ -53,6 +50,16 @@
 	r.Header.SetContentType("text/plain; charset=utf-8")
 }
 
+// writeAfter tells the caller when to try again, unless that is of no use.
+func writeAfter(r *fasthttp.Response, after clock.Millis) {
+	if after <= 0 {
+		return
+	}
+	seconds := (after + clock.Second - 1) / clock.Second
+	r.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(int64(seconds), 10))
+	r.Header.Set(HeaderRetryAfterMs, strconv.FormatInt(int64(after), 10))
+}
+
 // status returns the HTTP status of a reason, or otherwise if it has none of its
 // own.
 func status(reason result.Reason, otherwise int) int {
