--- /dev/null
+++ b/verbenad/command/serve/metric.go
@@ -0,0 +1,48 @@
+package serve
+
+import (
+	"expvar"
+	"sync/atomic"
+
+	"verbenabank/core/state/table"
+)
+
+// shown is the daemon whose gauges the process publishes.
+var shown atomic.Pointer[Daemon]
+
+// publish shows the gauges of the daemon under verbenad.* in expvar.
+func publish(d *Daemon) {
+	if shown.Swap(d) != nil {
+		return
+	}
+	gauges := map[string]func(*Daemon) int64{
+		"verbenad.lease_left_ms":  func(d *Daemon) int64 { return int64(max(0, d.cell.Load().LeaseEnd().Sub(d.clock.Now()))) },
+		"verbenad.rules_left_ms":  func(d *Daemon) int64 { return int64(max(0, d.cell.Load().RulesEnd().Sub(d.clock.Now()))) },
+		"verbenad.rules_version":  func(d *Daemon) int64 { return int64(d.cell.Load().Table().Rules().Version()) },
+		"verbenad.table_version":  func(d *Daemon) int64 { return int64(d.cell.Load().Table().Version()) },
+		"verbenad.shards_owned":   func(d *Daemon) int64 { return int64(owned(d)) },
+		"verbenad.target_flight":  func(d *Daemon) int64 { return int64(d.owner.Flight().Total()) },
+		"verbenad.target_queue":   func(d *Daemon) int64 { return int64(d.owner.Waiting()) },
+		"verbenad.control_term":   func(d *Daemon) int64 { s, _ := d.loop.View().Status(); return int64(s.Term()) },
+		"verbenad.control_commit": func(d *Daemon) int64 { s, _ := d.loop.View().Status(); return int64(s.Commit()) },
+		"verbenad.sessions":       func(d *Daemon) int64 { return int64(d.loop.View().Sessions()) },
+	}
+	for name, read := range gauges {
+		expvar.Publish(name, expvar.Func(func() any { return read(shown.Load()) }))
+	}
+}
+
+// owned counts the shards that this daemon owns.
+func owned(d *Daemon) int {
+	s, count := d.cell.Load(), 0
+	m, _ := s.Table().Member(s.Self())
+	for _, sh := range s.Table().Shards(m.Service()) {
+		if o, ok := s.Table().Holding(m.Service(), sh).(table.Owned); ok && o.Owner() == s.Self() {
+			count++
+		}
+	}
+	return count
+}
+
+// syncMs is how long the last sync of the log took, in milliseconds.
+var syncMs = expvar.NewInt("verbenad.log_sync_ms")
