--- a/verbenad/command/entry/fault_test.go
+++ b/verbenad/command/entry/fault_test.go
@@ -134,6 +134,24 @@
 	is.Equal(count.Load(), int64(1))
 }
 
+func TestRequestToAFrozenOwnerMovesOn(t *testing.T) {
+	is := is.New(t)
+	stuck, _ := counting(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	good, _ := counting(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "new") })
+	for _, k := range []struct{ method, want string }{{"GET", "answered"}, {"POST", "unknown interrupted"}} {
+		e, _ := pair(t, stuck)
+		next := start(t, 3)
+		next.target.Point(good)
+		x := ownedBy(next, []*daemon{e, next})
+		time.AfterFunc(100*time.Millisecond, func() { next.publish(x); e.publish(x) })
+		began := time.Now()
+		p, err := send(t, k.method, e.url+"/catalogue/k", nil)
+		is.NoErr(err)
+		is.Equal(p.outcome, k.want)
+		is.True(time.Since(began) < 2*time.Second) // the deadline is 5 s
+	}
+}
+
 func TestVacantShardIsAwaited(t *testing.T) {
 	is := is.New(t)
 	address, _ := counting(t, func(http.ResponseWriter, *http.Request) {})
--- a/verbenad/command/serve/serve.go
+++ b/verbenad/command/serve/serve.go
@@ -49,6 +49,7 @@
 	beside *beside
 	owner  *owner.Owner
 	entry  *entry.Entry
+	hops   *hop.Client
 	uplink *link.Uplink
 	desk   *link.Desk
 	waiter *waiter
@@ -125,6 +126,7 @@
 	d.owner = owner.New(owner.WithClock(d.clock), owner.WithCell(d.cell), owner.WithTarget(d.beside))
 	client, stopClient := hop.New(hop.WithDialOptions(d.trust.DialOptions()...))
 	d.atEnd(stopClient)
+	d.hops = client
 	d.entry = entry.New(entry.WithClock(d.clock), entry.WithCell(d.cell), entry.WithLocal(d.owner),
 		entry.WithRemote(client), entry.WithInstance(d.settings.Instance(), d.settings.Zone()))
 	return nil
