Count a request that was given up until its target is done with it

Cause: a timed-out or cancelled request left the count in flight and its slot at once, while the target could still work on it: a shard could be released, and the slot be used again, too early. A byte could leave the daemon just before it was noted, so that a request which ran was reported as not run (found by reading).

Ruled out: closing the connection at once (the end of the target's work cannot be seen then); waiting with the reply to the caller.

Change: a request that was given up closes its sending half, and its slot and its count end when the target closes the connection, after a second at most; bytes are noted before they are written, and the sending half is closed before the note is read; a dropped target is an interruption, not a cancellation by the caller.

Conclusion: a release of a shard follows the end of its work at targets that end cancelled requests within a second; for others the window is stated by the constant.

--- a/verbenad/adapt/target/answer.go
+++ b/verbenad/adapt/target/answer.go
@@ -116,6 +116,7 @@
 	b.err = io.EOF
 	if x.finished() && b.keep && x.release() {
 		x.target.keep(x.conn)
+		x.ended()
 		return
 	}
 	x.abort()
--- a/verbenad/adapt/target/conn.go
+++ b/verbenad/adapt/target/conn.go
@@ -27,11 +27,13 @@
 	return c
 }
 
-// Write notes that a byte may have left the daemon.
+// Write notes that a byte may have left the daemon, before it can: whoever closes the
+// sending half and then finds nothing noted knows that none did.
 func (c *conn) Write(p []byte) (int, error) {
+	first := !c.wrote.Swap(true)
 	n, err := c.Conn.Write(p)
-	if n > 0 {
-		c.wrote.Store(true)
+	if first && n == 0 && err != nil {
+		c.wrote.Store(false)
 	}
 	return n, err
 }
--- a/verbenad/adapt/target/exchange.go
+++ b/verbenad/adapt/target/exchange.go
@@ -22,20 +22,32 @@
 	conn    *conn
 	request call.Request
 	release func() bool // stops the watch on ctx
+	ended   func()
 
 	upload   conc.WaitGroup
+	streamed bool       // the body is sent beside the reading of the answer
 	uploaded chan error // gets the result of sending the body, nil if whole
 
 	mu       sync.Mutex
 	answered bool // the head of the answer is here
+	over     bool
 }
 
-func newExchange(ctx context.Context, t *Target, c *conn, r call.Request) *exchange {
-	x := &exchange{ctx: ctx, target: t, conn: c, request: r, uploaded: make(chan error, 1)}
-	x.release = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+func newExchange(ctx context.Context, t *Target, c *conn, r call.Request, ended func()) *exchange {
+	x := &exchange{ctx: ctx, target: t, conn: c, request: r, ended: ended, uploaded: make(chan error, 1)}
+	x.release = context.AfterFunc(ctx, x.interrupt)
 	return x
 }
 
+// interrupt ends what waits for the connection.
+func (x *exchange) interrupt() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if !x.over {
+		_ = x.conn.SetDeadline(time.Unix(1, 0))
+	}
+}
+
 // run sends the request and reads the head of the answer.
 func (x *exchange) run() call.Reply {
 	if x.ctx.Err() != nil {
@@ -65,7 +77,8 @@
 	}
 	length := x.request.Length()
 	if x.request.Body() != nil && (length < 0 || length > inlineBytes) {
-		x.upload.Go(func() { x.sendBody() })
+		x.streamed = true
+		x.upload.Go(x.sendBody)
 		return nil
 	}
 	if x.request.Body() != nil {
@@ -84,7 +97,7 @@
 	err := x.copyBody()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if err != nil && !x.answered {
+	if err != nil && !x.answered && !x.over {
 		_ = x.conn.SetReadDeadline(time.Now().Add(grace))
 	}
 	x.uploaded <- err
@@ -176,9 +189,17 @@
 	}
 }
 
-// abort closes the connection, so that nothing of this exchange can reach
-// another one.
+// abort gives the connection up, so that nothing of this exchange can reach another
+// one.
 func (x *exchange) abort() {
 	x.release()
+	x.mu.Lock()
+	x.over = true
+	x.mu.Unlock()
+	if x.conn.wrote.Load() || x.streamed {
+		x.target.settle(x.conn, x.ended)
+		return
+	}
 	x.conn.close()
+	x.ended()
 }
--- a/verbenad/adapt/target/target.go
+++ b/verbenad/adapt/target/target.go
@@ -10,10 +10,13 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"verbenabank/core/state/call"
 	"verbenabank/core/state/result"
 )
@@ -23,6 +26,8 @@
 	DefaultDialTimeout = 250 * time.Millisecond
 	// DefaultIdleTimeout is how long a connection is kept without a request.
 	DefaultIdleTimeout = 10 * time.Second
+	// DefaultSettle is how long a target may take to end a request that was given up.
+	DefaultSettle = 1 * time.Second
 	// bufferBytes is the size of the buffers of a connection; the head of an answer
 	// must fit one.
 	bufferBytes = 16 << 10
@@ -33,6 +38,8 @@
 	dial        func(ctx context.Context, address string) (net.Conn, error)
 	dialTimeout time.Duration
 	idleTimeout time.Duration
+	settling    time.Duration
+	group       conc.WaitGroup
 
 	mu      sync.Mutex
 	address string
@@ -53,10 +60,13 @@
 // WithIdleTimeout sets how long a connection is kept without a request.
 func WithIdleTimeout(span time.Duration) Option { return func(t *Target) { t.idleTimeout = span } }
 
+// WithSettle sets how long a target may take to end a request that was given up.
+func WithSettle(span time.Duration) Option { return func(t *Target) { t.settling = span } }
+
 // New returns a target without an address. The clean-up function closes idle
 // connections.
 func New(opts ...Option) (*Target, func()) {
-	t := &Target{dial: dialTCP, dialTimeout: DefaultDialTimeout, idleTimeout: DefaultIdleTimeout}
+	t := &Target{dial: dialTCP, dialTimeout: DefaultDialTimeout, idleTimeout: DefaultIdleTimeout, settling: DefaultSettle}
 	for _, o := range opts {
 		o(t)
 	}
@@ -91,21 +101,20 @@
 }
 
 // Send sends a request and returns the answer, whose body is still to be read, or a
-// failure. prepare is called when there is a connection, just before the first byte is
-// written: it returns the request, or a reason to refuse it. The end of ctx ends the
-// exchange.
-func (t *Target) Send(ctx context.Context, prepare func() (call.Request, result.Reason)) call.Reply {
+// failure. The end of ctx ends the exchange.
+func (t *Target) Send(ctx context.Context, w call.Work) call.Reply {
 	c, failure := t.take(ctx)
 	if c == nil {
+		w.Ended()
 		return failure
 	}
-	r, reason := prepare()
+	r, reason := w.Prepare()
 	if reason != "" {
 		t.keep(c)
+		w.Ended()
 		return call.Refuse(reason)
 	}
-	x := newExchange(ctx, t, c, r)
-	return x.run()
+	return newExchange(ctx, t, c, r, w.Ended).run()
 }
 
 // take returns a connection that is open and has nothing unread.
@@ -141,6 +150,25 @@
 	return t.address, nil
 }
 
+// settle asks the target to end a request, by closing the sending half, and waits until it
+// closes the connection: then it does not work on the request any more. After the
+// longest time for that the connection is closed in any case.
+func (t *Target) settle(c *conn, ended func()) {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		c.close()
+		ended()
+		return
+	}
+	_ = c.SetDeadline(time.Now().Add(t.settling))
+	_ = half.CloseWrite()
+	t.group.Go(func() {
+		_, _ = io.Copy(io.Discard, c.Conn)
+		c.close()
+		ended()
+	})
+}
+
 // keep puts a connection back after a whole exchange.
 func (t *Target) keep(c *conn) {
 	c.rest()
--- a/verbenad/adapt/target/target_test.go
+++ b/verbenad/adapt/target/target_test.go
@@ -59,8 +59,10 @@
 	return x
 }
 
-func get(path string) func() (call.Request, result.Reason) {
-	return func() (call.Request, result.Reason) { return call.NewRequest("s", "GET", path), "" }
+func get(path string) call.Work { return work(call.NewRequest("s", "GET", path)) }
+
+func work(r call.Request) call.Work {
+	return call.NewWork(func() (call.Request, result.Reason) { return r, "" }, func() {})
 }
 
 // read returns the content of a reply, and its outcome as text.
@@ -184,6 +186,26 @@
 	is.True(<-closed != nil)
 }
 
+func TestRequestIsCountedUntilTheTargetIsDone(t *testing.T) {
+	is := is.New(t)
+	var done atomic.Bool
+	address, _ := fake(t, func(c net.Conn, _ *http.Request, _ int64) bool {
+		_, _ = c.Read(make([]byte, 1)) // sees that the request was given up
+		time.Sleep(50 * time.Millisecond)
+		done.Store(true)
+		return false
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	ended := make(chan bool, 1)
+	_, o := read(point(t, address).Send(ctx, call.NewWork(
+		func() (call.Request, result.Reason) { return call.NewRequest("s", "POST", "/"), "" },
+		func() { ended <- done.Load() })))
+	is.Equal(o, "unknown timed-out") // the caller need not wait
+	is.True(!done.Load())
+	is.True(<-ended)
+}
+
 func TestShortBodyIsNeverAWholeRequest(t *testing.T) {
 	for _, announced := range []int64{100, 100_000} {
 		is := is.New(t)
@@ -194,9 +216,7 @@
 			write(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 			return true
 		})
-		r := func() (call.Request, result.Reason) {
-			return call.NewRequest("s", "POST", "/", call.WithBody(strings.NewReader("0123456789"), announced)), ""
-		}
+		r := work(call.NewRequest("s", "POST", "/", call.WithBody(strings.NewReader("0123456789"), announced)))
 		_, o := read(point(t, address).Send(context.Background(), r))
 		is.True(o != "answered")
 	}
--- a/verbenad/command/owner/guard.go
+++ b/verbenad/command/owner/guard.go
@@ -44,6 +44,7 @@
 	leave    func()
 	pass     admission
 	slotted  bool
+	passed   bool
 	sent     clock.Millis
 	cancel   context.CancelFunc
 	lapsed   atomic.Bool
@@ -60,11 +61,12 @@
 		return failure
 	}
 	g.pass = pass
-	switch reply := g.owner.target.Send(g.enlist(ctx), g.prepare).(type) {
+	g.passed = true
+	switch reply := g.owner.target.Send(g.enlist(ctx), call.NewWork(g.prepare, g.ended)).(type) {
 	case call.Answer:
 		return g.judge(reply)
 	case call.Failure:
-		return g.explain(reply)
+		return g.explain(ctx, reply)
 	}
 	return call.Unknown(result.Interrupted)
 }
@@ -187,9 +189,18 @@
 	return clock.Millis(seconds) * clock.Second
 }
 
-// done gives back the slot and the place in the count of requests in flight.
+// done ends the request for its caller. What the target still holds of it is given
+// back by ended.
 func (g *guard) done(o result.Outcome) {
 	g.delist()
+	if !g.passed {
+		g.ended()
+	}
+	g.owner.meter.End(o, g.owner.clock.Now()-g.entered)
+}
+
+// ended gives back the slot and the place in the count of requests in flight.
+func (g *guard) ended() {
 	now := g.owner.clock.Now()
 	switch {
 	case g.slotted && g.sent > 0:
@@ -198,7 +209,6 @@
 		g.owner.gate.Return(now)
 	}
 	g.leave()
-	g.owner.meter.End(o, now-g.entered)
 }
 
 // guarded is the body of an answer that may be read while ownership holds.
--- a/verbenad/command/owner/lapse.go
+++ b/verbenad/command/owner/lapse.go
@@ -75,10 +75,15 @@
 	delete(g.owner.running, g)
 }
 
-// explain names the lapse as the reason of a failure that it caused.
-func (g *guard) explain(f call.Failure) call.Failure {
-	if _, ok := f.Outcome().(result.Unknown); ok && g.lapsed.Load() {
+// explain names the reason of a failure that the caller did not cause by going away.
+func (g *guard) explain(ctx context.Context, f call.Failure) call.Failure {
+	u, ok := f.Outcome().(result.Unknown)
+	switch {
+	case ok && g.lapsed.Load():
 		return call.Unknown(result.LeaseLapsed)
+	case ok && u.Reason() == result.Cancelled && ctx.Err() == nil:
+		return call.Unknown(result.Interrupted) // the target was dropped
+	default:
+		return f
 	}
-	return f
 }
--- a/verbenad/command/owner/owner.go
+++ b/verbenad/command/owner/owner.go
@@ -29,8 +29,7 @@
 
 // Sender exchanges one request with the target beside the daemon.
 type Sender interface {
-	// Send calls prepare just before the first byte is written.
-	Send(ctx context.Context, prepare func() (call.Request, result.Reason)) call.Reply
+	Send(ctx context.Context, w call.Work) call.Reply
 }
 
 // Owner serves requests with the target beside the daemon. It is safe for
--- a/verbenad/command/owner/owner_test.go
+++ b/verbenad/command/owner/owner_test.go
@@ -41,11 +41,12 @@
 	return call.NewAnswer(status, fields, io.NopCloser(strings.NewReader("")), 0)
 }
 
-func (s *sender) Send(ctx context.Context, prepare func() (call.Request, result.Reason)) call.Reply {
+func (s *sender) Send(ctx context.Context, w call.Work) call.Reply {
+	defer w.Ended()
 	if s.dial != nil {
 		s.dial()
 	}
-	if _, reason := prepare(); reason != "" {
+	if _, reason := w.Prepare(); reason != "" {
 		return call.Refuse(reason)
 	}
 	s.count.Add(1)
--- a/verbenad/command/owner/storm_test.go
+++ b/verbenad/command/owner/storm_test.go
@@ -28,8 +28,9 @@
 // queue, and goes on with requests whose callers left.
 type worker struct{ slots chan struct{} }
 
-func (w *worker) Send(ctx context.Context, prepare func() (call.Request, result.Reason)) call.Reply {
-	if _, reason := prepare(); reason != "" {
+func (w *worker) Send(ctx context.Context, x call.Work) call.Reply {
+	defer x.Ended()
+	if _, reason := x.Prepare(); reason != "" {
 		return call.Refuse(reason)
 	}
 	done := make(chan struct{})
--- a/verbenad/command/serve/target.go
+++ b/verbenad/command/serve/target.go
@@ -7,7 +7,6 @@
 
 	"verbenabank/core/clock"
 	"verbenabank/core/state/call"
-	"verbenabank/core/state/result"
 	"verbenabank/verbenad/adapt/probe"
 	"verbenabank/verbenad/adapt/target"
 )
@@ -53,14 +52,14 @@
 }
 
 // Send exchanges one request with the target, unless the target is dropped first.
-func (b *beside) Send(ctx context.Context, prepare func() (call.Request, result.Reason)) call.Reply {
+func (b *beside) Send(ctx context.Context, w call.Work) call.Reply {
 	b.mu.Lock()
 	life := b.life
 	b.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	stop := context.AfterFunc(life, cancel)
 	context.AfterFunc(ctx, func() { stop() })
-	reply := b.target.Send(ctx, prepare)
+	reply := b.target.Send(ctx, w)
 	if _, ok := reply.(call.Answer); ok {
 		b.answered.Store(int64(b.clock.Now()))
 	} else {
