Say unknown if any attempt of a request may have run

Ruled out: reporting the last outcome with a second header; callers read one.

Change: the first unknown outcome stays unless a later attempt is answered.

--- a/verbenad/command/entry/task.go
+++ b/verbenad/command/entry/task.go
@@ -39,6 +39,7 @@
 	awaited  clock.Millis
 	tried    map[table.Incarnation]bool
 	choice   bool
+	doubt    result.Outcome // the first unknown outcome of an attempt
 	streamed bool
 	served   string
 }
@@ -65,7 +66,7 @@
 		case call.Failure:
 			o := t.honest(reply.Outcome())
 			if !t.again(s, service, o) {
-				return t.fail(o)
+				return t.fail(t.whole(o))
 			}
 		}
 	}
@@ -131,8 +132,20 @@
 	}
 }
 
+// whole returns the outcome of all attempts: if one of them may have run, a refusal of the
+// last proves nothing.
+func (t *task) whole(last result.Outcome) result.Outcome {
+	if t.doubt != nil {
+		return t.doubt
+	}
+	return last
+}
+
 // again waits until another attempt is due. It reports false if there is none.
 func (t *task) again(s *snap.Snap, service rules.Service, o result.Outcome) bool {
+	if _, ok := o.(result.Unknown); ok && t.doubt == nil {
+		t.doubt = o
+	}
 	v := retry.Decide(t.entry.policy, retry.NewAttempt(o,
 		retry.WithCount(t.count, service.RetryAttempts()),
 		retry.WithLeft(t.deadline-t.entry.clock.Now()),
