Make the index of a table once, and only of what changed

Cause: each change of the table made every traffic goroutine that saw it sort all members and build the index anew, and each daemon closes connections by the same list.

Ruled out: versions to tell tables apart (tests make several of one version).

Change: tables share their members until one changes (table.roster), and sort them once; the index keeps its pools while they are shared; one goroutine builds it.

--- a/core/query/route/route.go
+++ b/core/query/route/route.go
@@ -85,6 +85,14 @@
 	byZone map[string][]table.Member
 }
 
+// Next returns the index of t, made of the parts of x that did not change.
+func (x *Index) Next(t *table.Table) *Index {
+	if t.SharesMembers(x.table) {
+		return &Index{table: t, pools: x.pools}
+	}
+	return NewIndex(t)
+}
+
 // NewIndex returns the index of t.
 func NewIndex(t *table.Table) *Index {
 	x := &Index{table: t, pools: map[string]*pool{}}
--- a/core/state/table/change.go
+++ b/core/state/table/change.go
@@ -144,9 +144,9 @@
 func (e *editor) ownMembers() map[Incarnation]Member {
 	if !e.members {
 		e.members = true
-		e.table.members = cloneMap(e.table.members)
+		e.table.members = &roster{byIncarnation: cloneMap(e.table.members.byIncarnation)}
 	}
-	return e.table.members
+	return e.table.members.byIncarnation
 }
 
 func (e *editor) ownPlacement(service string) placement {
--- a/core/state/table/list.go
+++ b/core/state/table/list.go
@@ -18,17 +18,20 @@
 // Shard returns the shard that holds only the key.
 func (o Override) Shard() Shard { return o.shard }
 
-// Members returns all members in the order of their incarnations.
-func (t *Table) Members() []Member {
-	return slices.SortedFunc(maps.Values(t.members), func(a, b Member) int {
-		return cmp.Compare(a.incarnation, b.incarnation)
-	})
-}
+// Members returns all members in the order of their incarnations; the caller must
+// not change them.
+func (t *Table) Members() []Member { return t.members.list() }
 
 // MembersOf returns the members with a target of the service, in the order of
 // their incarnations.
 func (t *Table) MembersOf(service string) []Member {
-	return slices.DeleteFunc(t.Members(), func(m Member) bool { return m.service != service })
+	var list []Member
+	for _, m := range t.Members() {
+		if m.service == service {
+			list = append(list, m)
+		}
+	}
+	return list
 }
 
 // Shards returns the numbers of the shards of the service that were ever
--- a/core/state/table/table.go
+++ b/core/state/table/table.go
@@ -25,7 +25,7 @@
 type Table struct {
 	version  uint64
 	rules    rules.Rules
-	members  map[Incarnation]Member
+	members  *roster
 	services map[string]placement
 }
 
@@ -36,7 +36,7 @@
 }
 
 // Empty returns the table at version 0.
-func Empty() *Table { return &Table{} }
+func Empty() *Table { return &Table{members: &roster{}} }
 
 // Version returns the log index of the last change.
 func (t *Table) Version() uint64 { return t.version }
@@ -46,7 +46,7 @@
 
 // Member returns the member with the incarnation.
 func (t *Table) Member(i Incarnation) (Member, bool) {
-	m, ok := t.members[i]
+	m, ok := t.members.byIncarnation[i]
 	return m, ok
 }
 
--- a/verbenad/adapt/hop/follow.go
+++ b/verbenad/adapt/hop/follow.go
@@ -10,10 +10,10 @@
 // Follow closes connections to members that are gone from the newest snapshot. It
 // returns when ctx ends.
 func (c *Client) Follow(ctx context.Context, cell *snap.Cell) {
-	var last *table.Table
+	last := table.Empty()
 	for ctx.Err() == nil {
 		s := cell.Load()
-		if s.Table() != last {
+		if !s.Table().SharesMembers(last) {
 			last = s.Table()
 			c.keepMembers(last)
 		}
--- a/verbenad/command/entry/entry.go
+++ b/verbenad/command/entry/entry.go
@@ -48,11 +48,12 @@
 	zone     string
 	meter    *meter.Meter
 
-	app     *fiber.App
-	watches conc.WaitGroup
-	index   atomic.Pointer[route.Index]
-	budgets sync.Map // of *budget.Budget by service
-	peers   *peers
+	app      *fiber.App
+	watches  conc.WaitGroup
+	index    atomic.Pointer[route.Index]
+	indexing sync.Mutex // held while an index is made, so that it is made once
+	budgets  sync.Map   // of *budget.Budget by service
+	peers    *peers
 }
 
 // Option sets one property of an Entry.
@@ -102,9 +103,14 @@
 
 // indexOf returns the index of the table of s.
 func (e *Entry) indexOf(s *snap.Snap) *route.Index {
+	if x := e.index.Load(); x.Table() == s.Table() {
+		return x
+	}
+	e.indexing.Lock()
+	defer e.indexing.Unlock()
 	x := e.index.Load()
 	if x.Table() != s.Table() {
-		x = route.NewIndex(s.Table())
+		x = x.Next(s.Table())
 		e.index.Store(x)
 	}
 	return x
