--- a/verbenad/command/owner/storm_test.go
+++ b/verbenad/command/owner/storm_test.go
@@ -28,7 +28,11 @@
 // queue, and goes on with requests whose callers left.
 type worker struct{ slots chan struct{} }
 
-func (w *worker) Send(ctx context.Context, _ call.Request) call.Reply {
+func (w *worker) Send(ctx context.Context, x call.Work) call.Reply {
+	defer x.Ended()
+	if _, reason := x.Prepare(); reason != "" {
+		return call.Refuse(reason)
+	}
 	done := make(chan struct{})
 	go func() {
 		w.slots <- struct{}{}
