Send messages and batches of random runs through their encoding

Cause: nothing showed that the decoder takes all that a node sends. Change: one message and one batch in eight go through package peers.

--- a/core/command/raft/host_test.go
+++ b/core/command/raft/host_test.go
@@ -6,6 +6,7 @@
 
 	"verbenabank/core/clock"
 	"verbenabank/core/state/peer"
+	"verbenabank/core/wire/peers"
 )
 
 // host runs a node with a fake disk and a fake state machine.
@@ -175,6 +176,9 @@
 func (h *host) write(b peer.Batch) {
 	w := h.world
 	w.check.written(h, b)
+	if w.coder.IntN(8) == 0 {
+		b = h.coded(b)
+	}
 	at := w.now + 1 + clock.Millis(w.random.IntN(h.syncMax))
 	if k := len(h.pending); k > 0 {
 		at = max(at, h.pending[k-1].at)
@@ -185,6 +189,24 @@
 	}
 }
 
+// coded sends a batch through its encoding.
+func (h *host) coded(b peer.Batch) peer.Batch {
+	record, err := peers.MarshalBatch(b)
+	back, refused := peers.UnmarshalBatch(record)
+	if err != nil || refused != nil {
+		h.world.check.fail("codec: %v %v: %+v", err, refused, b)
+	}
+	s := b.Snapshot()
+	if s.Index() > 0 {
+		record, err = peers.MarshalSnapshot(s)
+		s, refused = peers.UnmarshalSnapshot(record)
+		if err != nil || refused != nil {
+			h.world.check.fail("codec: %v %v: %+v", err, refused, b)
+		}
+	}
+	return peer.NewBatch(b.Sequence(), back.Hard(), s, back.Entries())
+}
+
 func (h *host) apply(entries []Committed) {
 	for _, c := range entries {
 		e := c.Entry()
--- a/core/command/raft/world_test.go
+++ b/core/command/raft/world_test.go
@@ -5,14 +5,19 @@
 	"hash/fnv"
 	"math/rand/v2"
 
+	"google.golang.org/protobuf/proto"
+
 	"verbenabank/core/clock"
 	"verbenabank/core/state/peer"
+	"verbenabank/core/wire/peers"
+	"verbenabank/core/wire/wirepb"
 )
 
 // world is a fake network with hosts that each run one real Node. It moves in
 // steps of a millisecond.
 type world struct {
 	random *rand.Rand
+	coder  *rand.Rand // picks what goes through its encoding
 	now    clock.Millis
 	hosts  []*host
 	posts  []post
@@ -53,7 +58,7 @@
 
 func newWorld(seed uint64, count int) *world {
 	w := &world{
-		random: rand.New(rand.NewPCG(seed, 7)), now: 1000, cut: map[[2]int]period{},
+		random: rand.New(rand.NewPCG(seed, 7)), coder: rand.New(rand.NewPCG(seed, 8)), now: 1000, cut: map[[2]int]period{},
 		delay: 3, check: newChecker(),
 	}
 	var seeds []string
@@ -101,11 +106,28 @@
 			if w.random.IntN(200) == 0 {
 				at += clock.Millis(w.random.IntN(1000) * w.delay / 3)
 			}
-			w.posts = append(w.posts, post{at: at, from: from.number, to: to.number, message: w.forge(to, s.message)})
+			w.posts = append(w.posts, post{at: at, from: from.number, to: to.number, message: w.forge(to, w.coded(s.message))})
 		}
 	}
 }
 
+// coded sends some messages through their encoding.
+func (w *world) coded(m peer.Message) peer.Message {
+	if w.coder.IntN(8) != 0 {
+		return m
+	}
+	data, err := proto.Marshal(peers.Encode(m))
+	p := &wirepb.PeerMessage{}
+	if err == nil {
+		err = proto.Unmarshal(data, p)
+	}
+	back, refused := peers.Decode(p)
+	if err != nil || refused != nil {
+		w.check.fail("codec: %v %v: %+v", err, refused, m)
+	}
+	return back
+}
+
 func (w *world) copies() int {
 	switch p := w.random.Float64(); {
 	case p < w.loss:
