Found groups under loss, crashes and a lost disk

Cause: in the random runs a group was founded within some 20 ms, before most faults. Conclusion: 60 foundings with one lost disk each reach a whole group.

--- /dev/null
+++ b/core/command/raft/form_test.go
@@ -0,0 +1,45 @@
+package raft
+
+import (
+	"flag"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"verbenabank/core/clock"
+)
+
+// TestFoundingUnderFaults founds groups while messages are lost, doubled and
+// late, processes stop, and one disk is lost at some instant.
+func TestFoundingUnderFaults(t *testing.T) {
+	_ = flag.Set("rapid.checks", "60")
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := 3 + 2*draw(t, 2, "hosts")
+		w := newWorld(uint64(draw(t, 1<<62, "seed")), hosts)
+		defer count(w)
+		w.loss, w.double, w.delay = float64(draw(t, 60, "loss"))/100, 0.3, 1+draw(t, 400, "delay")
+		lost := clock.Millis(1 + draw(t, 3000, "lost at"))
+		for at := clock.Millis(0); at < 4*clock.Second; at += 10 {
+			if at/10 == lost/10 {
+				w.faults++
+				h := w.hosts[draw(t, hosts, "lost")]
+				h.wipe()
+				h.down = w.now + clock.Millis(draw(t, 500, "span"))
+			}
+			if w.random.IntN(60) == 0 {
+				w.faults++
+				h := w.hosts[w.random.IntN(hosts)]
+				h.crash()
+				h.down = w.now + clock.Millis(w.random.IntN(300))
+			}
+			w.traffic()
+			if err := w.run(10); err != nil {
+				t.Fatal(err)
+			}
+		}
+		w.heal()
+		if err := w.recover(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- a/core/command/raft/world_test.go
+++ b/core/command/raft/world_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math/rand/v2"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -20,8 +22,8 @@
 	coder  *rand.Rand // picks what goes through its encoding
 	now    clock.Millis
 	hosts  []*host
-	posts  []post
-	cut    map[[2]int]period // when messages from one host to another are lost
+	posts  map[clock.Millis][]post // by when they arrive
+	cut    map[[2]int]period       // when messages from one host to another are lost
 	loss   float64
 	double float64
 	delay  int // greatest delay in ms
@@ -37,7 +39,6 @@
 
 // post is a message on its way.
 type post struct {
-	at       clock.Millis
 	from, to int
 	message  peer.Message
 }
@@ -58,7 +59,7 @@
 
 func newWorld(seed uint64, count int) *world {
 	w := &world{
-		random: rand.New(rand.NewPCG(seed, 7)), coder: rand.New(rand.NewPCG(seed, 8)), now: 1000, cut: map[[2]int]period{},
+		random: rand.New(rand.NewPCG(seed, 7)), coder: rand.New(rand.NewPCG(seed, 8)), now: 1000, cut: map[[2]int]period{}, posts: map[clock.Millis][]post{},
 		delay: 3, check: newChecker(),
 	}
 	var seeds []string
@@ -106,7 +107,7 @@
 			if w.random.IntN(200) == 0 {
 				at += clock.Millis(w.random.IntN(1000) * w.delay / 3)
 			}
-			w.posts = append(w.posts, post{at: at, from: from.number, to: to.number, message: w.forge(to, w.coded(s.message))})
+			w.posts[at] = append(w.posts[at], post{from: from.number, to: to.number, message: w.forge(to, w.coded(s.message))})
 		}
 	}
 }
@@ -139,15 +140,8 @@
 }
 
 func (w *world) deliver() {
-	var later, due []post
-	for _, p := range w.posts {
-		if p.at > w.now {
-			later = append(later, p)
-		} else {
-			due = append(due, p)
-		}
-	}
-	w.posts = later
+	due := w.posts[w.now]
+	delete(w.posts, w.now)
 	for _, p := range due {
 		if c := w.cut[[2]int{p.from, p.to}]; w.now < c.from || w.now >= c.until {
 			w.hosts[p.to].take(p.message)
@@ -220,8 +214,12 @@
 func (w *world) heal() {
 	clear(w.cut)
 	w.loss, w.double, w.delay = 0, 0, 3
-	for k := range w.posts {
-		w.posts[k].at = min(w.posts[k].at, w.now+500)
+	late := w.now + 500
+	for _, at := range slices.Sorted(maps.Keys(w.posts)) {
+		if at > late {
+			w.posts[late] = append(w.posts[late], w.posts[at]...)
+			delete(w.posts, at)
+		}
 	}
 	for _, h := range w.hosts {
 		h.drift(1000)
