--- a/core/command/raft/host_test.go
+++ b/core/command/raft/host_test.go
@@ -6,6 +6,7 @@
 
 	"verbenabank/core/clock"
 	"verbenabank/core/state/peer"
+	"verbenabank/core/wire/peers"
 )
 
 // host runs a node with a fake disk and a fake state machine.
@@ -21,6 +22,8 @@
 	lagged  clock.Millis // until when
 	down    clock.Millis // when a stopped process starts again
 	rate    clock.Millis // of its clock, in thousandths
+	base    clock.Millis // its clock when the rate last changed
+	since   clock.Millis // when that was
 	syncMax int          // greatest time of a sync in ms
 	disk    peer.Stored
 	pending []write
@@ -36,7 +39,13 @@
 	batch peer.Batch
 }
 
-func (h *host) local() clock.Millis { return h.world.now * h.rate / 1000 }
+// local reads the clock of the host, which never steps.
+func (h *host) local() clock.Millis { return h.base + (h.world.now-h.since)*h.rate/1000 }
+
+// drift lets the clock of the host run at another rate.
+func (h *host) drift(rate clock.Millis) {
+	h.base, h.since, h.rate = h.local(), h.world.now, rate
+}
 
 func (h *host) start() {
 	r := h.world.random
@@ -105,7 +114,7 @@
 	}
 	if durable > 0 {
 		h.step(NewPersisted(durable))
-		if vote := h.disk.Hard().Vote(); w.weak.forgetVote && vote != 0 && vote != h.disk.Hard().ID() && w.random.IntN(4) == 0 {
+		if vote := h.disk.Hard().Vote(); w.weak.forgetVote && vote != 0 && vote != h.disk.Hard().ID() && w.random.IntN(2) == 0 {
 			h.crash()
 			h.start()
 			return
@@ -167,6 +176,9 @@
 func (h *host) write(b peer.Batch) {
 	w := h.world
 	w.check.written(h, b)
+	if w.coder.IntN(8) == 0 {
+		b = h.coded(b)
+	}
 	at := w.now + 1 + clock.Millis(w.random.IntN(h.syncMax))
 	if k := len(h.pending); k > 0 {
 		at = max(at, h.pending[k-1].at)
@@ -177,6 +189,24 @@
 	}
 }
 
+// coded sends a batch through its encoding.
+func (h *host) coded(b peer.Batch) peer.Batch {
+	record, err := peers.MarshalBatch(b)
+	back, refused := peers.UnmarshalBatch(record)
+	if err != nil || refused != nil {
+		h.world.check.fail("codec: %v %v: %+v", err, refused, b)
+	}
+	s := b.Snapshot()
+	if s.Index() > 0 {
+		record, err = peers.MarshalSnapshot(s)
+		s, refused = peers.UnmarshalSnapshot(record)
+		if err != nil || refused != nil {
+			h.world.check.fail("codec: %v %v: %+v", err, refused, b)
+		}
+	}
+	return peer.NewBatch(b.Sequence(), back.Hard(), s, back.Entries())
+}
+
 func (h *host) apply(entries []Committed) {
 	for _, c := range entries {
 		e := c.Entry()
--- a/core/command/raft/world_test.go
+++ b/core/command/raft/world_test.go
@@ -3,20 +3,27 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math/rand/v2"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
 
 	"verbenabank/core/clock"
 	"verbenabank/core/state/peer"
+	"verbenabank/core/wire/peers"
+	"verbenabank/core/wire/wirepb"
 )
 
 // world is a fake network with hosts that each run one real Node. It moves in
 // steps of a millisecond.
 type world struct {
 	random *rand.Rand
+	coder  *rand.Rand // picks what goes through its encoding
 	now    clock.Millis
 	hosts  []*host
-	posts  []post
-	cut    map[[2]int]period // when messages from one host to another are lost
+	posts  map[clock.Millis][]post // by when they arrive
+	cut    map[[2]int]period       // when messages from one host to another are lost
 	loss   float64
 	double float64
 	delay  int // greatest delay in ms
@@ -32,7 +39,6 @@
 
 // post is a message on its way.
 type post struct {
-	at       clock.Millis
 	from, to int
 	message  peer.Message
 }
@@ -53,7 +59,7 @@
 
 func newWorld(seed uint64, count int) *world {
 	w := &world{
-		random: rand.New(rand.NewPCG(seed, 7)), now: 1000, cut: map[[2]int]period{},
+		random: rand.New(rand.NewPCG(seed, 7)), coder: rand.New(rand.NewPCG(seed, 8)), now: 1000, cut: map[[2]int]period{}, posts: map[clock.Millis][]post{},
 		delay: 3, check: newChecker(),
 	}
 	var seeds []string
@@ -85,6 +91,7 @@
 }
 
 func (w *world) send(from *host, s Send) {
+	w.check.sent(from, s.message)
 	for _, to := range w.hosts {
 		if to.address != s.address {
 			continue
@@ -100,11 +107,28 @@
 			if w.random.IntN(200) == 0 {
 				at += clock.Millis(w.random.IntN(1000) * w.delay / 3)
 			}
-			w.posts = append(w.posts, post{at: at, from: from.number, to: to.number, message: w.forge(to, s.message)})
+			w.posts[at] = append(w.posts[at], post{from: from.number, to: to.number, message: w.forge(to, w.coded(s.message))})
 		}
 	}
 }
 
+// coded sends some messages through their encoding.
+func (w *world) coded(m peer.Message) peer.Message {
+	if w.coder.IntN(8) != 0 {
+		return m
+	}
+	data, err := proto.Marshal(peers.Encode(m))
+	p := &wirepb.PeerMessage{}
+	if err == nil {
+		err = proto.Unmarshal(data, p)
+	}
+	back, refused := peers.Decode(p)
+	if err != nil || refused != nil {
+		w.check.fail("codec: %v %v: %+v", err, refused, m)
+	}
+	return back
+}
+
 func (w *world) copies() int {
 	switch p := w.random.Float64(); {
 	case p < w.loss:
@@ -116,15 +140,8 @@
 }
 
 func (w *world) deliver() {
-	var later, due []post
-	for _, p := range w.posts {
-		if p.at > w.now {
-			later = append(later, p)
-		} else {
-			due = append(due, p)
-		}
-	}
-	w.posts = later
+	due := w.posts[w.now]
+	delete(w.posts, w.now)
 	for _, p := range due {
 		if c := w.cut[[2]int{p.from, p.to}]; w.now < c.from || w.now >= c.until {
 			w.hosts[p.to].take(p.message)
@@ -197,8 +214,16 @@
 func (w *world) heal() {
 	clear(w.cut)
 	w.loss, w.double, w.delay = 0, 0, 3
+	late := w.now + 500
+	for _, at := range slices.Sorted(maps.Keys(w.posts)) {
+		if at > late {
+			w.posts[late] = append(w.posts[late], w.posts[at]...)
+			delete(w.posts, at)
+		}
+	}
 	for _, h := range w.hosts {
-		h.frozen, h.lagged, h.rate, h.syncMax = 0, 0, 1000, 8
+		h.drift(1000)
+		h.frozen, h.lagged, h.syncMax = 0, 0, 8
 		if h.node == nil {
 			h.start()
 		}
