Stop a target when its daemon agrees, and list unanswered calls

Cause: the daemon answers a withdrawn announcement when the target may stop; the stand-in gave up after 1 s and waited for its whole drain time. Calls cut off in trials of planned stops could not be told apart. Ruled out: a shorter drain time. Conclusion: interrupted calls can be traced.

--- a/vload/command/drive/send.go
+++ b/vload/command/drive/send.go
@@ -39,12 +39,12 @@
 		select {
 		case d.slots <- struct{}{}:
 			d.senders.Go(func() {
-				reply := d.ask(r, n, due)
-				d.calls <- call.New(r, at, time.Since(due), reply.Outcome(), reply.Content())
+				reply, address := d.ask(r, n, due)
+				d.calls <- call.New(r, address, at, time.Since(due), reply.Outcome(), reply.Content())
 				<-d.slots
 			})
 		default:
-			d.calls <- call.New(r, at, 0, result.NewRefused(unsent, 0), call.Absent{})
+			d.calls <- call.New(r, "", at, 0, result.NewRefused(unsent, 0), call.Absent{})
 		}
 	}
 	d.senders.Wait()
@@ -52,8 +52,9 @@
 	d.lags <- longest
 }
 
-// ask sends a request, and sends it again as far as the experiment says so.
-func (d *Drive) ask(r call.Request, sequence int, due time.Time) client.Reply {
+// ask sends a request, and sends it again as far as the experiment says so. The
+// second result is the address that was asked last.
+func (d *Drive) ask(r call.Request, sequence int, due time.Time) (client.Reply, string) {
 	addresses := d.servers[r.Service()]
 	deadline := due.Add(d.experiment.Timeout().Duration())
 	random := rand.New(rand.NewPCG(d.experiment.Seed(), uint64(sequence)))
@@ -61,7 +62,7 @@
 		n := route.Pick(d.experiment.Routing(), r.Key(), len(addresses), sequence, attempt, random.Float64())
 		reply := d.client.Send(r, addresses[n], deadline)
 		if attempt+1 >= maxAttempts || !d.again(reply) {
-			return reply
+			return reply, addresses[n]
 		}
 	}
 }
--- a/vload/command/target/announce.go
+++ b/vload/command/target/announce.go
@@ -22,7 +22,7 @@
 	defer ticker.Stop()
 	failed := false
 	for {
-		err := t.admin(fasthttp.MethodPost)
+		err := t.admin(fasthttp.MethodPost, adminTimeout)
 		if err != nil && !failed {
 			t.log.WithError(err).Warn("daemon does not take announcements")
 		}
@@ -30,9 +30,7 @@
 		select {
 		case <-ticker.C:
 		case told := <-t.leaves:
-			if err := t.admin(fasthttp.MethodDelete); err != nil {
-				t.log.WithError(err).Warn("daemon does not take the leave")
-			}
+			t.withdraw()
 			close(told)
 			return
 		case <-t.stopped:
@@ -41,8 +39,22 @@
 	}
 }
 
-// Leave tells the daemon beside that the target is about to stop, goes on for
-// its drain time, and then finishes what is in flight. It must be called once.
+// withdraw tells the daemon that the target leaves. The daemon answers when the
+// target may stop; without an answer the target goes on for its drain time.
+func (t *Target) withdraw() {
+	drain := t.settings.Behavior().Drain()
+	begin := t.clock.Now()
+	err := t.admin(fasthttp.MethodDelete, drain)
+	if err == nil {
+		return
+	}
+	t.log.WithError(err).Warn("daemon does not take the leave")
+	time.Sleep((drain - t.clock.Now().Sub(begin)).Duration())
+}
+
+// Leave tells the daemon beside that the target is about to stop, goes on until
+// the daemon agrees, at most for its drain time, and then finishes what is in
+// flight. It must be called once.
 func (t *Target) Leave() {
 	t.tell(left{})
 	if err := t.book.Leave(t.clock.Now()); err != nil {
@@ -52,14 +64,13 @@
 		told := make(chan struct{})
 		t.leaves <- told
 		<-told
-		time.Sleep(t.settings.Behavior().Drain().Duration())
 	}
 	if err := t.app.Shutdown(); err != nil {
 		t.log.WithError(err).Warn("stop of the server failed")
 	}
 }
 
-func (t *Target) admin(method string) error {
+func (t *Target) admin(method string, timeout clock.Millis) error {
 	text, err := json.Marshal(struct {
 		Service string `json:"service"`
 		Address string `json:"address"`
@@ -75,7 +86,7 @@
 	request.Header.SetMethod(method)
 	request.Header.SetContentType("application/json")
 	request.SetBody(text)
-	if err := fasthttp.DoTimeout(request, answer, adminTimeout.Duration()); err != nil {
+	if err := fasthttp.DoTimeout(request, answer, timeout.Duration()); err != nil {
 		return err
 	}
 	if answer.StatusCode() >= fasthttp.StatusBadRequest {
--- a/vload/query/metric/metric_test.go
+++ b/vload/query/metric/metric_test.go
@@ -19,7 +19,7 @@
 }
 
 func seen(id, key string, at clock.Millis, o result.Outcome, content call.Content) call.Call {
-	return call.New(call.NewRequest(id, "catalogue", key, "POST", 0, 0, 0), at, time.Millisecond, o, content)
+	return call.New(call.NewRequest(id, "catalogue", key, "POST", 0, 0, 0), "", at, time.Millisecond, o, content)
 }
 
 func whole(id, key string, at clock.Millis) call.Call {
--- a/vload/query/report/report.go
+++ b/vload/query/report/report.go
@@ -68,6 +68,7 @@
 	kinds    []kind
 	services []service
 	promises metric.Promises
+	unsure   int
 }
 
 // kind sums up the calls of one kind of request.
@@ -113,10 +114,27 @@
 		return s.Keyed()
 	}
 	repeatable := func(method string) bool { return method == "GET" || method == "HEAD" || method == "OPTIONS" }
+	ran := p.ran()
+	for _, c := range r.calls {
+		if _, ok := c.Outcome().(result.Unknown); ok && ran[c.Request().ID()] {
+			p.unsure++
+		}
+	}
 	p.promises = metric.NewPromises(r.calls, r.ledger, keyed, repeatable)
 	return p
 }
 
+// ran returns the IDs of the requests that ran.
+func (p Report) ran() map[string]bool {
+	ids := make(map[string]bool)
+	for _, x := range p.run.ledger.Executions() {
+		if x.Ran() {
+			ids[x.Order().ID()] = true
+		}
+	}
+	return ids
+}
+
 func kindOf(kinds map[string]*kind, r call.Request) *kind {
 	name := r.Service() + " " + r.Method()
 	k, ok := kinds[name]
--- a/vload/query/report/table.go
+++ b/vload/query/report/table.go
@@ -1,7 +1,6 @@
 package report
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
@@ -24,6 +23,7 @@
 		n := p.outcomes[name]
 		_, _ = fmt.Fprintf(t, "%s\t%d\t%.3f\n", name, n, 100*float64(n)/float64(len(p.run.calls)))
 	}
+	_, _ = fmt.Fprintf(t, "unknown, but ran\t%d\n", p.unsure)
 	_, _ = fmt.Fprintln(t, "\nrequest\tsent\tanswered\tp50 ms\tp90 ms\tp99 ms\tmax ms")
 	for _, k := range p.kinds {
 		_, _ = fmt.Fprintf(t, "%s %s\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\n", k.method, k.service, k.count, k.answered,
@@ -79,60 +79,3 @@
 	}
 	return ""
 }
-
-// JSON writes the report for programs.
-func (p Report) JSON(w io.Writer) error {
-	type kindWire struct {
-		Service  string  `json:"service"`
-		Method   string  `json:"method"`
-		Sent     int     `json:"sent"`
-		Answered int     `json:"answered"`
-		P50      float64 `json:"p50_ms"`
-		P99      float64 `json:"p99_ms"`
-		Max      float64 `json:"max_ms"`
-	}
-	type serviceWire struct {
-		Name               string  `json:"name"`
-		Imbalance          float64 `json:"imbalance"`
-		Variation          float64 `json:"variation"`
-		ChurnPerThousand   float64 `json:"churn_per_1000"`
-		ChurnPerKey        float64 `json:"churn_per_key"`
-		UnavailableSeconds int     `json:"unavailable_key_seconds"`
-		UnavailableShare   float64 `json:"unavailable_share"`
-		LongestMs          int64   `json:"longest_unavailable_ms"`
-	}
-	var kinds []kindWire
-	for _, k := range p.kinds {
-		kinds = append(kinds, kindWire{k.service, k.method, k.count, k.answered, k.quantile(50), k.quantile(99), k.quantile(100)})
-	}
-	var services []serviceWire
-	for _, s := range p.services {
-		services = append(services, serviceWire{
-			s.name, s.imbalance.Ratio(), s.imbalance.Variation(), s.churn.PerThousand(), s.churn.PerKey(),
-			s.unavailable.Seconds(), s.unavailable.Share(), int64(s.unavailable.Longest()),
-		})
-	}
-	m, e := p.promises, p.run.experiment
-	encoder := json.NewEncoder(w)
-	encoder.SetIndent("", "  ")
-	return encoder.Encode(struct {
-		Routing    string         `json:"routing"`
-		Retry      string         `json:"retry"`
-		Seed       uint64         `json:"seed"`
-		Outcomes   map[string]int `json:"outcomes"`
-		Answered   float64        `json:"answered_percent"`
-		Kinds      []kindWire     `json:"kinds"`
-		Services   []serviceWire  `json:"services"`
-		Duplicates int            `json:"duplicates"`
-		Overlaps   int            `json:"overlaps"`
-		Older      int            `json:"older_epochs"`
-		Lost       int            `json:"lost"`
-		RefusedRan int            `json:"refused_but_ran"`
-		Crossed    int            `json:"crossed"`
-		Truncated  int            `json:"truncated"`
-		Late       int            `json:"late_work"`
-	}{
-		routing(e.Routing()), retry(e.Retry()), e.Seed(), p.outcomes, p.AnsweredPercent(), kinds, services,
-		m.Duplicates(), m.Overlaps(), m.Older(), m.Lost(), m.RefusedRan(), m.Crossed(), m.Truncated(), m.Late(),
-	})
-}
--- a/vload/run.go
+++ b/vload/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"os"
 	"path/filepath"
 	"time"
@@ -31,6 +32,7 @@
 	retry   string
 	plot    string
 	json    string
+	calls   string
 	place   place
 }
 
@@ -46,6 +48,7 @@
 	c.String(&r.retry, "", "retry", "what callers do with a request that was not answered: none or all")
 	c.String(&r.plot, "", "plot", "PNG file of latency and availability over time")
 	c.String(&r.json, "", "json", "file of the report as JSON")
+	c.String(&r.calls, "", "calls", "file of the calls that were not answered, as JSON lines")
 	r.place.flags(c)
 	flaggy.AttachSubcommand(c, 1)
 	return r
@@ -133,7 +136,12 @@
 		return err
 	}
 	if r.json != "" {
-		if err := writeJSON(r.json, p); err != nil {
+		if err := writeFile(r.json, p.JSON); err != nil {
+			return err
+		}
+	}
+	if r.calls != "" {
+		if err := writeFile(r.calls, p.Calls); err != nil {
 			return err
 		}
 	}
@@ -143,7 +151,7 @@
 	return graph.Write(r.plot, done.Calls(), done.From())
 }
 
-func writeJSON(path string, p report.Report) error {
+func writeFile(path string, write func(io.Writer) error) error {
 	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
 		return err
 	}
@@ -151,7 +159,7 @@
 	if err != nil {
 		return err
 	}
-	return errors.Join(p.JSON(file), file.Close())
+	return errors.Join(write(file), file.Close())
 }
 
 // verdict returns an error if the daemons broke a promise or too little was
--- a/vload/state/call/call.go
+++ b/vload/state/call/call.go
@@ -51,21 +51,25 @@
 // Call is a request with its end.
 type Call struct {
 	request Request
+	server  string
 	at      clock.Millis
 	latency time.Duration
 	outcome result.Outcome
 	content Content
 }
 
-// New returns a call that was due at an instant on the boot clock and ended
-// latency later.
-func New(r Request, at clock.Millis, latency time.Duration, outcome result.Outcome, content Content) Call {
-	return Call{request: r, at: at, latency: latency, outcome: outcome, content: content}
+// New returns a call that was sent to the server at an address, was due at an
+// instant on the boot clock and ended latency later.
+func New(r Request, server string, at clock.Millis, latency time.Duration, outcome result.Outcome, content Content) Call {
+	return Call{request: r, server: server, at: at, latency: latency, outcome: outcome, content: content}
 }
 
 // Request returns what was sent.
 func (c Call) Request() Request { return c.request }
 
+// Server returns the address of the daemon or target that was asked last.
+func (c Call) Server() string { return c.server }
+
 // At returns the instant at which the request was due.
 func (c Call) At() clock.Millis { return c.at }
 
