Name the parts of the load tool by the terms of the field

Cause: some names were metaphors, and the program returned errors without a kind. Ruled out: leaving names until others use them. Change: renames only; errors of an experiment have an operation and a kind.

--- a/vload/adapt/book/errors.go
+++ b/vload/adapt/lines/errors.go
@@ -1,4 +1,4 @@
-package book
+package lines
 
 import (
 	"fmt"
--- a/vload/adapt/book/line.go
+++ b/vload/adapt/lines/line.go
@@ -1,4 +1,4 @@
-package book
+package lines
 
 import (
 	"encoding/json"
@@ -11,7 +11,7 @@
 type line struct {
 	Kind     string       `json:"kind"`
 	Boot     string       `json:"boot"`
-	Ticket   uint64       `json:"ticket,omitempty"`
+	Sequence uint64       `json:"sequence,omitempty"`
 	At       clock.Millis `json:"at"`
 	Service  string       `json:"service,omitempty"`
 	Instance string       `json:"instance,omitempty"`
@@ -34,7 +34,7 @@
 func encode(l line) []byte {
 	b, err := json.Marshal(l)
 	if err != nil {
-		panic("book: a line of plain fields cannot be encoded: " + err.Error())
+		panic("lines: a line of plain fields cannot be encoded: " + err.Error())
 	}
 	return append(b, '\n')
 }
--- a/vload/adapt/book/read.go
+++ b/vload/adapt/lines/read.go
@@ -1,4 +1,4 @@
-package book
+package lines
 
 import (
 	"bufio"
@@ -29,8 +29,8 @@
 }
 
 type run struct {
-	boot   string
-	ticket uint64
+	boot     string
+	sequence uint64
 }
 
 func (c *collector) file(path string) error {
@@ -63,7 +63,7 @@
 	if c.ends == nil {
 		c.ends = make(map[run]ledger.Ending)
 	}
-	id := run{boot: l.Boot, ticket: l.Ticket}
+	id := run{boot: l.Boot, sequence: l.Sequence}
 	switch l.Kind {
 	case kindBegin:
 		c.begins = append(c.begins, l)
@@ -79,7 +79,7 @@
 func (c *collector) ledger() ledger.Ledger {
 	executions := make([]ledger.Execution, 0, len(c.begins))
 	for _, l := range c.begins {
-		ending, ok := c.ends[run{boot: l.Boot, ticket: l.Ticket}]
+		ending, ok := c.ends[run{boot: l.Boot, sequence: l.Sequence}]
 		if !ok {
 			ending = ledger.Open{}
 		}
--- a/vload/command/admit/admit.go
+++ b/vload/command/admit/admit.go
@@ -10,109 +10,109 @@
 	"verbenabank/vload/state/server"
 )
 
-// Ticket identifies one request within a run of a target.
-type Ticket uint64
+// Sequence identifies one request within a run of a target.
+type Sequence uint64
 
-// Desk holds the slots, the backlog and the epochs of a target. It is for the
+// Admission holds the slots, the backlog and the epochs of a target. It is for the
 // control goroutine only.
-type Desk struct {
+type Admission struct {
 	behavior server.Behavior
-	running  map[Ticket]ledger.Order
+	running  map[Sequence]ledger.Order
 	waiting  []entry
 	epochs   map[uint32]uint64
 }
 
 type entry struct {
-	ticket Ticket
-	order  ledger.Order
+	sequence Sequence
+	order    ledger.Order
 }
 
-// New returns the desk of a target without requests.
-func New(behavior server.Behavior) *Desk {
-	return &Desk{
+// New returns the admission of a target without requests.
+func New(behavior server.Behavior) *Admission {
+	return &Admission{
 		behavior: behavior,
-		running:  make(map[Ticket]ledger.Order),
+		running:  make(map[Sequence]ledger.Order),
 		epochs:   make(map[uint32]uint64),
 	}
 }
 
 // Running returns how many requests hold a slot.
-func (d *Desk) Running() int { return len(d.running) }
+func (a *Admission) Running() int { return len(a.running) }
 
 // Waiting returns how many requests wait for a slot.
-func (d *Desk) Waiting() int { return len(d.waiting) }
+func (a *Admission) Waiting() int { return len(a.waiting) }
 
 // Arrive takes in a request: it runs, is refused, or waits if no effect says
 // otherwise.
-func (d *Desk) Arrive(t Ticket, o ledger.Order, now clock.Millis) []Effect {
-	if d.stale(o, now) {
-		return []Effect{Stale{ticket: t}}
+func (a *Admission) Arrive(t Sequence, o ledger.Order, now clock.Millis) []Effect {
+	if a.stale(o, now) {
+		return []Effect{Stale{sequence: t}}
 	}
-	d.remember(o)
-	if len(d.running) < d.behavior.Slots() {
-		d.running[t] = o
-		return []Effect{Run{ticket: t, at: now}}
+	a.remember(o)
+	if len(a.running) < a.behavior.Slots() {
+		a.running[t] = o
+		return []Effect{Run{sequence: t, at: now}}
 	}
-	if len(d.waiting) >= d.behavior.Backlog() {
-		return []Effect{Shed{ticket: t}}
+	if len(a.waiting) >= a.behavior.Backlog() {
+		return []Effect{Shed{sequence: t}}
 	}
-	d.waiting = append(d.waiting, entry{ticket: t, order: o})
+	a.waiting = append(a.waiting, entry{sequence: t, order: o})
 	return nil
 }
 
 // Commit ends a running request: it takes effect, or is refused if it became
 // stale while it ran. Waiting requests take the free slot.
-func (d *Desk) Commit(t Ticket, now clock.Millis) []Effect {
-	o, ok := d.running[t]
+func (a *Admission) Commit(t Sequence, now clock.Millis) []Effect {
+	o, ok := a.running[t]
 	if !ok {
 		return nil
 	}
-	delete(d.running, t)
-	var first Effect = Commit{ticket: t, at: now}
-	switch d.behavior.Fencing().(type) {
+	delete(a.running, t)
+	var first Effect = Commit{sequence: t, at: now}
+	switch a.behavior.Fencing().(type) {
 	case server.AtCommit:
-		if d.stale(o, now) {
-			first = Stale{ticket: t}
+		if a.stale(o, now) {
+			first = Stale{sequence: t}
 		}
 	case server.AtStart, server.Unfenced:
 	}
-	return append([]Effect{first}, d.next(now)...)
+	return append([]Effect{first}, a.next(now)...)
 }
 
 // Withdraw forgets a request that was given up. Waiting requests take its slot.
-func (d *Desk) Withdraw(t Ticket, now clock.Millis) []Effect {
-	delete(d.running, t)
-	d.waiting = slices.DeleteFunc(d.waiting, func(e entry) bool { return e.ticket == t })
-	return d.next(now)
+func (a *Admission) Withdraw(t Sequence, now clock.Millis) []Effect {
+	delete(a.running, t)
+	a.waiting = slices.DeleteFunc(a.waiting, func(e entry) bool { return e.sequence == t })
+	return a.next(now)
 }
 
-func (d *Desk) next(now clock.Millis) []Effect {
+func (a *Admission) next(now clock.Millis) []Effect {
 	var effects []Effect
-	for len(d.waiting) > 0 && len(d.running) < d.behavior.Slots() {
-		e := d.waiting[0]
-		d.waiting = d.waiting[1:]
-		if d.stale(e.order, now) {
-			effects = append(effects, Stale{ticket: e.ticket})
+	for len(a.waiting) > 0 && len(a.running) < a.behavior.Slots() {
+		e := a.waiting[0]
+		a.waiting = a.waiting[1:]
+		if a.stale(e.order, now) {
+			effects = append(effects, Stale{sequence: e.sequence})
 			continue
 		}
-		d.running[e.ticket] = e.order
-		effects = append(effects, Run{ticket: e.ticket, at: now})
+		a.running[e.sequence] = e.order
+		effects = append(effects, Run{sequence: e.sequence, at: now})
 	}
 	return effects
 }
 
 // stale reports whether a target that checks must refuse the order.
-func (d *Desk) stale(o ledger.Order, now clock.Millis) bool {
-	switch d.behavior.Fencing().(type) {
+func (a *Admission) stale(o ledger.Order, now clock.Millis) bool {
+	switch a.behavior.Fencing().(type) {
 	case server.Unfenced:
 		return false
 	case server.AtStart, server.AtCommit:
 		lapsed := o.Lease() != 0 && !now.Before(o.Lease())
-		return lapsed || o.Epoch() < d.epochs[o.Shard()]
+		return lapsed || o.Epoch() < a.epochs[o.Shard()]
 	}
 	return false
 }
 
-func (d *Desk) remember(o ledger.Order) {
-	d.epochs[o.Shard()] = max(d.epochs[o.Shard()], o.Epoch())
+func (a *Admission) remember(o ledger.Order) {
+	a.epochs[o.Shard()] = max(a.epochs[o.Shard()], o.Epoch())
 }
--- a/vload/command/admit/effect.go
+++ b/vload/command/admit/effect.go
@@ -7,36 +7,36 @@
 
 // Run lets a request run.
 type Run struct {
-	ticket Ticket
-	at     clock.Millis
+	sequence Sequence
+	at       clock.Millis
 }
 
-// Ticket returns the request.
-func (r Run) Ticket() Ticket { return r.ticket }
+// Sequence returns the request.
+func (r Run) Sequence() Sequence { return r.sequence }
 
 // At returns when it began.
 func (r Run) At() clock.Millis { return r.at }
 
 // Shed refuses a request because slots and backlog are full.
-type Shed struct{ ticket Ticket }
+type Shed struct{ sequence Sequence }
 
-// Ticket returns the request.
-func (s Shed) Ticket() Ticket { return s.ticket }
+// Sequence returns the request.
+func (s Shed) Sequence() Sequence { return s.sequence }
 
 // Stale refuses a request because its epoch is old or its lease has lapsed.
-type Stale struct{ ticket Ticket }
+type Stale struct{ sequence Sequence }
 
-// Ticket returns the request.
-func (s Stale) Ticket() Ticket { return s.ticket }
+// Sequence returns the request.
+func (s Stale) Sequence() Sequence { return s.sequence }
 
 // Commit lets a request take effect.
 type Commit struct {
-	ticket Ticket
-	at     clock.Millis
+	sequence Sequence
+	at       clock.Millis
 }
 
-// Ticket returns the request.
-func (c Commit) Ticket() Ticket { return c.ticket }
+// Sequence returns the request.
+func (c Commit) Sequence() Sequence { return c.sequence }
 
 // At returns when it took effect.
 func (c Commit) At() clock.Millis { return c.at }
--- a/vload/command/target/announce.go
+++ b/vload/command/target/announce.go
@@ -57,7 +57,7 @@
 // flight. It must be called once.
 func (t *Target) Leave() {
 	t.tell(left{})
-	if err := t.book.Leave(t.clock.Now()); err != nil {
+	if err := t.ledger.Leave(t.clock.Now()); err != nil {
 		t.log.WithError(err).Warn("leave is not in the ledger")
 	}
 	if t.settings.Admin() != "" {
--- a/vload/command/target/control.go
+++ b/vload/command/target/control.go
@@ -14,16 +14,16 @@
 
 // arrived is a request with the channel for its first effect.
 type arrived struct {
-	ticket  admit.Ticket
-	order   ledger.Order
-	effects chan admit.Effect
+	sequence admit.Sequence
+	order    ledger.Order
+	effects  chan admit.Effect
 }
 
 // finished is a request that is ready to take effect.
-type finished struct{ ticket admit.Ticket }
+type finished struct{ sequence admit.Sequence }
 
 // withdrawn is a request that was given up.
-type withdrawn struct{ ticket admit.Ticket }
+type withdrawn struct{ sequence admit.Sequence }
 
 // tuned changes the behavior of the target.
 type tuned struct{ tuning server.Tuning }
@@ -47,8 +47,8 @@
 
 // control owns the slots, the epochs and the view until the target stops.
 func (t *Target) control() {
-	desk := admit.New(t.settings.Behavior())
-	replies := make(map[admit.Ticket]chan admit.Effect)
+	admission := admit.New(t.settings.Behavior())
+	replies := make(map[admit.Sequence]chan admit.Effect)
 	var report <-chan time.Time
 	if lag := t.settings.Behavior().ReportLag(); lag > 0 {
 		ticker := time.NewTicker(lag.Duration())
@@ -60,27 +60,27 @@
 		case <-t.stopped:
 			return
 		case <-report:
-			t.publish(t.View().WithLoad(server.NewLoad(desk.Running(), desk.Waiting())))
+			t.publish(t.View().WithLoad(server.NewLoad(admission.Running(), admission.Waiting())))
 		case e := <-t.events:
-			t.deliver(replies, t.decide(desk, replies, e))
+			t.deliver(replies, t.decide(admission, replies, e))
 			if report == nil {
-				t.publish(t.View().WithLoad(server.NewLoad(desk.Running(), desk.Waiting())))
+				t.publish(t.View().WithLoad(server.NewLoad(admission.Running(), admission.Waiting())))
 			}
 		}
 	}
 }
 
-func (t *Target) decide(desk *admit.Desk, replies map[admit.Ticket]chan admit.Effect, e event) []admit.Effect {
+func (t *Target) decide(admission *admit.Admission, replies map[admit.Sequence]chan admit.Effect, e event) []admit.Effect {
 	now := t.clock.Now()
 	switch e := e.(type) {
 	case arrived:
-		replies[e.ticket] = e.effects
-		return desk.Arrive(e.ticket, e.order, now)
+		replies[e.sequence] = e.effects
+		return admission.Arrive(e.sequence, e.order, now)
 	case finished:
-		return desk.Commit(e.ticket, now)
+		return admission.Commit(e.sequence, now)
 	case withdrawn:
-		delete(replies, e.ticket)
-		return desk.Withdraw(e.ticket, now)
+		delete(replies, e.sequence)
+		return admission.Withdraw(e.sequence, now)
 	case tuned:
 		t.publish(t.View().WithTuning(e.tuning))
 	case left:
@@ -91,20 +91,20 @@
 
 // deliver hands effects to the requests that wait for them. The channels have
 // room, so it never blocks.
-func (t *Target) deliver(replies map[admit.Ticket]chan admit.Effect, effects []admit.Effect) {
+func (t *Target) deliver(replies map[admit.Sequence]chan admit.Effect, effects []admit.Effect) {
 	for _, e := range effects {
 		switch e := e.(type) {
 		case admit.Run:
-			replies[e.Ticket()] <- e
+			replies[e.Sequence()] <- e
 		case admit.Commit:
-			replies[e.Ticket()] <- e
-			delete(replies, e.Ticket())
+			replies[e.Sequence()] <- e
+			delete(replies, e.Sequence())
 		case admit.Shed:
-			replies[e.Ticket()] <- e
-			delete(replies, e.Ticket())
+			replies[e.Sequence()] <- e
+			delete(replies, e.Sequence())
 		case admit.Stale:
-			replies[e.Ticket()] <- e
-			delete(replies, e.Ticket())
+			replies[e.Sequence()] <- e
+			delete(replies, e.Sequence())
 		}
 	}
 }
--- a/vload/command/target/handle.go
+++ b/vload/command/target/handle.go
@@ -18,11 +18,11 @@
 // handle serves one request on a traffic goroutine.
 func (t *Target) handle(c fiber.Ctx) error {
 	o := order(c)
-	ticket := admit.Ticket(t.tickets.Add(1))
+	sequence := admit.Sequence(t.sequences.Add(1))
 	deadline, stopTimer := deadline(c)
 	defer stopTimer()
 	effects := make(chan admit.Effect, 2)
-	t.tell(arrived{ticket: ticket, order: o, effects: effects})
+	t.tell(arrived{sequence: sequence, order: o, effects: effects})
 	select {
 	case e := <-effects:
 		switch e := e.(type) {
@@ -37,27 +37,27 @@
 	case <-deadline:
 	case <-t.stopped:
 	}
-	t.tell(withdrawn{ticket: ticket})
+	t.tell(withdrawn{sequence: sequence})
 	return c.SendStatus(fiber.StatusServiceUnavailable)
 }
 
 // run executes a request that holds a slot.
 func (t *Target) run(c fiber.Ctx, o ledger.Order, e admit.Run, effects <-chan admit.Effect, deadline <-chan time.Time) error {
-	ticket := uint64(e.Ticket())
-	if err := t.book.Begin(ticket, o, e.At()); err != nil {
-		t.tell(withdrawn{ticket: e.Ticket()})
+	sequence := uint64(e.Sequence())
+	if err := t.ledger.Begin(sequence, o, e.At()); err != nil {
+		t.tell(withdrawn{sequence: e.Sequence()})
 		return err
 	}
 	text, whole := upload(c)
 	if !whole || !t.serve(c, o, deadline) {
-		t.tell(withdrawn{ticket: e.Ticket()})
-		if err := t.book.Abort(ticket, t.clock.Now()); err != nil {
+		t.tell(withdrawn{sequence: e.Sequence()})
+		if err := t.ledger.Abort(sequence, t.clock.Now()); err != nil {
 			return err
 		}
 		c.RequestCtx().SetConnectionClose()
 		return c.SendStatus(fiber.StatusGatewayTimeout)
 	}
-	t.tell(finished{ticket: e.Ticket()})
+	t.tell(finished{sequence: e.Sequence()})
 	select {
 	case end := <-effects:
 		return t.answer(c, o, end, text)
@@ -89,11 +89,11 @@
 func (t *Target) answer(c fiber.Ctx, o ledger.Order, e admit.Effect, text []byte) error {
 	switch e := e.(type) {
 	case admit.Commit:
-		if err := t.book.Commit(uint64(e.Ticket()), e.At()); err != nil {
+		if err := t.ledger.Commit(uint64(e.Sequence()), e.At()); err != nil {
 			return err
 		}
 	case admit.Stale:
-		if err := t.book.Abort(uint64(e.Ticket()), t.clock.Now()); err != nil {
+		if err := t.ledger.Abort(uint64(e.Sequence()), t.clock.Now()); err != nil {
 			return err
 		}
 		return refuseStale(c)
--- a/vload/command/target/target.go
+++ b/vload/command/target/target.go
@@ -12,7 +12,7 @@
 	"github.com/sourcegraph/conc"
 
 	"verbenabank/core/clock"
-	"verbenabank/vload/adapt/book"
+	"verbenabank/vload/adapt/lines"
 	"verbenabank/vload/query/show"
 	"verbenabank/vload/state/server"
 )
@@ -21,19 +21,19 @@
 
 // Target is one running stand-in target.
 type Target struct {
-	settings server.Settings
-	clock    *clock.Clock
-	log      *logrus.Entry
-	boot     string
-	book     *book.Book
-	app      *fiber.App
-	listener net.Listener
-	events   chan event
-	leaves   chan chan struct{}
-	stopped  chan struct{}
-	view     atomic.Pointer[server.View]
-	tickets  atomic.Uint64
-	group    conc.WaitGroup
+	settings  server.Settings
+	clock     *clock.Clock
+	log       *logrus.Entry
+	boot      string
+	ledger    *lines.Writer
+	app       *fiber.App
+	listener  net.Listener
+	events    chan event
+	leaves    chan chan struct{}
+	stopped   chan struct{}
+	view      atomic.Pointer[server.View]
+	sequences atomic.Uint64
+	group     conc.WaitGroup
 }
 
 // Option sets one property of a Target.
@@ -59,14 +59,14 @@
 	}
 	view := server.NewView(t.clock.Now())
 	t.view.Store(&view)
-	b, closeBook, err := book.New(t.settings.Ledger(), t.boot, t.settings.Service(), t.settings.Instance())
+	b, closeLedger, err := lines.New(t.settings.Ledger(), t.boot, t.settings.Service(), t.settings.Instance())
 	if err != nil {
 		return nil, nil, err
 	}
-	t.book = b
+	t.ledger = b
 	t.listener, err = listen(t.settings.Listen(), t.settings.Behavior())
 	if err != nil {
-		closeBook()
+		closeLedger()
 		return nil, nil, err
 	}
 	t.app = fiber.New(fiber.Config{BodyLimit: bodyLimit, StreamRequestBody: true})
@@ -77,7 +77,7 @@
 	if t.settings.Admin() != "" {
 		t.group.Go(t.announce)
 	}
-	return t, func() { t.stop(closeBook) }, nil
+	return t, func() { t.stop(closeLedger) }, nil
 }
 
 // View returns what the target shows of itself.
@@ -92,11 +92,11 @@
 	return nil
 }
 
-func (t *Target) stop(closeBook func()) {
+func (t *Target) stop(closeLedger func()) {
 	if err := t.app.Shutdown(); err != nil {
 		t.log.WithError(err).Warn("stop of the server failed")
 	}
 	close(t.stopped)
 	t.group.Wait()
-	closeBook()
+	closeLedger()
 }
--- a/vload/command/target/target_test.go
+++ b/vload/command/target/target_test.go
@@ -11,7 +11,7 @@
 	"github.com/matryer/is"
 
 	"verbenabank/core/clock"
-	"verbenabank/vload/adapt/book"
+	"verbenabank/vload/adapt/lines"
 	"verbenabank/vload/query/body"
 	"verbenabank/vload/state/ledger"
 	"verbenabank/vload/state/server"
@@ -73,12 +73,12 @@
 		is.NoErr(err)
 		is.Equal(status, c.status) // unexpected answer
 	}
-	book, err := book.Read(path)
+	written, err := lines.Read(path)
 	is.NoErr(err)
-	is.Equal(len(book.Executions()), 2)
-	_, committed := book.Executions()[0].Ending().(ledger.Committed)
+	is.Equal(len(written.Executions()), 2)
+	_, committed := written.Executions()[0].Ending().(ledger.Committed)
 	is.True(committed)
-	_, aborted := book.Executions()[1].Ending().(ledger.Aborted)
+	_, aborted := written.Executions()[1].Ending().(ledger.Aborted)
 	is.True(aborted)
 }
 
@@ -88,8 +88,8 @@
 	_, err := send(address, "1", 1, 0, 200*time.Millisecond)
 	is.True(err != nil)
 	time.Sleep(200 * time.Millisecond)
-	book, err := book.Read(path)
+	written, err := lines.Read(path)
 	is.NoErr(err)
-	_, aborted := book.Executions()[0].Ending().(ledger.Aborted)
+	_, aborted := written.Executions()[0].Ending().(ledger.Aborted)
 	is.True(aborted)
 }
--- a/vload/main.go
+++ b/vload/main.go
@@ -18,7 +18,7 @@
 	flaggy.SetName("vload")
 	flaggy.SetDescription("Stand-in targets and load for verbenabank.")
 	flaggy.DefaultParser.DisableShowVersionWithVersion()
-	serve, run, keep := newServe(), newRun(), newKeep()
+	serve, run, supervise := newServe(), newRun(), newSupervise()
 	flaggy.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -28,8 +28,8 @@
 		err = serve.execute(ctx, log)
 	case run.command.Used:
 		err = run.execute(ctx, log)
-	case keep.command.Used:
-		err = keep.execute(ctx, log)
+	case supervise.command.Used:
+		err = supervise.execute(ctx, log)
 	default:
 		flaggy.ShowHelpAndExit("")
 	}
--- a/vload/run.go
+++ b/vload/run.go
@@ -12,9 +12,9 @@
 	"github.com/sirupsen/logrus"
 
 	"verbenabank/core/clock"
-	"verbenabank/vload/adapt/book"
 	"verbenabank/vload/adapt/conf"
 	"verbenabank/vload/adapt/graph"
+	"verbenabank/vload/adapt/lines"
 	"verbenabank/vload/command/drive"
 	"verbenabank/vload/query/report"
 	"verbenabank/vload/state/layout"
@@ -124,7 +124,7 @@
 	closeDrive()
 	outages := f.Outages()
 	stopped := stop()
-	ledger, err := book.Read(f.Ledgers()...)
+	ledger, err := lines.Read(f.Ledgers()...)
 	if err != nil {
 		return report.Run{}, stopped, err
 	}
@@ -171,10 +171,10 @@
 	case plan.Daemons:
 	}
 	if !p.Promises().Kept() {
-		return errors.New("a promise was broken")
+		return fail("judge", PromiseBroken)
 	}
 	if p.AnsweredPercent() < e.Answered() {
-		return errors.New("too few requests were answered")
+		return fail("judge", TooFewAnswers)
 	}
 	return nil
 }
--- a/vload/keep.go
+++ b/vload/supervise.go
@@ -17,8 +17,8 @@
 
 const readyWithin = 30 * clock.Second
 
-// keep is the command line of the supervisor.
-type keep struct {
+// supervise is the command line of the supervisor.
+type supervise struct {
 	command *flaggy.Subcommand
 	path    string
 	place   place
@@ -74,27 +74,27 @@
 	return f, stop, nil
 }
 
-func newKeep() *keep {
-	k := &keep{command: flaggy.NewSubcommand("fleet")}
-	k.command.Description = "Run the processes of a layout until a signal, then stop them gracefully."
-	k.command.AddPositionalValue(&k.path, "LAYOUT", 1, true, "layout file")
-	k.place.flags(k.command)
-	flaggy.AttachSubcommand(k.command, 1)
-	return k
+func newSupervise() *supervise {
+	s := &supervise{command: flaggy.NewSubcommand("fleet")}
+	s.command.Description = "Run the processes of a layout until a signal, then stop them gracefully."
+	s.command.AddPositionalValue(&s.path, "LAYOUT", 1, true, "layout file")
+	s.place.flags(s.command)
+	flaggy.AttachSubcommand(s.command, 1)
+	return s
 }
 
-func (k *keep) execute(ctx context.Context, log *logrus.Logger) error {
-	l, err := conf.ReadLayout(k.path)
+func (s *supervise) execute(ctx context.Context, log *logrus.Logger) error {
+	l, err := conf.ReadLayout(s.path)
 	if err != nil {
 		return err
 	}
-	l = l.WithSubnet(k.place.subnet)
-	_, stop, err := k.place.start(ctx, l, true, log)
+	l = l.WithSubnet(s.place.subnet)
+	_, stop, err := s.place.start(ctx, l, true, log)
 	if err != nil {
 		return err
 	}
-	for _, s := range l.Services() {
-		fmt.Printf("try: curl -i http://%s/%s/key-1\n", l.Instances()[0].Callers(), s.Name())
+	for _, v := range l.Services() {
+		fmt.Printf("try: curl -i http://%s/%s/key-1\n", l.Instances()[0].Callers(), v.Name())
 	}
 	fmt.Println("an interrupt stops all processes")
 	<-ctx.Done()
