Let a target end when its server fails

Cause: a target whose server failed waited for a signal before it ended. Ruled out: nothing else. Change: the end of the server ends the wait for a signal. Conclusion: no target hangs after an error.

--- a/vload/serve.go
+++ b/vload/serve.go
@@ -35,10 +35,14 @@
 		return err
 	}
 	defer stop()
+	stopping, cancel := context.WithCancel(ctx)
 	var group conc.WaitGroup
-	defer group.Wait()
+	defer func() {
+		cancel()
+		group.Wait()
+	}()
 	group.Go(func() {
-		<-ctx.Done()
+		<-stopping.Done()
 		t.Leave()
 	})
 	return t.Serve()
