Let baselines without retries not retry

Cause: the baseline that never retries had the same results as the one that always does, since callers went to a second server after a refused connection. Ruled out: an experiment file for baselines alone. Change: a second entry is for daemons only. Conclusion: baselines do what their names say.

--- a/vload/command/drive/send.go
+++ b/vload/command/drive/send.go
@@ -73,7 +73,7 @@
 	case result.Answered:
 		return false
 	case result.Refused:
-		if d.experiment.SecondEntry() && o.Reason() == result.Unreachable {
+		if d.secondEntry() && o.Reason() == result.Unreachable {
 			return true
 		}
 	case result.Unknown:
@@ -86,3 +86,15 @@
 	}
 	return false
 }
+
+// secondEntry reports whether callers try another daemon after a refused
+// connection. Baselines have no daemons.
+func (d *Drive) secondEntry() bool {
+	switch d.experiment.Routing().(type) {
+	case plan.Daemons:
+		return d.experiment.SecondEntry()
+	case plan.Modulo, plan.Random, plan.RoundRobin:
+		return false
+	}
+	return false
+}
