Measure how the cost of control grows with the size of a fleet

Nothing in the tree gave a slope.

Ruled out: a simulation in one process, since it shows neither sockets nor synced disks; real daemons with targets, since some hundred pairs of processes do not fit one machine with others at work; a package inside verbenad, since the tool is a program of its own and its stand-ins need not ship with the daemon.

Change: the module vscale. It runs three real control replicas as processes with synced logs, and stand-in daemons in its own process: the control goroutine, the agent and the uplink of verbenad, without traffic and without a target. It measures idle renewals, configuration changes and the loss of the leader at 25 to 400 stand-ins, grants of shards, and state and decisions alone up to 65,536 shards and 7,200 members; it fits a line to each quantity and writes a table and a JSON file. make capacity runs it.

--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,11 @@
-MODULES := core verbenad verbena vload
+MODULES := core verbenad verbena vload vscale
 BIN := bin
 
-.PHONY: build run test race lint format model generate
+.PHONY: build run test race lint format model generate capacity
 
 build:
 	@mkdir -p $(BIN)
-	go build -o $(BIN)/ ./verbenad ./verbena ./vload
+	go build -o $(BIN)/ ./verbenad ./verbena ./vload ./vscale
 
 run: build
 	@scripts/run
@@ -21,6 +21,9 @@
 	  (cd $$m && ../.tools/golangci-lint fmt --config ../.golangci.yml --diff ./... && \
 	  ../.tools/golangci-lint run --config ../.golangci.yml ./...) || exit 1; done
 
+capacity: build
+	$(BIN)/vscale
+
 format:
 	@for m in $(MODULES); do (cd $$m && ../.tools/golangci-lint fmt --config ../.golangci.yml ./...); done
 
--- /dev/null
+++ b/vscale/command/group/settings.go
@@ -0,0 +1,41 @@
+package group
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+// settings writes the settings file of a replica.
+func (g *Group) settings(r *Replica) error {
+	type listen struct {
+		Callers string `json:"callers"`
+		Peers   string `json:"peers"`
+		Admin   string `json:"admin"`
+	}
+	type control struct {
+		Folder string `json:"data_folder"`
+		Form   bool   `json:"form"`
+	}
+	wire := struct {
+		Instance string   `json:"instance"`
+		Zone     string   `json:"zone"`
+		Listen   listen   `json:"listen"`
+		Replicas []string `json:"replicas"`
+		Secret   string   `json:"secret_file"`
+		Control  control  `json:"control"`
+	}{
+		Instance: fmt.Sprintf("control-%d", r.number+1), Zone: fmt.Sprintf("zone-%d", r.number+1),
+		Listen:   listen{Callers: fmt.Sprintf("%s:%d", r.address, entryPort), Peers: r.peers(), Admin: r.admin()},
+		Replicas: g.Addresses(), Secret: "../secret", Control: control{Folder: "data", Form: true},
+	}
+	data, err := json.Marshal(wire)
+	if err != nil {
+		return fail("encode settings", NotStarted, err)
+	}
+	if err := os.WriteFile(filepath.Join(r.folder, "daemon.jsonc"), data, 0o644); err != nil {
+		return fail("write settings", NotStarted, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/vscale/command/stand/idle.go
@@ -0,0 +1,27 @@
+package stand
+
+import "verbenabank/core/state/table"
+
+// idle is the traffic side of a daemon without traffic.
+type idle struct{}
+
+// Use takes a target that is never asked.
+func (idle) Use(string, string) {}
+
+// Drop closes nothing.
+func (idle) Drop() {}
+
+// Drained calls notify, since no request is in flight.
+func (idle) Drained(_ string, _ table.Shard, notify func()) { notify() }
+
+// Empty calls notify, since no request is in flight.
+func (idle) Empty(notify func()) { notify() }
+
+// Freed needs no answer.
+func (idle) Freed() {}
+
+// Stopped needs no answer.
+func (idle) Stopped() {}
+
+// Failed needs no answer; a stand-in without leases shows it.
+func (idle) Failed(error) {}
