--- a/verbenad/adapt/hop/errand.go
+++ b/verbenad/adapt/hop/errand.go
@@ -159,7 +159,7 @@
 // Close cancels the request if the answer was not read to its end.
 func (b *answerBody) Close() error {
 	if b.err == nil {
-		b.end(errors.New("hop: answer was closed"))
+		b.end(call.NewError("close answer of peer", result.Cancelled))
 	}
 	return nil
 }
--- a/verbenad/adapt/target/exchange.go
+++ b/verbenad/adapt/target/exchange.go
@@ -141,8 +141,6 @@
 	inlineBytes = 8 << 10
 )
 
-var errShort = errors.New("body is shorter than announced")
-
 func (x *exchange) copyBody() error {
 	w := x.conn.writer
 	if x.request.Length() < 0 {
@@ -159,7 +157,7 @@
 		return err
 	}
 	if n < x.request.Length() {
-		return errShort
+		return &Error{op: "send body", kind: ShortBody}
 	}
 	return w.Flush()
 }
--- a/verbenad/command/entry/body.go
+++ b/verbenad/command/entry/body.go
@@ -1,22 +1,13 @@
 package entry
 
 import (
-	"errors"
 	"io"
 	"sync"
 )
 
-const (
-	// replayBytes is how much of a body is kept for another attempt. It covers what a
-	// hop sends before the other daemon admits the request.
-	replayBytes = 192 << 10
-)
-
-var (
-	errTooLarge  = errors.New("entry: body is over its limit")
-	errTruncated = errors.New("entry: body is shorter than announced")
-	errAbandoned = errors.New("entry: attempt is over")
-)
+// replayBytes is how much of a body is kept for another attempt. It covers what a hop
+// sends before the other daemon admits the request.
+const replayBytes = 192 << 10
 
 // body is the body of a request, read from the caller once and kept in part, so that
 // attempts which surely did not run can be made again.
@@ -34,7 +25,7 @@
 	attempt int
 	over    bool // kept is not all that was read
 	whole   bool
-	err     error
+	err     *Error
 }
 
 // newBody returns the body of announced length, -1 if it is not announced, and at
@@ -61,7 +52,7 @@
 }
 
 // fault returns why the body could not be read whole, nil if there was no fault.
-func (b *body) fault() error {
+func (b *body) fault() *Error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.err
@@ -111,7 +102,7 @@
 	defer b.mu.Unlock()
 	switch {
 	case a.attempt != b.attempt:
-		return 0, errAbandoned, true
+		return 0, unread(Abandoned, nil), true
 	case a.offset < b.read && !b.over:
 		n := copy(p, b.kept[a.offset:])
 		a.offset += int64(n)
@@ -139,15 +130,15 @@
 	}
 	switch {
 	case b.read > b.limit:
-		b.err = errTooLarge
+		b.err = unread(Oversized, nil)
 	case err == io.EOF && b.length >= 0 && b.read < b.length:
-		b.err = errTruncated
+		b.err = unread(Short, nil)
 	case err == io.EOF, err == nil && b.read == b.length:
 		b.whole = true
 		err = io.EOF
 		b.onWhole()
 	case err != nil:
-		b.err = err
+		b.err = unread(Unread, err)
 	}
 	if b.err != nil {
 		return 0, b.err
--- a/verbenad/command/entry/task.go
+++ b/verbenad/command/entry/task.go
@@ -123,7 +123,7 @@
 	switch fault := t.body.fault(); {
 	case fault == nil:
 		return o
-	case errors.Is(fault, errTooLarge):
+	case fault.Kind() == Oversized:
 		return result.NewUnknown(result.TooLarge)
 	case errors.Is(fault, os.ErrDeadlineExceeded):
 		return result.NewUnknown(result.TimedOut)
