Check confirmed reads for linearizability

Cause: renewals and queries rest on Confirmed; that a confirmed leader shows the newest state was checked by index only. Change: clients of a register write through the log and read after Confirmed; porcupine judges their histories, and must find a broken guard.

--- a/core/command/raft/check_test.go
+++ b/core/command/raft/check_test.go
@@ -18,13 +18,14 @@
 	votes     map[ballotKey]peer.ID
 	cast      map[ballotKey]bool
 	entries   map[entryKey]entryFacts
-	history   map[peer.Index]entryKey
+	chosen    map[peer.Index]entryKey
 	decided   map[peer.Index]peer.Term // of the leader that committed
 	states    map[peer.Index]uint64
 	top       peer.Index
 	started   map[roundKey]int
 	asks      map[uint64]question
 	events    int
+	history   history
 	applied   int
 	confirms  int
 	elections int
@@ -60,7 +61,7 @@
 func newChecker() *checker {
 	return &checker{
 		groups: map[peer.Group]bool{}, leaders: map[peer.Term]peer.ID{}, elected: map[peer.Term]int{},
-		votes: map[ballotKey]peer.ID{}, cast: map[ballotKey]bool{}, entries: map[entryKey]entryFacts{}, history: map[peer.Index]entryKey{},
+		votes: map[ballotKey]peer.ID{}, cast: map[ballotKey]bool{}, entries: map[entryKey]entryFacts{}, chosen: map[peer.Index]entryKey{},
 		decided: map[peer.Index]peer.Term{}, states: map[peer.Index]uint64{}, started: map[roundKey]int{}, asks: map[uint64]question{},
 	}
 }
@@ -148,8 +149,8 @@
 		c.elected[b.Term()] = c.events
 	}
 	for i := max(h.node.log.base, firstIndex) + 1; i <= c.top; i++ {
-		if t := h.node.log.termAt(i); t != c.history[i].term && c.decided[i] < b.Term() {
-			c.fail("committed entries: leader of term %d has term %d at %d, committed %d", b.Term(), t, i, c.history[i].term)
+		if t := h.node.log.termAt(i); t != c.chosen[i].term && c.decided[i] < b.Term() {
+			c.fail("committed entries: leader of term %d has term %d at %d, committed %d", b.Term(), t, i, c.chosen[i].term)
 			return
 		}
 	}
@@ -166,12 +167,12 @@
 		c.fail("one group: host %d committed in a second one", h.number)
 	}
 	k := entryKey{e.Index(), e.Term()}
-	old, ok := c.history[e.Index()]
+	old, ok := c.chosen[e.Index()]
 	if ok && old != k {
 		c.fail("committed entries: %v and %v", old, k)
 	}
 	if !ok {
-		c.history[e.Index()], c.decided[e.Index()] = k, h.node.term
+		c.chosen[e.Index()], c.decided[e.Index()] = k, h.node.term
 	}
 	c.top = max(c.top, e.Index())
 }
@@ -213,6 +214,7 @@
 func (c *checker) confirmed(h *host, tokens []uint64) {
 	for _, t := range tokens {
 		c.confirms++
+		c.history.read(t, h.value, c.events)
 		q, ok := c.asks[t]
 		if !ok {
 			continue
--- a/core/command/raft/host_test.go
+++ b/core/command/raft/host_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"strings"
 
 	"verbenabank/core/clock"
@@ -26,15 +27,16 @@
 	since   clock.Millis // when that was
 	syncMax int          // greatest time of a sync in ms
 	disk    peer.Stored
-	pending []write
+	pending []unsynced
 	index   peer.Index
 	state   uint64
+	value   uint64 // the token in the last command
 	wiped   int
 	later   []Event // to take after the effects of the present step
 }
 
-// write is a batch that is not yet durable.
-type write struct {
+// unsynced is a batch that is not yet durable.
+type unsynced struct {
 	at    clock.Millis
 	batch peer.Batch
 }
@@ -51,7 +53,7 @@
 	r := h.world.random
 	h.node = New(WithAddress(h.address), WithSeeds(h.seeds...), WithForm(true), WithTrail(20), WithChunk(64),
 		WithRandom(r.Uint64(), r.Uint64()), WithStored(h.disk))
-	h.inbox, h.pending, h.index, h.state = nil, nil, 0, 0
+	h.inbox, h.pending, h.index, h.state, h.value = nil, nil, 0, 0, 0
 	h.step(Started{})
 }
 
@@ -161,7 +163,7 @@
 		h.apply(f.Entries())
 	case Restore:
 		s := f.Snapshot()
-		h.index, h.state = s.Index(), binary.BigEndian.Uint64(s.Data())
+		h.index, h.state, h.value = s.Index(), binary.BigEndian.Uint64(s.Data()), binary.BigEndian.Uint64(s.Data()[8:])
 		w.check.reached(h, "restore")
 	case Confirmed:
 		w.check.confirmed(h, f.Tokens())
@@ -183,7 +185,7 @@
 	if k := len(h.pending); k > 0 {
 		at = max(at, h.pending[k-1].at)
 	}
-	h.pending = append(h.pending, write{at: at, batch: b})
+	h.pending = append(h.pending, unsynced{at: at, batch: b})
 	if w.weak.ackBeforeSync {
 		h.later = append(h.later, NewPersisted(b.Sequence()))
 	}
@@ -217,12 +219,15 @@
 		h.index = e.Index()
 		if p, ok := e.Payload().(peer.Command); ok {
 			h.state = digest(h.state, p.Data())
+			_, _ = fmt.Sscanf(string(p.Data()), "command %d", &h.value)
+			h.world.check.history.wrote(c.Token(), h.world.check.events)
 		}
 		h.world.check.committed(h, e)
 		h.world.check.reached(h, "apply")
 	}
 	if h.node.Status().First()+60 < h.index {
 		data := binary.BigEndian.AppendUint64(nil, h.state)
+		data = binary.BigEndian.AppendUint64(data, h.value)
 		data = append(data, strings.Repeat("s", 500)...)
 		h.later = append(h.later, NewCompacted(h.index, data))
 	}
--- /dev/null
+++ b/core/command/raft/linear_test.go
@@ -0,0 +1,113 @@
+package raft
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"pgregory.net/rapid"
+
+	"verbenabank/core/clock"
+)
+
+// history holds what clients asked of a register, and what they learned. It is
+// off while operations is nil.
+type history struct {
+	operations map[uint64]*porcupine.Operation
+}
+
+// request is what a client asks: write or read.
+type request interface{ request() }
+
+type (
+	write uint64
+	read  struct{}
+)
+
+func (write) request() {}
+func (read) request()  {}
+
+func (h *history) called(token uint64, r request, at int) {
+	if h.operations != nil {
+		h.operations[token] = &porcupine.Operation{Input: r, Call: int64(at), Return: math.MaxInt64}
+	}
+}
+
+func (h *history) wrote(token uint64, at int) {
+	if o, ok := h.operations[token]; ok {
+		o.Return = int64(at)
+	}
+}
+
+func (h *history) read(token, value uint64, at int) {
+	if o, ok := h.operations[token]; ok {
+		o.Return, o.Output = int64(at), value
+	}
+}
+
+// finished returns all operations but the reads that were never answered.
+func (h *history) finished() []porcupine.Operation {
+	var list []porcupine.Operation
+	for _, o := range h.operations {
+		if _, ok := o.Input.(read); !ok || o.Output != nil {
+			list = append(list, *o)
+		}
+	}
+	return list
+}
+
+var register = porcupine.Model{
+	Init: func() any { return uint64(0) },
+	Step: func(state, input, output any) (bool, any) {
+		switch r := input.(type) {
+		case write:
+			return true, uint64(r)
+		case read:
+			return output == state, state
+		}
+		return false, state
+	},
+}
+
+// judge plays a world and checks the history of its clients.
+func judge(t *rapid.T, b breakage) porcupine.CheckResult {
+	w := newWorld(uint64(draw(t, 1<<62, "seed")), 3)
+	defer count(w)
+	w.weak, w.check.only = b, "none"
+	w.check.history.operations = map[uint64]*porcupine.Operation{}
+	for range 20 {
+		for range 4 {
+			w.traffic()
+			_ = w.run(30)
+		}
+		f := timed{span: clock.Millis(150 + draw(t, 200, "span")), fault: drawFault(t, 3)}
+		if _, ok := f.fault.(wipe); !ok {
+			w.inject(f)
+		}
+	}
+	return porcupine.CheckOperationsTimeout(register, w.check.history.finished(), 2*time.Second)
+}
+
+func TestConfirmedReadsAreLinearizable(t *testing.T) {
+	results := map[porcupine.CheckResult]int{}
+	runs := rapid.Custom(func(t *rapid.T) porcupine.CheckResult { return judge(t, breakage{}) })
+	for seed := range 100 {
+		results[runs.Example(seed)]++
+	}
+	t.Logf("%v", results)
+	if results[porcupine.Illegal] > 0 || results[porcupine.Ok] < 90 {
+		t.Fatalf("%v", results)
+	}
+}
+
+func TestStaleReadsAreFound(t *testing.T) {
+	runs := rapid.Custom(func(t *rapid.T) porcupine.CheckResult { return judge(t, breakage{oldTerm: true}) })
+	for seed := 470; seed < 2470; seed++ {
+		if runs.Example(seed) == porcupine.Illegal {
+			t.Logf("run %d", seed)
+			return
+		}
+	}
+	t.Fatal("not found in 2000 runs")
+}
--- a/core/command/raft/random_test.go
+++ b/core/command/raft/random_test.go
@@ -135,6 +135,12 @@
 	t.Logf("%+v", totals)
 }
 
+func TestOneReplicaServesAlone(t *testing.T) {
+	if err := newWorld(1, 1).recover(); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func TestCalmGroupFoundsItselfAndServes(t *testing.T) {
 	w := newWorld(1, 3)
 	if err := w.run(clock.Second); err != nil {
--- a/core/command/raft/world_test.go
+++ b/core/command/raft/world_test.go
@@ -201,10 +201,12 @@
 		}
 		if w.random.IntN(3) == 0 {
 			w.tokens++
+			w.check.history.called(w.tokens, write(w.tokens), w.check.events)
 			h.step(NewOffered(w.tokens, fmt.Appendf(nil, "command %d", w.tokens)))
 		}
 		if w.random.IntN(3) == 0 {
 			w.tokens++
+			w.check.history.called(w.tokens, read{}, w.check.events)
 			h.ask(w.tokens)
 		}
 	}
