--- a/vscale/command/stand/idle.go
+++ b/vscale/command/stand/idle.go
@@ -1,6 +1,9 @@
 package stand
 
-import "verbenabank/core/state/table"
+import (
+	"verbenabank/core/clock"
+	"verbenabank/core/state/table"
+)
 
 // idle is the traffic side of a daemon without traffic.
 type idle struct{}
@@ -11,6 +14,9 @@
 // Drop closes nothing.
 func (idle) Drop() {}
 
+// Quiet calls notify, since no request is in flight.
+func (idle) Quiet(_ string, _ table.Shard, _, _ clock.Millis, notify func()) { notify() }
+
 // Drained calls notify, since no request is in flight.
 func (idle) Drained(_ string, _ table.Shard, notify func()) { notify() }
 
