Close a stopping daemon's ports only when the others know it is gone

Cause: TestPlannedStopOfADaemon saw 29 requests end unknown: daemons that waited for a new owner asked the old one again just as its ports closed. Ruled out: requests in flight that were cut (the count was zero); the overload of the machine, which showed as refusals instead. Change: a stopping daemon waits up to 1 s until its own table lacks it, and its port for daemons answers what it took before it closes.

--- a/core/command/agent/exit.go
+++ b/core/command/agent/exit.go
@@ -1,13 +1,22 @@
 package agent
 
 import (
+	"math"
+
 	"verbenabank/core/clock"
 	"verbenabank/core/state/rules"
 	"verbenabank/core/state/table"
 )
 
+const (
+	// goneWait is how long a stopping daemon waits until the others know that it
+	// is gone, so that nothing is sent to it when its ports close.
+	goneWait = clock.Second
+	never    = clock.Millis(math.MaxInt64)
+)
+
 // exit is how far the daemon is with giving up its target: staying, leaving,
-// draining or fading.
+// draining, fading or gone.
 type exit interface{ exit() }
 
 // staying daemons serve their target.
@@ -28,10 +37,14 @@
 	purpose purpose
 }
 
+// gone daemons hold nothing and wait until the others know, or the instant.
+type gone struct{ until clock.Millis }
+
 func (staying) exit()  {}
 func (leaving) exit()  {}
 func (draining) exit() {}
 func (fading) exit()   {}
+func (gone) exit()     {}
 
 // purpose is why a target is given up: stopping, withdrawing or losing.
 type purpose interface{ purpose() }
@@ -52,7 +65,7 @@
 // parted reports whether the target takes no new work.
 func (a *Agent) parted() bool {
 	switch a.leave.(type) {
-	case draining, fading:
+	case draining, fading, gone:
 		return true
 	case staying, leaving:
 		return false
@@ -62,8 +75,13 @@
 
 // silent reports whether renewals are stopped.
 func (a *Agent) silent() bool {
-	_, ok := a.leave.(fading)
-	return ok
+	switch a.leave.(type) {
+	case fading, gone:
+		return true
+	case staying, leaving, draining:
+		return false
+	}
+	return true
 }
 
 // deadline returns the instant at which the exit goes on by itself.
@@ -73,6 +91,8 @@
 		return l.until, true
 	case fading:
 		return l.until, true
+	case gone:
+		return l.until, true
 	case staying, draining:
 		return 0, false
 	}
@@ -90,6 +110,11 @@
 		if a.now >= l.until {
 			a.finish(l.purpose)
 		}
+	case gone:
+		if _, known := a.table.Member(a.self); l.until != never && (!known || a.now >= l.until) {
+			a.leave = gone{until: never}
+			a.emit(Stopped{})
+		}
 	case staying, draining:
 	}
 }
@@ -148,8 +173,7 @@
 	switch p.(type) {
 	case stopping:
 		a.giveUp()
-		a.leave = draining{purpose: p}
-		a.emit(Stopped{})
+		a.leave = gone{until: a.now.Add(goneWait)}
 	case withdrawing:
 		a.emit(Freed{})
 		a.replaceIdentity()
--- a/core/command/agent/session.go
+++ b/core/command/agent/session.go
@@ -111,7 +111,7 @@
 func (a *Agent) checkMembership() {
 	_, present := a.table.Member(a.self)
 	switch {
-	case present && !a.joined:
+	case present && !a.joined && !a.silent():
 		a.joined = true
 		a.nextRenew = a.now
 	case !present && a.joined:
--- a/core/command/agent/target.go
+++ b/core/command/agent/target.go
@@ -72,5 +72,6 @@
 		a.leave = draining{purpose: stopping{}}
 	case fading:
 		a.leave = fading{until: l.until, purpose: stopping{}}
+	case gone:
 	}
 }
--- a/verbenad/command/serve/run.go
+++ b/verbenad/command/serve/run.go
@@ -22,6 +22,8 @@
 	leaveWithin = 60 * time.Second
 	// callersWithin bounds the answers to callers that are still connected.
 	callersWithin = 10 * time.Second
+	// peersWithin bounds the answers to other daemons.
+	peersWithin = 500 * time.Millisecond
 	// handoverWait gives a leader time to hand over before the ports close.
 	handoverWait = 300 * time.Millisecond
 )
@@ -88,10 +90,13 @@
 	return err
 }
 
-// stopServers closes the remaining ports.
+// stopServers closes the remaining ports. Requests of other daemons are answered;
+// the streams of replicas have no end of their own and are cut.
 func (d *Daemon) stopServers() {
 	_ = d.admin.ShutdownWithTimeout(time.Second)
-	d.peers.Stop()
+	cut := time.AfterFunc(peersWithin, d.peers.Stop)
+	defer cut.Stop()
+	d.peers.GracefulStop()
 }
 
 // audit returns the audit trail, from this replica or from another.
