--- a/verbenad/query/admin/status.go
+++ b/verbenad/query/admin/status.go
@@ -1,7 +1,9 @@
 package admin
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 
 	"github.com/gofiber/fiber/v3"
 
@@ -88,6 +90,9 @@
 			Address: m.Address(), Incarnation: hex(m.Incarnation()), Shards: counts[m.Incarnation()],
 		})
 	}
+	slices.SortFunc(list, func(a, b member) int {
+		return cmp.Or(cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
 	return list
 }
 
