Bound requests in the random runs, and test what stops a node

Cause: the coverage of the runs showed that requests never reached their bound, and that three of the own invariants were never broken. Change: the bound of a request is an option, small in the runs; a test sends what only a broken peer sends.

--- a/core/command/raft/host_test.go
+++ b/core/command/raft/host_test.go
@@ -51,7 +51,7 @@
 
 func (h *host) start() {
 	r := h.world.random
-	h.node = New(WithAddress(h.address), WithSeeds(h.seeds...), WithForm(true), WithTrail(20), WithChunk(64),
+	h.node = New(WithAddress(h.address), WithSeeds(h.seeds...), WithForm(true), WithTrail(20), WithChunk(64), WithLimit(200),
 		WithRandom(r.Uint64(), r.Uint64()), WithStored(h.disk))
 	h.inbox, h.pending, h.index, h.state, h.value = nil, nil, 0, 0, 0
 	h.step(Started{})
--- a/core/command/raft/options.go
+++ b/core/command/raft/options.go
@@ -50,3 +50,9 @@
 func WithChunk(bytes int) Option {
 	return func(n *Node) { n.chunk = bytes }
 }
+
+// WithLimit sets the greatest number of bytes of entries in one message. A single
+// entry may be larger.
+func WithLimit(bytes int) Option {
+	return func(n *Node) { n.limit = bytes }
+}
--- a/core/command/raft/raft.go
+++ b/core/command/raft/raft.go
@@ -28,7 +28,6 @@
 	roundSpacing = 5 * clock.Millisecond // least span between two rounds that were asked for
 	helloFresh   = 2 * clock.Second      // how long an answer to Hello counts
 
-	maxAppendBytes = 256 << 10
 	maxInFlight    = 8       // requests with entries, per follower
 	maxUncommitted = 1 << 14 // entries, beyond which offers are dropped
 
@@ -44,7 +43,8 @@
 	random  *rand.Rand
 	stored  peer.Stored
 	trail   peer.Index
-	chunk   int
+	chunk   int // bytes
+	limit   int // bytes of entries in one request
 
 	id    peer.ID
 	group peer.Group
@@ -77,7 +77,7 @@
 // New returns a node. Its first event is Started.
 func New(opts ...Option) *Node {
 	n := &Node{
-		role: Blank{}, random: rand.New(rand.NewPCG(1, 1)), trail: 4096, chunk: 256 << 10,
+		role: Blank{}, random: rand.New(rand.NewPCG(1, 1)), trail: 4096, chunk: 256 << 10, limit: 256 << 10,
 		contacts: map[peer.ID]string{}, timer: noTimers(), greet: newGreeting(),
 	}
 	for _, o := range opts {
--- a/core/command/raft/replicate.go
+++ b/core/command/raft/replicate.go
@@ -48,7 +48,7 @@
 func (n *Node) stream(id peer.ID, p *progress) bool {
 	sent := false
 	for len(p.inFlight) < maxInFlight && p.next <= n.log.last() {
-		entries := n.log.from(p.next, maxAppendBytes)
+		entries := n.log.from(p.next, n.limit)
 		n.sendEntries(id, p.next-1, entries)
 		p.next += peer.Index(len(entries))
 		p.inFlight = append(p.inFlight, p.next-1)
--- a/core/command/raft/step_test.go
+++ b/core/command/raft/step_test.go
@@ -135,6 +135,35 @@
 	}
 }
 
+// TestBrokenInvariantsStopTheNode sends what only a broken peer sends.
+func TestBrokenInvariantsStopTheNode(t *testing.T) {
+	conflict := []peer.Entry{peer.NewEntry(1, 1, peer.Noop{}), peer.NewEntry(2, 2, peer.Noop{})}
+	for _, c := range []struct {
+		term peer.Term
+		body peer.Body
+		kind Kind
+	}{
+		{2, peer.NewAppendRequest(1, 1, 0, 1, nil), TwoLeaders},
+		{2, peer.NewAppendAccepted(1000, 1), CommittedLost},
+		{3, peer.NewAppendRequest(0, 0, 0, 1, conflict[1:]), 0},
+		{3, peer.NewAppendRequest(1, 1, 0, 1, conflict[1:]), 0},
+		{3, peer.NewAppendRequest(0, 0, 0, 1, []peer.Entry{peer.NewEntry(1, 3, peer.Noop{})}), CommittedLost},
+	} {
+		s := newSingle()
+		s.elect()
+		m := peer.NewMessage(peer.NewRoute(9, 2, "b", 1), c.term, c.body)
+		kind := Kind(0)
+		for _, f := range s.node.Step(s.now, NewReceived(m)) {
+			if v, ok := f.(Violated); ok {
+				kind = v.Err().Kind()
+			}
+		}
+		if kind != c.kind {
+			t.Fatalf("%T: kind %d", c.body, kind)
+		}
+	}
+}
+
 func BenchmarkCommit(b *testing.B) {
 	s := newSingle()
 	s.elect()
