--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,14 @@
-MODULES := core verbenad verbena vload
+MODULES := core verbenad verbena vload vscale
 BIN := bin
 
-.PHONY: build run test race lint format model generate
+.PHONY: build run test race lint format model generate capacity
 
 build:
 	@mkdir -p $(BIN)
-	go build -o $(BIN)/ ./verbenad ./verbena ./vload
+	go build -o $(BIN)/ ./verbenad ./verbena ./vload ./vscale
+
+run: build
+	@scripts/run
 
 test: build
 	go test -count=1 $(addsuffix /...,$(addprefix ./,$(MODULES)))
@@ -18,11 +21,14 @@
 	  (cd $$m && ../.tools/golangci-lint fmt --config ../.golangci.yml --diff ./... && \
 	  ../.tools/golangci-lint run --config ../.golangci.yml ./...) || exit 1; done
 
+capacity: build
+	$(BIN)/vscale
+
 format:
 	@for m in $(MODULES); do (cd $$m && ../.tools/golangci-lint fmt --config ../.golangci.yml ./...); done
 
 model:
-	@true
+	bash model/check
 
 generate:
 	protoc -I core/wire --plugin=protoc-gen-go=.tools/protoc-gen-go --plugin=protoc-gen-go-grpc=.tools/protoc-gen-go-grpc \
--- a/core/state/table/list.go
+++ b/core/state/table/list.go
@@ -18,17 +18,20 @@
 // Shard returns the shard that holds only the key.
 func (o Override) Shard() Shard { return o.shard }
 
-// Members returns all members in the order of their incarnations.
-func (t *Table) Members() []Member {
-	return slices.SortedFunc(maps.Values(t.members), func(a, b Member) int {
-		return cmp.Compare(a.incarnation, b.incarnation)
-	})
-}
+// Members returns all members in the order of their incarnations; the caller must
+// not change them.
+func (t *Table) Members() []Member { return t.members.list() }
 
 // MembersOf returns the members with a target of the service, in the order of
 // their incarnations.
 func (t *Table) MembersOf(service string) []Member {
-	return slices.DeleteFunc(t.Members(), func(m Member) bool { return m.service != service })
+	var list []Member
+	for _, m := range t.Members() {
+		if m.service == service {
+			list = append(list, m)
+		}
+	}
+	return list
 }
 
 // Shards returns the numbers of the shards of the service that were ever
@@ -49,3 +52,23 @@
 	slices.SortFunc(list, func(a, b Override) int { return cmp.Compare(a.shard, b.shard) })
 	return list
 }
+
+// Changes returns the steps from the empty table to this one.
+func (t *Table) Changes() []Change {
+	var list []Change
+	if t.rules.Version() > 0 {
+		list = append(list, NewRulesSet(t.rules))
+	}
+	for _, m := range t.Members() {
+		list = append(list, NewMemberSet(m))
+	}
+	for _, n := range t.Services() {
+		for _, o := range t.Overrides(n) {
+			list = append(list, NewOverrideSet(n, o.key, o.shard))
+		}
+		for _, s := range t.Shards(n) {
+			list = append(list, NewHoldingSet(n, s, t.Holding(n, s)))
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/verbenad/command/owner/guard.go
@@ -0,0 +1,251 @@
+package owner
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"verbenabank/core/clock"
+	"verbenabank/core/command/admit"
+	"verbenabank/core/state/call"
+	"verbenabank/core/state/result"
+	"verbenabank/core/state/rules"
+)
+
+// Header fields between the daemon and the target beside it.
+const (
+	HeaderShard    = "Verbena-Shard"
+	HeaderEpoch    = "Verbena-Epoch"
+	HeaderLease    = "Verbena-Lease-Until"
+	HeaderDeadline = "Verbena-Deadline-Ms"
+	HeaderRefused  = "Verbena-Refused"
+	refusedStale   = "stale"
+)
+
+const (
+	// reserve is kept of the time to the deadline, a tenth of it at most, so that what
+	// the owner knows of the outcome reaches the entry before it.
+	reserve      = 20 * clock.Millisecond
+	reserveShare = 10
+)
+
+// refusalBytes of a refusal's body are read, so that the connection can be kept.
+const refusalBytes = 4 << 10
+
+// guard takes one request past the checks and to the target.
+type guard struct {
+	owner    *Owner
+	request  call.Request
+	deadline clock.Millis
+	entered  clock.Millis
+	leave    func()
+	pass     admission
+	slotted  bool
+	passed   bool
+	sent     clock.Millis
+	cancel   context.CancelFunc
+	lapsed   atomic.Bool
+}
+
+// serve runs the request. The caller must call done after a failure.
+func (g *guard) serve(ctx context.Context) call.Reply {
+	pass, reason := g.owner.check(g.request)
+	if reason != "" {
+		return call.Refuse(reason)
+	}
+	g.owner.count(g.request)
+	if failure, ok := g.admit(ctx, pass.service); !ok {
+		return failure
+	}
+	g.pass = pass
+	g.passed = true
+	switch reply := g.owner.target.Send(g.enlist(ctx), call.NewWork(g.prepare, g.ended)).(type) {
+	case call.Answer:
+		return g.judge(reply)
+	case call.Failure:
+		return g.explain(ctx, reply)
+	}
+	return call.Unknown(result.Interrupted)
+}
+
+// prepare checks again, just before the request goes to the target.
+func (g *guard) prepare() (call.Request, result.Reason) {
+	pass, reason := g.owner.check(g.request)
+	if reason != "" {
+		return call.Request{}, reason
+	}
+	g.owner.mu.Lock()
+	g.pass = pass
+	g.owner.mu.Unlock()
+	g.sent = g.owner.clock.Now()
+	return g.ordered(), ""
+}
+
+// admit waits for a slot.
+func (g *guard) admit(ctx context.Context, s rules.Service) (call.Failure, bool) {
+	now, gate := g.owner.clock.Now(), g.owner.gate
+	slots := min(s.Slots(), s.Connections())
+	t := gate.Arrive(now, g.deadline, admit.NewLimits(slots, s.Queue(), s.QueueWait()))
+	select {
+	case o := <-t.Ready():
+		return g.granted(o)
+	default:
+	}
+	g.owner.meter.Event("waiting", 1)
+	defer g.owner.meter.Event("waiting", -1)
+	timer := time.NewTimer(min(s.QueueWait(), g.deadline-now).Duration())
+	defer timer.Stop()
+	select {
+	case o := <-t.Ready():
+		return g.granted(o)
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	g.slotted = gate.Cancel(t)
+	if ctx.Err() != nil || g.owner.clock.Now() >= g.deadline {
+		return call.Refuse(result.Expired), false
+	}
+	return call.NewFailure(result.NewRefused(result.Overloaded, s.QueueWait())), false
+}
+
+func (g *guard) granted(o admit.Grant) (call.Failure, bool) {
+	switch o := o.(type) {
+	case admit.Admitted:
+		g.slotted = true
+		return call.Failure{}, true
+	case admit.Refused:
+		return call.NewFailure(result.NewRefused(o.Reason(), o.After())), false
+	}
+	return call.Refuse(result.Overloaded), false
+}
+
+// ordered returns the request with the fields that a target may check.
+func (g *guard) ordered() call.Request {
+	r := g.request
+	left := max(1, g.deadline-g.owner.clock.Now())
+	fields := append([]call.Field{}, r.Fields()...)
+	fields = append(fields, call.NewField(HeaderDeadline, strconv.FormatInt(int64(left), 10)))
+	if r.Key() != "" {
+		fields = append(fields,
+			call.NewField(HeaderShard, strconv.FormatUint(uint64(r.Shard()), 10)),
+			call.NewField(HeaderEpoch, strconv.FormatUint(uint64(g.pass.epoch), 10)),
+			call.NewField(HeaderLease, strconv.FormatInt(int64(g.pass.until), 10)))
+	}
+	return call.NewRequest(r.Service(), r.Method(), r.URI(), call.WithFields(fields),
+		call.WithKey(r.Key(), r.Shard()), call.WithMember(r.Incarnation()), call.WithBody(r.Body(), r.Length()))
+}
+
+// judge decides what the target's answer proves.
+func (g *guard) judge(a call.Answer) call.Reply {
+	if reason, refused := g.refused(a); refused {
+		_, _ = io.CopyN(io.Discard, a.Body(), refusalBytes)
+		_ = a.Body().Close()
+		return call.NewFailure(result.NewRefused(reason, retryAfter(a)))
+	}
+	if !g.valid() {
+		_ = a.Body().Close()
+		return call.Unknown(result.LeaseLapsed)
+	}
+	return a
+}
+
+// refused reports whether the target surely did not run the request.
+func (g *guard) refused(a call.Answer) (result.Reason, bool) {
+	switch a.Status() {
+	case http.StatusServiceUnavailable:
+		_, ok := g.pass.service.Shedding().(rules.ShedNotRun)
+		return result.Shed, ok
+	case http.StatusPreconditionFailed:
+		_, ok := g.pass.service.Fencing().(rules.Checked)
+		return result.NotOwner, ok && a.Field(HeaderRefused) == refusedStale
+	default:
+		return "", false
+	}
+}
+
+// valid reports whether the answer was given under ownership: by the target's own
+// check, or because the daemon holds the shard still.
+func (g *guard) valid() bool {
+	if g.request.Key() == "" {
+		return true
+	}
+	switch g.pass.service.Fencing().(type) {
+	case rules.Checked:
+		return true
+	case rules.Unchecked:
+		return g.owner.holds(g.request, g.pass.epoch)
+	}
+	return false
+}
+
+func retryAfter(a call.Answer) clock.Millis {
+	seconds, err := strconv.Atoi(a.Field("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return clock.Millis(seconds) * clock.Second
+}
+
+// done ends the request for its caller. What the target still holds of it is given
+// back by ended.
+func (g *guard) done(o result.Outcome) {
+	g.delist()
+	if !g.passed {
+		g.ended()
+	}
+	g.owner.meter.End(o, g.owner.clock.Now()-g.entered)
+}
+
+// ended gives back the slot and the place in the count of requests in flight.
+func (g *guard) ended() {
+	now := g.owner.clock.Now()
+	switch {
+	case g.slotted && g.sent > 0:
+		g.owner.gate.Leave(now, now-g.sent)
+	case g.slotted:
+		g.owner.gate.Return(now)
+	}
+	g.leave()
+}
+
+// guarded is the body of an answer that may be read while ownership holds.
+type guarded struct {
+	guard  *guard
+	status int
+	body   io.ReadCloser
+	ended  bool
+}
+
+// Read returns io.EOF only if the answer is whole and ownership held until then.
+func (b *guarded) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	if err == nil {
+		return n, nil
+	}
+	if (err == io.EOF && !b.guard.valid()) || (err != io.EOF && b.guard.lapsed.Load()) {
+		err = call.NewError("read answer under lease", result.LeaseLapsed)
+	}
+	if err == io.EOF {
+		b.end(result.NewAnswered(b.status))
+	} else {
+		b.end(result.NewUnknown(call.ReasonOf(err)))
+	}
+	return n, err
+}
+
+// Close cancels what is left of the exchange.
+func (b *guarded) Close() error {
+	err := b.body.Close()
+	b.end(result.NewUnknown(result.Cancelled))
+	return err
+}
+
+func (b *guarded) end(o result.Outcome) {
+	if !b.ended {
+		b.ended = true
+		b.guard.done(o)
+	}
+}
--- /dev/null
+++ b/verbenad/command/serve/folder.go
@@ -0,0 +1,88 @@
+package serve
+
+import (
+	"context"
+
+	"github.com/sirupsen/logrus"
+
+	"verbenabank/core/state/order"
+	"verbenabank/core/wire/wirepb"
+	"verbenabank/verbenad/adapt/folder"
+)
+
+// watchFolder offers what the operators write to the control group.
+func (d *Daemon) watchFolder() error {
+	path, ok := d.settings.Folder()
+	if !ok {
+		return nil
+	}
+	offers := make(chan folder.Offer, 1)
+	w, stop, err := folder.New(folder.WithPath(path), folder.WithLog(d.part()),
+		folder.WithOffer(func(o folder.Offer) { replace(offers, o) }))
+	if err != nil {
+		return &Error{op: "watch " + path, kind: BadFolder, cause: err}
+	}
+	d.atEnd(stop)
+	d.group.Go(func() { d.serveOffers(path, offers, w) })
+	return nil
+}
+
+// replace puts the newest offer in place of one that was not taken yet. It is for
+// one goroutine.
+func replace(offers chan folder.Offer, o folder.Offer) {
+	select {
+	case <-offers:
+	default:
+	}
+	offers <- o
+}
+
+// serveOffers makes one offer at a time.
+func (d *Daemon) serveOffers(path string, offers chan folder.Offer, w *folder.Watcher) {
+	for {
+		select {
+		case <-d.life.Done():
+			return
+		case o := <-offers:
+			if !d.offer(d.life, path, o) {
+				w.Again()
+			}
+		}
+	}
+}
+
+// offer proposes a configuration, logs what became of it, and reports whether it
+// was decided.
+func (d *Daemon) offer(ctx context.Context, path string, o folder.Offer) bool {
+	log := d.part().WithField("version", o.Version()).WithField("digest", o.Digest())
+	r, err := d.codec.DecodeRules(&wirepb.Configuration{Version: o.Version(), Digest: o.Digest(), Content: o.Content()})
+	if err != nil {
+		log.WithError(err).Error("rules: the configuration cannot be read")
+		return true
+	}
+	v, err := d.desk.Offer(ctx, order.NewAccept(r, d.settings.Instance(), path))
+	if err != nil {
+		log.WithError(err).Warn("rules: not decided yet")
+		return false
+	}
+	logVerdict(log, v)
+	return true
+}
+
+func logVerdict(log *logrus.Entry, v *wirepb.Verdict) {
+	switch v.GetCode() {
+	case wirepb.VerdictCode_VERDICT_CODE_ACCEPTED:
+		log.Info("rules: accepted")
+	case wirepb.VerdictCode_VERDICT_CODE_REPEATED:
+		log.Info("rules: in force already")
+	case wirepb.VerdictCode_VERDICT_CODE_CONFLICT:
+		log.WithField("in_force", v.GetDigest()).Errorf(
+			"rules: refused, since %s:%s came first with this version and other content; compare both folders, merge by hand and raise the version",
+			v.GetFirstInstance(), v.GetFirstFolder())
+	case wirepb.VerdictCode_VERDICT_CODE_OLDER:
+		log.WithField("in_force", v.GetVersion()).Warn("rules: ignored, a newer version is in force")
+	case wirepb.VerdictCode_VERDICT_CODE_INVALID:
+		log.Errorf("rules: refused: %s", v.GetMessage())
+	case wirepb.VerdictCode_VERDICT_CODE_UNDECIDED, wirepb.VerdictCode_VERDICT_CODE_UNSPECIFIED:
+	}
+}
