Never wake twice for one instant

Cause: a replica that founded its group alone asked to be woken at the same instant again. Change: greetings run before elections; the runs check that a node never wants to wake at an instant that has come.

--- a/core/command/raft/host_test.go
+++ b/core/command/raft/host_test.go
@@ -140,6 +140,9 @@
 		h.obey(f)
 	}
 	h.world.check.rounds(h)
+	if h.node.failed == nil && h.node.Wake() <= h.local() {
+		h.world.check.fail("spin: host %d wants to wake at %d, it is %d", h.number, h.node.Wake(), h.local())
+	}
 	for len(h.later) > 0 {
 		next := h.later[0]
 		h.later = h.later[1:]
--- a/core/command/raft/timer.go
+++ b/core/command/raft/timer.go
@@ -23,9 +23,13 @@
 	return min(t.election, t.heartbeat, t.round, t.quorum, t.hello, t.transfer)
 }
 
-// runTimers acts on all timers that are due.
+// runTimers acts on all timers that are due. Greetings come first, since a group
+// that they found starts an election at once.
 func (n *Node) runTimers() {
 	t := &n.timer
+	if n.now >= t.hello {
+		n.sayHello()
+	}
 	if n.now >= t.quorum {
 		n.checkQuorum()
 	}
@@ -38,9 +42,6 @@
 	if n.now >= t.heartbeat || n.now >= t.round {
 		n.startRound()
 	}
-	if n.now >= t.hello {
-		n.sayHello()
-	}
 }
 
 // resetElection sets the election timer anew, if this replica may lead.
