Keep the cost of control from growing with the square of the fleet

Cause: vscale showed costs that grow with the size of the fleet for each single event. Every event of a leader looked through all leases for the next one to end; every change copied all shards of its service; every update to a session walked the whole history; every joining daemon had the whole table collected and encoded on the control goroutine; and a burst of changes sent one message for each change to each session.

Ruled out: a heap of leases, since an early wake-up costs little and a lower bound is enough; a persistent tree of shards, since pages are simpler and a page is 4 kB; messages that are marshalled once for all streams, since that interface of the library is experimental.

Change: the lease book keeps a lower bound of the next end and looks through all leases when it comes. The table keeps hash ranges in pages of 256, and a change copies one. Updates are encoded by the session and shared between sessions that need the same one. The leader pushes the first change at once and those that follow together, at most 10 sessions in a millisecond; a renewal still brings its daemon up to date before it is answered. A daemon that asks again to join on the same session is not sent the whole table again. A session's queue holds 256 orders in place of 1,024, since their rate is bounded now.

--- a/core/command/leader/leader.go
+++ b/core/command/leader/leader.go
@@ -19,6 +19,13 @@
 // planEvery is the longest time between two looks at the placement of shards.
 const planEvery = 100 * clock.Millisecond
 
+// Limits of updates to all sessions, so that a burst of changes costs each session
+// a few messages only and leaves renewals their share of the processor.
+const (
+	pushEvery    = 10 * clock.Millisecond
+	pushSessions = 10 // that are brought up to date in a millisecond, at most
+)
+
 // Leader is the volatile state of a leader.
 type Leader struct {
 	group    uint64
@@ -32,6 +39,8 @@
 	joining  map[table.Incarnation]bool
 	gauge    *gauge.Gauge
 	nextPlan clock.Millis
+	nextPush clock.Millis
+	behind   bool // sessions wait for the next push
 	effect   []Effect
 }
 
@@ -79,6 +88,7 @@
 func (l *Leader) react(e Event) {
 	switch e := e.(type) {
 	case Ticked:
+		l.push()
 		l.expire()
 		l.plan()
 		l.ask()
@@ -105,10 +115,14 @@
 
 // Wake returns the instant of the next Ticked event.
 func (l *Leader) Wake() clock.Millis {
-	if end, ok := l.book.Next(); ok && end < l.nextPlan {
-		return end
+	wake := l.nextPlan
+	if end, ok := l.book.Next(); ok {
+		wake = min(wake, end)
 	}
-	return l.nextPlan
+	if l.behind {
+		wake = min(wake, l.nextPush)
+	}
+	return wake
 }
 
 // Sessions returns the count of daemons with a session.
@@ -144,12 +158,22 @@
 		}
 	}
 	l.history.add(l.fleet.Table().Version(), changes)
+	l.behind = true
+	l.push()
+	l.nextPlan = l.now
+}
+
+// push brings all sessions up to date, unless it did so just now.
+func (l *Leader) push() {
+	if !l.behind || l.now < l.nextPush {
+		return
+	}
+	l.behind, l.nextPush = false, l.now.Add(max(pushEvery, clock.Millis(len(l.sessions)/pushSessions)))
 	for id, s := range l.sessions {
 		if s.incarnation != 0 {
 			l.update(id, s)
 		}
 	}
-	l.nextPlan = l.now
 }
 
 func (l *Leader) followMember(m table.Member) {
--- a/core/command/leader/member.go
+++ b/core/command/leader/member.go
@@ -20,15 +20,20 @@
 	waiting []renewal
 }
 
+// joinAsked proposes a member. A daemon asks again until it sees itself in the
+// table; what its session was sent is not sent again.
 func (l *Leader) joinAsked(e JoinAsked) {
 	s, ok := l.sessions[e.session]
 	if !ok || (e.group != 0 && e.group != l.group) {
 		return
 	}
 	i := e.member.Incarnation()
+	again := s.incarnation == i
 	s.incarnation = i
 	if _, ok := l.fleet.Table().Member(i); ok {
-		s.version = 0
+		if !again {
+			s.version = 0
+		}
 		l.update(e.session, s)
 		return
 	}
--- a/core/command/lease/book.go
+++ b/core/command/lease/book.go
@@ -8,7 +8,6 @@
 package lease
 
 import (
-	"maps"
 	"slices"
 
 	"verbenabank/core/clock"
@@ -32,12 +31,13 @@
 type Book struct {
 	ends   map[table.Incarnation]clock.Millis
 	barred map[table.Incarnation]bool
+	next   clock.Millis // no lease runs out before it
 }
 
 // NewBook returns the book of a leader that took office at now. Each member may
 // hold a lease that the last leader gave just before.
 func NewBook(now clock.Millis, members []table.Member) *Book {
-	b := &Book{ends: map[table.Incarnation]clock.Millis{}, barred: map[table.Incarnation]bool{}}
+	b := &Book{ends: map[table.Incarnation]clock.Millis{}, barred: map[table.Incarnation]bool{}, next: now.Add(Span + Margin)}
 	for _, m := range members {
 		b.ends[m.Incarnation()] = now.Add(Span + Margin)
 	}
@@ -48,6 +48,7 @@
 func (b *Book) Arrived(i table.Incarnation, now clock.Millis) {
 	if !b.barred[i] {
 		b.ends[i] = max(b.ends[i], now.Add(Span+Margin))
+		b.next = min(b.next, b.ends[i])
 	}
 }
 
@@ -69,23 +70,26 @@
 // Lapsed returns the members whose lease surely ran out before now and that are
 // not barred yet.
 func (b *Book) Lapsed(now clock.Millis) []table.Incarnation {
+	if now < b.next {
+		return nil
+	}
 	var lapsed []table.Incarnation
+	b.next = now.Add(Span + Margin)
 	for i, end := range b.ends {
-		if end <= now && !b.barred[i] {
+		switch {
+		case b.barred[i]:
+		case end <= now:
 			lapsed = append(lapsed, i)
+			b.next = now
+		default:
+			b.next = min(b.next, end)
 		}
 	}
 	slices.Sort(lapsed)
 	return lapsed
 }
 
-// Next returns the instant at which the next lease runs out.
-func (b *Book) Next() (clock.Millis, bool) {
-	next, found := clock.Millis(0), false
-	for i := range maps.Keys(b.ends) {
-		if !b.barred[i] && (!found || b.ends[i] < next) {
-			next, found = b.ends[i], true
-		}
-	}
-	return next, found
-}
+// Next returns an instant before which no lease runs out, and whether there are
+// leases. Lapsed is to be asked then; it need not find any, since a renewal does
+// not put the instant off.
+func (b *Book) Next() (clock.Millis, bool) { return b.next, len(b.ends) > 0 }
--- a/core/state/table/change.go
+++ b/core/state/table/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"verbenabank/core/state/rules"
 )
@@ -107,7 +108,7 @@
 // as it is.
 func (t *Table) With(version uint64, changes ...Change) *Table {
 	next := &Table{version: version, rules: t.rules, members: t.members, services: t.services}
-	e := editor{table: next, copied: map[string]bool{}}
+	e := editor{table: next, copied: map[string]bool{}, pages: map[pageKey]bool{}}
 	for _, c := range changes {
 		e.apply(c)
 	}
@@ -120,6 +121,7 @@
 	members  bool
 	services bool
 	copied   map[string]bool
+	pages    map[pageKey]bool
 }
 
 func (e *editor) apply(c Change) {
@@ -131,12 +133,12 @@
 	case MemberGone:
 		delete(e.ownMembers(), c.incarnation)
 	case HoldingSet:
-		e.ownPlacement(c.service).shards[c.shard] = c.holding
+		e.set(c.service, c.shard, c.holding)
 	case OverrideSet:
 		e.ownPlacement(c.service).overrides[c.key] = c.shard
 	case OverrideGone:
 		p := e.ownPlacement(c.service)
-		delete(p.shards, p.overrides[c.key])
+		delete(p.alone, p.overrides[c.key])
 		delete(p.overrides, c.key)
 	}
 }
@@ -157,7 +159,9 @@
 	if !e.copied[service] {
 		e.copied[service] = true
 		p := e.table.services[service]
-		e.table.services[service] = placement{shards: cloneMap(p.shards), overrides: cloneMap(p.overrides)}
+		e.table.services[service] = placement{
+			ranges: slices.Clone(p.ranges), alone: cloneMap(p.alone), overrides: cloneMap(p.overrides),
+		}
 	}
 	return e.table.services[service]
 }
--- a/core/state/table/list.go
+++ b/core/state/table/list.go
@@ -34,7 +34,10 @@
 // Shards returns the numbers of the shards of the service that were ever
 // granted, in order.
 func (t *Table) Shards(service string) []Shard {
-	return slices.Sorted(maps.Keys(t.services[service].shards))
+	var list []Shard
+	p := t.services[service]
+	p.ranges.each(func(s Shard, _ Holding) { list = append(list, s) })
+	return append(list, slices.Sorted(maps.Keys(p.alone))...)
 }
 
 // Services returns the names of the services that have granted shards, in order.
--- a/core/state/table/table.go
+++ b/core/state/table/table.go
@@ -29,12 +29,21 @@
 	services map[string]placement
 }
 
-// placement is the ownership of one service.
+// placement is the ownership of one service: its hash ranges, and the shards of
+// keys placed alone.
 type placement struct {
-	shards    map[Shard]Holding
+	ranges    pages
+	alone     map[Shard]Holding
 	overrides map[string]Shard
 }
 
+func (p placement) holding(s Shard) Holding {
+	if s >= FirstOverride {
+		return p.alone[s]
+	}
+	return p.ranges.get(s)
+}
+
 // Empty returns the table at version 0.
 func Empty() *Table { return &Table{} }
 
@@ -53,11 +62,10 @@
 // Holding returns who holds the shard of the service. A shard that was never
 // granted is Vacant at epoch 0.
 func (t *Table) Holding(service string, s Shard) Holding {
-	h, ok := t.services[service].shards[s]
-	if !ok {
-		return NewVacant(0)
+	if h := t.services[service].holding(s); h != nil {
+		return h
 	}
-	return h
+	return NewVacant(0)
 }
 
 // ShardOf returns the shard of key in a service of count shards: its override if
--- a/verbenad/adapt/link/link.go
+++ b/verbenad/adapt/link/link.go
@@ -19,8 +19,14 @@
 	keepaliveWait  = 2 * time.Second
 )
 
-// queueLength is how many messages may wait for one connection.
-const queueLength = 1024
+// How many messages may wait for one connection.
+const (
+	queueLength = 1024
+	// sessionQueue holds the orders of some seconds for one daemon, since the
+	// leader sends leases and updates at bounded rates. The leader has one for
+	// each daemon.
+	sessionQueue = 256
+)
 
 // dial returns a connection to a process. It connects when it is first used.
 func dial(address string, options []grpc.DialOption) (*grpc.ClientConn, error) {
--- a/verbenad/adapt/link/outlet.go
+++ b/verbenad/adapt/link/outlet.go
@@ -14,39 +14,51 @@
 // outlet queues orders for one daemon. A full queue ends the session, since the
 // daemon would fall behind without knowing.
 type outlet struct {
-	queue  chan *wirepb.Order
+	queue  chan parcel
+	shelf  *shelf
 	cancel func()
 }
 
-func newOutlet(cancel func()) *outlet {
-	return &outlet{queue: make(chan *wirepb.Order, queueLength), cancel: cancel}
+func newOutlet(s *shelf, cancel func()) *outlet {
+	return &outlet{queue: make(chan parcel, sessionQueue), shelf: s, cancel: cancel}
 }
 
+// parcel is what waits for a daemon: encoded or unencoded. Updates can be large,
+// so they are encoded by the session and not by the control goroutine.
+type parcel interface{ parcel() }
+
+type encoded struct{ order *wirepb.Order }
+
+type unencoded struct{ update leader.Update }
+
+func (encoded) parcel()   {}
+func (unencoded) parcel() {}
+
 // Welcome opens the session.
-func (o *outlet) Welcome(group uint64) { o.put(codec.EncodeWelcome(group)) }
+func (o *outlet) Welcome(group uint64) { o.put(encoded{order: codec.EncodeWelcome(group)}) }
 
 // Send queues what the leader decided.
 func (o *outlet) Send(e leader.Effect, group uint64) {
 	switch e := e.(type) {
 	case leader.SendLease:
-		o.put(codec.EncodeLease(e, group))
+		o.put(encoded{order: codec.EncodeLease(e, group)})
 	case leader.SendUpdate:
-		o.put(codec.EncodeUpdate(e.Update()))
+		o.put(unencoded{update: e.Update()})
 	case leader.SendRejoin:
-		o.put(codec.EncodeRejoin(e))
+		o.put(encoded{order: codec.EncodeRejoin(e)})
 	case leader.Offer, leader.Confirm:
 	}
 }
 
 // Redirect names another replica and ends the session.
 func (o *outlet) Redirect(address string) {
-	o.put(codec.EncodeRedirect(address))
+	o.put(encoded{order: codec.EncodeRedirect(address)})
 	close(o.queue)
 }
 
-func (o *outlet) put(m *wirepb.Order) {
+func (o *outlet) put(p parcel) {
 	select {
-	case o.queue <- m:
+	case o.queue <- p:
 	default:
 		o.cancel()
 	}
@@ -58,13 +70,23 @@
 		select {
 		case <-ctx.Done():
 			return status.Error(codes.Canceled, "link: the session ended")
-		case m, ok := <-o.queue:
+		case p, ok := <-o.queue:
 			if !ok {
 				return nil
 			}
-			if err := stream.Send(m); err != nil {
+			if err := stream.Send(o.order(p)); err != nil {
 				return err
 			}
 		}
 	}
 }
+
+func (o *outlet) order(p parcel) *wirepb.Order {
+	switch p := p.(type) {
+	case encoded:
+		return p.order
+	case unencoded:
+		return o.shelf.order(p.update)
+	}
+	return nil
+}
--- a/verbenad/adapt/link/server.go
+++ b/verbenad/adapt/link/server.go
@@ -25,6 +25,7 @@
 	codec    *codec.Codec
 	log      *logrus.Entry
 	sessions atomic.Uint64
+	shelf    shelf
 }
 
 // NewServer returns a server for the control goroutine.
@@ -58,7 +59,7 @@
 func (s *Server) Attach(stream wirepb.Control_AttachServer) error {
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
-	o := newOutlet(cancel)
+	o := newOutlet(&s.shelf, cancel)
 	id := leader.Session(s.sessions.Add(1))
 	s.loop.Post(ctrl.NewOpened(id, o))
 	defer s.loop.Post(ctrl.NewClosed(id))
--- a/vscale/main.go
+++ b/vscale/main.go
@@ -49,20 +49,20 @@
 	stands := logrus.New()
 	stands.SetOutput(os.Stderr)
 	stands.SetLevel(logrus.ErrorLevel)
-	points, err := measure(s, logs{trial: logrus.NewEntry(log), stands: logrus.NewEntry(stands)})
+	points, broken := measure(s, logs{trial: logrus.NewEntry(log), stands: logrus.NewEntry(stands)})
 	lines := fit.Lines(points)
 	if err := show.Table(os.Stdout, lines); err != nil {
 		return err
 	}
-	if err != nil {
-		return err
-	}
 	file, err := os.Create(s.output)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = file.Close() }()
-	return show.JSON(file, lines)
+	if err := show.JSON(file, lines); err != nil {
+		return err
+	}
+	return broken
 }
 
 // logs are where the trials log and, errors only, their stand-ins.
