Refuse updates that would take epochs or versions back

Cause: invariants of the table were argued and checked nowhere in a daemon. What counts is the table after the update. A move that is over within one update is not followed.

--- /dev/null
+++ b/core/command/agent/invariant.go
@@ -0,0 +1,38 @@
+package agent
+
+import (
+	"fmt"
+
+	"verbenabank/core/state/table"
+)
+
+// broken says which invariant the next table would break, "" if none: versions of
+// table and rules and epochs of shards never fall.
+func (a *Agent) broken(next *table.Table, changes []table.Change) string {
+	if next.Version() < a.table.Version() {
+		return fmt.Sprintf("an update would take the table from version %d back to %d", a.table.Version(), next.Version())
+	}
+	if next.Rules().Version() < a.table.Rules().Version() {
+		return fmt.Sprintf("an update would take the rules from version %d back to %d", a.table.Rules().Version(), next.Rules().Version())
+	}
+	for _, c := range changes {
+		h, ok := c.(table.HoldingSet)
+		if !ok {
+			continue
+		}
+		last := a.table.Holding(h.Service(), h.Shard()).Epoch()
+		if e := next.Holding(h.Service(), h.Shard()).Epoch(); e < last {
+			return fmt.Sprintf("an update would take shard %s/%d from epoch %d back to %d", h.Service(), h.Shard(), last, e)
+		}
+	}
+	return ""
+}
+
+// distrust refuses an update that breaks an invariant: the daemon owns nothing any
+// more, and its rules lapse unless a later update is sound.
+func (a *Agent) distrust(problem string) {
+	a.emit(Violated{problem: problem})
+	a.holder.GiveUp()
+	a.publish()
+	a.emit(Reconnect{})
+}
--- a/core/command/agent/session.go
+++ b/core/command/agent/session.go
@@ -93,12 +93,12 @@
 		a.emit(Reconnect{})
 		return
 	}
-	if e.to < a.table.Version() {
-		a.emit(Violated{problem: "an update would take the table back"})
-		a.emit(Reconnect{})
+	next := base.With(e.to, e.changes...)
+	if problem := a.broken(next, e.changes); problem != "" {
+		a.distrust(problem)
 		return
 	}
-	a.table = base.With(e.to, e.changes...)
+	a.table = next
 	a.checkMembership()
 	a.dropSettled()
 	a.publish()
@@ -130,7 +130,7 @@
 		return
 	}
 	key := release(h.Service(), h.Shard(), m.Epoch())
-	if _, known := a.handing[key]; !known {
+	if _, known := a.handing[key]; !known && a.moving(key) {
 		a.handing[key] = waiting{}
 		a.emit(AwaitQuiet{service: h.Service(), shard: h.Shard(), epoch: m.Epoch(), span: a.drainSpan()})
 	}
