Cut processes off without a word

Cause: a freeze is not a cut: a leader that is cut from the other replicas goes on talking to the daemons. Ruled out: packet filters, which not every machine that runs the tests has. Change: the process tests put a relay in front of each replica that goes silent towards chosen instances. For that, daemons connect from the IP number of listen.peers, and listen.advertise names where others reach them.

--- a/verbenad/adapt/jsonc/address.go
+++ b/verbenad/adapt/jsonc/address.go
@@ -16,7 +16,7 @@
 		l.Fault("listen", "is missing; set callers, peers and admin in it")
 		return nil
 	}
-	r.Only("callers", "peers", "admin")
+	r.Only("callers", "peers", "admin", "advertise")
 	callers, peers, admin := listen(r, "callers"), listen(r, "peers"), listen(r, "admin")
 	if peers.IsValid() && peers.Addr().IsUnspecified() {
 		r.Fault("peers", "must be an address that other processes can reach, not the unspecified one")
@@ -27,15 +27,19 @@
 	if admin.IsValid() && (admin == callers || admin == peers) {
 		r.Fault("admin", "is the same as another address of listen; use another port")
 	}
+	advertised := peers
+	if r.Has("advertise") {
+		advertised = listen(r, "advertise")
+	}
 	replicas := l.replicas()
-	listed := slices.Contains(replicas, peers)
+	listed := slices.Contains(replicas, advertised)
 	if l.Has("control") && !listed && len(replicas) > 0 {
 		l.Fault("control", "is set, so replicas must have the address of listen.peers; add it there or remove control")
 	}
 	if !l.Has("control") && listed {
 		l.Fault("replicas", "has the address of listen.peers, so control must be set; add control or remove the address")
 	}
-	return []sets.Option{sets.WithListen(callers, peers, admin), sets.WithReplicas(replicas...)}
+	return []sets.Option{sets.WithListen(callers, peers, admin), sets.WithAdvertised(advertised), sets.WithReplicas(replicas...)}
 }
 
 func listen(r jtree.Reader, field string) netip.AddrPort {
--- a/verbenad/adapt/trust/trust.go
+++ b/verbenad/adapt/trust/trust.go
@@ -12,6 +12,8 @@
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/hex"
+	"net"
+	"net/netip"
 	"os"
 
 	"google.golang.org/grpc"
@@ -32,6 +34,7 @@
 type Trust struct {
 	proof     string
 	transport credentials.TransportCredentials
+	dialer    net.Dialer
 }
 
 // New returns the trust of the settings.
@@ -39,6 +42,9 @@
 	sum := hmac.New(sha256.New, s.Secret())
 	sum.Write([]byte("verbenabank peers"))
 	t := &Trust{proof: hex.EncodeToString(sum.Sum(nil)), transport: insecure.NewCredentials()}
+	if a := s.Peers().Addr(); a.IsValid() {
+		t.dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(a, 0))
+	}
 	if files, ok := s.TLS(); ok {
 		c, err := mutual(files)
 		if err != nil {
@@ -81,11 +87,17 @@
 // sent over plain TCP.
 func (t *Trust) RequireTransportSecurity() bool { return false }
 
+// dial connects from the address of listen.peers, so that the network's rules can
+// tell processes apart.
+func (t *Trust) dial(ctx context.Context, address string) (net.Conn, error) {
+	return t.dialer.DialContext(ctx, "tcp", address)
+}
+
 // DialOptions returns the options of connections to other processes.
 func (t *Trust) DialOptions() []grpc.DialOption {
 	return []grpc.DialOption{
 		grpc.WithTransportCredentials(t.transport), grpc.WithPerRPCCredentials(t),
-		grpc.WithDisableRetry(), grpc.WithDisableServiceConfig(),
+		grpc.WithContextDialer(t.dial), grpc.WithDisableRetry(), grpc.WithDisableServiceConfig(),
 	}
 }
 
--- a/verbenad/command/serve/serve.go
+++ b/verbenad/command/serve/serve.go
@@ -144,7 +144,7 @@
 	d.atEnd(stop)
 	d.uplink = up
 	d.desk = link.NewDesk(replicas, d.trust.DialOptions(), d.codec)
-	a := agent.New(agent.WithInstance(d.settings.Instance(), d.settings.Zone(), d.settings.Peers().String()),
+	a := agent.New(agent.WithInstance(d.settings.Instance(), d.settings.Zone(), d.settings.Advertised().String()),
 		agent.WithRandom(rand.Uint64))
 	options := []ctrl.Option{
 		ctrl.WithClock(d.clock, func() order.Stamp { return order.Stamp(time.Now().UnixMilli()) }),
--- a/verbenad/state/sets/options.go
+++ b/verbenad/state/sets/options.go
@@ -18,6 +18,11 @@
 	return func(s *Settings) { s.callers, s.peers, s.admin = callers, peers, admin }
 }
 
+// WithAdvertised sets the address at which other processes reach listen.peers.
+func WithAdvertised(peers netip.AddrPort) Option {
+	return func(s *Settings) { s.advertised = peers }
+}
+
 // WithReplicas sets the peers addresses of the control replicas.
 func WithReplicas(replicas ...netip.AddrPort) Option {
 	return func(s *Settings) { s.replicas = slices.Clone(replicas) }
--- a/verbenad/state/sets/sets.go
+++ b/verbenad/state/sets/sets.go
@@ -9,18 +9,19 @@
 // Settings are the checked settings of a daemon. They are safe for concurrent
 // use.
 type Settings struct {
-	instance string
-	zone     string
-	callers  netip.AddrPort
-	peers    netip.AddrPort
-	admin    netip.AddrPort
-	replicas []netip.AddrPort
-	secret   []byte
-	control  Choice[Control]
-	tls      Choice[TLS]
-	folder   Choice[string]
-	level    Level
-	format   Format
+	instance   string
+	zone       string
+	callers    netip.AddrPort
+	peers      netip.AddrPort
+	admin      netip.AddrPort
+	advertised netip.AddrPort
+	replicas   []netip.AddrPort
+	secret     []byte
+	control    Choice[Control]
+	tls        Choice[TLS]
+	folder     Choice[string]
+	level      Level
+	format     Format
 }
 
 // New returns settings with info logs in plain text, changed by opts.
@@ -47,6 +48,10 @@
 // Admin returns the address for the target beside, the platform and operators.
 func (s Settings) Admin() netip.AddrPort { return s.admin }
 
+// Advertised returns the address at which other processes reach Peers, which may
+// differ from it behind address translation.
+func (s Settings) Advertised() netip.AddrPort { return s.advertised }
+
 // Replicas returns the peers addresses of the control replicas.
 func (s Settings) Replicas() []netip.AddrPort { return slices.Clone(s.replicas) }
 
--- a/vload/proof/host_test.go
+++ b/vload/proof/host_test.go
@@ -54,6 +54,7 @@
 	daemon  *proc.Process
 	target  *proc.Process
 	replica bool
+	relay   *relay // nil if others reach the daemon directly
 }
 
 // fleet is a small deployment: the daemons of the first three hosts are control
@@ -67,6 +68,21 @@
 // newFleet starts hosts on addresses of a subnet of their own and waits until all
 // shards have owners.
 func newFleet(t *testing.T, subnet, hosts int) *fleet {
+	t.Helper()
+	return start(t, subnet, hosts, func(*host) {})
+}
+
+// newRelayedFleet does the same with a relay in front of each control replica.
+func newRelayedFleet(t *testing.T, subnet, hosts int) *fleet {
+	t.Helper()
+	return start(t, subnet, hosts, func(h *host) {
+		if h.replica {
+			h.relay = newRelay(t, h.ip+":8090", h.ip+":8091")
+		}
+	})
+}
+
+func start(t *testing.T, subnet, hosts int, prepare func(*host)) *fleet {
 	t.Helper()
 	f := &fleet{t: t, folder: t.TempDir()}
 	f.must(os.WriteFile(filepath.Join(f.folder, "secret"), []byte(secret), 0o600))
@@ -75,6 +91,7 @@
 		h.folder = filepath.Join(f.folder, h.name)
 		f.must(os.MkdirAll(filepath.Join(h.folder, "conf.d"), 0o700))
 		f.hosts = append(f.hosts, h)
+		prepare(h)
 		f.settings(h, subnet, true)
 	}
 	f.configure(f.hosts[0], 1, "")
@@ -97,15 +114,18 @@
 }
 
 func (f *fleet) settings(h *host, subnet int, form bool) {
-	control, folder := "", ""
+	control, folder, peers := "", "", fmt.Sprintf(`"%s:8090"`, h.ip)
+	if h.relay != nil {
+		peers = fmt.Sprintf(`"%s:8091", "advertise": "%s:8090"`, h.ip, h.ip)
+	}
 	if h.replica {
 		control = fmt.Sprintf(`"control": {"data_folder": "data", "form": %v},`, form)
 	}
 	folder = `"configuration_folder": "conf.d",`
 	text := fmt.Sprintf(`{"instance": %q, "zone": "z%s",
-		"listen": {"callers": "%s:8080", "peers": "%s:8090", "admin": "%s:8070"},
+		"listen": {"callers": "%s:8080", "peers": %s, "admin": "%s:8070"},
 		"replicas": ["127.%d.1.1:8090", "127.%d.2.1:8090", "127.%d.3.1:8090"], %s %s
-		"secret_file": "../secret"}`, h.name, h.name[2:], h.ip, h.ip, h.ip, subnet, subnet, subnet, control, folder)
+		"secret_file": "../secret"}`, h.name, h.name[2:], h.ip, peers, h.ip, subnet, subnet, subnet, control, folder)
 	f.must(os.WriteFile(filepath.Join(h.folder, "daemon.jsonc"), []byte(text), 0o600))
 	text = fmt.Sprintf(`{"instance": %q, "service": %q, "listen": "%s:9000", "admin": "%s:8070", "ledger": "ledger.jsonl",
 		"slots": 12, "backlog": 12, "connections": 130, "connect_ms": 1, "drain_ms": 3000, "fencing": "commit",
