Greet again as soon as there is a nonce to echo

Cause: a founding or repair waited for the next greeting only to echo a nonce. Ruled out: a shorter period of greetings, which all replicas would pay for.

--- a/core/command/raft/greet.go
+++ b/core/command/raft/greet.go
@@ -17,6 +17,7 @@
 	last   uint64  // the one issued before, 0 if it is void
 	id     peer.ID // who echoed the last one
 	echo   uint64  // the last one that came from there
+	again  bool    // whether to greet again as soon as there is one to echo
 }
 
 // answer is a blank replica's answer to Hello.
@@ -77,6 +78,7 @@
 			continue
 		}
 		x := n.noncesOf(s)
+		x.again = true
 		n.greetAt(s, 0, peer.NewHello(x.issued, x.echo))
 	}
 	n.found()
@@ -110,13 +112,18 @@
 	if m.To() != n.id || !n.seed(m.Address()) {
 		return
 	}
-	n.noncesOf(m.Address()).echo = r.Nonce()
+	x := n.noncesOf(m.Address())
+	x.echo = r.Nonce()
 	if !n.proves(m, r.Echo()) {
 		return
 	}
 	delete(n.greet.answers, m.Address())
-	if m.Group() == 0 && r.Known() {
+	switch {
+	case r.Known() && m.Group() == 0:
 		n.greet.answers[m.Address()] = answer{id: m.From(), at: n.now}
 		n.found()
+	case !r.Known() && x.again:
+		x.again = false
+		n.greetAt(m.Address(), 0, peer.NewHello(x.issued, x.echo))
 	}
 }
