--- a/core/command/raft/random_test.go
+++ b/core/command/raft/random_test.go
@@ -30,7 +30,9 @@
 	}
 	_ = flag.Set("rapid.nofailfile", "true")
 	code := m.Run()
-	fmt.Printf("random runs: %+v\n", totals)
+	if totals.runs > 0 {
+		fmt.Printf("random runs: %+v\n", totals)
+	}
 	os.Exit(code)
 }
 
