Lose any minority of disks, and one again before its repair

Cause: the runs lost one disk at a time, and the next only after its repair. Change: a minority of the disks may be lost until all are repaired, each of them more than once, also while a group is being founded.

--- a/core/command/raft/fault_test.go
+++ b/core/command/raft/fault_test.go
@@ -90,8 +90,7 @@
 	return crashAll{}
 }
 
-// inject brings about a fault. A disk is lost only while the group bears it, or
-// once while the group is being founded.
+// inject brings about a fault. A disk is lost only while the group bears it.
 func (w *world) inject(t timed) {
 	w.faults++
 	until := w.now + t.span
@@ -136,24 +135,33 @@
 	}
 }
 
-// bears reports whether the loss of the host's disk is to be tolerated now.
-func (w *world) bears(lost *host) bool {
+// bears reports whether the loss of the host's disk is to be tolerated now: a
+// minority may be lost, each of them again and again, until all are repaired.
+func (w *world) bears(h *host) bool {
 	if w.weak.emptyMemory || w.weak.wipeFreely {
-		return lost.disk.Hard().Group() != 0
+		return h.disk.Hard().Group() != 0
 	}
-	founded, wiped := false, 0
-	for _, h := range w.hosts {
-		founded = founded || h.disk.Hard().Group() != 0
-		wiped += h.wiped
+	if w.repaired() {
+		clear(w.lost)
 	}
-	if l := w.leader(); l != nil {
-		s := l.node.Status()
-		for _, h := range w.hosts {
-			if !s.Members().Votes(h.disk.Hard().ID()) {
-				return false
-			}
+	if !w.lost[h.number] && len(w.lost) >= (len(w.hosts)-1)/2 {
+		return false
+	}
+	w.lost[h.number] = true
+	return true
+}
+
+// repaired reports whether a leader says that the group is whole, and its
+// members have their disks.
+func (w *world) repaired() bool {
+	l := w.leader()
+	if l == nil || !l.node.Status().Whole() {
+		return false
+	}
+	for _, h := range w.hosts {
+		if !l.node.Status().Members().Votes(h.disk.Hard().ID()) {
+			return false
 		}
-		return s.Whole()
 	}
-	return wiped == 0 && (!founded || w.check.top == 0)
+	return true
 }
--- a/core/command/raft/world_test.go
+++ b/core/command/raft/world_test.go
@@ -28,6 +28,7 @@
 	double float64
 	delay  int // greatest delay in ms
 	weak   breakage
+	lost   map[int]bool // hosts whose disks were lost and are not surely repaired
 	check  *checker
 	tokens uint64
 	steps  int
@@ -59,7 +60,7 @@
 
 func newWorld(seed uint64, count int) *world {
 	w := &world{
-		random: rand.New(rand.NewPCG(seed, 7)), coder: rand.New(rand.NewPCG(seed, 8)), now: 1000, cut: map[[2]int]period{}, posts: map[clock.Millis][]post{},
+		random: rand.New(rand.NewPCG(seed, 7)), coder: rand.New(rand.NewPCG(seed, 8)), now: 1000, cut: map[[2]int]period{}, posts: map[clock.Millis][]post{}, lost: map[int]bool{},
 		delay: 3, check: newChecker(),
 	}
 	var seeds []string
