Wait for requests under earlier shards of a key before a handover

Cause: a request for a key enters under its hash range; the key is placed alone and its own shard moves. Likewise a request under the shard of an override that is removed is not waited for when the hash range moves.

Change: before a moving shard is closed, all requests leave that are in flight then under shards that share keys with it: the hash range of a key placed alone, and shards of removed overrides. Only what was inside at that instant counts, since the owner refuses a key under any other shard once it has the table. The span of the wait for the shard itself does not cut this short. A leaving daemon closes its shards 500 ms before its time is over: it let new work in up to 3150 ms after a leave, with a bound of 3000 ms. The test of random faults hands over as the control goroutine does, with a closed shard.

The runs of agents and leaders under random faults place keys, return them and move their shards.

--- a/core/command/agent/drain.go
+++ b/core/command/agent/drain.go
@@ -14,6 +14,18 @@
 // not closed because of it: the other keys of the shard would wait for its end.
 const Patience = 50 * clock.Millisecond
 
+// closeBefore is how long before the end of its leave a daemon closes its shards at last,
+// so that what was let in by then is done by the end.
+const closeBefore = 500 * clock.Millisecond
+
+// quietSpan returns how long a moving shard may stay open because of what is in flight.
+func (a *Agent) quietSpan() clock.Millis {
+	if l, ok := a.leave.(leaving); ok {
+		return max(0, l.until.Sub(a.now)-closeBefore)
+	}
+	return a.drainSpan()
+}
+
 // handover is how far the handing over of a shard is: waiting, closed or
 // released.
 type handover interface{ handover() }
--- a/core/command/agent/effect.go
+++ b/core/command/agent/effect.go
@@ -67,9 +67,12 @@
 // Incarnation returns the member.
 func (e SendGone) Incarnation() table.Incarnation { return e.incarnation }
 
-// AwaitQuiet asks for a ShardQuiet event once no request of the shard is in flight
-// for longer than Patience, or after the span.
+// AwaitQuiet asks for a ShardQuiet event: first once all requests have left that are in
+// flight now under shards which share keys with the shard, and then once no request of the
+// shard itself is in flight for longer than Patience, or after the span. The span does not
+// bound the first.
 type AwaitQuiet struct {
+	table   *table.Table
 	service string
 	shard   table.Shard
 	epoch   table.Epoch
@@ -85,7 +88,13 @@
 // Epoch returns the epoch that ends.
 func (e AwaitQuiet) Epoch() table.Epoch { return e.epoch }
 
-// Span returns the longest wait in milliseconds.
+// SharesKeys reports whether a request in flight under another shard may be for a key of
+// this one.
+func (e AwaitQuiet) SharesKeys(s table.Shard) bool {
+	return e.table.SharesKeys(e.service, e.shard, s)
+}
+
+// Span returns the longest wait for the shard itself in milliseconds.
 func (e AwaitQuiet) Span() clock.Millis { return e.span }
 
 // WatchShard asks for a ShardDrained event once no request of the shard is in
--- a/core/command/agent/session.go
+++ b/core/command/agent/session.go
@@ -132,7 +132,7 @@
 	key := release(h.Service(), h.Shard(), m.Epoch())
 	if _, known := a.handing[key]; !known {
 		a.handing[key] = waiting{}
-		a.emit(AwaitQuiet{service: h.Service(), shard: h.Shard(), epoch: m.Epoch(), span: a.drainSpan()})
+		a.emit(AwaitQuiet{table: a.table, service: h.Service(), shard: h.Shard(), epoch: m.Epoch(), span: a.quietSpan()})
 	}
 }
 
--- a/core/command/leader/daemon_test.go
+++ b/core/command/leader/daemon_test.go
@@ -11,6 +11,12 @@
 	"verbenabank/core/state/table"
 )
 
+// visit is a request in flight.
+type visit struct {
+	key   string
+	shard table.Shard
+}
+
 // daemon runs one agent with a clock of its own rate, a target and requests.
 type daemon struct {
 	world   *world
@@ -26,6 +32,7 @@
 	arrival clock.Millis // of the last order, so that a session keeps its order
 	sent    clock.Millis
 	flight  map[table.Shard]int
+	visits  map[*visit]bool
 	drains  map[table.Shard][]func()
 	boots   int
 }
@@ -42,6 +49,7 @@
 	d.agent = agent.New(agent.WithInstance(d.name, "z", d.name), agent.WithRandom(d.world.rand.Uint64))
 	d.snap = snap.New(table.Empty(), 0, 0, 0)
 	d.flight, d.drains = map[table.Shard]int{}, map[table.Shard][]func(){}
+	d.visits = map[*visit]bool{}
 	d.office, d.session = nil, 0
 	d.announce()
 	life := d.life
@@ -100,14 +108,7 @@
 	case agent.SendGone:
 		d.send(leader.NewGoneTold(f.Incarnation()))
 	case agent.AwaitQuiet:
-		life, quiet := d.life, agent.NewShardQuiet(f.Service(), f.Shard(), f.Epoch())
-		d.world.after(d.world.span(100), func() {
-			d.awake(func() {
-				if life == d.life {
-					d.step(quiet)
-				}
-			})
-		})
+		d.awaitQuiet(f)
 	case agent.WatchShard:
 		d.watch(f)
 	case agent.WatchAll:
@@ -124,8 +125,41 @@
 	}
 }
 
+// awaitQuiet waits for what may be for keys of the shard, and then for a while.
+func (d *daemon) awaitQuiet(f agent.AwaitQuiet) {
+	life, quiet := d.life, agent.NewShardQuiet(f.Service(), f.Shard(), f.Epoch())
+	var before []*visit
+	for v := range d.visits {
+		removed := v.shard >= table.FirstOverride && d.world.flaw == forgetRemoved
+		if f.SharesKeys(v.shard) && d.world.flaw != drainOwnShardOnly && !removed {
+			before = append(before, v)
+		}
+	}
+	var wait func()
+	wait = func() {
+		if life != d.life {
+			return
+		}
+		for _, v := range before {
+			if d.visits[v] {
+				d.world.after(1, wait)
+				return
+			}
+		}
+		d.world.after(d.world.span(100), func() {
+			d.awake(func() {
+				if life == d.life {
+					d.step(quiet)
+				}
+			})
+		})
+	}
+	wait()
+}
+
 // drop ends all requests, as closing their connections does.
 func (d *daemon) drop() {
+	clear(d.visits)
 	for s := range d.flight {
 		d.flight[s] = 0
 		d.drained(s)
@@ -273,25 +307,36 @@
 		return
 	}
 	d.awake(func() {
-		s := table.Shard(d.world.rand.IntN(shards))
+		key := keys[d.world.rand.IntN(len(keys))]
+		if d.world.rand.IntN(2) == 0 {
+			key = keys[d.world.rand.IntN(movable)]
+		}
+		s := d.snap.Table().ShardOf(service, key, shards)
 		if _, ok := d.owns(s); ok && life == d.life {
-			d.serve(s)
+			d.serve(&visit{key: key, shard: s})
 		}
 		d.world.after(1+d.world.span(30), func() { d.request(life) })
 	})
 }
 
-func (d *daemon) serve(s table.Shard) {
-	w, life := d.world, d.life
+func (d *daemon) serve(v *visit) {
+	w, life, s := d.world, d.life, v.shard
 	w.served++
 	for _, o := range w.daemons {
 		if o != d && o.flight[s] > 0 && o.local() < o.snap.LeaseEnd() {
 			w.fail("shard %d runs a request at %s while one is in flight at %s under its lease", s, d.name, o.name)
 		}
+		for u := range o.visits {
+			if o != d && u.key == v.key && o.local() < o.snap.LeaseEnd() {
+				w.fail("key %s runs at %s under shard %d while it does at %s under shard %d", v.key, d.name, s, o.name, u.shard)
+			}
+		}
 	}
 	d.flight[s]++
+	d.visits[v] = true
 	w.after(w.span(200), func() {
-		if life == d.life && d.flight[s] > 0 {
+		if life == d.life && d.visits[v] {
+			delete(d.visits, v)
 			d.flight[s]--
 			d.drained(s)
 		}
--- a/core/command/leader/leader_test.go
+++ b/core/command/leader/leader_test.go
@@ -8,6 +8,7 @@
 
 	"verbenabank/core/clock"
 	"verbenabank/core/command/agent"
+	"verbenabank/core/state/order"
 	"verbenabank/core/state/table"
 )
 
@@ -52,9 +53,36 @@
 	w.after(w.span(700), w.trouble)
 }
 
+// place places keys alone, returns them to their ranges, and moves shards.
+func (w *world) place() {
+	key := keys[w.rand.IntN(movable)]
+	switch w.rand.IntN(3) {
+	case 0:
+		w.commit(order.NewPlace(service, key))
+	case 1:
+		w.commit(order.NewUnplace(service, key))
+	case 2:
+		w.move(table.HashShard(key, shards))
+	}
+	if w.rand.IntN(2) == 0 {
+		w.move(w.state.Table().ShardOf(service, key, shards))
+	}
+	w.after(w.span(150), w.place)
+}
+
+// move sends a shard to another daemon.
+func (w *world) move(s table.Shard) {
+	h, ok := w.state.Table().Holding(service, s).(table.Owned)
+	members := w.state.Table().MembersOf(service)
+	if ok && len(members) > 0 {
+		w.commit(order.NewMove(service, s, h.Epoch(), members[w.rand.IntN(len(members))].Incarnation()))
+	}
+}
+
 func simulate(seed uint64, f flaw) *world {
 	w := newWorld(seed, f, 4)
 	w.after(1500, w.trouble)
+	w.after(1500, w.place)
 	w.run(runSpan)
 	return w
 }
@@ -90,6 +118,8 @@
 		"a new leader does not wait out leases":   noWait,
 		"a shard is released with work in flight": releaseInFlight,
 		"a lease is counted from its answer":      countFromAnswer,
+		"a key is released with work in flight":   drainOwnShardOnly,
+		"a removed override's work is forgotten":  forgetRemoved,
 	}
 	for name, f := range flaws {
 		t.Run(name, func(t *testing.T) {
--- a/core/command/leader/world_test.go
+++ b/core/command/leader/world_test.go
@@ -21,6 +21,18 @@
 	groupID = 77
 )
 
+// movable is how many keys are placed alone now and then.
+const movable = 4
+
+// keys are those of the requests; all hash ranges have some.
+var keys = func() []string {
+	var list []string
+	for n := range 3 * shards {
+		list = append(list, fmt.Sprint("k", n))
+	}
+	return list
+}()
+
 // flaw is a guard that a run leaves out, to show that the run would find it
 // missing.
 type flaw int
@@ -31,6 +43,8 @@
 	noWait
 	releaseInFlight
 	countFromAnswer
+	drainOwnShardOnly
+	forgetRemoved
 )
 
 // event is something that happens at an instant of the world.
@@ -218,24 +232,31 @@
 // check looks at every shard: one owner at an instant, one owner an epoch.
 func (w *world) check() {
 	for s := range table.Shard(shards) {
-		var holder *daemon
-		for _, d := range w.daemons {
-			e, ok := d.owns(s)
-			if !ok {
-				continue
-			}
-			if holder != nil {
-				w.fail("shard %d is owned by %s and %s", s, holder.name, d.name)
-			}
-			holder = d
-			name := fmt.Sprint(s, "/", e)
-			if _, ok := w.owners[name]; !ok {
-				w.grants++
-				w.owners[name] = d.snap.Self()
-			}
-			if w.owners[name] != d.snap.Self() {
-				w.fail("shard %d has two owners at epoch %d", s, e)
-			}
+		w.checkShard(s)
+	}
+	for _, k := range keys[:movable] {
+		w.checkShard(w.state.Table().ShardOf(service, k, shards))
+	}
+}
+
+func (w *world) checkShard(s table.Shard) {
+	var holder *daemon
+	for _, d := range w.daemons {
+		e, ok := d.owns(s)
+		if !ok {
+			continue
+		}
+		if holder != nil {
+			w.fail("shard %d is owned by %s and %s", s, holder.name, d.name)
+		}
+		holder = d
+		name := fmt.Sprint(s, "/", e)
+		if _, ok := w.owners[name]; !ok {
+			w.grants++
+			w.owners[name] = d.snap.Self()
+		}
+		if w.owners[name] != d.snap.Self() {
+			w.fail("shard %d has two owners at epoch %d", s, e)
 		}
 	}
 }
--- a/verbenad/adapt/target/answer.go
+++ b/verbenad/adapt/target/answer.go
@@ -116,7 +116,7 @@
 	b.err = io.EOF
 	if x.finished() && b.keep && x.release() {
 		x.target.keep(x.conn)
-		x.ended()
+		x.work.Ended()
 		return
 	}
 	x.abort()
--- a/verbenad/adapt/target/exchange.go
+++ b/verbenad/adapt/target/exchange.go
@@ -22,7 +22,7 @@
 	conn    *conn
 	request call.Request
 	release func() bool // stops the watch on ctx
-	ended   func()
+	work    call.Work
 
 	upload   conc.WaitGroup
 	streamed bool       // the body is sent beside the reading of the answer
@@ -33,8 +33,8 @@
 	over     bool
 }
 
-func newExchange(ctx context.Context, t *Target, c *conn, r call.Request, ended func()) *exchange {
-	x := &exchange{ctx: ctx, target: t, conn: c, request: r, ended: ended, uploaded: make(chan error, 1)}
+func newExchange(ctx context.Context, t *Target, c *conn, r call.Request, w call.Work) *exchange {
+	x := &exchange{ctx: ctx, target: t, conn: c, request: r, work: w, uploaded: make(chan error, 1)}
 	x.release = context.AfterFunc(ctx, x.interrupt)
 	return x
 }
@@ -195,9 +195,9 @@
 	x.over = true
 	x.mu.Unlock()
 	if x.conn.wrote.Load() || x.streamed {
-		x.target.settle(x.conn, x.ended)
+		x.target.settle(x.conn, x.work)
 		return
 	}
 	x.conn.close()
-	x.ended()
+	x.work.Ended()
 }
--- a/verbenad/adapt/target/target.go
+++ b/verbenad/adapt/target/target.go
@@ -10,8 +10,10 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -114,7 +116,7 @@
 		w.Ended()
 		return call.Refuse(reason)
 	}
-	return newExchange(ctx, t, c, r, w.Ended).run()
+	return newExchange(ctx, t, c, r, w).run()
 }
 
 // take returns a connection that is open and has nothing unread.
@@ -153,19 +155,23 @@
 // settle asks the target to end a request, by closing the sending half, and waits until it
 // closes the connection: then it does not work on the request any more. After the
 // longest time for that the connection is closed in any case.
-func (t *Target) settle(c *conn, ended func()) {
+func (t *Target) settle(c *conn, w call.Work) {
 	half, ok := c.Conn.(interface{ CloseWrite() error })
 	if !ok {
 		c.close()
-		ended()
+		w.Abandoned()
 		return
 	}
 	_ = c.SetDeadline(time.Now().Add(t.settling))
 	_ = half.CloseWrite()
 	t.group.Go(func() {
-		_, _ = io.Copy(io.Discard, c.Conn)
+		_, err := io.Copy(io.Discard, c.Conn)
 		c.close()
-		ended()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			w.Abandoned()
+			return
+		}
+		w.Ended()
 	})
 }
 
--- a/verbenad/command/ctrl/local.go
+++ b/verbenad/command/ctrl/local.go
@@ -20,8 +20,7 @@
 	case agent.SendJoin, agent.SendRenew, agent.SendLeave, agent.SendGone:
 		l.uplink.Send(f)
 	case agent.AwaitQuiet:
-		quiet := agent.NewShardQuiet(f.Service(), f.Shard(), f.Epoch())
-		l.flight.Quiet(f.Service(), f.Shard(), agent.Patience, f.Span(), func() { go l.Post(NewLocal(quiet)) })
+		l.awaitQuiet(f)
 	case agent.WatchShard:
 		done := agent.NewShardDrained(f.Service(), f.Shard(), f.Epoch())
 		l.flight.Drained(f.Service(), f.Shard(), func() { go l.Post(NewLocal(done)) })
@@ -43,6 +42,15 @@
 	}
 }
 
+// awaitQuiet waits for the requests that may be for keys of the shard and entered under
+// another, however long they take, and only then for the shard itself.
+func (l *Loop) awaitQuiet(f agent.AwaitQuiet) {
+	quiet := agent.NewShardQuiet(f.Service(), f.Shard(), f.Epoch())
+	l.flight.Past(f.Service(), f.SharesKeys, func() {
+		l.flight.Quiet(f.Service(), f.Shard(), agent.Patience, f.Span(), func() { go l.Post(NewLocal(quiet)) })
+	})
+}
+
 // violated logs an invariant that does not hold. The agent has already refused
 // what broke it.
 func (l *Loop) violated(problem string) {
--- a/verbenad/command/ctrl/ports.go
+++ b/verbenad/command/ctrl/ports.go
@@ -44,6 +44,7 @@
 
 // Flight tells when requests in flight are done, from any goroutine.
 type Flight interface {
+	Past(service string, match func(s table.Shard) bool, notify func())
 	Quiet(service string, s table.Shard, patience, span clock.Millis, notify func())
 	Drained(service string, s table.Shard, notify func())
 	Empty(notify func())
--- a/verbenad/command/entry/chaos_test.go
+++ b/verbenad/command/entry/chaos_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"verbenabank/core/state/rules"
+	"verbenabank/core/state/snap"
 	"verbenabank/core/state/table"
 )
 
@@ -83,6 +84,7 @@
 // handOver moves the shard between the owners until done closes, the way that the control
 // goroutine does.
 func handOver(all []*daemon, owners [2]*daemon, opts []rules.Option, done <-chan struct{}) {
+	closed := snap.WithClosed(map[snap.Place]bool{snap.NewPlace(keyed, 0): true})
 	for i := 0; ; i++ {
 		from, to, epoch := owners[i%2], owners[(i+1)%2], table.Epoch(i+1)
 		x := ownedBy(from, all, opts...)
@@ -95,7 +97,7 @@
 		case <-time.After(60 * time.Millisecond):
 		}
 		for _, d := range all {
-			d.publish(x.With(uint64(i), table.NewHoldingSet(keyed, 0, table.NewMoving(from.self, to.self, epoch))))
+			d.publish(x.With(uint64(i), table.NewHoldingSet(keyed, 0, table.NewMoving(from.self, to.self, epoch))), closed)
 		}
 		drained := make(chan struct{})
 		from.owner.Flight().Drained(keyed, 0, func() { close(drained) })
--- a/verbenad/command/entry/fleet_test.go
+++ b/verbenad/command/entry/fleet_test.go
@@ -76,9 +76,9 @@
 }
 
 // publish gives the daemon a table, with leases that end after a minute.
-func (d *daemon) publish(t *table.Table) {
+func (d *daemon) publish(t *table.Table, opts ...snap.Option) {
 	now := clock.New().Now()
-	d.cell.Publish(snap.New(t, d.self, now+clock.Minute, now+clock.Minute))
+	d.cell.Publish(snap.New(t, d.self, now+clock.Minute, now+clock.Minute, opts...))
 }
 
 const keyed = "catalogue"
--- a/verbenad/command/flight/flight.go
+++ b/verbenad/command/flight/flight.go
@@ -38,6 +38,7 @@
 	places  map[place]*tally
 	total   int
 	waiters []func()
+	past    map[*past]struct{}
 }
 
 // Option sets one property of a Flight.
@@ -48,7 +49,7 @@
 
 // New returns a count of nothing.
 func New(opts ...Option) *Flight {
-	f := &Flight{clock: clock.New(), places: map[place]*tally{}}
+	f := &Flight{clock: clock.New(), places: map[place]*tally{}, past: map[*past]struct{}{}}
 	for _, o := range opts {
 		o(f)
 	}
@@ -77,7 +78,7 @@
 	delete(t.inside, v)
 	t.busy += now - v.since
 	f.total--
-	told := t.hush(now)
+	told := append(f.pass(v), t.hush(now)...)
 	if len(t.inside) == 0 {
 		told, t.waiters = append(told, t.waiters...), nil
 	}
--- a/verbenad/command/owner/guard.go
+++ b/verbenad/command/owner/guard.go
@@ -46,6 +46,8 @@
 	slotted  bool
 	passed   bool
 	sent     clock.Millis
+	id       string
+	told     clock.Millis // the end of the lease that the target was told last
 	cancel   context.CancelFunc
 	lapsed   atomic.Bool
 }
@@ -62,7 +64,7 @@
 	}
 	g.pass = pass
 	g.passed = true
-	switch reply := g.owner.target.Send(g.enlist(ctx), call.NewWork(g.prepare, g.ended)).(type) {
+	switch reply := g.owner.target.Send(g.enlist(ctx), call.NewWork(g.prepare, g.ended, call.WithAbandoned(g.abandoned))).(type) {
 	case call.Answer:
 		return g.judge(reply)
 	case call.Failure:
@@ -77,11 +79,9 @@
 	if reason != "" {
 		return call.Request{}, reason
 	}
-	g.owner.mu.Lock()
-	g.pass = pass
-	g.owner.mu.Unlock()
-	g.sent = g.owner.clock.Now()
-	return g.ordered(), ""
+	fields := g.name()
+	g.dispatch(pass)
+	return g.ordered(fields), ""
 }
 
 // admit waits for a slot.
@@ -122,11 +122,10 @@
 	return call.Refuse(result.Overloaded), false
 }
 
-// ordered returns the request with the fields that a target may check.
-func (g *guard) ordered() call.Request {
+// ordered returns the request with the fields and those that a target may check.
+func (g *guard) ordered(fields []call.Field) call.Request {
 	r := g.request
 	left := max(1, g.deadline-g.owner.clock.Now())
-	fields := append([]call.Field{}, r.Fields()...)
 	fields = append(fields, call.NewField(HeaderDeadline, strconv.FormatInt(int64(left), 10)))
 	if r.Key() != "" {
 		fields = append(fields,
@@ -201,6 +200,12 @@
 
 // ended gives back the slot and the place in the count of requests in flight.
 func (g *guard) ended() {
+	g.yield()
+	g.leave()
+}
+
+// yield gives back the slot.
+func (g *guard) yield() {
 	now := g.owner.clock.Now()
 	switch {
 	case g.slotted && g.sent > 0:
@@ -208,7 +213,6 @@
 	case g.slotted:
 		g.owner.gate.Return(now)
 	}
-	g.leave()
 }
 
 // guarded is the body of an answer that may be read while ownership holds.
--- a/verbenad/command/owner/lapse.go
+++ b/verbenad/command/owner/lapse.go
@@ -73,6 +73,7 @@
 	g.owner.mu.Lock()
 	defer g.owner.mu.Unlock()
 	delete(g.owner.running, g)
+	delete(g.owner.lasting, g)
 }
 
 // explain names the reason of a failure that the caller did not cause by going away.
--- a/verbenad/command/owner/owner.go
+++ b/verbenad/command/owner/owner.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,17 +36,20 @@
 // Owner serves requests with the target beside the daemon. It is safe for
 // concurrent use.
 type Owner struct {
-	clock  *clock.Clock
-	cell   *snap.Cell
-	target Sender
-	flight *flight.Flight
-	gate   *admit.Gate
-	closed atomic.Bool
-	meter  *meter.Meter
+	clock    *clock.Clock
+	cell     *snap.Cell
+	target   Sender
+	extender Extender
+	flight   *flight.Flight
+	gate     *admit.Gate
+	closed   atomic.Bool
+	attempts atomic.Uint64
+	meter    *meter.Meter
 
 	mu      sync.Mutex
 	hot     *heavy.Sketch
-	running map[*guard]struct{}
+	running map[*guard]struct{} // at a target that does not check leases
+	lasting map[*guard]struct{} // at a target that does
 }
 
 // Option sets one property of an Owner.
@@ -60,6 +64,9 @@
 // WithTarget sets the target.
 func WithTarget(t Sender) Option { return func(o *Owner) { o.target = t } }
 
+// WithExtender sets who tells the target of renewals; it must be set if Prolong is called.
+func WithExtender(e Extender) Option { return func(o *Owner) { o.extender = e } }
+
 // WithFlight sets the count of requests in flight.
 func WithFlight(f *flight.Flight) Option { return func(o *Owner) { o.flight = f } }
 
@@ -72,7 +79,9 @@
 		meter:   meter.Of("owner"),
 		hot:     heavy.New(HotCounters),
 		running: map[*guard]struct{}{},
+		lasting: map[*guard]struct{}{},
 	}
+	o.attempts.Store(rand.Uint64())
 	for _, f := range opts {
 		f(o)
 	}
@@ -156,8 +165,11 @@
 	case s.Self() == 0 || s.Self() != r.Incarnation():
 		return admission{}, result.NotOwner
 	}
-	switch service.Kind().(type) {
+	switch k := service.Kind().(type) {
 	case rules.Keyed:
+		if s.Table().ShardOf(r.Service(), r.Key(), k.Shards()) != r.Shard() {
+			return admission{}, result.NotOwner
+		}
 		epoch, owns := s.Owns(r.Service(), r.Shard(), now)
 		if !owns {
 			return admission{}, result.NotOwner
--- a/verbenad/command/serve/run.go
+++ b/verbenad/command/serve/run.go
@@ -52,6 +52,7 @@
 	d.group.Go(func() { _ = d.loop.Run(d.life) })
 	d.group.Go(func() { measure(d.life, d.owner, d.loop) })
 	d.group.Go(func() { d.owner.Watch(d.life) })
+	d.group.Go(func() { d.owner.Prolong(d.life) })
 	d.group.Go(func() { d.hops.Follow(d.life, d.cell) })
 	d.group.Go(func() { d.report(ended, d.peers.Serve(d.peersPort)) })
 	d.group.Go(func() { d.report(ended, d.entry.Serve(d.callersPort)) })
--- a/verbenad/command/serve/serve.go
+++ b/verbenad/command/serve/serve.go
@@ -21,6 +21,7 @@
 	"verbenabank/core/wire/codec"
 	"verbenabank/core/wire/confjs"
 	"verbenabank/core/wire/wirepb"
+	"verbenabank/verbenad/adapt/extend"
 	"verbenabank/verbenad/adapt/hop"
 	"verbenabank/verbenad/adapt/link"
 	"verbenabank/verbenad/adapt/probe"
@@ -118,12 +119,15 @@
 func (d *Daemon) buildTraffic() error {
 	t, stop := target.New()
 	d.atEnd(stop)
-	d.beside = newBeside(d.clock, t)
+	x, stopExtender := extend.New()
+	d.atEnd(stopExtender)
+	d.beside = newBeside(d.clock, t, x)
 	p, stopProbe := probe.New(probe.WithClock(d.clock), probe.WithLog(d.part()),
 		probe.WithAnswered(d.beside.Answered), probe.WithPost(d.post))
 	d.atEnd(stopProbe)
 	d.beside.probe = p
-	d.owner = owner.New(owner.WithClock(d.clock), owner.WithCell(d.cell), owner.WithTarget(d.beside))
+	d.owner = owner.New(owner.WithClock(d.clock), owner.WithCell(d.cell), owner.WithTarget(d.beside),
+		owner.WithExtender(x))
 	client, stopClient := hop.New(hop.WithDialOptions(d.trust.DialOptions()...))
 	d.atEnd(stopClient)
 	d.hops = client
--- a/verbenad/command/serve/target.go
+++ b/verbenad/command/serve/target.go
@@ -7,6 +7,7 @@
 
 	"verbenabank/core/clock"
 	"verbenabank/core/state/call"
+	"verbenabank/verbenad/adapt/extend"
 	"verbenabank/verbenad/adapt/probe"
 	"verbenabank/verbenad/adapt/target"
 )
@@ -17,6 +18,7 @@
 type beside struct {
 	clock    *clock.Clock
 	target   *target.Target
+	extender *extend.Extender
 	probe    *probe.Probe
 	answered atomic.Int64
 
@@ -26,8 +28,8 @@
 }
 
 // newBeside returns a place for a target, with none in it.
-func newBeside(c *clock.Clock, t *target.Target) *beside {
-	b := &beside{clock: c, target: t}
+func newBeside(c *clock.Clock, t *target.Target, e *extend.Extender) *beside {
+	b := &beside{clock: c, target: t, extender: e}
 	b.life, b.cancel = context.WithCancel(context.Background())
 	return b
 }
@@ -39,6 +41,7 @@
 	b.mu.Unlock()
 	b.answered.Store(0)
 	b.target.Point(address)
+	b.extender.Point(address)
 	b.probe.Watch(address)
 }
 
@@ -46,6 +49,7 @@
 func (b *beside) Drop() {
 	b.probe.Drop()
 	b.target.Point("")
+	b.extender.Point("")
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.cancel()
--- a/vload/command/admit/admit.go
+++ b/vload/command/admit/admit.go
@@ -60,6 +60,21 @@
 	return nil
 }
 
+// Extend lets the leases of running and waiting requests end later. The handles are those
+// that the daemon gave them.
+func (a *Admission) Extend(handles []string, until clock.Millis) {
+	for t, o := range a.running {
+		if o.Lease() != 0 && slices.Contains(handles, o.Handle()) {
+			a.running[t] = o.Extended(until)
+		}
+	}
+	for i, e := range a.waiting {
+		if e.order.Lease() != 0 && slices.Contains(handles, e.order.Handle()) {
+			a.waiting[i].order = e.order.Extended(until)
+		}
+	}
+}
+
 // Commit ends a running request: it takes effect, or is refused if it became
 // stale while it ran. Waiting requests take the free slot.
 func (a *Admission) Commit(t Sequence, now clock.Millis) []Effect {
--- a/vload/command/target/control.go
+++ b/vload/command/target/control.go
@@ -3,13 +3,14 @@
 import (
 	"time"
 
+	"verbenabank/core/clock"
 	"verbenabank/vload/command/admit"
 	"verbenabank/vload/state/ledger"
 	"verbenabank/vload/state/server"
 )
 
 // event is what the control goroutine is told: arrived, finished, withdrawn,
-// tuned or left.
+// extended, tuned or left.
 type event interface{ event() }
 
 // arrived is a request with the channel for its first effect.
@@ -25,6 +26,12 @@
 // withdrawn is a request that was given up.
 type withdrawn struct{ sequence admit.Sequence }
 
+// extended lets the leases of requests end later.
+type extended struct {
+	handles []string
+	until   clock.Millis
+}
+
 // tuned changes the behavior of the target.
 type tuned struct{ tuning server.Tuning }
 
@@ -34,6 +41,7 @@
 func (arrived) event()   {}
 func (finished) event()  {}
 func (withdrawn) event() {}
+func (extended) event()  {}
 func (tuned) event()     {}
 func (left) event()      {}
 
@@ -81,6 +89,8 @@
 	case withdrawn:
 		delete(replies, e.sequence)
 		return admission.Withdraw(e.sequence, now)
+	case extended:
+		admission.Extend(e.handles, e.until)
 	case tuned:
 		t.publish(t.View().WithTuning(e.tuning))
 	case left:
--- a/vload/command/target/handle.go
+++ b/vload/command/target/handle.go
@@ -128,7 +128,8 @@
 	epoch, _ := strconv.ParseUint(c.Get("Verbena-Epoch"), 10, 64)
 	lease, _ := strconv.ParseInt(c.Get("Verbena-Lease-Until"), 10, 64)
 	id, key := string([]byte(c.Get(body.IDHeader))), string([]byte(c.Get(body.KeyHeader)))
-	return ledger.NewOrder(id, key, string([]byte(c.Method())), uint32(shard), epoch, clock.Millis(lease))
+	return ledger.NewOrder(id, key, string([]byte(c.Method())), uint32(shard), epoch, clock.Millis(lease)).
+		WithHandle(string([]byte(c.Get("Verbena-Request-Id"))))
 }
 
 // deadline returns a channel that fires when the time left to the request is
--- a/vload/command/target/target.go
+++ b/vload/command/target/target.go
@@ -72,6 +72,7 @@
 	t.app = fiber.New(fiber.Config{BodyLimit: bodyLimit, StreamRequestBody: true})
 	show.Routes(t.app, t.settings.Behavior(), t.View)
 	t.app.Post(TunePath, t.tune)
+	t.app.Put(LeasePath, t.extend)
 	t.app.All("/*", t.handle)
 	t.group.Go(t.control)
 	if t.settings.Admin() != "" {
--- a/vload/state/ledger/ledger.go
+++ b/vload/state/ledger/ledger.go
@@ -12,6 +12,7 @@
 	shard  uint32
 	epoch  uint64
 	lease  clock.Millis
+	handle string
 }
 
 // NewOrder returns a request. The lease is the end of the owner's lease on the
@@ -20,6 +21,21 @@
 	return Order{id: id, key: key, method: method, shard: shard, epoch: epoch, lease: lease}
 }
 
+// WithHandle returns the order with the name under which the daemon extends its lease.
+func (o Order) WithHandle(handle string) Order {
+	o.handle = handle
+	return o
+}
+
+// Extended returns the order with a lease that ends at until or later.
+func (o Order) Extended(until clock.Millis) Order {
+	o.lease = max(o.lease, until)
+	return o
+}
+
+// Handle returns the name under which the daemon extends the lease.
+func (o Order) Handle() string { return o.handle }
+
 // ID returns the request ID that the caller chose.
 func (o Order) ID() string { return o.id }
 
