--- a/core/command/agent/drain.go
+++ b/core/command/agent/drain.go
@@ -55,7 +55,7 @@
 	}
 	a.handing[key] = closed{}
 	a.publish()
-	a.emit(WatchShard{service: e.service, shard: e.shard, epoch: e.epoch})
+	a.emit(WatchShard(e))
 }
 
 // shardDrained gives a closed shard back at once.
--- a/vload/command/admit/admit_test.go
+++ b/vload/command/admit/admit_test.go
@@ -37,3 +37,19 @@
 	u.Arrive(1, order(2, 100), 50)
 	is.Equal(u.Arrive(2, order(1, 100), 200), []Effect{Run{2, 200}}) // unfenced targets run it
 }
+
+func TestExtension(t *testing.T) {
+	is := is.New(t)
+	d := New(server.New(server.WithFencing(server.AtCommit{}), server.WithSlots(3, 1)))
+	for n, handle := range []string{"a", "b", "c", "d"} {
+		d.Arrive(Sequence(n+1), order(2, 100).WithHandle(handle), 50)
+	}
+	d.Extend([]string{"a", "c", "d", "x"}, 200)
+	d.Extend([]string{"c"}, 150)                                  // a lease never ends earlier
+	is.Equal(d.Commit(2, 150), []Effect{Stale{2}, Run{4, 150}})   // not extended
+	is.Equal(d.Commit(1, 199), []Effect{Commit{1, 199}})          // extended
+	is.Equal(d.Commit(3, 199), []Effect{Commit{3, 199}})          // extended, then with an earlier end
+	d.Extend([]string{"d"}, 300)                                  // read after a freeze until 300
+	is.Equal(d.Commit(4, 300), []Effect{Stale{4}})                // its end is past
+	is.Equal(d.Arrive(5, order(2, 100), 300), []Effect{Stale{5}}) // extensions are for requests, not for shards
+}
--- a/vload/command/target/target_test.go
+++ b/vload/command/target/target_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -45,6 +46,7 @@
 	}
 	request.Header.Set(body.IDHeader, id)
 	request.Header.Set("Verbena-Shard", "3")
+	request.Header.Set("Verbena-Request-Id", "v-"+id)
 	request.Header.Set("Verbena-Epoch", fmt.Sprint(epoch))
 	request.Header.Set("Verbena-Lease-Until", fmt.Sprint(int64(lease)))
 	answer, err := (&http.Client{Timeout: timeout}).Do(request)
@@ -93,3 +95,26 @@
 	_, aborted := written.Executions()[0].Ending().(ledger.Aborted)
 	is.True(aborted)
 }
+
+func TestExtendedRequestTakesEffect(t *testing.T) {
+	is := is.New(t)
+	address, _ := start(t, server.WithFencing(server.AtCommit{}), server.WithService(map[string]clock.Millis{"POST": 300}, server.Fixed{}))
+	now := clock.New().Now()
+	statuses := map[string]chan int{"kept": make(chan int, 1), "left": make(chan int, 1)}
+	for id, got := range statuses {
+		go func() {
+			status, _ := send(address, id, 5, now+200, 5*time.Second)
+			got <- status
+		}()
+	}
+	time.Sleep(100 * time.Millisecond)
+	text := fmt.Sprintf(`{"until": %d, "requests": ["v-kept"]}`, now+clock.Minute)
+	q, err := http.NewRequest(http.MethodPut, "http://"+address+LeasePath, strings.NewReader(text))
+	is.NoErr(err)
+	answer, err := http.DefaultClient.Do(q)
+	is.NoErr(err)
+	is.Equal(answer.StatusCode, http.StatusNoContent)
+	is.NoErr(answer.Body.Close())
+	is.Equal(<-statuses["kept"], 200)
+	is.Equal(<-statuses["left"], 412)
+}
