Price the moves of shards by load, churn and gaps

Cause: the placement evened the counts of shards, so a member with popular keys stayed busy, a hot key was never placed alone, and every join moved a full share at once, whatever the users' weights.

Change: place.Plan takes a sealed Policy: Priced, Even (as before) or Static. The gauge keeps rates by shard, so that they survive a move.

--- a/core/command/gauge/gauge.go
+++ b/core/command/gauge/gauge.go
@@ -1,5 +1,6 @@
 // Package gauge keeps the leader's picture of its members: since when they are
-// known and how much load they report.
+// known, how much load their shards take, which keys are hot, and when shards
+// changed their owner.
 package gauge
 
 import (
@@ -8,32 +9,68 @@
 	"verbenabank/core/state/table"
 )
 
-// smoothing is the weight of the newest report in a rate.
-const smoothing = 0.3
-
-// Gauge is the picture. It is for the control goroutine only.
+// Gauge is the picture. Its memory is bounded by members and shards. It is for
+// the control goroutine only.
 type Gauge struct {
+	began   clock.Millis
 	members map[table.Incarnation]*member
+	joined  map[table.Incarnation]clock.Millis
+	trends  map[load.Place]load.Trend
+	owners  map[load.Place]owner
+	alone   map[name]load.Place
+	keys    map[table.Incarnation]map[string]load.Heat
+	costs   map[string]float64 // milliseconds of a mean request, by service
 }
 
 // member is what is known of one member.
 type member struct {
-	joined   clock.Millis
+	service  string
+	instance string
 	reported clock.Millis
-	shards   map[table.Shard]float64
-	keys     map[string]float64
+	seen     bool // whether it ever reported
+	places   map[load.Place]bool
+}
+
+// owner is the last owner of a shard.
+type owner struct {
+	incarnation table.Incarnation
+	instance    string
 }
 
-// New returns a gauge that knows no member.
-func New() *Gauge { return &Gauge{members: map[table.Incarnation]*member{}} }
+// name is a key of a service.
+type name struct {
+	service string
+	key     string
+}
+
+// New returns a gauge that knows no member at the instant.
+func New(now clock.Millis) *Gauge {
+	return &Gauge{
+		began:   now,
+		members: map[table.Incarnation]*member{},
+		joined:  map[table.Incarnation]clock.Millis{},
+		trends:  map[load.Place]load.Trend{},
+		owners:  map[load.Place]owner{},
+		alone:   map[name]load.Place{},
+		keys:    map[table.Incarnation]map[string]load.Heat{},
+		costs:   map[string]float64{},
+	}
+}
 
 // Joined takes note of a member first seen at now.
-func (g *Gauge) Joined(i table.Incarnation, now clock.Millis) {
-	g.members[i] = &member{joined: now, reported: now, shards: map[table.Shard]float64{}, keys: map[string]float64{}}
+func (g *Gauge) Joined(m table.Member, now clock.Millis) {
+	i := m.Incarnation()
+	g.members[i] = &member{service: m.Service(), instance: m.Instance(), reported: now, places: map[load.Place]bool{}}
+	g.joined[i] = now
+	g.keys[i] = map[string]load.Heat{}
 }
 
 // Left forgets a member.
-func (g *Gauge) Left(i table.Incarnation) { delete(g.members, i) }
+func (g *Gauge) Left(i table.Incarnation) {
+	delete(g.members, i)
+	delete(g.joined, i)
+	delete(g.keys, i)
+}
 
 // Knows reports whether the member was seen.
 func (g *Gauge) Knows(i table.Incarnation) bool {
@@ -41,50 +78,75 @@
 	return ok
 }
 
-// Report counts what a member measured since its last report. An empty report
-// counts for nothing, since most renewals carry none.
-func (g *Gauge) Report(i table.Incarnation, r load.Report, now clock.Millis) {
-	m, ok := g.members[i]
-	if !ok || r.Empty() || now <= m.reported {
+// Held takes note of the holding of a shard at now.
+func (g *Gauge) Held(p load.Place, h table.Holding, now clock.Millis) {
+	switch h := h.(type) {
+	case table.Vacant, table.Moving:
+	case table.Owned:
+		g.owned(p, h.Owner(), now)
+	}
+}
+
+func (g *Gauge) owned(p load.Place, i table.Incarnation, now clock.Millis) {
+	last, known := g.owners[p]
+	if known && last.incarnation == i {
 		return
 	}
-	seconds := float64(now.Sub(m.reported)) / float64(clock.Second)
-	m.reported = now
-	counts := map[table.Shard]float64{}
-	for _, s := range r.Shards() {
-		counts[s.Shard()] = float64(s.Requests()) / seconds
+	if m, ok := g.members[last.incarnation]; ok {
+		delete(m.places, p)
 	}
-	m.shards = smooth(m.shards, counts)
-	hot := map[string]float64{}
-	for _, k := range r.Keys() {
-		hot[k.Key()] = float64(k.Requests()) / seconds
+	next := owner{incarnation: i}
+	if m, ok := g.members[i]; ok {
+		m.places[p] = true
+		next.instance = m.instance
 	}
-	m.keys = smooth(m.keys, hot)
+	g.owners[p] = next
+	t := g.trends[p]
+	if known {
+		t = t.WithMove(now, last.instance)
+	}
+	g.trends[p] = t
+}
+
+// Placed takes note of a key that left the shard base for a shard of its own.
+// The load of the key goes with it.
+func (g *Gauge) Placed(key string, base, alone load.Place) {
+	g.alone[name{service: base.Service(), key: key}] = alone
+	rate := g.keys[g.owners[base].incarnation][key].Rate()
+	g.shift(base, alone, min(rate, g.trends[base].Requests()))
 }
 
-// smooth moves rates towards the newest ones and drops those that are near zero.
-func smooth[K comparable](rates, newest map[K]float64) map[K]float64 {
-	next := map[K]float64{}
-	for k, r := range rates {
-		if v := r + smoothing*(newest[k]-r); v > 0.01 {
-			next[k] = v
-		}
+// Returned takes note of a key that went back from its own shard to base.
+func (g *Gauge) Returned(key string, base load.Place) {
+	n := name{service: base.Service(), key: key}
+	alone, ok := g.alone[n]
+	if !ok {
+		return
 	}
-	for k, r := range newest {
-		if _, ok := rates[k]; !ok {
-			next[k] = smoothing * r
-		}
+	g.shift(alone, base, g.trends[alone].Requests())
+	if m, ok := g.members[g.owners[alone].incarnation]; ok {
+		delete(m.places, alone)
 	}
-	return next
+	delete(g.owners, alone)
+	delete(g.trends, alone)
+	delete(g.alone, n)
 }
 
-// View returns the picture at this instant.
-func (g *Gauge) View() load.View {
-	joined := map[table.Incarnation]clock.Millis{}
-	shards := map[table.Incarnation]map[table.Shard]float64{}
-	keys := map[table.Incarnation]map[string]float64{}
-	for i, m := range g.members {
-		joined[i], shards[i], keys[i] = m.joined, m.shards, m.keys
+// shift moves requests per second from one shard to another.
+func (g *Gauge) shift(from, to load.Place, rate float64) {
+	if rate <= 0 {
+		return
 	}
-	return load.NewView(joined, shards, keys)
+	a, b := g.trends[from], g.trends[to]
+	work := a.Work() * rate / a.Requests()
+	g.trends[from] = a.WithLoad(a.Requests()-rate, a.Work()-work)
+	g.trends[to] = b.WithLoad(b.Requests()+rate, b.Work()+work)
 }
+
+// View returns the picture at this instant. It is void after the next command.
+func (g *Gauge) View() load.View {
+	return load.NewView(load.WithBegan(g.began), load.WithJoined(g.joined), load.WithTrends(g.trends), load.WithKeys(g.keys))
+}
+
+// Moved returns when a shard last changed its owner, 0 if it was not seen to.
+func (g *Gauge) Moved(p load.Place) clock.Millis { return g.trends[p].Moved() }
--- a/core/command/leader/leader.go
+++ b/core/command/leader/leader.go
@@ -12,6 +12,7 @@
 	"verbenabank/core/command/gauge"
 	"verbenabank/core/command/lease"
 	"verbenabank/core/state/fleet"
+	"verbenabank/core/state/load"
 	"verbenabank/core/state/order"
 	"verbenabank/core/state/table"
 )
@@ -53,6 +54,7 @@
 // earlier entries of the log had been applied to f.
 func New(now clock.Millis, group uint64, f *fleet.Fleet) *Leader {
 	l := &Leader{
+		now:      now,
 		group:    group,
 		fleet:    f,
 		book:     lease.NewBook(now, f.Table().Members()),
@@ -60,12 +62,10 @@
 		history:  newHistory(f.Table().Version()),
 		planned:  map[subject]bool{},
 		joining:  map[table.Incarnation]bool{},
-		gauge:    gauge.New(),
+		gauge:    gauge.New(now),
 		nextPlan: now,
 	}
-	for _, m := range f.Table().Members() {
-		l.gauge.Joined(m.Incarnation(), now)
-	}
+	l.survey()
 	return l
 }
 
@@ -140,7 +140,13 @@
 		case table.MemberGone:
 			l.book.Forget(c.Incarnation())
 			l.gauge.Left(c.Incarnation())
-		case table.RulesSet, table.HoldingSet, table.OverrideSet, table.OverrideGone:
+		case table.HoldingSet:
+			l.gauge.Held(load.NewPlace(c.Service(), c.Shard()), c.Holding(), l.now)
+		case table.OverrideSet:
+			l.gauge.Placed(c.Key(), l.base(c.Service(), c.Key()), load.NewPlace(c.Service(), c.Shard()))
+		case table.OverrideGone:
+			l.gauge.Returned(c.Key(), l.base(c.Service(), c.Key()))
+		case table.RulesSet:
 		}
 	}
 	l.history.add(l.fleet.Table().Version(), changes)
@@ -155,7 +161,7 @@
 func (l *Leader) followMember(m table.Member) {
 	i := m.Incarnation()
 	if !l.gauge.Knows(i) {
-		l.gauge.Joined(i, l.now)
+		l.gauge.Joined(m, l.now)
 		l.book.Arrived(i, l.now)
 	}
 }
--- a/core/command/leader/plan.go
+++ b/core/command/leader/plan.go
@@ -2,7 +2,10 @@
 
 import (
 	"verbenabank/core/query/place"
+	"verbenabank/core/state/load"
 	"verbenabank/core/state/order"
+	"verbenabank/core/state/rules"
+	"verbenabank/core/state/table"
 )
 
 // plan proposes grants, moves and changes of phase that the placement wants.
@@ -11,11 +14,37 @@
 		return
 	}
 	l.nextPlan = l.now.Add(planEvery)
-	for _, c := range place.Plan(l.fleet.Table(), l.gauge.View(), l.now) {
+	for _, c := range place.Plan(place.Priced{}, l.fleet.Table(), l.gauge.View(), l.now) {
 		l.propose(c)
 	}
 }
 
+// survey tells the gauge of a new leader what the table holds.
+func (l *Leader) survey() {
+	t := l.fleet.Table()
+	for _, m := range t.Members() {
+		l.gauge.Joined(m, l.now)
+	}
+	for _, n := range t.Services() {
+		for _, o := range t.Overrides(n) {
+			l.gauge.Placed(o.Key(), l.base(n, o.Key()), load.NewPlace(n, o.Shard()))
+		}
+		for _, s := range t.Shards(n) {
+			l.gauge.Held(load.NewPlace(n, s), t.Holding(n, s), l.now)
+		}
+	}
+}
+
+// base returns the hash range of a key, of which a service without keys has one.
+func (l *Leader) base(service, key string) load.Place {
+	count := 1
+	s, _ := l.fleet.Table().Rules().Service(service)
+	if k, ok := s.Kind().(rules.Keyed); ok {
+		count = k.Shards()
+	}
+	return load.NewPlace(service, table.HashShard(key, count))
+}
+
 // propose offers a command unless one about the same subject is under way.
 func (l *Leader) propose(c order.Command) {
 	s := subjectOf(c)
--- a/core/query/place/place.go
+++ b/core/query/place/place.go
@@ -1,11 +1,12 @@
 // Package place decides where shards go. It only proposes; what it proposes is
 // compared with the state again when it is applied.
+//
+// The moves follow the greedy exchange of G. Aggarwal, R. Motwani and A. Zhu,
+// "The Load Rebalancing Problem" (2003): from the most loaded member to the
+// least loaded one, each move priced by the weights of the rules.
 package place
 
 import (
-	"cmp"
-	"slices"
-
 	"verbenabank/core/clock"
 	"verbenabank/core/state/load"
 	"verbenabank/core/state/order"
@@ -23,13 +24,13 @@
 
 // Plan returns the commands that bring the table nearer to what the rules ask
 // for, given the load that the leader knows of at now.
-func Plan(t *table.Table, v load.View, now clock.Millis) []order.Command {
+func Plan(y Policy, t *table.Table, v load.View, now clock.Millis) []order.Command {
 	var plan []order.Command
 	for _, n := range t.Rules().Names() {
 		s, _ := t.Rules().Service(n)
 		plan = append(plan, phases(t, v, s, now)...)
 		if k, ok := s.Kind().(rules.Keyed); ok {
-			p := newPlanner(t, v, s, k, now)
+			p := newPlanner(y, t, v, s, k, now)
 			plan = append(plan, p.plan()...)
 		}
 	}
@@ -47,119 +48,59 @@
 	return list
 }
 
-// planner plans one keyed service.
-type planner struct {
-	table   *table.Table
-	view    load.View
-	service rules.Service
-	kind    rules.Keyed
-	now     clock.Millis
-	able    []table.Incarnation
-	counts  map[table.Incarnation]int
-	moving  int
-	out     []order.Command
-}
-
-func newPlanner(t *table.Table, v load.View, s rules.Service, k rules.Keyed, now clock.Millis) *planner {
-	p := &planner{table: t, view: v, service: s, kind: k, now: now, counts: map[table.Incarnation]int{}}
-	for _, m := range t.MembersOf(s.Name()) {
-		if _, leaving := m.Phase().(table.Leaving); !leaving {
-			p.able = append(p.able, m.Incarnation())
-		}
-	}
-	for _, sh := range p.shards() {
-		p.count(sh)
-	}
-	return p
-}
-
-func (p *planner) shards() []table.Shard {
-	list := make([]table.Shard, 0, p.kind.Shards())
-	for i := range p.kind.Shards() {
-		list = append(list, table.Shard(i))
-	}
-	for _, o := range p.table.Overrides(p.service.Name()) {
-		list = append(list, o.Shard())
-	}
-	return list
-}
-
-func (p *planner) count(sh table.Shard) {
-	switch h := p.table.Holding(p.service.Name(), sh).(type) {
-	case table.Vacant:
-	case table.Owned:
-		p.counts[h.Owner()]++
-	case table.Moving:
-		p.counts[h.To()]++
-		p.moving++
-	}
-}
-
+// plan fills vacancies first, and then balances by the policy.
 func (p *planner) plan() []order.Command {
-	if len(p.able) == 0 {
+	if len(p.members) == 0 {
 		return nil
 	}
-	for _, sh := range p.shards() {
+	for _, sh := range p.shards {
 		p.consider(sh)
 	}
-	p.even()
+	switch p.policy.(type) {
+	case Priced:
+		p.balance()
+		p.place()
+		p.unplace()
+	case Even:
+		p.even()
+	case Static:
+	}
 	return p.out
 }
 
 // consider grants a vacant shard and moves one off a leaving member.
 func (p *planner) consider(sh table.Shard) {
-	switch h := p.table.Holding(p.service.Name(), sh).(type) {
+	switch h := p.holding(sh).(type) {
 	case table.Vacant:
 		if h.Epoch() == 0 && !p.settled() {
 			return
 		}
-		owner := p.least()
-		p.counts[owner]++
-		p.out = append(p.out, order.NewGrant(p.service.Name(), sh, h.Epoch(), owner))
+		to := p.least()
+		to.load += p.weight(sh)
+		p.out = append(p.out, order.NewGrant(p.service.Name(), sh, h.Epoch(), to.incarnation()))
 	case table.Owned:
-		if !slices.Contains(p.able, h.Owner()) {
+		if _, able := p.byIncarnation[h.Owner()]; !able {
 			p.move(sh, h, p.least())
 		}
 	case table.Moving:
 	}
 }
 
-func (p *planner) move(sh table.Shard, h table.Owned, to table.Incarnation) {
-	p.counts[h.Owner()]--
-	p.counts[to]++
-	p.out = append(p.out, order.NewMove(p.service.Name(), sh, h.Epoch(), to))
-}
-
 // settled reports whether no member joined just now.
 func (p *planner) settled() bool {
-	for _, i := range p.able {
-		if p.now.Sub(p.view.Joined(i)) < settle {
+	for _, m := range p.members {
+		if p.now.Sub(p.view.Joined(m.incarnation())) < settle {
 			return false
 		}
 	}
 	return true
 }
 
-func (p *planner) least() table.Incarnation {
-	return slices.MinFunc(p.able, func(a, b table.Incarnation) int { return cmp.Compare(p.counts[a], p.counts[b]) })
-}
-
-func (p *planner) most() table.Incarnation {
-	return slices.MaxFunc(p.able, func(a, b table.Incarnation) int { return cmp.Compare(p.counts[a], p.counts[b]) })
-}
-
-// even moves shards from the member with most to the one with least while they
-// differ by more than one.
-func (p *planner) even() {
-	for _, sh := range p.shards() {
-		from, to := p.most(), p.least()
-		if p.moving >= movesAtOnce || p.counts[from]-p.counts[to] <= 1 {
-			return
-		}
-		h, ok := p.table.Holding(p.service.Name(), sh).(table.Owned)
-		if ok && h.Owner() == from && h.Epoch() > 0 {
-			p.moving++
-			p.move(sh, h, to)
-		}
+// move takes a shard from its owner, and its load with it.
+func (p *planner) move(sh table.Shard, h table.Owned, to *member) {
+	if from, ok := p.byIncarnation[h.Owner()]; ok {
+		from.load -= p.weight(sh)
 	}
+	to.load += p.weight(sh)
+	p.out = append(p.out, order.NewMove(p.service.Name(), sh, h.Epoch(), to.incarnation()))
 }
--- a/core/state/load/view.go
+++ b/core/state/load/view.go
@@ -6,24 +6,53 @@
 )
 
 // View is what the leader knows of members and load at one instant. It must not
-// be changed by its users.
+// be changed by its users, and is void once its maker learns more.
 type View struct {
+	began  clock.Millis
 	joined map[table.Incarnation]clock.Millis
-	shards map[table.Incarnation]map[table.Shard]float64
-	keys   map[table.Incarnation]map[string]float64
+	trends map[Place]Trend
+	keys   map[table.Incarnation]map[string]Heat
 }
 
-// NewView returns a view: when each member was first seen, on the leader's clock,
-// and the requests per second of its shards and of its hottest keys.
-func NewView(joined map[table.Incarnation]clock.Millis, shards map[table.Incarnation]map[table.Shard]float64, keys map[table.Incarnation]map[string]float64) View {
-	return View{joined: joined, shards: shards, keys: keys}
+// ViewOption sets one part of a View.
+type ViewOption func(*View)
+
+// WithBegan sets since when load is watched.
+func WithBegan(at clock.Millis) ViewOption { return func(v *View) { v.began = at } }
+
+// WithJoined sets when each member was first seen.
+func WithJoined(joined map[table.Incarnation]clock.Millis) ViewOption {
+	return func(v *View) { v.joined = joined }
+}
+
+// WithTrends sets the load of the shards.
+func WithTrends(trends map[Place]Trend) ViewOption { return func(v *View) { v.trends = trends } }
+
+// WithKeys sets the hottest keys of each member.
+func WithKeys(keys map[table.Incarnation]map[string]Heat) ViewOption {
+	return func(v *View) { v.keys = keys }
 }
 
+// NewView returns a view. All its instants are on the leader's clock.
+func NewView(opts ...ViewOption) View {
+	var v View
+	for _, o := range opts {
+		o(&v)
+	}
+	return v
+}
+
+// Began returns since when load is watched.
+func (v View) Began() clock.Millis { return v.began }
+
 // Joined returns when the leader first saw the member.
 func (v View) Joined(i table.Incarnation) clock.Millis { return v.joined[i] }
 
-// Rate returns the requests per second of a shard at its member.
-func (v View) Rate(i table.Incarnation, s table.Shard) float64 { return v.shards[i][s] }
+// Trend returns the load of a shard, and whether the shard is known.
+func (v View) Trend(p Place) (Trend, bool) {
+	t, ok := v.trends[p]
+	return t, ok
+}
 
-// Keys returns the requests per second of the hottest keys of a member.
-func (v View) Keys(i table.Incarnation) map[string]float64 { return v.keys[i] }
+// Keys returns the hottest keys of a member.
+func (v View) Keys(i table.Incarnation) map[string]Heat { return v.keys[i] }
--- a/vscale/command/size/plan.go
+++ b/vscale/command/size/plan.go
@@ -22,9 +22,9 @@
 		changes = append(changes, table.NewHoldingSet(service, table.Shard(i), table.NewOwned(owner, 7)))
 	}
 	t := table.Empty().With(1, changes...)
-	view := load.NewView(map[table.Incarnation]clock.Millis{}, nil, nil)
+	view := load.NewView()
 	begin := time.Now()
-	place.Plan(t, view, clock.Minute)
+	place.Plan(place.Priced{}, t, view, clock.Minute)
 	return []figure.Point{
 		figure.NewPoint("plan: ms of one look at the placement, by shards x members", float64(shards)*float64(members), millis(time.Since(begin))),
 	}
