Look at each shard once a plan, and watch a service anew after idleness

Cause: a plan looked up holding and load of a shard several times; members that join together at the first start got shares by their order of arrival; the first reports of a service that was idle do not come at one instant, so one member looked busy and the others idle.

Ruled out: smoothing of the first report (still one member alone has load).

Change: a plan holds each shard's holding and load. Shares differ only while some member serves fully.

--- a/core/command/gauge/gauge.go
+++ b/core/command/gauge/gauge.go
@@ -19,7 +19,9 @@
 	owners  map[load.Place]owner
 	alone   map[name]load.Place
 	keys    map[table.Incarnation]map[string]load.Heat
-	costs   map[string]float64 // milliseconds of a mean request, by service
+	loaded  map[string]clock.Millis // the last report of any load, by service
+	onsets  map[string]clock.Millis // the first report of load after none, by service
+	costs   map[string]float64      // milliseconds of a mean request, by service
 }
 
 // member is what is known of one member.
@@ -53,6 +55,8 @@
 		owners:  map[load.Place]owner{},
 		alone:   map[name]load.Place{},
 		keys:    map[table.Incarnation]map[string]load.Heat{},
+		loaded:  map[string]clock.Millis{},
+		onsets:  map[string]clock.Millis{},
 		costs:   map[string]float64{},
 	}
 }
@@ -145,7 +149,7 @@
 
 // View returns the picture at this instant. It is void after the next command.
 func (g *Gauge) View() load.View {
-	return load.NewView(load.WithBegan(g.began), load.WithJoined(g.joined), load.WithTrends(g.trends), load.WithKeys(g.keys))
+	return load.NewView(load.WithBegan(g.began, g.onsets), load.WithJoined(g.joined), load.WithTrends(g.trends), load.WithKeys(g.keys))
 }
 
 // Moved returns when a shard last changed its owner, 0 if it was not seen to.
--- a/core/command/gauge/report.go
+++ b/core/command/gauge/report.go
@@ -33,6 +33,7 @@
 	}
 	seconds := m.span(now)
 	m.reported, m.seen = now, true
+	g.onset(m.service, r, now)
 	g.cost(m.service, r)
 	counts := map[load.Place]load.Shard{}
 	var total uint64
@@ -56,6 +57,17 @@
 	return float64(span) / float64(clock.Second)
 }
 
+// onset takes note of the instant when a service that was idle got load.
+func (g *Gauge) onset(service string, r load.Report, now clock.Millis) {
+	if r.Empty() {
+		return
+	}
+	if last, ok := g.loaded[service]; !ok || now.Sub(last) >= idleAfter {
+		g.onsets[service] = now
+	}
+	g.loaded[service] = now
+}
+
 // cost follows the mean time of a request of the service.
 func (g *Gauge) cost(service string, r load.Report) {
 	var requests, busy uint64
@@ -98,7 +110,9 @@
 	if total >= leastRequests {
 		for _, k := range r.Keys() {
 			newest[k.Key()] = k.Requests()
-			heats[k.Key()] = heats[k.Key()]
+			if _, known := heats[k.Key()]; !known {
+				heats[k.Key()] = load.Heat{}
+			}
 		}
 	}
 	for k, h := range heats {
--- a/core/query/place/even.go
+++ b/core/query/place/even.go
@@ -10,7 +10,7 @@
 		if p.moving >= movesAtOnce || from.load-to.load <= 1 {
 			return
 		}
-		h, ok := p.holding(sh).(table.Owned)
+		h, ok := sh.holding.(table.Owned)
 		if ok && h.Owner() == from.incarnation() && h.Epoch() > 0 {
 			p.moving++
 			p.move(sh, h, to)
--- a/core/query/place/hot.go
+++ b/core/query/place/hot.go
@@ -22,6 +22,13 @@
 	recall = 15 * clock.Second
 )
 
+// placed is a key placed alone.
+type placed struct {
+	key   string
+	alone *shard
+	base  *shard
+}
+
 // hotKey is a key that may be placed alone.
 type hotKey struct {
 	key   string
@@ -29,9 +36,12 @@
 	heat  load.Heat
 }
 
+// base returns the hash range of a key.
+func (p *planner) base(key string) *shard { return p.shards[table.HashShard(key, p.kind.Shards())] }
+
 // place gives hot keys shards of their own, the hottest first.
 func (p *planner) place() {
-	room := p.service.HotKeys() - len(p.overrides)
+	room := p.service.HotKeys() - len(p.placed)
 	for _, h := range p.hot() {
 		if room <= 0 {
 			p.evict(h)
@@ -47,13 +57,13 @@
 func (p *planner) hot() []hotKey {
 	threshold := float64(p.service.HotPercent()) / 100
 	alone := map[string]bool{}
-	for _, o := range p.overrides {
-		alone[o.Key()] = true
+	for _, c := range p.placed {
+		alone[c.key] = true
 	}
 	var list []hotKey
 	for _, m := range p.members {
 		for k, h := range p.view.Keys(m.incarnation()) {
-			base, owned := p.base(k)
+			base, owned := p.base(k).holding.(table.Owned)
 			if !alone[k] && h.Low() >= threshold && owned && base.Owner() == m.incarnation() {
 				list = append(list, hotKey{key: k, owner: m, heat: h})
 			}
@@ -65,31 +75,30 @@
 	return list
 }
 
-// base returns the holding of a key's hash range, and whether it is owned.
-func (p *planner) base(key string) (table.Owned, bool) {
-	h, ok := p.holding(table.HashShard(key, p.kind.Shards())).(table.Owned)
-	return h, ok
-}
-
 // unplace returns cold keys to their hash range, if both have one owner.
 func (p *planner) unplace() {
 	threshold := coldPart * float64(p.service.HotPercent()) / 100
-	for _, o := range p.overrides {
-		if p.peak(o, load.HeatReports) < threshold && p.together(o) {
-			p.out = append(p.out, order.NewUnplace(p.service.Name(), o.Key()))
+	for _, c := range p.placed {
+		if p.watched(recall) && p.peak(c, load.HeatReports) < threshold && c.together() {
+			p.out = append(p.out, order.NewUnplace(p.service.Name(), c.key))
 		}
 	}
 }
 
+// watched reports whether load is watched for so long.
+func (p *planner) watched(span clock.Millis) bool {
+	return p.now.Sub(p.view.Began(p.service.Name())) >= span
+}
+
 // peak returns the greatest share of late of a key placed alone. One that was not
 // watched for so many reports may have had any.
-func (p *planner) peak(o table.Override, reports int) float64 {
-	h, ok := p.holding(o.Shard()).(table.Owned)
-	if !ok || p.now.Sub(p.view.Began()) < recall && reports == load.HeatReports {
+func (p *planner) peak(c placed, reports int) float64 {
+	h, owned := c.alone.holding.(table.Owned)
+	if !owned || p.cooling(c.alone) {
 		return 1
 	}
-	heat, known := p.view.Keys(h.Owner())[o.Key()]
-	if !known && p.now.Sub(p.view.Began()) >= recall && !p.cooling(o.Shard()) {
+	heat, known := p.view.Keys(h.Owner())[c.key]
+	if !known && p.watched(recall) {
 		return 0
 	}
 	if heat.Reports() < reports {
@@ -98,25 +107,25 @@
 	return heat.High()
 }
 
-// together reports whether a key placed alone and its hash range have one owner.
-func (p *planner) together(o table.Override) bool {
-	a, owned := p.holding(o.Shard()).(table.Owned)
-	b, based := p.base(o.Key())
+// together reports whether the key and its hash range have one owner.
+func (c placed) together() bool {
+	a, owned := c.alone.holding.(table.Owned)
+	b, based := c.base.holding.(table.Owned)
 	return owned && based && a.Owner() == b.Owner()
 }
 
 // evict makes room for a key much hotter than another: that is returned to its
 // hash range, or first moved to the owner of it if the room is worth it.
 func (p *planner) evict(h hotKey) {
-	for _, o := range p.coldest() {
-		if h.heat.Low() < hotter*p.peak(o, evictReports) {
+	for _, c := range p.coldest() {
+		if h.heat.Low() < hotter*p.peak(c, evictReports) {
 			continue
 		}
-		if p.together(o) {
-			p.out = append(p.out, order.NewUnplace(p.service.Name(), o.Key()))
+		if c.together() {
+			p.out = append(p.out, order.NewUnplace(p.service.Name(), c.key))
 			return
 		}
-		if p.bringHome(o, h) {
+		if p.bringHome(c, h) {
 			return
 		}
 	}
@@ -124,33 +133,33 @@
 
 // coldest returns the keys placed alone: those that can be returned at once
 // first, then by their heat.
-func (p *planner) coldest() []table.Override {
-	apart := func(o table.Override) int {
-		if p.together(o) {
+func (p *planner) coldest() []placed {
+	apart := func(c placed) int {
+		if c.together() {
 			return 0
 		}
 		return 1
 	}
-	return slices.SortedStableFunc(slices.Values(p.overrides), func(a, b table.Override) int {
+	return slices.SortedStableFunc(slices.Values(p.placed), func(a, b placed) int {
 		return cmp.Or(cmp.Compare(apart(a), apart(b)), cmp.Compare(p.peak(a, evictReports), p.peak(b, evictReports)))
 	})
 }
 
 // bringHome moves a key placed alone to the owner of its hash range, if the move
 // of the hotter key that this allows gains more than both moves cost.
-func (p *planner) bringHome(o table.Override, h hotKey) bool {
-	a, owned := p.holding(o.Shard()).(table.Owned)
-	b, based := p.base(o.Key())
+func (p *planner) bringHome(c placed, h hotKey) bool {
+	a, owned := c.alone.holding.(table.Owned)
+	b, based := c.base.holding.(table.Owned)
 	from, here := p.byIncarnation[a.Owner()]
 	home, able := p.byIncarnation[b.Owner()]
-	if !owned || !based || !here || !able || p.moving >= movesAtOnce || p.cooling(o.Shard()) {
+	if !owned || !based || !here || !able || p.moving >= movesAtOnce || p.cooling(c.alone) {
 		return false
 	}
-	worth := p.gainOf(h.heat.Rate(), h.owner, p.least()) + p.gain(o.Shard(), from, home)
-	if worth <= 2*p.price(o.Shard()) {
+	worth := p.gainOf(h.heat.Rate(), h.owner, p.least()) + p.gain(c.alone, from, home)
+	if worth <= 2*p.price(c.alone) {
 		return false
 	}
 	p.moving++
-	p.move(o.Shard(), a, home)
+	p.move(c.alone, a, home)
 	return true
 }
--- a/core/query/place/place.go
+++ b/core/query/place/place.go
@@ -69,15 +69,15 @@
 }
 
 // consider grants a vacant shard and moves one off a leaving member.
-func (p *planner) consider(sh table.Shard) {
-	switch h := p.holding(sh).(type) {
+func (p *planner) consider(sh *shard) {
+	switch h := sh.holding.(type) {
 	case table.Vacant:
 		if h.Epoch() == 0 && !p.settled() {
 			return
 		}
 		to := p.least()
-		to.load += p.weight(sh)
-		p.out = append(p.out, order.NewGrant(p.service.Name(), sh, h.Epoch(), to.incarnation()))
+		to.load += sh.load
+		p.out = append(p.out, order.NewGrant(p.service.Name(), sh.number, h.Epoch(), to.incarnation()))
 	case table.Owned:
 		if _, able := p.byIncarnation[h.Owner()]; !able {
 			p.move(sh, h, p.least())
@@ -97,10 +97,10 @@
 }
 
 // move takes a shard from its owner, and its load with it.
-func (p *planner) move(sh table.Shard, h table.Owned, to *member) {
+func (p *planner) move(sh *shard, h table.Owned, to *member) {
 	if from, ok := p.byIncarnation[h.Owner()]; ok {
-		from.load -= p.weight(sh)
+		from.load -= sh.load
 	}
-	to.load += p.weight(sh)
-	p.out = append(p.out, order.NewMove(p.service.Name(), sh, h.Epoch(), to.incarnation()))
+	to.load += sh.load
+	p.out = append(p.out, order.NewMove(p.service.Name(), sh.number, h.Epoch(), to.incarnation()))
 }
--- a/core/query/place/place_test.go
+++ b/core/query/place/place_test.go
@@ -8,6 +8,7 @@
 	"verbenabank/core/clock"
 	"verbenabank/core/query/place"
 	"verbenabank/core/state/rules"
+	"verbenabank/core/state/table"
 )
 
 // The weights of the two users' services that are divided by key.
@@ -83,3 +84,51 @@
 		}
 	}
 }
+
+// TestJoinerTakesAGrowingShare looks at a member that joins a loaded service:
+// something at once, not all at once, and its share in the end.
+func TestJoinerTakesAGrowingShare(t *testing.T) {
+	is := is.New(t)
+	d := newWorld(place.Priced{}, 1, midlands, 0, 4)
+	d.run(10 * clock.Second)
+	joiner := d.join("i9")
+	d.run(10500 * clock.Millisecond)
+	early := d.share(joiner)
+	is.True(early > 0 && early < 0.12) // a part of its fifth
+	d.run(30 * clock.Second)
+	is.True(d.share(joiner) > 0.12)
+}
+
+// TestVacantGoByLoad kills a member beside one with a hot key: its shards go to
+// those with little load, though they have as many shards.
+func TestVacantGoByLoad(t *testing.T) {
+	is := is.New(t)
+	d := newWorld(place.Static{}, 1, midlands, 0, 4)
+	d.hot, d.percent = "k700", 40
+	d.run(10 * clock.Second)
+	busy := d.owner("k700")
+	before := d.share(busy)
+	d.policy = place.Priced{}
+	d.kill(busy%4 + 1)
+	is.Equal(d.result.vacant, clock.Millis(0)) // granted at once
+	is.True(d.share(busy) <= before)
+}
+
+// TestHotKeyIsPlacedAndReturned lets a key get hot and cold.
+func TestHotKeyIsPlacedAndReturned(t *testing.T) {
+	is := is.New(t)
+	d := newWorld(place.Priced{}, 1, midlands, 0, 4)
+	d.run(20 * clock.Second)
+	is.Equal(len(d.fleet.Table().Overrides(service)), 0) // none is hot
+	d.hot, d.percent = "k700", 40
+	d.run(24 * clock.Second)
+	is.Equal(len(d.fleet.Table().Overrides(service)), 1) // alone
+	is.Equal(d.fleet.Table().Overrides(service)[0].Key(), "k700")
+	d.hot = ""
+	d.run(28 * clock.Second)
+	is.Equal(len(d.fleet.Table().Overrides(service)), 1) // not long cold
+	d.run(60 * clock.Second)
+	away := len(d.fleet.Table().Overrides(service)) > 0
+	home := d.owner("k700") == d.ownerOf(table.HashShard("k700", ranges))
+	is.True(!away || !home) // back, or left where it is
+}
--- a/core/query/place/planner.go
+++ b/core/query/place/planner.go
@@ -31,8 +31,8 @@
 	service       rules.Service
 	kind          rules.Keyed
 	now           clock.Millis
-	shards        []table.Shard
-	overrides     []table.Override
+	shards        []*shard
+	placed        []placed
 	members       []*member
 	byIncarnation map[table.Incarnation]*member
 	idle          float64 // what a shard weighs without requests
@@ -47,20 +47,29 @@
 	member table.Member
 	share  float64 // of the total; all are 1 in sum
 	load   float64
-	owned  []table.Shard
+	owned  []*shard
+}
+
+// shard is a hash range or a key placed alone.
+type shard struct {
+	number  table.Shard
+	holding table.Holding
+	trend   load.Trend
+	load    float64
 }
 
 func (m *member) incarnation() table.Incarnation { return m.member.Incarnation() }
 
 func newPlanner(y Policy, t *table.Table, v load.View, s rules.Service, k rules.Keyed, now clock.Millis) *planner {
 	p := &planner{policy: y, table: t, view: v, service: s, kind: k, now: now, byIncarnation: map[table.Incarnation]*member{}}
-	p.overrides = t.Overrides(s.Name())
-	p.shards = make([]table.Shard, 0, k.Shards()+len(p.overrides))
+	overrides := t.Overrides(s.Name())
+	p.shards = make([]*shard, 0, k.Shards()+len(overrides))
 	for i := range k.Shards() {
-		p.shards = append(p.shards, table.Shard(i))
+		p.add(table.Shard(i))
 	}
-	for _, o := range p.overrides {
-		p.shards = append(p.shards, o.Shard())
+	for _, o := range overrides {
+		p.add(o.Shard())
+		p.placed = append(p.placed, placed{key: o.Key(), alone: p.shards[len(p.shards)-1], base: p.base(o.Key())})
 	}
 	p.enlist()
 	p.weigh()
@@ -70,24 +79,41 @@
 	return p
 }
 
+func (p *planner) add(number table.Shard) {
+	name := p.service.Name()
+	trend, _ := p.view.Trend(load.NewPlace(name, number))
+	p.shards = append(p.shards, &shard{number: number, holding: p.table.Holding(name, number), trend: trend})
+}
+
 // enlist takes the members that may own shards, with their shares.
 func (p *planner) enlist() {
-	var sum float64
+	warming := 0
 	for _, m := range p.table.MembersOf(p.service.Name()) {
-		if _, leaving := m.Phase().(table.Leaving); leaving {
+		switch m.Phase().(type) {
+		case table.Leaving:
 			continue
+		case table.Warming:
+			warming++
+		case table.Serving:
 		}
-		e := &member{member: m, share: p.share(m)}
-		sum += e.share
+		e := &member{member: m, share: 1}
 		p.members = append(p.members, e)
 		p.byIncarnation[m.Incarnation()] = e
 	}
+	var sum float64
+	for _, m := range p.members {
+		if warming < len(p.members) {
+			m.share = p.share(m.member)
+		}
+		sum += m.share
+	}
 	for _, m := range p.members {
 		m.share /= sum
 	}
 }
 
-// share returns the part of a full share that a member may take.
+// share returns the part of a full share that a member may take while others
+// serve.
 func (p *planner) share(m table.Member) float64 {
 	if _, priced := p.policy.(Priced); !priced {
 		return 1
@@ -103,28 +129,23 @@
 func (p *planner) weigh() {
 	var work float64
 	for _, sh := range p.shards {
-		t := p.trend(sh)
-		p.requests += t.Requests()
-		work += t.Work()
+		p.requests += sh.trend.Requests()
+		work += sh.trend.Work()
 	}
 	p.idle = max(idleShare*work/float64(len(p.shards)), idleRate)
 	for _, sh := range p.shards {
-		p.total += p.weight(sh)
+		sh.load = p.weight(sh)
+		p.total += sh.load
 	}
 }
 
-func (p *planner) trend(sh table.Shard) load.Trend {
-	t, _ := p.view.Trend(load.NewPlace(p.service.Name(), sh))
-	return t
-}
-
 // weight returns the load of a shard, in requests per second. The baselines count
 // shards.
-func (p *planner) weight(sh table.Shard) float64 {
+func (p *planner) weight(sh *shard) float64 {
 	switch p.policy.(type) {
 	case Priced:
-		w := p.trend(sh).Work()
-		if sh < table.FirstOverride {
+		w := sh.trend.Work()
+		if sh.number < table.FirstOverride {
 			w += p.idle
 		}
 		return w
@@ -133,20 +154,18 @@
 	return 1
 }
 
-func (p *planner) holding(sh table.Shard) table.Holding { return p.table.Holding(p.service.Name(), sh) }
-
-func (p *planner) count(sh table.Shard) {
-	switch h := p.holding(sh).(type) {
+func (p *planner) count(sh *shard) {
+	switch h := sh.holding.(type) {
 	case table.Vacant:
 	case table.Owned:
 		if m, ok := p.byIncarnation[h.Owner()]; ok {
-			m.load += p.weight(sh)
+			m.load += sh.load
 			m.owned = append(m.owned, sh)
 		}
 	case table.Moving:
 		p.moving++
 		if m, ok := p.byIncarnation[h.To()]; ok {
-			m.load += p.weight(sh)
+			m.load += sh.load
 		}
 	}
 }
--- a/core/query/place/priced.go
+++ b/core/query/place/priced.go
@@ -39,7 +39,7 @@
 
 // option is one move that may be made.
 type option struct {
-	shard   table.Shard
+	shard   *shard
 	holding table.Owned
 	to      *member
 	net     float64
@@ -47,7 +47,7 @@
 
 // balance moves shards while the gain of the best move outweighs its price.
 func (p *planner) balance() {
-	if p.now.Sub(p.view.Began()) < watch {
+	if !p.watched(watch) {
 		return
 	}
 	for p.moving < movesAtOnce {
@@ -57,7 +57,7 @@
 		}
 		p.moving++
 		from := p.byIncarnation[o.holding.Owner()]
-		from.owned = slices.DeleteFunc(from.owned, func(sh table.Shard) bool { return sh == o.shard })
+		from.owned = slices.DeleteFunc(from.owned, func(sh *shard) bool { return sh == o.shard })
 		p.move(o.shard, o.holding, o.to)
 	}
 }
@@ -81,7 +81,7 @@
 func (p *planner) bestOf(from, to *member) (option, bool) {
 	best := option{}
 	for _, sh := range from.owned {
-		h, ok := p.holding(sh).(table.Owned)
+		h, ok := sh.holding.(table.Owned)
 		if !ok || p.cooling(sh) {
 			continue
 		}
@@ -93,8 +93,8 @@
 }
 
 // cooling reports whether a shard changed its owner just now.
-func (p *planner) cooling(sh table.Shard) bool {
-	moved := p.trend(sh).Moved()
+func (p *planner) cooling(sh *shard) bool {
+	moved := sh.trend.Moved()
 	return moved > 0 && p.now.Sub(moved) < coolDown
 }
 
@@ -107,9 +107,9 @@
 }
 
 // gain returns what the move of a shard is worth.
-func (p *planner) gain(sh table.Shard, from, to *member) float64 {
-	g := p.gainOf(p.weight(sh), from, to)
-	if p.trend(sh).Former() == to.member.Instance() {
+func (p *planner) gain(sh *shard, from, to *member) float64 {
+	g := p.gainOf(sh.load, from, to)
+	if sh.trend.Former() == to.member.Instance() {
 		g *= formerBonus
 	}
 	return g
@@ -130,11 +130,11 @@
 }
 
 // price returns what the churn and the gap of a move cost.
-func (p *planner) price(sh table.Shard) float64 {
+func (p *planner) price(sh *shard) float64 {
 	keys := 1 / float64(p.kind.Shards())
-	if sh >= table.FirstOverride {
+	if sh.number >= table.FirstOverride {
 		keys *= keyChurn
 	}
 	w := p.service.Weights()
-	return w.Churn()*keys*churnSpan + w.Unavailable()*p.weight(sh)/p.total*moveGap
+	return w.Churn()*keys*churnSpan + w.Unavailable()*sh.load/p.total*moveGap
 }
--- a/core/query/place/world_test.go
+++ b/core/query/place/world_test.go
@@ -78,9 +78,39 @@
 	return d
 }
 
-func (d *world) join(instance string) {
-	d.commit(order.NewJoin(table.NewMember(d.next, instance, "z", "a", service, table.Warming{})))
+func (d *world) join(instance string) table.Incarnation {
+	i := d.next
 	d.next++
+	d.commit(order.NewJoin(table.NewMember(i, instance, "z", "a", service, table.Warming{})))
+	return i
+}
+
+// share returns the part of the hash ranges that a member owns.
+func (d *world) share(i table.Incarnation) float64 {
+	owned := 0
+	for s := range table.Shard(ranges) {
+		if d.ownerOf(s) == i {
+			owned++
+		}
+	}
+	return float64(owned) / ranges
+}
+
+// owner returns the member that serves the key, or 0.
+func (d *world) owner(key string) table.Incarnation {
+	return d.ownerOf(d.fleet.Table().ShardOf(service, key, ranges))
+}
+
+// ownerOf returns the member that serves the shard, or 0.
+func (d *world) ownerOf(s table.Shard) table.Incarnation {
+	switch h := d.fleet.Table().Holding(service, s).(type) {
+	case table.Vacant:
+	case table.Owned:
+		return h.Owner()
+	case table.Moving:
+		return h.From()
+	}
+	return 0
 }
 
 func (d *world) clear() {
@@ -173,17 +203,11 @@
 func (d *world) outages() {
 	t := d.fleet.Table()
 	for _, s := range t.Shards(service) {
-		lost := false
-		switch h := t.Holding(service, s).(type) {
-		case table.Vacant:
-			lost = true
+		owner := d.ownerOf(s)
+		if owner == 0 {
 			d.result.vacant += tick
-		case table.Owned:
-			lost = d.dead[h.Owner()]
-		case table.Moving:
-			lost = d.dead[h.From()]
 		}
-		if lost {
+		if owner == 0 || d.dead[owner] {
 			d.result.missing += tick * clock.Millis(keysOf(s))
 		}
 	}
@@ -195,16 +219,8 @@
 		part := d.rand.Float64() * d.sums[keyCount-1]
 		key = fmt.Sprint("k", sort.SearchFloat64s(d.sums, part))
 	}
-	t := d.fleet.Table()
-	s := t.ShardOf(service, key, ranges)
-	var owner table.Incarnation
-	switch h := t.Holding(service, s).(type) {
-	case table.Vacant:
-	case table.Owned:
-		owner = h.Owner()
-	case table.Moving:
-		owner = h.From()
-	}
+	s := d.fleet.Table().ShardOf(service, key, ranges)
+	owner := d.ownerOf(s)
 	if owner == 0 || d.dead[owner] {
 		return
 	}
--- a/core/state/load/view.go
+++ b/core/state/load/view.go
@@ -9,6 +9,7 @@
 // be changed by its users, and is void once its maker learns more.
 type View struct {
 	began  clock.Millis
+	onsets map[string]clock.Millis
 	joined map[table.Incarnation]clock.Millis
 	trends map[Place]Trend
 	keys   map[table.Incarnation]map[string]Heat
@@ -17,8 +18,11 @@
 // ViewOption sets one part of a View.
 type ViewOption func(*View)
 
-// WithBegan sets since when load is watched.
-func WithBegan(at clock.Millis) ViewOption { return func(v *View) { v.began = at } }
+// WithBegan sets since when load is watched, and since when a service that was
+// idle before has load.
+func WithBegan(at clock.Millis, onsets map[string]clock.Millis) ViewOption {
+	return func(v *View) { v.began, v.onsets = at, onsets }
+}
 
 // WithJoined sets when each member was first seen.
 func WithJoined(joined map[table.Incarnation]clock.Millis) ViewOption {
@@ -42,8 +46,9 @@
 	return v
 }
 
-// Began returns since when load is watched.
-func (v View) Began() clock.Millis { return v.began }
+// Began returns since when the load of a service is watched. It begins anew when
+// a service that was idle gets load.
+func (v View) Began(service string) clock.Millis { return max(v.began, v.onsets[service]) }
 
 // Joined returns when the leader first saw the member.
 func (v View) Joined(i table.Incarnation) clock.Millis { return v.joined[i] }
