Place very hot keys after one report

Ruled out: one report for all keys, since small counts are noise.

Change: a key above three times the hot share is placed after one report; a key placed alone starts with its last rate, even above the smoothed rate of its hash range.

--- a/core/command/gauge/gauge.go
+++ b/core/command/gauge/gauge.go
@@ -116,8 +116,7 @@
 // The load of the key goes with it.
 func (g *Gauge) Placed(key string, base, alone load.Place) {
 	g.alone[name{service: base.Service(), key: key}] = alone
-	rate := g.keys[g.owners[base].incarnation][key].Rate()
-	g.shift(base, alone, min(rate, g.trends[base].Requests()))
+	g.shift(base, alone, g.keys[g.owners[base].incarnation][key].Rate())
 }
 
 // Returned takes note of a key that went back from its own shard to base.
@@ -136,15 +135,17 @@
 	delete(g.alone, n)
 }
 
-// shift moves requests per second from one shard to another.
+// shift moves requests per second from one shard to another. A key that got hot
+// just now may have more than the smoothed rate of its hash range.
 func (g *Gauge) shift(from, to load.Place, rate float64) {
-	if rate <= 0 {
+	a, b := g.trends[from], g.trends[to]
+	if rate <= 0 || a.Requests() <= 0 {
 		return
 	}
-	a, b := g.trends[from], g.trends[to]
-	work := a.Work() * rate / a.Requests()
-	g.trends[from] = a.WithLoad(a.Requests()-rate, a.Work()-work)
-	g.trends[to] = b.WithLoad(b.Requests()+rate, b.Work()+work)
+	cost := a.Work() / a.Requests()
+	left := max(0, a.Requests()-rate)
+	g.trends[from] = a.WithLoad(left, cost*left)
+	g.trends[to] = b.WithLoad(b.Requests()+rate, b.Work()+cost*rate)
 }
 
 // View returns the picture at this instant. It is void after the next command.
--- a/core/query/place/hot.go
+++ b/core/query/place/hot.go
@@ -12,6 +12,8 @@
 
 // Hysteresis of keys placed alone.
 const (
+	// plain is the multiple of the hot share that is no noise in a single report.
+	plain = 3
 	// coldPart is the part of the hot share below which a key is cold.
 	coldPart = 0.5
 	// hotter is how many times hotter a key must be to take the room of another.
@@ -33,7 +35,8 @@
 type hotKey struct {
 	key   string
 	owner *member
-	heat  load.Heat
+	share float64 // of the requests of the owner
+	rate  float64 // requests per second
 }
 
 // base returns the hash range of a key.
@@ -64,13 +67,17 @@
 	for _, m := range p.members {
 		for k, h := range p.view.Keys(m.incarnation()) {
 			base, owned := p.base(k).holding.(table.Owned)
-			if !alone[k] && h.Low() >= threshold && owned && base.Owner() == m.incarnation() {
-				list = append(list, hotKey{key: k, owner: m, heat: h})
+			share := h.Low()
+			if h.Last() >= plain*threshold {
+				share = h.Last()
+			}
+			if !alone[k] && share >= threshold && owned && base.Owner() == m.incarnation() {
+				list = append(list, hotKey{key: k, owner: m, share: share, rate: h.Rate()})
 			}
 		}
 	}
 	slices.SortFunc(list, func(a, b hotKey) int {
-		return cmp.Or(cmp.Compare(b.heat.Low(), a.heat.Low()), cmp.Compare(a.key, b.key))
+		return cmp.Or(cmp.Compare(b.share, a.share), cmp.Compare(a.key, b.key))
 	})
 	return list
 }
@@ -118,7 +125,7 @@
 // hash range, or first moved to the owner of it if the room is worth it.
 func (p *planner) evict(h hotKey) {
 	for _, c := range p.coldest() {
-		if h.heat.Low() < hotter*p.peak(c, evictReports) {
+		if h.share < hotter*p.peak(c, evictReports) {
 			continue
 		}
 		if c.together() {
@@ -155,7 +162,7 @@
 	if !owned || !based || !here || !able || p.moving >= movesAtOnce || p.cooling(c.alone) {
 		return false
 	}
-	worth := p.gainOf(h.heat.Rate(), h.owner, p.least()) + p.gain(c.alone, from, home)
+	worth := p.gainOf(h.rate, h.owner, p.least()) + p.gain(c.alone, from, home)
 	if worth <= 2*p.price(c.alone) {
 		return false
 	}
--- a/core/state/load/heat.go
+++ b/core/state/load/heat.go
@@ -27,6 +27,9 @@
 // Rate returns the requests per second of the last report.
 func (h Heat) Rate() float64 { return h.rate }
 
+// Last returns the share of the last report.
+func (h Heat) Last() float64 { return h.recent[0] }
+
 // Low returns the least share of the last two reports.
 func (h Heat) Low() float64 {
 	low := h.recent[0]
