Prefer the former owner among moves that are worth their price

Ruled out: a bonus on the gain itself, which also makes moves that are not worth their price.

Change: a move must be worth its price without a bonus; among such moves one to the former instance counts twice.

Conclusion: an instance that comes back gets its former shards, and no more than its share.

--- a/core/query/place/hot.go
+++ b/core/query/place/hot.go
@@ -162,7 +162,7 @@
 	if !owned || !based || !here || !able || p.moving >= movesAtOnce || p.cooling(c.alone) {
 		return false
 	}
-	worth := p.gainOf(h.rate, h.owner, p.least()) + p.gain(c.alone, from, home)
+	worth := p.gain(h.rate, h.owner, p.least()) + p.gain(c.alone.load, from, home)
 	if worth <= 2*p.price(c.alone) {
 		return false
 	}
--- a/core/query/place/place_test.go
+++ b/core/query/place/place_test.go
@@ -132,3 +132,31 @@
 	home := d.owner("k700") == d.ownerOf(table.HashShard("k700", ranges))
 	is.True(!away || !home) // back, or left where it is
 }
+
+// TestReturnPrefersFormerShards lets an instance come back: most of what it gets
+// was its own before, and it gets no more than its share.
+func TestReturnPrefersFormerShards(t *testing.T) {
+	is := is.New(t)
+	d := newWorld(place.Priced{}, 1, midlands, 0, 4)
+	d.run(10 * clock.Second)
+	former := map[table.Shard]bool{}
+	for s := range table.Shard(ranges) {
+		former[s] = d.ownerOf(s) == 2
+	}
+	d.kill(2)
+	d.run(25 * clock.Second)
+	again := d.join("i1")
+	d.run(50 * clock.Second)
+	owned, own := 0, 0
+	for s := range table.Shard(ranges) {
+		if d.ownerOf(s) == again {
+			owned++
+			if former[s] {
+				own++
+			}
+		}
+	}
+	t.Logf("%d shards, %d of them its own before", owned, own)
+	is.True(owned > 0 && 2*own > owned)
+	is.True(d.share(again) < 0.3)
+}
--- a/core/query/place/priced.go
+++ b/core/query/place/priced.go
@@ -19,8 +19,9 @@
 	moveGap = 0.05
 	// keyChurn is the churn of a key placed alone beside that of a hash range.
 	keyChurn = 0.25
-	// formerBonus multiplies the gain of a return to the instance before.
-	formerBonus = 1.1
+	// formerChoice multiplies what a return to the instance before is worth beside
+	// other moves that are worth their price.
+	formerChoice = 2
 )
 
 // Guards against moves for noise.
@@ -85,7 +86,11 @@
 		if !ok || p.cooling(sh) {
 			continue
 		}
-		if net := p.gain(sh, from, to) - p.price(sh); net > best.net {
+		net := p.gain(sh.load, from, to) - p.price(sh)
+		if sh.trend.Former() == to.member.Instance() {
+			net *= formerChoice
+		}
+		if net > best.net {
 			best = option{shard: sh, holding: h, to: to, net: net}
 		}
 	}
@@ -106,18 +111,9 @@
 	return max(leastBand, noiseBand*deviation)
 }
 
-// gain returns what the move of a shard is worth.
-func (p *planner) gain(sh *shard, from, to *member) float64 {
-	g := p.gainOf(sh.load, from, to)
-	if sh.trend.Former() == to.member.Instance() {
-		g *= formerBonus
-	}
-	return g
-}
-
-// gainOf returns what less imbalance over the horizon is worth, if so much load
+// gain returns what less imbalance over the horizon is worth, if so much load
 // moves.
-func (p *planner) gainOf(w float64, from, to *member) float64 {
+func (p *planner) gain(w float64, from, to *member) float64 {
 	before := p.uneven(from, 0) + p.uneven(to, 0)
 	after := p.uneven(from, -w) + p.uneven(to, w)
 	return p.service.Weights().Imbalance() * horizon * (before - after)
