Use the sketch of the daemon in the fake of the placement tests

Cause: the fake sorted all keys exactly, which the daemon does not, and had code of its own for it.

Change: the fake counts keys with core/command/heavy, in 64 counters, and ends moves and counts gaps in one pass.

--- a/core/query/place/world_test.go
+++ b/core/query/place/world_test.go
@@ -8,6 +8,7 @@
 	"verbenabank/core/clock"
 	"verbenabank/core/command/apply"
 	"verbenabank/core/command/gauge"
+	"verbenabank/core/command/heavy"
 	"verbenabank/core/query/place"
 	"verbenabank/core/state/fleet"
 	"verbenabank/core/state/load"
@@ -41,7 +42,7 @@
 	dead    map[table.Incarnation]bool
 	next    table.Incarnation
 	counts  map[table.Incarnation]map[table.Shard]uint64
-	keys    map[table.Incarnation]map[string]uint64
+	keys    map[table.Incarnation]*heavy.Sketch
 	result  result
 }
 
@@ -114,7 +115,7 @@
 }
 
 func (d *world) clear() {
-	d.counts, d.keys = map[table.Incarnation]map[table.Shard]uint64{}, map[table.Incarnation]map[string]uint64{}
+	d.counts, d.keys = map[table.Incarnation]map[table.Shard]uint64{}, map[table.Incarnation]*heavy.Sketch{}
 }
 
 func (d *world) commit(c order.Command) {
@@ -176,11 +177,10 @@
 func (d *world) run(until clock.Millis) {
 	for d.now < until {
 		d.now = d.now.Add(tick)
-		d.release()
 		for _, c := range place.Plan(d.policy, d.fleet.Table(), d.gauge.View(), d.now) {
 			d.commit(c)
 		}
-		d.outages()
+		d.pass()
 		for range perTick {
 			d.request()
 		}
@@ -190,24 +190,21 @@
 	}
 }
 
-// release ends the moves of the last tick.
-func (d *world) release() {
-	t := d.fleet.Table()
-	for _, s := range t.Shards(service) {
-		if m, ok := t.Holding(service, s).(table.Moving); ok && !d.dead[m.From()] {
-			d.commit(order.NewRelease(service, s, m.Epoch()))
-		}
-	}
-}
-
-func (d *world) outages() {
+// pass ends the moves of the last tick and counts what has no owner.
+func (d *world) pass() {
 	t := d.fleet.Table()
 	for _, s := range t.Shards(service) {
 		owner := d.ownerOf(s)
-		if owner == 0 {
+		switch h := t.Holding(service, s).(type) {
+		case table.Vacant:
 			d.result.vacant += tick
+		case table.Owned:
+		case table.Moving:
+			if !d.dead[owner] {
+				d.commit(order.NewRelease(service, s, h.Epoch()))
+			}
 		}
-		if owner == 0 || d.dead[owner] {
+		if d.dead[owner] || owner == 0 {
 			d.result.missing += tick * clock.Millis(keysOf(s))
 		}
 	}
@@ -225,10 +222,10 @@
 		return
 	}
 	if d.counts[owner] == nil {
-		d.counts[owner], d.keys[owner] = map[table.Shard]uint64{}, map[string]uint64{}
+		d.counts[owner], d.keys[owner] = map[table.Shard]uint64{}, heavy.New(64)
 	}
 	d.counts[owner][s]++
-	d.keys[owner][key]++
+	d.keys[owner].Add(key)
 }
 
 // report hands the counts of a second to the gauge, and adds them to the result.
@@ -245,7 +242,13 @@
 			shards = append(shards, load.NewShard(s, n, 3*n))
 			total += float64(n)
 		}
-		d.gauge.Report(i, load.NewReport(shards, top(d.keys[i])), d.now)
+		var keys []load.Key
+		if sketch, ok := d.keys[i]; ok {
+			for _, k := range sketch.Top(8) {
+				keys = append(keys, load.NewKey(k.Key(), k.Requests()))
+			}
+		}
+		d.gauge.Report(i, load.NewReport(shards, keys), d.now)
 		most, sum, members = max(most, total), sum+total, members+1
 	}
 	d.result.imbalance += most * members
@@ -253,27 +256,19 @@
 	d.clear()
 }
 
-func top(counts map[string]uint64) []load.Key {
-	var list []load.Key
-	for k, n := range counts {
-		list = append(list, load.NewKey(k, n))
-	}
-	sort.Slice(list, func(a, b int) bool {
-		return list[a].Requests() > list[b].Requests() || list[a].Requests() == list[b].Requests() && list[a].Key() < list[b].Key()
-	})
-	return list[:min(8, len(list))]
-}
-
 // kill ends a member, whose lease then runs out.
 func (d *world) kill(i table.Incarnation) {
 	d.dead[i] = true
-	d.run(d.now.Add(lapse))
-	d.commit(order.NewExpire(i, order.Silent))
+	d.gone(i, order.Silent)
 }
 
 // leave hands over what a member owns, and removes it.
 func (d *world) leave(i table.Incarnation) {
 	d.commit(order.NewSetPhase(i, table.Leaving{}))
+	d.gone(i, order.Left)
+}
+
+func (d *world) gone(i table.Incarnation, c order.Cause) {
 	d.run(d.now.Add(lapse))
-	d.commit(order.NewExpire(i, order.Left))
+	d.commit(order.NewExpire(i, c))
 }
