--- a/vload/adapt/conf/experiment.go
+++ b/vload/adapt/conf/experiment.go
@@ -15,7 +15,7 @@
 	LengthMs        *clock.Millis `json:"length_ms"`
 	SettleMs        *clock.Millis `json:"settle_ms"`
 	TimeoutMs       *clock.Millis `json:"timeout_ms"`
-	PatienceMs      *clock.Millis `json:"patience_ms"`
+	AnswerWithinMs  *clock.Millis `json:"answer_within_ms"`
 	Rate            *float64      `json:"rate"`
 	InFlight        *int          `json:"in_flight"`
 	AnsweredPercent float64       `json:"answered_percent"`
@@ -75,7 +75,7 @@
 	return plan.New(
 		plan.WithSeed(or(x.Seed, plan.DefaultSeed)),
 		plan.WithLength(or(x.LengthMs, plan.DefaultLength), or(x.SettleMs, plan.DefaultSettle)),
-		plan.WithTimeout(or(x.TimeoutMs, plan.DefaultTimeout), or(x.PatienceMs, plan.DefaultPatience)),
+		plan.WithTimeout(or(x.TimeoutMs, plan.DefaultTimeout), or(x.AnswerWithinMs, plan.DefaultAnswerWithin)),
 		plan.WithRate(or(x.Rate, plan.DefaultRate), or(x.InFlight, plan.DefaultInFlight)),
 		plan.WithAnswered(x.AnsweredPercent),
 		plan.WithRouting(routing), plan.WithRetry(retry), plan.WithSecondEntry(x.SecondEntry),
--- a/vload/query/metric/unavailable.go
+++ b/vload/query/metric/unavailable.go
@@ -16,8 +16,8 @@
 }
 
 // NewUnavailable returns the unavailable time of the calls of a run whose load
-// began at an instant. An answer that took longer than patience counts as none.
-func NewUnavailable(calls []call.Call, patience, from clock.Millis) Unavailable {
+// began at an instant. An answer that took longer than within counts as none.
+func NewUnavailable(calls []call.Call, within, from clock.Millis) Unavailable {
 	groups := make(map[key][]call.Call)
 	for _, c := range calls {
 		k := key{service: c.Request().Service(), name: c.Request().Key()}
@@ -26,17 +26,17 @@
 	var u Unavailable
 	for _, g := range groups {
 		slices.SortStableFunc(g, func(a, b call.Call) int { return cmp.Compare(a.At(), b.At()) })
-		u.count(g, patience, from)
-		u.longest = max(u.longest, gap(g, patience))
+		u.count(g, within, from)
+		u.longest = max(u.longest, gap(g, within))
 	}
 	return u
 }
 
-func (u *Unavailable) count(calls []call.Call, patience, from clock.Millis) {
+func (u *Unavailable) count(calls []call.Call, within, from clock.Millis) {
 	served := make(map[clock.Millis]bool)
 	for _, c := range calls {
 		second := (c.At() - from) / clock.Second
-		served[second] = served[second] || inTime(c, patience)
+		served[second] = served[second] || inTime(c, within)
 	}
 	for _, ok := range served {
 		u.asked++
@@ -46,16 +46,16 @@
 	}
 }
 
-func inTime(c call.Call, patience clock.Millis) bool {
-	return Answered(c) && c.Latency() <= patience.Duration()
+func inTime(c call.Call, within clock.Millis) bool {
+	return Answered(c) && c.Latency() <= within.Duration()
 }
 
 // gap returns the longest time from a request of a key that was not answered in
 // time to the end of the last such request before the next that was.
-func gap(calls []call.Call, patience clock.Millis) clock.Millis {
+func gap(calls []call.Call, within clock.Millis) clock.Millis {
 	longest, since, until, open := clock.Millis(0), clock.Millis(0), clock.Millis(0), false
 	for _, c := range calls {
-		if inTime(c, patience) {
+		if inTime(c, within) {
 			longest, open, until = max(longest, min(until, c.At())-since), false, 0
 			continue
 		}
--- a/vload/query/report/report.go
+++ b/vload/query/report/report.go
@@ -171,7 +171,7 @@
 		name: s.Name(), keyed: s.Keyed(),
 		imbalance:   metric.NewImbalance(executions, instances, r.outages, r.from, r.until),
 		churn:       metric.NewChurn(executions),
-		unavailable: metric.NewUnavailable(calls, r.experiment.Patience(), r.from),
+		unavailable: metric.NewUnavailable(calls, r.experiment.AnswerWithin(), r.from),
 	}
 }
 
--- a/vload/state/plan/plan.go
+++ b/vload/state/plan/plan.go
@@ -10,7 +10,7 @@
 	length   clock.Millis
 	settle   clock.Millis
 	timeout  clock.Millis
-	patience clock.Millis
+	within   clock.Millis
 	rate     float64
 	inFlight int
 	answered float64
@@ -27,19 +27,19 @@
 
 // Defaults of an experiment.
 const (
-	DefaultSeed     uint64 = 1
-	DefaultLength          = 30 * clock.Second
-	DefaultSettle          = 3 * clock.Second
-	DefaultTimeout         = 6 * clock.Second
-	DefaultPatience        = 1 * clock.Second
-	DefaultRate            = 300.0 // requests a second
-	DefaultInFlight        = 2000
+	DefaultSeed         uint64 = 1
+	DefaultLength              = 30 * clock.Second
+	DefaultSettle              = 3 * clock.Second
+	DefaultTimeout             = 6 * clock.Second
+	DefaultAnswerWithin        = 1 * clock.Second
+	DefaultRate                = 300.0 // requests a second
+	DefaultInFlight            = 2000
 )
 
 // New returns an experiment through the daemons, changed by opts.
 func New(opts ...Option) Experiment {
 	e := Experiment{
-		seed: DefaultSeed, length: DefaultLength, settle: DefaultSettle, timeout: DefaultTimeout, patience: DefaultPatience,
+		seed: DefaultSeed, length: DefaultLength, settle: DefaultSettle, timeout: DefaultTimeout, within: DefaultAnswerWithin,
 		rate: DefaultRate, inFlight: DefaultInFlight,
 		routing: Daemons{}, retry: RetryNone{}, keys: NewKeys(1000, 1, nil),
 	}
@@ -67,8 +67,8 @@
 
 // WithTimeout sets how long a caller waits, and after what time an answer counts
 // as unavailable time.
-func WithTimeout(span, patience clock.Millis) Option {
-	return func(e *Experiment) { e.timeout, e.patience = span, patience }
+func WithTimeout(span, within clock.Millis) Option {
+	return func(e *Experiment) { e.timeout, e.within = span, within }
 }
 
 // WithRate sets the mean of requests a second, and how many may be in flight.
@@ -111,8 +111,8 @@
 // Timeout returns how long a caller waits.
 func (e Experiment) Timeout() clock.Millis { return e.timeout }
 
-// Patience returns the time after which an answer counts as unavailable time.
-func (e Experiment) Patience() clock.Millis { return e.patience }
+// AnswerWithin returns the time after which an answer counts as unavailable time.
+func (e Experiment) AnswerWithin() clock.Millis { return e.within }
 
 // Rate returns the mean of requests a second.
 func (e Experiment) Rate() float64 { return e.rate }
