--- a/core/command/raft/step_test.go
+++ b/core/command/raft/step_test.go
@@ -135,6 +135,81 @@
 	}
 }
 
+// TestQuestionNeedsALaterRound answers a round that started before the question.
+func TestQuestionNeedsALaterRound(t *testing.T) {
+	s := newSingle()
+	s.elect()
+	s.accept = func(peer.AppendRequest) peer.Body { return nil }
+	s.now += Heartbeat
+	s.run(Ticked{})
+	s.run(NewConfirmAsked(7))
+	earlier := peer.NewAppendAccepted(s.commit, s.node.lead.round)
+	s.run(NewReceived(peer.NewMessage(peer.NewRoute(9, 2, "b", 1), s.node.term, earlier)))
+	if s.confirms != 0 {
+		t.Fatal("confirmed by a round that started before the question")
+	}
+	s.accept = acceptAll
+	s.now += roundSpacing
+	s.run(Ticked{})
+	if s.confirms != 1 {
+		t.Fatal("not confirmed")
+	}
+}
+
+// TestOneChangeAtATime lets a blank replica prove itself twice while the first
+// change that follows from it is not committed.
+func TestOneChangeAtATime(t *testing.T) {
+	s := newSingle()
+	s.elect()
+	s.accept = func(peer.AppendRequest) peer.Body { return nil }
+	hello := peer.NewMessage(peer.NewRoute(0, 50, "c", 0), 0, peer.NewHello(1, 1))
+	for range 2 {
+		s.node.admit(hello)
+		s.run(Ticked{})
+	}
+	if s.node.changed != s.commit+1 || s.node.members.Len() != 2 {
+		t.Fatalf("changed at %d, committed %d: %v", s.node.changed, s.commit, s.node.members)
+	}
+}
+
+func TestOtherGroupIsIgnored(t *testing.T) {
+	s := newSingle()
+	request := peer.NewAppendRequest(0, 0, 0, 1, nil)
+	s.run(NewReceived(peer.NewMessage(peer.NewRoute(8, 2, "b", 1), 7, request)))
+	if got := s.node.Status(); got.Term() != 1 || got.Leader() != 0 {
+		t.Fatalf("%+v", got)
+	}
+}
+
+// TestBrokenInvariantsStopTheNode sends what only a broken peer sends.
+func TestBrokenInvariantsStopTheNode(t *testing.T) {
+	conflict := []peer.Entry{peer.NewEntry(1, 1, peer.Noop{}), peer.NewEntry(2, 2, peer.Noop{})}
+	for _, c := range []struct {
+		term peer.Term
+		body peer.Body
+		kind Kind
+	}{
+		{2, peer.NewAppendRequest(1, 1, 0, 1, nil), TwoLeaders},
+		{2, peer.NewAppendAccepted(1000, 1), CommittedLost},
+		{3, peer.NewAppendRequest(0, 0, 0, 1, conflict[1:]), 0},
+		{3, peer.NewAppendRequest(1, 1, 0, 1, conflict[1:]), 0},
+		{3, peer.NewAppendRequest(0, 0, 0, 1, []peer.Entry{peer.NewEntry(1, 3, peer.Noop{})}), CommittedLost},
+	} {
+		s := newSingle()
+		s.elect()
+		m := peer.NewMessage(peer.NewRoute(9, 2, "b", 1), c.term, c.body)
+		kind := Kind(0)
+		for _, f := range s.node.Step(s.now, NewReceived(m)) {
+			if v, ok := f.(Violated); ok {
+				kind = v.Err().Kind()
+			}
+		}
+		if kind != c.kind {
+			t.Fatalf("%T: kind %d", c.body, kind)
+		}
+	}
+}
+
 func BenchmarkCommit(b *testing.B) {
 	s := newSingle()
 	s.elect()
