Let one run of the process tests at a time use their addresses

Cause: two runs on one machine shared the addresses of their fleets; requests of one were answered by the other ('answered and did not run'). Change: a file lock for the time of a run.

--- a/vload/proof/host_test.go
+++ b/vload/proof/host_test.go
@@ -33,6 +33,7 @@
 		panic(err)
 	}
 	programs = folder
+	alone()
 	for _, p := range []string{"verbenad", "vload"} {
 		c := exec.Command("go", "build", "-o", folder+"/", "./"+p)
 		c.Dir = "../.."
@@ -45,6 +46,18 @@
 	os.Exit(code)
 }
 
+// alone waits until no other run of these tests uses their addresses. The lock
+// ends with the process.
+func alone() {
+	f, err := os.OpenFile(filepath.Join(os.TempDir(), "verbenabank-proof.lock"), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		panic(err)
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX); err != nil {
+		panic(err)
+	}
+}
+
 // host is one instance: a daemon and the target beside it.
 type host struct {
 	t       *testing.T
