--- a/verbenad/adapt/probe/probe.go
+++ b/verbenad/adapt/probe/probe.go
@@ -20,10 +20,10 @@
 // Spans of the probe.
 const (
 	every    = 100 * time.Millisecond
-	patience = 400 * time.Millisecond
+	patience = 200 * time.Millisecond
 	// muteAfter is how long a target may answer nothing before it counts as
 	// frozen.
-	muteAfter = 900 * clock.Millisecond
+	muteAfter = 700 * clock.Millisecond
 	// refusals is how many refused connections in a row make a target dead.
 	refusals = 2
 )
--- a/vload/proof/host_test.go
+++ b/vload/proof/host_test.go
@@ -24,8 +24,12 @@
 	service = "bookings"
 )
 
-// programs is the folder of the programs under test.
-var programs string
+// programs is the folder of the programs under test, and base what is added to the
+// subnets that the tests name.
+var (
+	programs string
+	base     int
+)
 
 func TestMain(m *testing.M) {
 	folder, err := os.MkdirTemp("", "proof")
@@ -33,7 +37,7 @@
 		panic(err)
 	}
 	programs = folder
-	alone()
+	base = reserve()
 	for _, p := range []string{"verbenad", "vload"} {
 		c := exec.Command("go", "build", "-o", folder+"/", "./"+p)
 		c.Dir = "../.."
@@ -46,16 +50,26 @@
 	os.Exit(code)
 }
 
-// alone waits until no other run of these tests uses their addresses. The lock
-// ends with the process.
-func alone() {
-	f, err := os.OpenFile(filepath.Join(os.TempDir(), "verbenabank-proof.lock"), os.O_CREATE|os.O_RDWR, 0o600)
-	if err != nil {
-		panic(err)
-	}
-	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX); err != nil {
-		panic(err)
+// Runs of these tests at the same time use addresses of different subnets.
+const (
+	runsAtOnce = 4
+	subnets    = 30
+)
+
+// reserve takes a range of subnets that no other run uses and returns how far it
+// is from the first. Its lock ends with the process.
+func reserve() int {
+	for n := range runsAtOnce {
+		f, err := os.OpenFile(filepath.Join(os.TempDir(), fmt.Sprintf("verbenabank-proof-%d.lock", n)), os.O_CREATE|os.O_RDWR, 0o600)
+		if err != nil {
+			panic(err)
+		}
+		if syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) == nil {
+			return n * subnets
+		}
+		_ = f.Close()
 	}
+	panic("too many runs of the process tests at once")
 }
 
 // host is one instance: a daemon and the target beside it.
@@ -98,6 +112,7 @@
 func start(t *testing.T, subnet, hosts int, prepare func(*host)) *fleet {
 	t.Helper()
 	f := &fleet{t: t, folder: t.TempDir()}
+	subnet += base
 	f.must(os.WriteFile(filepath.Join(f.folder, "secret"), []byte(secret), 0o600))
 	for n := range hosts {
 		h := &host{t: t, name: fmt.Sprintf("b-%d", n+1), ip: fmt.Sprintf("127.%d.%d.1", subnet, n+1), replica: n < 3}
