--- a/core/command/raft/host_test.go
+++ b/core/command/raft/host_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"strings"
 
 	"verbenabank/core/clock"
 	"verbenabank/core/state/peer"
+	"verbenabank/core/wire/peers"
 )
 
 // host runs a node with a fake disk and a fake state machine.
@@ -21,28 +23,37 @@
 	lagged  clock.Millis // until when
 	down    clock.Millis // when a stopped process starts again
 	rate    clock.Millis // of its clock, in thousandths
+	base    clock.Millis // its clock when the rate last changed
+	since   clock.Millis // when that was
 	syncMax int          // greatest time of a sync in ms
 	disk    peer.Stored
-	pending []write
+	pending []unsynced
 	index   peer.Index
 	state   uint64
+	value   uint64 // the token in the last command
 	wiped   int
 	later   []Event // to take after the effects of the present step
 }
 
-// write is a batch that is not yet durable.
-type write struct {
+// unsynced is a batch that is not yet durable.
+type unsynced struct {
 	at    clock.Millis
 	batch peer.Batch
 }
 
-func (h *host) local() clock.Millis { return h.world.now * h.rate / 1000 }
+// local reads the clock of the host, which never steps.
+func (h *host) local() clock.Millis { return h.base + (h.world.now-h.since)*h.rate/1000 }
+
+// drift lets the clock of the host run at another rate.
+func (h *host) drift(rate clock.Millis) {
+	h.base, h.since, h.rate = h.local(), h.world.now, rate
+}
 
 func (h *host) start() {
 	r := h.world.random
-	h.node = New(WithAddress(h.address), WithSeeds(h.seeds...), WithForm(true), WithTrail(20), WithChunk(64),
+	h.node = New(WithAddress(h.address), WithSeeds(h.seeds...), WithForm(true), WithTrail(20), WithChunk(64), WithLimit(200),
 		WithRandom(r.Uint64(), r.Uint64()), WithStored(h.disk))
-	h.inbox, h.pending, h.index, h.state = nil, nil, 0, 0
+	h.inbox, h.pending, h.index, h.state, h.value = nil, nil, 0, 0, 0
 	h.step(Started{})
 }
 
@@ -105,7 +116,7 @@
 	}
 	if durable > 0 {
 		h.step(NewPersisted(durable))
-		if vote := h.disk.Hard().Vote(); w.weak.forgetVote && vote != 0 && vote != h.disk.Hard().ID() && w.random.IntN(4) == 0 {
+		if vote := h.disk.Hard().Vote(); w.weak.forgetVote && vote != 0 && vote != h.disk.Hard().ID() && w.random.IntN(2) == 0 {
 			h.crash()
 			h.start()
 			return
@@ -129,6 +140,9 @@
 		h.obey(f)
 	}
 	h.world.check.rounds(h)
+	if h.node.failed == nil && h.node.Wake() <= h.local() {
+		h.world.check.fail("spin: host %d wants to wake at %d, it is %d", h.number, h.node.Wake(), h.local())
+	}
 	for len(h.later) > 0 {
 		next := h.later[0]
 		h.later = h.later[1:]
@@ -152,7 +166,7 @@
 		h.apply(f.Entries())
 	case Restore:
 		s := f.Snapshot()
-		h.index, h.state = s.Index(), binary.BigEndian.Uint64(s.Data())
+		h.index, h.state, h.value = s.Index(), binary.BigEndian.Uint64(s.Data()), binary.BigEndian.Uint64(s.Data()[8:])
 		w.check.reached(h, "restore")
 	case Confirmed:
 		w.check.confirmed(h, f.Tokens())
@@ -167,16 +181,37 @@
 func (h *host) write(b peer.Batch) {
 	w := h.world
 	w.check.written(h, b)
+	if w.coder.IntN(8) == 0 {
+		b = h.coded(b)
+	}
 	at := w.now + 1 + clock.Millis(w.random.IntN(h.syncMax))
 	if k := len(h.pending); k > 0 {
 		at = max(at, h.pending[k-1].at)
 	}
-	h.pending = append(h.pending, write{at: at, batch: b})
+	h.pending = append(h.pending, unsynced{at: at, batch: b})
 	if w.weak.ackBeforeSync {
 		h.later = append(h.later, NewPersisted(b.Sequence()))
 	}
 }
 
+// coded sends a batch through its encoding.
+func (h *host) coded(b peer.Batch) peer.Batch {
+	record, err := peers.MarshalBatch(b)
+	back, refused := peers.UnmarshalBatch(record)
+	if err != nil || refused != nil {
+		h.world.check.fail("codec: %v %v: %+v", err, refused, b)
+	}
+	s := b.Snapshot()
+	if s.Index() > 0 {
+		record, err = peers.MarshalSnapshot(s)
+		s, refused = peers.UnmarshalSnapshot(record)
+		if err != nil || refused != nil {
+			h.world.check.fail("codec: %v %v: %+v", err, refused, b)
+		}
+	}
+	return peer.NewBatch(b.Sequence(), back.Hard(), s, back.Entries())
+}
+
 func (h *host) apply(entries []Committed) {
 	for _, c := range entries {
 		e := c.Entry()
@@ -187,12 +222,15 @@
 		h.index = e.Index()
 		if p, ok := e.Payload().(peer.Command); ok {
 			h.state = digest(h.state, p.Data())
+			_, _ = fmt.Sscanf(string(p.Data()), "command %d", &h.value)
+			h.world.check.history.wrote(c.Token(), h.world.check.events)
 		}
 		h.world.check.committed(h, e)
 		h.world.check.reached(h, "apply")
 	}
 	if h.node.Status().First()+60 < h.index {
 		data := binary.BigEndian.AppendUint64(nil, h.state)
+		data = binary.BigEndian.AppendUint64(data, h.value)
 		data = append(data, strings.Repeat("s", 500)...)
 		h.later = append(h.later, NewCompacted(h.index, data))
 	}
--- a/core/command/raft/random_test.go
+++ b/core/command/raft/random_test.go
@@ -25,9 +25,14 @@
 	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
 		_ = flag.Set("rapid.seed", seed)
 	}
+	if f := flag.Lookup("rapid.shrinktime"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.shrinktime", "3s")
+	}
 	_ = flag.Set("rapid.nofailfile", "true")
 	code := m.Run()
-	fmt.Printf("random runs: %+v\n", totals)
+	if totals.runs > 0 {
+		fmt.Printf("random runs: %+v\n", totals)
+	}
 	os.Exit(code)
 }
 
@@ -132,6 +137,12 @@
 	t.Logf("%+v", totals)
 }
 
+func TestOneReplicaServesAlone(t *testing.T) {
+	if err := newWorld(1, 1).recover(); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func TestCalmGroupFoundsItselfAndServes(t *testing.T) {
 	w := newWorld(1, 3)
 	if err := w.run(clock.Second); err != nil {
--- a/verbenad/adapt/hop/errand.go
+++ b/verbenad/adapt/hop/errand.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync/atomic"
 
 	"github.com/sourcegraph/conc"
 	"google.golang.org/grpc/codes"
@@ -17,11 +18,13 @@
 
 // errand is one request on its way to another daemon.
 type errand struct {
-	ctx     context.Context
+	caller  context.Context
 	cancel  context.CancelFunc
 	stream  wirepb.Hop_ForwardClient
 	request call.Request
 	upload  conc.WaitGroup
+
+	answered atomic.Bool // the head of the answer is here
 }
 
 // run sends the request and waits for the head of the answer.
@@ -45,6 +48,7 @@
 	}
 	switch p := p.GetPart().(type) {
 	case *wirepb.AnswerPart_Head:
+		e.answered.Store(true)
 		return parts.Answer(p.Head, &answerBody{errand: e})
 	case *wirepb.AnswerPart_Failure:
 		e.cancel()
@@ -60,7 +64,8 @@
 const inlineBytes = 8 << 10
 
 // sendBody sends the body. If it cannot be read whole the stream is cancelled, so
-// that the other daemon does not take it for whole.
+// that the other daemon does not take it for whole; if the answer came before, the rest of
+// the body is just not sent.
 func (e *errand) sendBody() {
 	buffer := make([]byte, chunkSize(e.request.Length()))
 	for {
@@ -73,7 +78,9 @@
 			return
 		}
 		if err != nil {
-			e.cancel()
+			if !e.answered.Load() {
+				e.cancel()
+			}
 			return
 		}
 	}
@@ -91,16 +98,15 @@
 	if c := status.Code(err); c == codes.Unauthenticated || c == codes.Unimplemented {
 		return call.Refuse(result.Unreachable)
 	}
-	return call.Unknown(reason(err))
+	return call.Unknown(e.reason(err))
 }
 
 // reason returns why the stream ended before the answer did.
-func reason(err error) result.Reason {
-	c := status.Code(err)
-	if c == codes.DeadlineExceeded {
+func (e *errand) reason(err error) result.Reason {
+	if status.Code(err) == codes.DeadlineExceeded || errors.Is(e.caller.Err(), context.DeadlineExceeded) {
 		return result.TimedOut
 	}
-	if c == codes.Canceled {
+	if e.caller.Err() != nil {
 		return result.Cancelled
 	}
 	return result.Interrupted
@@ -130,7 +136,7 @@
 	const op = "read answer of peer"
 	p, err := b.errand.stream.Recv()
 	if err != nil {
-		b.end(call.NewError(op, reason(err)))
+		b.end(call.NewError(op, b.errand.reason(err)))
 		return
 	}
 	switch p := p.GetPart().(type) {
@@ -153,7 +159,7 @@
 // Close cancels the request if the answer was not read to its end.
 func (b *answerBody) Close() error {
 	if b.err == nil {
-		b.end(errors.New("hop: answer was closed"))
+		b.end(call.NewError("close answer of peer", result.Cancelled))
 	}
 	return nil
 }
--- a/verbenad/command/entry/fleet_test.go
+++ b/verbenad/command/entry/fleet_test.go
@@ -48,6 +48,9 @@
 	d.owner = owner.New(owner.WithCell(d.cell), owner.WithTarget(d.target))
 	client, stopClient := hop.New()
 	t.Cleanup(stopClient)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go client.Follow(ctx, d.cell)
 	d.server = grpc.NewServer(grpc.InitialWindowSize(hop.WindowBytes))
 	wirepb.RegisterHopServer(d.server, hop.NewServer(d.owner))
 	peers := listen(t)
@@ -73,9 +76,9 @@
 }
 
 // publish gives the daemon a table, with leases that end after a minute.
-func (d *daemon) publish(t *table.Table) {
+func (d *daemon) publish(t *table.Table, opts ...snap.Option) {
 	now := clock.New().Now()
-	d.cell.Publish(snap.New(t, d.self, now+clock.Minute, now+clock.Minute))
+	d.cell.Publish(snap.New(t, d.self, now+clock.Minute, now+clock.Minute, opts...))
 }
 
 const keyed = "catalogue"
--- a/verbenad/command/owner/guard.go
+++ b/verbenad/command/owner/guard.go
@@ -25,8 +25,12 @@
 	refusedStale   = "stale"
 )
 
-// reserve is kept of the deadline so that a refusal reaches the entry before it.
-const reserve = 5 * clock.Millisecond
+const (
+	// reserve is kept of the time to the deadline, a tenth of it at most, so that what
+	// the owner knows of the outcome reaches the entry before it.
+	reserve      = 20 * clock.Millisecond
+	reserveShare = 10
+)
 
 // refusalBytes of a refusal's body are read, so that the connection can be kept.
 const refusalBytes = 4 << 10
@@ -40,7 +44,10 @@
 	leave    func()
 	pass     admission
 	slotted  bool
+	passed   bool
 	sent     clock.Millis
+	id       string
+	told     clock.Millis // the end of the lease that the target was told last
 	cancel   context.CancelFunc
 	lapsed   atomic.Bool
 }
@@ -55,25 +62,33 @@
 	if failure, ok := g.admit(ctx, pass.service); !ok {
 		return failure
 	}
-	if g.pass, reason = g.owner.check(g.request); reason != "" {
-		return call.Refuse(reason)
-	}
-	g.sent = g.owner.clock.Now()
-	switch reply := g.owner.target.Send(g.enlist(ctx), g.ordered()).(type) {
+	g.pass = pass
+	g.passed = true
+	switch reply := g.owner.target.Send(g.enlist(ctx), call.NewWork(g.prepare, g.ended, call.WithAbandoned(g.abandoned))).(type) {
 	case call.Answer:
 		return g.judge(reply)
 	case call.Failure:
-		return g.explain(reply)
+		return g.explain(ctx, reply)
 	}
 	return call.Unknown(result.Interrupted)
 }
 
+// prepare checks again, just before the request goes to the target.
+func (g *guard) prepare() (call.Request, result.Reason) {
+	pass, reason := g.owner.check(g.request)
+	if reason != "" {
+		return call.Request{}, reason
+	}
+	fields := g.name()
+	g.dispatch(pass)
+	return g.ordered(fields), ""
+}
+
 // admit waits for a slot.
 func (g *guard) admit(ctx context.Context, s rules.Service) (call.Failure, bool) {
 	now, gate := g.owner.clock.Now(), g.owner.gate
-	deadline := g.deadline - reserve
 	slots := min(s.Slots(), s.Connections())
-	t := gate.Arrive(now, deadline, admit.NewLimits(slots, s.Queue(), s.QueueWait()))
+	t := gate.Arrive(now, g.deadline, admit.NewLimits(slots, s.Queue(), s.QueueWait()))
 	select {
 	case o := <-t.Ready():
 		return g.granted(o)
@@ -81,7 +96,7 @@
 	}
 	g.owner.meter.Event("waiting", 1)
 	defer g.owner.meter.Event("waiting", -1)
-	timer := time.NewTimer(min(s.QueueWait(), deadline-now).Duration())
+	timer := time.NewTimer(min(s.QueueWait(), g.deadline-now).Duration())
 	defer timer.Stop()
 	select {
 	case o := <-t.Ready():
@@ -90,7 +105,7 @@
 	case <-ctx.Done():
 	}
 	g.slotted = gate.Cancel(t)
-	if ctx.Err() != nil || g.owner.clock.Now() >= deadline {
+	if ctx.Err() != nil || g.owner.clock.Now() >= g.deadline {
 		return call.Refuse(result.Expired), false
 	}
 	return call.NewFailure(result.NewRefused(result.Overloaded, s.QueueWait())), false
@@ -107,11 +122,10 @@
 	return call.Refuse(result.Overloaded), false
 }
 
-// ordered returns the request with the fields that a target may check.
-func (g *guard) ordered() call.Request {
+// ordered returns the request with the fields and those that a target may check.
+func (g *guard) ordered(fields []call.Field) call.Request {
 	r := g.request
 	left := max(1, g.deadline-g.owner.clock.Now())
-	fields := append([]call.Field{}, r.Fields()...)
 	fields = append(fields, call.NewField(HeaderDeadline, strconv.FormatInt(int64(left), 10)))
 	if r.Key() != "" {
 		fields = append(fields,
@@ -174,9 +188,24 @@
 	return clock.Millis(seconds) * clock.Second
 }
 
-// done gives back the slot and the place in the count of requests in flight.
+// done ends the request for its caller. What the target still holds of it is given
+// back by ended.
 func (g *guard) done(o result.Outcome) {
 	g.delist()
+	if !g.passed {
+		g.ended()
+	}
+	g.owner.meter.End(o, g.owner.clock.Now()-g.entered)
+}
+
+// ended gives back the slot and the place in the count of requests in flight.
+func (g *guard) ended() {
+	g.yield()
+	g.leave()
+}
+
+// yield gives back the slot.
+func (g *guard) yield() {
 	now := g.owner.clock.Now()
 	switch {
 	case g.slotted && g.sent > 0:
@@ -184,8 +213,6 @@
 	case g.slotted:
 		g.owner.gate.Return(now)
 	}
-	g.leave()
-	g.owner.meter.End(o, now-g.entered)
 }
 
 // guarded is the body of an answer that may be read while ownership holds.
--- a/verbenad/command/owner/owner.go
+++ b/verbenad/command/owner/owner.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,23 +30,26 @@
 
 // Sender exchanges one request with the target beside the daemon.
 type Sender interface {
-	Send(ctx context.Context, r call.Request) call.Reply
+	Send(ctx context.Context, w call.Work) call.Reply
 }
 
 // Owner serves requests with the target beside the daemon. It is safe for
 // concurrent use.
 type Owner struct {
-	clock  *clock.Clock
-	cell   *snap.Cell
-	target Sender
-	flight *flight.Flight
-	gate   *admit.Gate
-	closed atomic.Bool
-	meter  *meter.Meter
+	clock    *clock.Clock
+	cell     *snap.Cell
+	target   Sender
+	extender Extender
+	flight   *flight.Flight
+	gate     *admit.Gate
+	closed   atomic.Bool
+	attempts atomic.Uint64
+	meter    *meter.Meter
 
 	mu      sync.Mutex
 	hot     *heavy.Sketch
-	running map[*guard]struct{}
+	running map[*guard]struct{} // at a target that does not check leases
+	lasting map[*guard]struct{} // at a target that does
 }
 
 // Option sets one property of an Owner.
@@ -60,6 +64,9 @@
 // WithTarget sets the target.
 func WithTarget(t Sender) Option { return func(o *Owner) { o.target = t } }
 
+// WithExtender sets who tells the target of renewals; it must be set if Prolong is called.
+func WithExtender(e Extender) Option { return func(o *Owner) { o.extender = e } }
+
 // WithFlight sets the count of requests in flight.
 func WithFlight(f *flight.Flight) Option { return func(o *Owner) { o.flight = f } }
 
@@ -72,7 +79,9 @@
 		meter:   meter.Of("owner"),
 		hot:     heavy.New(HotCounters),
 		running: map[*guard]struct{}{},
+		lasting: map[*guard]struct{}{},
 	}
+	o.attempts.Store(rand.Uint64())
 	for _, f := range opts {
 		f(o)
 	}
@@ -115,13 +124,14 @@
 	return call.Unknown(result.Interrupted)
 }
 
-// deadline returns the instant of the end of ctx.
+// deadline returns the instant at which the owner is done with a request: a little
+// before the end of ctx.
 func (o *Owner) deadline(ctx context.Context) clock.Millis {
-	end, ok := ctx.Deadline()
-	if !ok {
-		return o.clock.Now().Add(DefaultTimeout)
+	left := DefaultTimeout
+	if end, ok := ctx.Deadline(); ok {
+		left = max(0, clock.Millis(time.Until(end).Milliseconds()))
 	}
-	return o.clock.Now().Add(clock.Millis(time.Until(end).Milliseconds()))
+	return o.clock.Now().Add(left - min(reserve, left/reserveShare))
 }
 
 // count adds the request to the hot keys.
@@ -155,8 +165,11 @@
 	case s.Self() == 0 || s.Self() != r.Incarnation():
 		return admission{}, result.NotOwner
 	}
-	switch service.Kind().(type) {
+	switch k := service.Kind().(type) {
 	case rules.Keyed:
+		if s.Table().ShardOf(r.Service(), r.Key(), k.Shards()) != r.Shard() {
+			return admission{}, result.NotOwner
+		}
 		epoch, owns := s.Owns(r.Service(), r.Shard(), now)
 		if !owns {
 			return admission{}, result.NotOwner
--- a/verbenad/command/serve/run.go
+++ b/verbenad/command/serve/run.go
@@ -22,6 +22,8 @@
 	leaveWithin = 60 * time.Second
 	// callersWithin bounds the answers to callers that are still connected.
 	callersWithin = 10 * time.Second
+	// peersWithin bounds the answers to other daemons.
+	peersWithin = 500 * time.Millisecond
 	// handoverWait gives a leader time to hand over before the ports close.
 	handoverWait = 300 * time.Millisecond
 )
@@ -51,6 +53,9 @@
 func (d *Daemon) start(ended chan error) {
 	d.group.Go(func() { _ = d.loop.Run(d.life) })
 	d.group.Go(func() { measure(d.life, d.owner, d.loop) })
+	d.group.Go(func() { d.owner.Watch(d.life) })
+	d.group.Go(func() { d.owner.Prolong(d.life) })
+	d.group.Go(func() { d.hops.Follow(d.life, d.cell) })
 	d.group.Go(func() { d.report(ended, d.peers.Serve(d.peersPort)) })
 	d.group.Go(func() { d.report(ended, d.entry.Serve(d.callersPort)) })
 	d.group.Go(func() {
@@ -86,10 +91,13 @@
 	return err
 }
 
-// stopServers closes the remaining ports.
+// stopServers closes the remaining ports. Requests of other daemons are answered;
+// the streams of replicas have no end of their own and are cut.
 func (d *Daemon) stopServers() {
 	_ = d.admin.ShutdownWithTimeout(time.Second)
-	d.peers.Stop()
+	cut := time.AfterFunc(peersWithin, d.peers.Stop)
+	defer cut.Stop()
+	d.peers.GracefulStop()
 }
 
 // audit returns the audit trail, from this replica or from another.
--- a/verbenad/command/serve/serve.go
+++ b/verbenad/command/serve/serve.go
@@ -21,6 +21,7 @@
 	"verbenabank/core/wire/codec"
 	"verbenabank/core/wire/confjs"
 	"verbenabank/core/wire/wirepb"
+	"verbenabank/verbenad/adapt/extend"
 	"verbenabank/verbenad/adapt/hop"
 	"verbenabank/verbenad/adapt/link"
 	"verbenabank/verbenad/adapt/probe"
@@ -49,6 +50,7 @@
 	beside *beside
 	owner  *owner.Owner
 	entry  *entry.Entry
+	hops   *hop.Client
 	uplink *link.Uplink
 	desk   *link.Desk
 	waiter *waiter
@@ -117,14 +119,18 @@
 func (d *Daemon) buildTraffic() error {
 	t, stop := target.New()
 	d.atEnd(stop)
-	d.beside = newBeside(d.clock, t)
+	x, stopExtender := extend.New()
+	d.atEnd(stopExtender)
+	d.beside = newBeside(d.clock, t, x)
 	p, stopProbe := probe.New(probe.WithClock(d.clock), probe.WithLog(d.part()),
 		probe.WithAnswered(d.beside.Answered), probe.WithPost(d.post))
 	d.atEnd(stopProbe)
 	d.beside.probe = p
-	d.owner = owner.New(owner.WithClock(d.clock), owner.WithCell(d.cell), owner.WithTarget(d.beside))
+	d.owner = owner.New(owner.WithClock(d.clock), owner.WithCell(d.cell), owner.WithTarget(d.beside),
+		owner.WithExtender(x))
 	client, stopClient := hop.New(hop.WithDialOptions(d.trust.DialOptions()...))
 	d.atEnd(stopClient)
+	d.hops = client
 	d.entry = entry.New(entry.WithClock(d.clock), entry.WithCell(d.cell), entry.WithLocal(d.owner),
 		entry.WithRemote(client), entry.WithInstance(d.settings.Instance(), d.settings.Zone()))
 	return nil
@@ -142,7 +148,7 @@
 	d.atEnd(stop)
 	d.uplink = up
 	d.desk = link.NewDesk(replicas, d.trust.DialOptions(), d.codec)
-	a := agent.New(agent.WithInstance(d.settings.Instance(), d.settings.Zone(), d.settings.Peers().String()),
+	a := agent.New(agent.WithInstance(d.settings.Instance(), d.settings.Zone(), d.settings.Advertised().String()),
 		agent.WithRandom(rand.Uint64))
 	options := []ctrl.Option{
 		ctrl.WithClock(d.clock, func() order.Stamp { return order.Stamp(time.Now().UnixMilli()) }),
@@ -161,7 +167,7 @@
 }
 
 func (d *Daemon) buildServers() error {
-	d.peers = grpc.NewServer(d.trust.ServerOptions()...)
+	d.peers = grpc.NewServer(append(d.trust.ServerOptions(), grpc.InitialWindowSize(hop.WindowBytes))...)
 	link.NewServer(d.loop, d.codec, d.part()).Register(d.peers)
 	wirepb.RegisterHopServer(d.peers, hop.NewServer(d.owner))
 	d.admin = fiber.New(fiber.Config{AppName: "verbenad", BodyLimit: adminBodyBytes})
--- a/vload/command/target/target_test.go
+++ b/vload/command/target/target_test.go
@@ -5,13 +5,14 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"verbenabank/core/clock"
-	"verbenabank/vload/adapt/book"
+	"verbenabank/vload/adapt/lines"
 	"verbenabank/vload/query/body"
 	"verbenabank/vload/state/ledger"
 	"verbenabank/vload/state/server"
@@ -45,6 +46,7 @@
 	}
 	request.Header.Set(body.IDHeader, id)
 	request.Header.Set("Verbena-Shard", "3")
+	request.Header.Set("Verbena-Request-Id", "v-"+id)
 	request.Header.Set("Verbena-Epoch", fmt.Sprint(epoch))
 	request.Header.Set("Verbena-Lease-Until", fmt.Sprint(int64(lease)))
 	answer, err := (&http.Client{Timeout: timeout}).Do(request)
@@ -73,12 +75,12 @@
 		is.NoErr(err)
 		is.Equal(status, c.status) // unexpected answer
 	}
-	book, err := book.Read(path)
+	written, err := lines.Read(path)
 	is.NoErr(err)
-	is.Equal(len(book.Executions()), 2)
-	_, committed := book.Executions()[0].Ending().(ledger.Committed)
+	is.Equal(len(written.Executions()), 2)
+	_, committed := written.Executions()[0].Ending().(ledger.Committed)
 	is.True(committed)
-	_, aborted := book.Executions()[1].Ending().(ledger.Aborted)
+	_, aborted := written.Executions()[1].Ending().(ledger.Aborted)
 	is.True(aborted)
 }
 
@@ -88,8 +90,31 @@
 	_, err := send(address, "1", 1, 0, 200*time.Millisecond)
 	is.True(err != nil)
 	time.Sleep(200 * time.Millisecond)
-	book, err := book.Read(path)
+	written, err := lines.Read(path)
 	is.NoErr(err)
-	_, aborted := book.Executions()[0].Ending().(ledger.Aborted)
+	_, aborted := written.Executions()[0].Ending().(ledger.Aborted)
 	is.True(aborted)
 }
+
+func TestExtendedRequestTakesEffect(t *testing.T) {
+	is := is.New(t)
+	address, _ := start(t, server.WithFencing(server.AtCommit{}), server.WithService(map[string]clock.Millis{"POST": 300}, server.Fixed{}))
+	now := clock.New().Now()
+	statuses := map[string]chan int{"kept": make(chan int, 1), "left": make(chan int, 1)}
+	for id, got := range statuses {
+		go func() {
+			status, _ := send(address, id, 5, now+200, 5*time.Second)
+			got <- status
+		}()
+	}
+	time.Sleep(100 * time.Millisecond)
+	text := fmt.Sprintf(`{"until": %d, "requests": ["v-kept"]}`, now+clock.Minute)
+	q, err := http.NewRequest(http.MethodPut, "http://"+address+LeasePath, strings.NewReader(text))
+	is.NoErr(err)
+	answer, err := http.DefaultClient.Do(q)
+	is.NoErr(err)
+	is.Equal(answer.StatusCode, http.StatusNoContent)
+	is.NoErr(answer.Body.Close())
+	is.Equal(<-statuses["kept"], 200)
+	is.Equal(<-statuses["left"], 412)
+}
