--- a/vscale/command/stand/idle.go
+++ b/vscale/command/stand/idle.go
@@ -18,7 +18,7 @@
 func (idle) Quiet(_ string, _ table.Shard, _, _ clock.Millis, notify func()) { notify() }
 
 // Past calls notify, since no request is in flight.
-func (idle) Past(_ string, _ table.Shard, notify func()) { notify() }
+func (idle) Past(_ string, _ func(table.Shard) bool, notify func()) { notify() }
 
 // Drained calls notify, since no request is in flight.
 func (idle) Drained(_ string, _ table.Shard, notify func()) { notify() }
