Let members tell a replica that it may vote

Ruled out: to vote without knowing of a committed entry; to keep what was told over a restart, since it is told again. Change: the answer to Hello says whether committed members have the greeter as a voter; replicas greet until their own log says so.

--- a/core/command/raft/election.go
+++ b/core/command/raft/election.go
@@ -31,7 +31,7 @@
 func (n *Node) preCampaign() {
 	n.leader = 0
 	n.resetElection()
-	if !n.promoted() || n.leads() {
+	if !n.mayLead() || n.leads() {
 		return
 	}
 	n.become(PreCandidate{})
@@ -130,7 +130,7 @@
 
 // onTimeoutNow takes over from a leader that is about to stop.
 func (n *Node) onTimeoutNow(m peer.Message) {
-	if n.promoted() && m.From() == n.leader && m.Term() == n.term && !n.leads() {
+	if n.mayLead() && m.From() == n.leader && m.Term() == n.term && !n.leads() {
 		n.campaign(true)
 	}
 }
--- a/core/command/raft/greet.go
+++ b/core/command/raft/greet.go
@@ -99,7 +99,8 @@
 	}
 	n.noncesOf(m.Address()).echo = h.Nonce()
 	known := n.proves(m, h.Echo())
-	n.greetAt(m.Address(), m.From(), peer.NewHelloReply(n.noncesOf(m.Address()).issued, h.Nonce(), known))
+	reply := peer.NewHelloReply(n.noncesOf(m.Address()).issued, h.Nonce(), known, n.settled.Votes(m.From()))
+	n.greetAt(m.Address(), m.From(), reply)
 	n.passForm(m, h)
 	if known && n.leads() {
 		n.admit(m)
@@ -118,6 +119,9 @@
 		return
 	}
 	delete(n.greet.answers, m.Address())
+	if r.Voter() && m.Group() != 0 {
+		n.vouch(m.Group())
+	}
 	switch {
 	case r.Known() && m.Group() == 0:
 		n.greet.answers[m.Address()] = answer{id: m.From(), at: n.now}
@@ -127,3 +131,13 @@
 		n.greetAt(m.Address(), 0, peer.NewHello(x.issued, x.echo))
 	}
 }
+
+// vouch takes note that a committed entry of the group made this replica a
+// voter. A replica that the group's log never reached may be needed to elect a
+// leader that holds it; what it knows of this it need not keep over a restart.
+func (n *Node) vouch(g peer.Group) {
+	if n.group == 0 {
+		n.adopt(g)
+	}
+	n.vouched = n.vouched || n.group == g
+}
--- a/core/command/raft/raft.go
+++ b/core/command/raft/raft.go
@@ -61,6 +61,7 @@
 	members   peer.Members // newest, committed or not
 	changed   peer.Index   // of the entry that set members
 	settled   peer.Members // at the commit index
+	vouched   bool         // another member knows of a committed entry that lets this one vote
 	contacts  map[peer.ID]string
 
 	now    clock.Millis
@@ -146,7 +147,12 @@
 }
 
 // promoted reports whether a committed entry makes this replica a voter.
-func (n *Node) promoted() bool { return n.settled.Votes(n.id) }
+func (n *Node) promoted() bool { return n.vouched || n.settled.Votes(n.id) }
+
+// mayLead reports whether this replica may stand for election.
+func (n *Node) mayLead() bool {
+	return n.settled.Votes(n.id) || (n.vouched && n.members.Votes(n.id))
+}
 
 // addressOf returns where a replica is reached, "" if that is not known.
 func (n *Node) addressOf(id peer.ID) string {
--- a/core/command/raft/start.go
+++ b/core/command/raft/start.go
@@ -56,19 +56,18 @@
 }
 
 // settle takes the role of a replica that does not lead or seek to, and greets
-// the seeds unless the group has it as a member.
+// the seeds unless the group has it as a voter.
 func (n *Node) settle() {
 	switch {
 	case n.group == 0:
 		n.become(Blank{})
-	case n.promoted():
+	case n.mayLead():
 		n.become(Follower{})
 	default:
 		n.become(Learner{})
 	}
-	_, member := n.settled.Find(n.id)
 	switch {
-	case member:
+	case n.settled.Votes(n.id):
 		n.timer.hello = Never
 	case n.timer.hello == Never:
 		n.timer.hello = n.now
--- a/core/command/raft/timer.go
+++ b/core/command/raft/timer.go
@@ -47,7 +47,7 @@
 // resetElection sets the election timer anew, if this replica may lead.
 func (n *Node) resetElection() {
 	n.timer.election = Never
-	if n.promoted() {
+	if n.mayLead() {
 		spread := int64(ElectionMax - ElectionMin)
 		n.timer.election = n.now.Add(ElectionMin + clock.Millis(n.random.Int64N(spread+1)))
 	}
--- a/core/state/peer/hello.go
+++ b/core/state/peer/hello.go
@@ -26,14 +26,20 @@
 	nonce uint64
 	echo  uint64
 	known bool
+	voter bool
 }
 
 // NewHelloReply returns the answer with a nonce for the next greeting and the
-// nonce of this one. known says that this one echoed the last nonce.
-func NewHelloReply(nonce, echo uint64, known bool) HelloReply {
-	return HelloReply{nonce: nonce, echo: echo, known: known}
+// nonce of this one. known says that this one echoed the last nonce, and voter
+// that committed members of the group have its sender as a voter.
+func NewHelloReply(nonce, echo uint64, known, voter bool) HelloReply {
+	return HelloReply{nonce: nonce, echo: echo, known: known, voter: voter}
 }
 
+// Voter reports whether committed members of the sender's group have the
+// receiver as a voter.
+func (r HelloReply) Voter() bool { return r.voter }
+
 // Nonce returns the number to echo in the next greeting.
 func (r HelloReply) Nonce() uint64 { return r.nonce }
 
