Answer other daemons to the end of a planned stop

Cause: in one of three runs of the process tests of planned stops, on a machine with a load of 56 on 10 cores, 7 requests through other daemons ended unknown, interrupted. The stopping daemon closed the streams of others at once, also of requests that it was about to refuse. Ruled out: requests at the target, since the process ends only when none is in flight.

Change: the server of other daemons stops gracefully, for 500 ms at most, since links between replicas have no end.

The same run had 6 requests refused as overloaded after their shard was closed; that is not mended.

--- a/verbenad/command/serve/run.go
+++ b/verbenad/command/serve/run.go
@@ -22,6 +22,9 @@
 	leaveWithin = 60 * time.Second
 	// callersWithin bounds the answers to callers that are still connected.
 	callersWithin = 10 * time.Second
+	// peersWithin bounds the answers to other daemons. Links between control replicas
+	// have no end of their own.
+	peersWithin = 500 * time.Millisecond
 	// handoverWait gives a leader time to hand over before the ports close.
 	handoverWait = 300 * time.Millisecond
 )
@@ -89,9 +92,19 @@
 	return err
 }
 
-// stopServers closes the remaining ports.
+// stopServers closes the remaining ports. What other daemons asked is still answered: until
+// they know the new table they ask this one for shards that it gave back.
 func (d *Daemon) stopServers() {
 	_ = d.admin.ShutdownWithTimeout(time.Second)
+	done := make(chan struct{})
+	d.group.Go(func() {
+		d.peers.GracefulStop()
+		close(done)
+	})
+	select {
+	case <-done:
+	case <-time.After(peersWithin):
+	}
 	d.peers.Stop()
 }
 
