--- a/core/command/leader/leader.go
+++ b/core/command/leader/leader.go
@@ -12,6 +12,7 @@
 	"verbenabank/core/command/gauge"
 	"verbenabank/core/command/lease"
 	"verbenabank/core/state/fleet"
+	"verbenabank/core/state/load"
 	"verbenabank/core/state/order"
 	"verbenabank/core/state/table"
 )
@@ -19,6 +20,13 @@
 // planEvery is the longest time between two looks at the placement of shards.
 const planEvery = 100 * clock.Millisecond
 
+// Limits of updates to all sessions, so that a burst of changes costs each session
+// a few messages only and leaves renewals their share of the processor.
+const (
+	pushEvery    = 10 * clock.Millisecond
+	pushSessions = 10 // that are brought up to date in a millisecond, at most
+)
+
 // Leader is the volatile state of a leader.
 type Leader struct {
 	group    uint64
@@ -32,6 +40,8 @@
 	joining  map[table.Incarnation]bool
 	gauge    *gauge.Gauge
 	nextPlan clock.Millis
+	nextPush clock.Millis
+	behind   bool // sessions wait for the next push
 	effect   []Effect
 }
 
@@ -53,6 +63,7 @@
 // earlier entries of the log had been applied to f.
 func New(now clock.Millis, group uint64, f *fleet.Fleet) *Leader {
 	l := &Leader{
+		now:      now,
 		group:    group,
 		fleet:    f,
 		book:     lease.NewBook(now, f.Table().Members()),
@@ -60,12 +71,10 @@
 		history:  newHistory(f.Table().Version()),
 		planned:  map[subject]bool{},
 		joining:  map[table.Incarnation]bool{},
-		gauge:    gauge.New(),
+		gauge:    gauge.New(now),
 		nextPlan: now,
 	}
-	for _, m := range f.Table().Members() {
-		l.gauge.Joined(m.Incarnation(), now)
-	}
+	l.survey()
 	return l
 }
 
@@ -79,6 +88,7 @@
 func (l *Leader) react(e Event) {
 	switch e := e.(type) {
 	case Ticked:
+		l.push()
 		l.expire()
 		l.plan()
 		l.ask()
@@ -105,10 +115,14 @@
 
 // Wake returns the instant of the next Ticked event.
 func (l *Leader) Wake() clock.Millis {
-	if end, ok := l.book.Next(); ok && end < l.nextPlan {
-		return end
+	wake := l.nextPlan
+	if end, ok := l.book.Next(); ok {
+		wake = min(wake, end)
 	}
-	return l.nextPlan
+	if l.behind {
+		wake = min(wake, l.nextPush)
+	}
+	return wake
 }
 
 // Sessions returns the count of daemons with a session.
@@ -140,22 +154,38 @@
 		case table.MemberGone:
 			l.book.Forget(c.Incarnation())
 			l.gauge.Left(c.Incarnation())
-		case table.RulesSet, table.HoldingSet, table.OverrideSet, table.OverrideGone:
+		case table.HoldingSet:
+			l.gauge.Held(load.NewPlace(c.Service(), c.Shard()), c.Holding(), l.now)
+		case table.OverrideSet:
+			l.gauge.Placed(c.Key(), l.base(c.Service(), c.Key()), load.NewPlace(c.Service(), c.Shard()))
+		case table.OverrideGone:
+			l.gauge.Returned(c.Key(), l.base(c.Service(), c.Key()))
+		case table.RulesSet:
 		}
 	}
 	l.history.add(l.fleet.Table().Version(), changes)
+	l.behind = true
+	l.push()
+	l.nextPlan = l.now
+}
+
+// push brings all sessions up to date, unless it did so just now.
+func (l *Leader) push() {
+	if !l.behind || l.now < l.nextPush {
+		return
+	}
+	l.behind, l.nextPush = false, l.now.Add(max(pushEvery, clock.Millis(len(l.sessions)/pushSessions)))
 	for id, s := range l.sessions {
 		if s.incarnation != 0 {
 			l.update(id, s)
 		}
 	}
-	l.nextPlan = l.now
 }
 
 func (l *Leader) followMember(m table.Member) {
 	i := m.Incarnation()
 	if !l.gauge.Knows(i) {
-		l.gauge.Joined(i, l.now)
+		l.gauge.Joined(m, l.now)
 		l.book.Arrived(i, l.now)
 	}
 }
--- a/verbenad/adapt/link/link.go
+++ b/verbenad/adapt/link/link.go
@@ -15,12 +15,20 @@
 	connectTimeout = 500 * time.Millisecond
 	backoffLeast   = 20 * time.Millisecond
 	backoffMost    = 250 * time.Millisecond
+	attachMost     = 80 * time.Millisecond // between two attempts to attach
+	attachSteps    = 2                     // doublings from backoffLeast to attachMost
 	keepaliveTime  = 10 * time.Second
 	keepaliveWait  = 2 * time.Second
 )
 
-// queueLength is how many messages may wait for one connection.
-const queueLength = 1024
+// How many messages may wait for one connection.
+const (
+	queueLength = 1024
+	// sessionQueue holds the orders of some seconds for one daemon, since the
+	// leader sends leases and updates at bounded rates. The leader has one for
+	// each daemon.
+	sessionQueue = 256
+)
 
 // dial returns a connection to a process. It connects when it is first used.
 func dial(address string, options []grpc.DialOption) (*grpc.ClientConn, error) {
--- a/verbenad/command/serve/serve.go
+++ b/verbenad/command/serve/serve.go
@@ -148,7 +148,7 @@
 	d.atEnd(stop)
 	d.uplink = up
 	d.desk = link.NewDesk(replicas, d.trust.DialOptions(), d.codec)
-	a := agent.New(agent.WithInstance(d.settings.Instance(), d.settings.Zone(), d.settings.Peers().String()),
+	a := agent.New(agent.WithInstance(d.settings.Instance(), d.settings.Zone(), d.settings.Advertised().String()),
 		agent.WithRandom(rand.Uint64))
 	options := []ctrl.Option{
 		ctrl.WithClock(d.clock, func() order.Stamp { return order.Stamp(time.Now().UnixMilli()) }),
@@ -167,7 +167,7 @@
 }
 
 func (d *Daemon) buildServers() error {
-	d.peers = grpc.NewServer(d.trust.ServerOptions()...)
+	d.peers = grpc.NewServer(append(d.trust.ServerOptions(), grpc.InitialWindowSize(hop.WindowBytes))...)
 	link.NewServer(d.loop, d.codec, d.part()).Register(d.peers)
 	wirepb.RegisterHopServer(d.peers, hop.NewServer(d.owner))
 	d.admin = fiber.New(fiber.Config{AppName: "verbenad", BodyLimit: adminBodyBytes})
--- a/vload/proof/host_test.go
+++ b/vload/proof/host_test.go
@@ -24,8 +24,12 @@
 	service = "bookings"
 )
 
-// programs is the folder of the programs under test.
-var programs string
+// programs is the folder of the programs under test, and base what is added to the
+// subnets that the tests name.
+var (
+	programs string
+	base     int
+)
 
 func TestMain(m *testing.M) {
 	folder, err := os.MkdirTemp("", "proof")
@@ -33,6 +37,7 @@
 		panic(err)
 	}
 	programs = folder
+	base = reserve()
 	for _, p := range []string{"verbenad", "vload"} {
 		c := exec.Command("go", "build", "-o", folder+"/", "./"+p)
 		c.Dir = "../.."
@@ -45,6 +50,28 @@
 	os.Exit(code)
 }
 
+// Runs of these tests at the same time use addresses of different subnets.
+const (
+	runsAtOnce = 4
+	subnets    = 30
+)
+
+// reserve takes a range of subnets that no other run uses and returns how far it
+// is from the first. Its lock ends with the process.
+func reserve() int {
+	for n := range runsAtOnce {
+		f, err := os.OpenFile(filepath.Join(os.TempDir(), fmt.Sprintf("verbenabank-proof-%d.lock", n)), os.O_CREATE|os.O_RDWR, 0o600)
+		if err != nil {
+			panic(err)
+		}
+		if syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) == nil {
+			return n * subnets
+		}
+		_ = f.Close()
+	}
+	panic("too many runs of the process tests at once")
+}
+
 // host is one instance: a daemon and the target beside it.
 type host struct {
 	t       *testing.T
@@ -54,6 +81,7 @@
 	daemon  *proc.Process
 	target  *proc.Process
 	replica bool
+	relay   *relay // nil if others reach the daemon directly
 }
 
 // fleet is a small deployment: the daemons of the first three hosts are control
@@ -67,14 +95,31 @@
 // newFleet starts hosts on addresses of a subnet of their own and waits until all
 // shards have owners.
 func newFleet(t *testing.T, subnet, hosts int) *fleet {
+	t.Helper()
+	return start(t, subnet, hosts, func(*host) {})
+}
+
+// newRelayedFleet does the same with a relay in front of each control replica.
+func newRelayedFleet(t *testing.T, subnet, hosts int) *fleet {
+	t.Helper()
+	return start(t, subnet, hosts, func(h *host) {
+		if h.replica {
+			h.relay = newRelay(t, h.ip+":8090", h.ip+":8091")
+		}
+	})
+}
+
+func start(t *testing.T, subnet, hosts int, prepare func(*host)) *fleet {
 	t.Helper()
 	f := &fleet{t: t, folder: t.TempDir()}
+	subnet += base
 	f.must(os.WriteFile(filepath.Join(f.folder, "secret"), []byte(secret), 0o600))
 	for n := range hosts {
 		h := &host{t: t, name: fmt.Sprintf("b-%d", n+1), ip: fmt.Sprintf("127.%d.%d.1", subnet, n+1), replica: n < 3}
 		h.folder = filepath.Join(f.folder, h.name)
 		f.must(os.MkdirAll(filepath.Join(h.folder, "conf.d"), 0o700))
 		f.hosts = append(f.hosts, h)
+		prepare(h)
 		f.settings(h, subnet, true)
 	}
 	f.configure(f.hosts[0], 1, "")
@@ -97,15 +142,18 @@
 }
 
 func (f *fleet) settings(h *host, subnet int, form bool) {
-	control, folder := "", ""
+	control, folder, peers := "", "", fmt.Sprintf(`"%s:8090"`, h.ip)
+	if h.relay != nil {
+		peers = fmt.Sprintf(`"%s:8091", "advertise": "%s:8090"`, h.ip, h.ip)
+	}
 	if h.replica {
 		control = fmt.Sprintf(`"control": {"data_folder": "data", "form": %v},`, form)
 	}
 	folder = `"configuration_folder": "conf.d",`
 	text := fmt.Sprintf(`{"instance": %q, "zone": "z%s",
-		"listen": {"callers": "%s:8080", "peers": "%s:8090", "admin": "%s:8070"},
+		"listen": {"callers": "%s:8080", "peers": %s, "admin": "%s:8070"},
 		"replicas": ["127.%d.1.1:8090", "127.%d.2.1:8090", "127.%d.3.1:8090"], %s %s
-		"secret_file": "../secret"}`, h.name, h.name[2:], h.ip, h.ip, h.ip, subnet, subnet, subnet, control, folder)
+		"secret_file": "../secret"}`, h.name, h.name[2:], h.ip, peers, h.ip, subnet, subnet, subnet, control, folder)
 	f.must(os.WriteFile(filepath.Join(h.folder, "daemon.jsonc"), []byte(text), 0o600))
 	text = fmt.Sprintf(`{"instance": %q, "service": %q, "listen": "%s:9000", "admin": "%s:8070", "ledger": "ledger.jsonl",
 		"slots": 12, "backlog": 12, "connections": 130, "connect_ms": 1, "drain_ms": 3000, "fencing": "commit",
--- a/vscale/main.go
+++ b/vscale/main.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"os"
+	"runtime"
 
 	"github.com/integrii/flaggy"
 	"github.com/sirupsen/logrus"
@@ -26,6 +27,7 @@
 	flaggy.Int(&s.most, "m", "most", "the most daemons")
 	flaggy.Int(&s.shards, "s", "shards", "the most shards with live daemons")
 	flaggy.Parse()
+	runtime.LockOSThread() // the replicas end with the thread that started them
 	if err := run(s); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
@@ -49,20 +51,20 @@
 	stands := logrus.New()
 	stands.SetOutput(os.Stderr)
 	stands.SetLevel(logrus.ErrorLevel)
-	points, err := measure(s, logs{trial: logrus.NewEntry(log), stands: logrus.NewEntry(stands)})
+	points, broken := measure(s, logs{trial: logrus.NewEntry(log), stands: logrus.NewEntry(stands)})
 	lines := fit.Lines(points)
 	if err := show.Table(os.Stdout, lines); err != nil {
 		return err
 	}
-	if err != nil {
-		return err
-	}
 	file, err := os.Create(s.output)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = file.Close() }()
-	return show.JSON(file, lines)
+	if err := show.JSON(file, lines); err != nil {
+		return err
+	}
+	return broken
 }
 
 // logs are where the trials log and, errors only, their stand-ins.
