Tell when the group bears the next loss, and bound messages

Change: status shows whole, which the process test of the second loss awaits in place of a pause; messages may have 16 MiB, a merged configuration 1 MiB.

--- a/verbenad/adapt/trust/trust.go
+++ b/verbenad/adapt/trust/trust.go
@@ -29,6 +29,10 @@
 // header is the metadata that carries the proof of the secret.
 const header = "verbena-secret"
 
+// MaxMessageBytes is the size of the largest message between processes: a whole
+// table of a large fleet fits, and a stranger's flood does not.
+const MaxMessageBytes = 16 << 20
+
 // Trust holds the secret and the transport credentials of a process. It is
 // immutable and safe for concurrent use.
 type Trust struct {
@@ -98,6 +102,7 @@
 	return []grpc.DialOption{
 		grpc.WithTransportCredentials(t.transport), grpc.WithPerRPCCredentials(t),
 		grpc.WithContextDialer(t.dial), grpc.WithDisableRetry(), grpc.WithDisableServiceConfig(),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes)),
 	}
 }
 
@@ -105,7 +110,7 @@
 // the proof.
 func (t *Trust) ServerOptions() []grpc.ServerOption {
 	return []grpc.ServerOption{
-		grpc.Creds(t.transport),
+		grpc.Creds(t.transport), grpc.MaxRecvMsgSize(MaxMessageBytes),
 		grpc.UnaryInterceptor(func(ctx context.Context, r any, _ *grpc.UnaryServerInfo, next grpc.UnaryHandler) (any, error) {
 			if err := t.check(ctx); err != nil {
 				return nil, err
--- a/verbenad/command/serve/folder.go
+++ b/verbenad/command/serve/folder.go
@@ -10,6 +10,10 @@
 	"verbenabank/verbenad/adapt/folder"
 )
 
+// maxRulesBytes is the size of the largest merged configuration. It is one entry of
+// the log and must fit one message to each daemon with the rest of the table.
+const maxRulesBytes = 1 << 20
+
 // watchFolder offers what the operators write to the control group.
 func (d *Daemon) watchFolder() error {
 	path, ok := d.settings.Folder()
@@ -55,6 +59,10 @@
 // was decided.
 func (d *Daemon) offer(ctx context.Context, path string, o folder.Offer) bool {
 	log := d.part().WithField("version", o.Version()).WithField("digest", o.Digest())
+	if len(o.Content()) > maxRulesBytes {
+		log.Errorf("rules: refused: the merged configuration has %d bytes, the most is %d", len(o.Content()), maxRulesBytes)
+		return true
+	}
 	r, err := d.codec.DecodeRules(&wirepb.Configuration{Version: o.Version(), Digest: o.Digest(), Content: o.Content()})
 	if err != nil {
 		log.WithError(err).Error("rules: the configuration cannot be read")
--- a/verbenad/query/admin/status.go
+++ b/verbenad/query/admin/status.go
@@ -43,6 +43,7 @@
 	Commit   uint64   `json:"commit"`
 	Applied  uint64   `json:"applied"`
 	Sessions int      `json:"sessions"`
+	Whole    bool     `json:"whole"`
 	Replicas []string `json:"replicas"`
 }
 
@@ -55,7 +56,7 @@
 	c := &control{
 		ID: fmt.Sprintf("%016x", uint64(s.ID())), Group: fmt.Sprintf("%016x", uint64(s.Group())),
 		Term: uint64(s.Term()), Leader: s.LeaderAddress(), Commit: uint64(s.Commit()),
-		Applied: uint64(s.Applied()), Sessions: v.Sessions(),
+		Applied: uint64(s.Applied()), Sessions: v.Sessions(), Whole: s.Whole(),
 	}
 	for _, r := range s.Members().List() {
 		c.Replicas = append(c.Replicas, r.Address())
--- a/vload/proof/host_test.go
+++ b/vload/proof/host_test.go
@@ -229,6 +229,7 @@
 	Control *struct {
 		Leader   string   `json:"leader"`
 		Commit   uint64   `json:"commit"`
+		Whole    bool     `json:"whole"`
 		Replicas []string `json:"replicas"`
 	} `json:"control"`
 	Members []struct {
--- a/vload/proof/loss_test.go
+++ b/vload/proof/loss_test.go
@@ -128,9 +128,8 @@
 	wiped.startDaemon()
 	f.await(10*time.Second, "the blank replica has caught up", func() bool {
 		s := wiped.state()
-		return s.Control != nil && s.Control.Commit > before && len(s.Control.Replicas) == 3
+		return s.Control != nil && s.Control.Commit > before && f.leader().state().Control.Whole
 	})
-	time.Sleep(time.Second)
 	next := f.hosts[2]
 	kill(next.daemon)
 	kill(next.target)
