--- a/core/command/leader/leader.go
+++ b/core/command/leader/leader.go
@@ -7,6 +7,9 @@
 package leader
 
 import (
+	"maps"
+	"slices"
+
 	"verbenabank/core/clock"
 	"verbenabank/core/command/apply"
 	"verbenabank/core/command/gauge"
@@ -175,8 +178,8 @@
 		return
 	}
 	l.behind, l.nextPush = false, l.now.Add(max(pushEvery, clock.Millis(len(l.sessions)/pushSessions)))
-	for id, s := range l.sessions {
-		if s.incarnation != 0 {
+	for _, id := range slices.Sorted(maps.Keys(l.sessions)) {
+		if s := l.sessions[id]; s.incarnation != 0 {
 			l.update(id, s)
 		}
 	}
--- a/core/command/leader/leader_test.go
+++ b/core/command/leader/leader_test.go
@@ -111,6 +111,14 @@
 	}
 }
 
+// TestRunsCanBeReplayed wants the same run from the same seed.
+func TestRunsCanBeReplayed(t *testing.T) {
+	a, b := simulate(3, sound), simulate(3, sound)
+	if a.served != b.served || a.faults != b.faults || a.grants != b.grants || len(a.log) != len(b.log) {
+		t.Errorf("%d, %d, %d, %d and then %d, %d, %d, %d", a.served, a.faults, a.grants, len(a.log), b.served, b.faults, b.grants, len(b.log))
+	}
+}
+
 // TestFlawsAreFound leaves one guard out at a time; the same runs must find each.
 func TestFlawsAreFound(t *testing.T) {
 	flaws := map[string]flaw{
--- a/core/command/leader/world_test.go
+++ b/core/command/leader/world_test.go
@@ -3,7 +3,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 
 	"verbenabank/core/clock"
 	"verbenabank/core/command/agent"
@@ -157,8 +159,8 @@
 	w.office = nil
 	w.after(w.span(1500), func() {
 		old.gone = true
-		for s, d := range old.sessions {
-			d.lose(s)
+		for _, s := range slices.Sorted(maps.Keys(old.sessions)) {
+			old.sessions[s].lose(s)
 		}
 	})
 	w.after(150+w.span(300), w.elect)
