Reserve the path of the system's own requests to targets

Cause: a service called verbena would have let callers reach PUT /verbena/lease of its targets; only unguessable ids stood before it. Change: the name is refused with file and line. Measured: tests of core/wire pass.

--- a/core/wire/confjs/confjs.go
+++ b/core/wire/confjs/confjs.go
@@ -49,6 +49,9 @@
 	return rules.New(version, jtree.Digest(content), services...), nil
 }
 
+// reserved is the first path segment of requests between daemon and target.
+const reserved = "verbena"
+
 func readServices(r jtree.Reader) []rules.Service {
 	all, ok := r.Object("services")
 	names := all.Names()
@@ -67,6 +70,10 @@
 			all.Fault(name, "is no service name: at most 63 lower-case letters, digits and hyphens, first a letter")
 			continue
 		}
+		if name == reserved {
+			all.Fault(name, "is reserved: targets take the system's own requests below this path")
+			continue
+		}
 		if s, ok := all.Object(name); ok {
 			services = append(services, readService(s, name))
 		}
--- a/core/wire/confjs/confjs_test.go
+++ b/core/wire/confjs/confjs_test.go
@@ -43,6 +43,13 @@
 	is.Equal(s, rules.NewService("a"))
 }
 
+func TestRefusesTheReservedName(t *testing.T) {
+	is := is.New(t)
+	_, err := Decode("f", []byte(`{"version": 1, "services": {"verbena": {"pooled": {}}}}`))
+	is.True(err != nil)
+	is.Equal(err.Error(), "f:1: services.verbena: is reserved: targets take the system's own requests below this path")
+}
+
 func TestReturnsEveryFault(t *testing.T) {
 	is := is.New(t)
 	_, err := Decode("f", []byte(`{"extra": 1,
