Name parts by the terms of the field

Cause: a reading as a newcomer met a desk, an errand, a shelf, an office and a place beside, which all needed explaining. Change: client, exchange, update cache, leading and sidecar.

--- a/core/command/leader/leader.go
+++ b/core/command/leader/leader.go
@@ -2,7 +2,7 @@
 // renewals, expires the silent, grants and moves shards, and keeps the tables of
 // all daemons up to date.
 //
-// A Leader lives from taking office to losing it and is for the control
+// A Leader lives as long as its replica leads, and is for the control
 // goroutine only. All that must survive it is in the log.
 package leader
 
@@ -62,7 +62,7 @@
 	member  table.Incarnation
 }
 
-// New returns the leader of the control group that took office at now, when all
+// New returns the leader of the control group that was established at now, when all
 // earlier entries of the log had been applied to f.
 func New(now clock.Millis, group uint64, f *fleet.Fleet) *Leader {
 	l := &Leader{
--- a/core/command/lease/book.go
+++ b/core/command/lease/book.go
@@ -34,7 +34,7 @@
 	next   clock.Millis // no lease runs out before it
 }
 
-// NewBook returns the book of a leader that took office at now. Each member may
+// NewBook returns the book of a leader that was established at now. Each member may
 // hold a lease that the last leader gave just before.
 func NewBook(now clock.Millis, members []table.Member) *Book {
 	b := &Book{ends: map[table.Incarnation]clock.Millis{}, barred: map[table.Incarnation]bool{}, next: now.Add(Span + Margin)}
--- a/core/command/raft/election.go
+++ b/core/command/raft/election.go
@@ -69,7 +69,7 @@
 	}
 	n.ballot[from] = true
 	if n.wins() {
-		n.takeOffice()
+		n.startLeading()
 	}
 }
 
--- a/core/command/raft/lead.go
+++ b/core/command/raft/lead.go
@@ -27,8 +27,8 @@
 	at    clock.Millis
 }
 
-// takeOffice begins the term of an elected replica with an entry of its own.
-func (n *Node) takeOffice() {
+// startLeading begins the term of an elected replica with an entry of its own.
+func (n *Node) startLeading() {
 	n.leader = n.id
 	n.timer.election = Never
 	n.timer.quorum = n.now.Add(ElectionMax)
@@ -42,7 +42,7 @@
 	n.startRound()
 }
 
-// stepDown leaves office: what was offered and asked stays unanswered.
+// stepDown ends leadership: what was offered and asked stays unanswered.
 func (n *Node) stepDown() {
 	if !n.leads() {
 		return
@@ -89,7 +89,7 @@
 	n.sendAll(false)
 }
 
-// checkQuorum leaves office if no quorum was heard from for the longest election
+// checkQuorum steps down if no quorum was heard from for the longest election
 // timeout, or looks again when that will be so.
 func (n *Node) checkQuorum() {
 	var heard []clock.Millis
--- a/verbenad/adapt/hop/errand.go
+++ b/verbenad/adapt/hop/exchange.go
@@ -16,8 +16,8 @@
 	"verbenabank/core/wire/wirepb"
 )
 
-// errand is one request on its way to another daemon.
-type errand struct {
+// exchange is one request on its way to another daemon.
+type exchange struct {
 	caller  context.Context
 	cancel  context.CancelFunc
 	stream  wirepb.Hop_ForwardClient
@@ -28,7 +28,7 @@
 }
 
 // run sends the request and waits for the head of the answer.
-func (e *errand) run() call.Reply {
+func (e *exchange) run() call.Reply {
 	if err := e.stream.Send(parts.Head(e.request)); err != nil {
 		e.cancel()
 		return call.Refuse(result.Unreachable)
@@ -49,7 +49,7 @@
 	switch p := p.GetPart().(type) {
 	case *wirepb.AnswerPart_Head:
 		e.answered.Store(true)
-		return parts.Answer(p.Head, &answerBody{errand: e})
+		return parts.Answer(p.Head, &answerBody{exchange: e})
 	case *wirepb.AnswerPart_Failure:
 		e.cancel()
 		return call.NewFailure(parts.Outcome(p.Failure))
@@ -66,7 +66,7 @@
 // sendBody sends the body. If it cannot be read whole the stream is cancelled, so
 // that the other daemon does not take it for whole; if the answer came before, the rest of
 // the body is just not sent.
-func (e *errand) sendBody() {
+func (e *exchange) sendBody() {
 	buffer := make([]byte, chunkSize(e.request.Length()))
 	for {
 		n, err := e.request.Body().Read(buffer)
@@ -94,7 +94,7 @@
 }
 
 // failed returns the failure of a request whose head was sent.
-func (e *errand) failed(err error) call.Reply {
+func (e *exchange) failed(err error) call.Reply {
 	if c := status.Code(err); c == codes.Unauthenticated || c == codes.Unimplemented {
 		return call.Refuse(result.Unreachable)
 	}
@@ -102,7 +102,7 @@
 }
 
 // reason returns why the stream ended before the answer did.
-func (e *errand) reason(err error) result.Reason {
+func (e *exchange) reason(err error) result.Reason {
 	if status.Code(err) == codes.DeadlineExceeded || errors.Is(e.caller.Err(), context.DeadlineExceeded) {
 		return result.TimedOut
 	}
@@ -114,9 +114,9 @@
 
 // answerBody reads the body of an answer from the stream.
 type answerBody struct {
-	errand *errand
-	chunk  []byte
-	err    error
+	exchange *exchange
+	chunk    []byte
+	err      error
 }
 
 // Read returns io.EOF only after the other daemon said that the answer was whole.
@@ -134,9 +134,9 @@
 
 func (b *answerBody) receive() {
 	const op = "read answer of peer"
-	p, err := b.errand.stream.Recv()
+	p, err := b.exchange.stream.Recv()
 	if err != nil {
-		b.end(call.NewError(op, b.errand.reason(err)))
+		b.end(call.NewError(op, b.exchange.reason(err)))
 		return
 	}
 	switch p := p.GetPart().(type) {
@@ -153,7 +153,7 @@
 
 func (b *answerBody) end(err error) {
 	b.err = err
-	b.errand.cancel()
+	b.exchange.cancel()
 }
 
 // Close cancels the request if the answer was not read to its end.
--- a/verbenad/adapt/hop/hop.go
+++ b/verbenad/adapt/hop/hop.go
@@ -143,6 +143,6 @@
 		cancel()
 		return call.Refuse(result.Unreachable)
 	}
-	e := &errand{caller: ctx, cancel: cancel, stream: stream, request: r}
+	e := &exchange{caller: ctx, cancel: cancel, stream: stream, request: r}
 	return e.run()
 }
--- a/verbenad/adapt/link/shelf.go
+++ b/verbenad/adapt/link/cache.go
@@ -8,23 +8,23 @@
 	"verbenabank/core/wire/wirepb"
 )
 
-// shelf keeps the newest encoded updates, since most sessions are sent the same
+// updateCache keeps the newest encoded updates, since most sessions are sent the same
 // ones. Sessions that ask for the same update at once may encode it twice. It is
 // safe for concurrent use.
-type shelf struct {
-	whole atomic.Pointer[shelved] // from the empty table
-	step  atomic.Pointer[shelved]
+type updateCache struct {
+	whole atomic.Pointer[cachedUpdate] // from the empty table
+	step  atomic.Pointer[cachedUpdate]
 }
 
-// shelved is an encoded update. The versions determine it, since they are
+// cachedUpdate is an encoded update. The versions determine it, since they are
 // indexes of the log.
-type shelved struct {
+type cachedUpdate struct {
 	from, to uint64
 	order    *wirepb.Order
 }
 
 // order returns the message of an update, which must not be changed.
-func (s *shelf) order(u leader.Update) *wirepb.Order {
+func (s *updateCache) order(u leader.Update) *wirepb.Order {
 	place := &s.step
 	if u.Full() {
 		place = &s.whole
@@ -33,6 +33,6 @@
 		return k.order
 	}
 	m := codec.EncodeUpdate(u)
-	place.Store(&shelved{from: u.From(), to: u.To(), order: m})
+	place.Store(&cachedUpdate{from: u.From(), to: u.To(), order: m})
 	return m
 }
--- a/verbenad/adapt/link/offer.go
+++ b/verbenad/adapt/link/client.go
@@ -19,32 +19,32 @@
 	decideWithin = 10 * time.Second
 )
 
-// Desk makes single calls to the leader of the control group. It is safe for
+// Client makes single calls to the leader of the control group. It is safe for
 // concurrent use.
-type Desk struct {
+type Client struct {
 	replicas []string
 	options  []grpc.DialOption
 	codec    *codec.Codec
 }
 
-// NewDesk returns a desk that finds the leader through the replicas.
-func NewDesk(replicas []string, options []grpc.DialOption, c *codec.Codec) *Desk {
-	return &Desk{replicas: replicas, options: options, codec: c}
+// NewClient returns a client that finds the leader through the replicas.
+func NewClient(replicas []string, options []grpc.DialOption, c *codec.Codec) *Client {
+	return &Client{replicas: replicas, options: options, codec: c}
 }
 
 // Offer offers a configuration until a leader decided it. An offer that was lost
 // on the way is made again, which is safe: what is in force is accepted again.
-func (d *Desk) Offer(ctx context.Context, a order.Accept) (*wirepb.Verdict, error) {
+func (c *Client) Offer(ctx context.Context, a order.Accept) (*wirepb.Verdict, error) {
 	ctx, cancel := context.WithTimeout(ctx, decideWithin)
 	defer cancel()
 	m, next, hint := codec.EncodeProposal(a), 0, ""
 	for ctx.Err() == nil {
 		address := hint
 		if address == "" {
-			address = d.replicas[next%len(d.replicas)]
+			address = c.replicas[next%len(c.replicas)]
 			next++
 		}
-		v, err := d.offer(ctx, address, m)
+		v, err := c.offer(ctx, address, m)
 		if err == nil && v.GetCode() != wirepb.VerdictCode_VERDICT_CODE_UNDECIDED {
 			return v, nil
 		}
@@ -59,38 +59,38 @@
 	return nil, &Error{op: "offer", kind: Undecided, cause: ctx.Err()}
 }
 
-func (d *Desk) offer(ctx context.Context, address string, m *wirepb.Proposal) (*wirepb.Verdict, error) {
+func (c *Client) offer(ctx context.Context, address string, m *wirepb.Proposal) (*wirepb.Verdict, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	c, err := dial(address, d.options)
+	conn, err := dial(address, c.options)
 	if err != nil {
 		return nil, err
 	}
-	defer func() { _ = c.Close() }()
-	return wirepb.NewControlClient(c).Offer(ctx, m)
+	defer func() { _ = conn.Close() }()
+	return wirepb.NewControlClient(conn).Offer(ctx, m)
 }
 
 // Audit returns the audit trail of the first replica that answers.
-func (d *Desk) Audit(ctx context.Context) ([]fleet.Record, error) {
-	for _, address := range d.replicas {
-		if f, err := d.inspect(ctx, address); err == nil {
+func (c *Client) Audit(ctx context.Context) ([]fleet.Record, error) {
+	for _, address := range c.replicas {
+		if f, err := c.inspect(ctx, address); err == nil {
 			return f.Audit(), nil
 		}
 	}
 	return nil, &Error{op: "audit", kind: Unreachable}
 }
 
-func (d *Desk) inspect(ctx context.Context, address string) (*fleet.Fleet, error) {
+func (c *Client) inspect(ctx context.Context, address string) (*fleet.Fleet, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	c, err := dial(address, d.options)
+	conn, err := dial(address, c.options)
 	if err != nil {
 		return nil, err
 	}
-	defer func() { _ = c.Close() }()
-	r, err := wirepb.NewControlClient(c).Inspect(ctx, &wirepb.InspectRequest{Audit: true})
+	defer func() { _ = conn.Close() }()
+	r, err := wirepb.NewControlClient(conn).Inspect(ctx, &wirepb.InspectRequest{Audit: true})
 	if err != nil {
 		return nil, &Error{op: "inspect " + address, kind: Unreachable, cause: err}
 	}
-	return d.codec.State(r.GetState())
+	return c.codec.State(r.GetState())
 }
--- a/verbenad/adapt/link/outlet.go
+++ b/verbenad/adapt/link/outlet.go
@@ -14,13 +14,13 @@
 // outlet queues orders for one daemon. A full queue ends the session, since the
 // daemon would fall behind without knowing.
 type outlet struct {
-	queue  chan parcel
-	shelf  *shelf
-	cancel func()
+	queue       chan parcel
+	updateCache *updateCache
+	cancel      func()
 }
 
-func newOutlet(s *shelf, cancel func()) *outlet {
-	return &outlet{queue: make(chan parcel, sessionQueue), shelf: s, cancel: cancel}
+func newOutlet(s *updateCache, cancel func()) *outlet {
+	return &outlet{queue: make(chan parcel, sessionQueue), updateCache: s, cancel: cancel}
 }
 
 // parcel is what waits for a daemon: encoded or unencoded. Updates can be large,
@@ -86,7 +86,7 @@
 	case encoded:
 		return p.order
 	case unencoded:
-		return o.shelf.order(p.update)
+		return o.updateCache.order(p.update)
 	}
 	return nil
 }
--- a/verbenad/adapt/link/server.go
+++ b/verbenad/adapt/link/server.go
@@ -21,11 +21,11 @@
 type Server struct {
 	wirepb.UnimplementedControlServer
 	wirepb.UnimplementedPeerServer
-	loop     *ctrl.Loop
-	codec    *codec.Codec
-	log      *logrus.Entry
-	sessions atomic.Uint64
-	shelf    shelf
+	loop        *ctrl.Loop
+	codec       *codec.Codec
+	log         *logrus.Entry
+	sessions    atomic.Uint64
+	updateCache updateCache
 }
 
 // NewServer returns a server for the control goroutine.
@@ -59,7 +59,7 @@
 func (s *Server) Attach(stream wirepb.Control_AttachServer) error {
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
-	o := newOutlet(&s.shelf, cancel)
+	o := newOutlet(&s.updateCache, cancel)
 	id := leader.Session(s.sessions.Add(1))
 	s.loop.Post(ctrl.NewOpened(id, o))
 	defer s.loop.Post(ctrl.NewClosed(id))
--- a/verbenad/command/ctrl/office.go
+++ b/verbenad/command/ctrl/leading.go
@@ -5,24 +5,24 @@
 	"verbenabank/core/command/raft"
 )
 
-// became takes or loses office as leader.
+// became starts or stops leading.
 func (l *Loop) became(f raft.Became) {
 	l.log.WithField("term", f.Term()).Infof("ctrl: replica is %s", roleName(f.Role()))
 	switch f.Role().(type) {
 	case raft.Leader:
-		l.takeOffice()
+		l.startLeading()
 	case raft.Blank, raft.Learner, raft.Follower, raft.PreCandidate, raft.Candidate, raft.Elected:
-		l.loseOffice()
+		l.stopLeading()
 	}
 }
 
-func (l *Loop) takeOffice() {
+func (l *Loop) startLeading() {
 	elections.Add(1)
 	l.leader = leader.New(l.clock.Now(), l.group(), l.fleet)
 }
 
-// loseOffice sends all daemons elsewhere.
-func (l *Loop) loseOffice() {
+// stopLeading sends all daemons elsewhere.
+func (l *Loop) stopLeading() {
 	if l.leader == nil {
 		return
 	}
--- a/verbenad/command/flight/flight.go
+++ b/verbenad/command/flight/flight.go
@@ -78,7 +78,7 @@
 	delete(t.inside, v)
 	t.busy += now - v.since
 	f.total--
-	told := append(f.pass(v), t.hush(now)...)
+	told := append(f.pass(v), t.quieted(now)...)
 	if len(t.inside) == 0 {
 		told, t.waiters = append(told, t.waiters...), nil
 	}
--- a/verbenad/command/flight/quiet.go
+++ b/verbenad/command/flight/quiet.go
@@ -22,7 +22,7 @@
 	f.mu.Lock()
 	t := f.tally(place{service: service, shard: s})
 	t.quiet = append(t.quiet, quiet{patience: patience, notify: tell})
-	told := t.hush(f.clock.Now())
+	told := t.quieted(f.clock.Now())
 	f.mu.Unlock()
 	for _, n := range told {
 		n()
@@ -30,8 +30,8 @@
 	time.AfterFunc(span.Duration(), tell)
 }
 
-// hush returns those to be told that the place is quiet. The lock must be held.
-func (t *tally) hush(now clock.Millis) []func() {
+// quieted returns those to be told that the place is quiet. The lock must be held.
+func (t *tally) quieted(now clock.Millis) []func() {
 	if len(t.quiet) == 0 {
 		return nil
 	}
--- a/verbenad/command/serve/folder.go
+++ b/verbenad/command/serve/folder.go
@@ -68,7 +68,7 @@
 		log.WithError(err).Error("rules: the configuration cannot be read")
 		return true
 	}
-	v, err := d.desk.Offer(ctx, order.NewAccept(r, d.settings.Instance(), path))
+	v, err := d.client.Offer(ctx, order.NewAccept(r, d.settings.Instance(), path))
 	if err != nil {
 		log.WithError(err).Warn("rules: not decided yet")
 		return false
--- a/verbenad/command/serve/run.go
+++ b/verbenad/command/serve/run.go
@@ -106,5 +106,5 @@
 	if _, ok := v.Status(); ok {
 		return v.Fleet().Audit(), nil
 	}
-	return d.desk.Audit(d.life)
+	return d.client.Audit(d.life)
 }
--- a/verbenad/command/serve/serve.go
+++ b/verbenad/command/serve/serve.go
@@ -46,17 +46,17 @@
 	life     context.Context
 	group    conc.WaitGroup
 
-	cell   *snap.Cell
-	beside *beside
-	owner  *owner.Owner
-	entry  *entry.Entry
-	hops   *hop.Client
-	uplink *link.Uplink
-	desk   *link.Desk
-	waiter *waiter
-	loop   *ctrl.Loop
-	peers  *grpc.Server
-	admin  *fiber.App
+	cell    *snap.Cell
+	sidecar *sidecar
+	owner   *owner.Owner
+	entry   *entry.Entry
+	hops    *hop.Client
+	uplink  *link.Uplink
+	client  *link.Client
+	waiter  *waiter
+	loop    *ctrl.Loop
+	peers   *grpc.Server
+	admin   *fiber.App
 
 	callersPort, peersPort, adminPort net.Listener
 }
@@ -121,12 +121,12 @@
 	d.atEnd(stop)
 	x, stopExtender := extend.New()
 	d.atEnd(stopExtender)
-	d.beside = newBeside(d.clock, t, x)
+	d.sidecar = newSidecar(d.clock, t, x)
 	p, stopProbe := probe.New(probe.WithClock(d.clock), probe.WithLog(d.part()),
-		probe.WithAnswered(d.beside.Answered), probe.WithPost(d.post))
+		probe.WithAnswered(d.sidecar.Answered), probe.WithPost(d.post))
 	d.atEnd(stopProbe)
-	d.beside.probe = p
-	d.owner = owner.New(owner.WithClock(d.clock), owner.WithCell(d.cell), owner.WithTarget(d.beside),
+	d.sidecar.probe = p
+	d.owner = owner.New(owner.WithClock(d.clock), owner.WithCell(d.cell), owner.WithTarget(d.sidecar),
 		owner.WithExtender(x))
 	client, stopClient := hop.New(hop.WithDialOptions(d.trust.DialOptions()...))
 	d.atEnd(stopClient)
@@ -147,13 +147,13 @@
 	up, stop := link.NewUplink(replicas, d.trust.DialOptions(), d.codec, d.part())
 	d.atEnd(stop)
 	d.uplink = up
-	d.desk = link.NewDesk(replicas, d.trust.DialOptions(), d.codec)
+	d.client = link.NewClient(replicas, d.trust.DialOptions(), d.codec)
 	a := agent.New(agent.WithInstance(d.settings.Instance(), d.settings.Zone(), d.settings.Advertised().String()),
 		agent.WithRandom(rand.Uint64))
 	options := []ctrl.Option{
 		ctrl.WithClock(d.clock, func() order.Stamp { return order.Stamp(time.Now().UnixMilli()) }),
 		ctrl.WithCodec(d.codec), ctrl.WithLog(d.part()), ctrl.WithAgent(a, d.cell),
-		ctrl.WithTraffic(d.beside, d.owner.Flight()), ctrl.WithUplink(up), ctrl.WithWaiter(d.waiter),
+		ctrl.WithTraffic(d.sidecar, d.owner.Flight()), ctrl.WithUplink(up), ctrl.WithWaiter(d.waiter),
 	}
 	if c, ok := d.settings.Control(); ok {
 		o, err := d.buildReplica(c, replicas)
--- a/verbenad/command/serve/target.go
+++ b/verbenad/command/serve/target.go
@@ -12,10 +12,10 @@
 	"verbenabank/verbenad/adapt/target"
 )
 
-// beside is the target beside the daemon: traffic sends requests to it and the
+// sidecar is the target beside the daemon: traffic sends requests to it and the
 // control goroutine says which one it is. Safe for concurrent use, but for Use and
 // Drop, which are for the control goroutine.
-type beside struct {
+type sidecar struct {
 	clock    *clock.Clock
 	target   *target.Target
 	extender *extend.Extender
@@ -27,15 +27,15 @@
 	cancel context.CancelFunc
 }
 
-// newBeside returns a place for a target, with none in it.
-func newBeside(c *clock.Clock, t *target.Target, e *extend.Extender) *beside {
-	b := &beside{clock: c, target: t, extender: e}
+// newSidecar returns a sidecar without a target.
+func newSidecar(c *clock.Clock, t *target.Target, e *extend.Extender) *sidecar {
+	b := &sidecar{clock: c, target: t, extender: e}
 	b.life, b.cancel = context.WithCancel(context.Background())
 	return b
 }
 
 // Use sends requests to the target at address.
-func (b *beside) Use(_, address string) {
+func (b *sidecar) Use(_, address string) {
 	b.mu.Lock()
 	b.life, b.cancel = context.WithCancel(context.Background())
 	b.mu.Unlock()
@@ -46,7 +46,7 @@
 }
 
 // Drop sends no more requests and ends those in flight.
-func (b *beside) Drop() {
+func (b *sidecar) Drop() {
 	b.probe.Drop()
 	b.target.Point("")
 	b.extender.Point("")
@@ -56,7 +56,7 @@
 }
 
 // Send exchanges one request with the target, unless the target is dropped first.
-func (b *beside) Send(ctx context.Context, w call.Work) call.Reply {
+func (b *sidecar) Send(ctx context.Context, w call.Work) call.Reply {
 	b.mu.Lock()
 	life := b.life
 	b.mu.Unlock()
@@ -73,4 +73,4 @@
 }
 
 // Answered returns when the target last answered a request, 0 if never.
-func (b *beside) Answered() clock.Millis { return clock.Millis(b.answered.Load()) }
+func (b *sidecar) Answered() clock.Millis { return clock.Millis(b.answered.Load()) }
