--- a/core/command/apply/member.go
+++ b/core/command/apply/member.go
@@ -32,7 +32,7 @@
 	}
 	next := m.WithPhase(c.Phase())
 	s.change(table.NewMemberSet(next))
-	s.record(control, "member "+m.Instance(), phase(m.Phase()), phase(next.Phase()), "changed")
+	s.record(control, "member "+m.Instance(), table.PhaseName(m.Phase()), table.PhaseName(next.Phase()), "changed")
 }
 
 // expire removes a member. What it held is vacant; what was on its way to it
@@ -71,15 +71,3 @@
 }
 
 func incarnation(i table.Incarnation) string { return fmt.Sprintf("%016x", uint64(i)) }
-
-func phase(p table.Phase) string {
-	switch p.(type) {
-	case table.Warming:
-		return "warming"
-	case table.Serving:
-		return "serving"
-	case table.Leaving:
-		return "leaving"
-	}
-	return ""
-}
--- a/core/state/table/member.go
+++ b/core/state/table/member.go
@@ -60,3 +60,16 @@
 func (Warming) phase() {}
 func (Serving) phase() {}
 func (Leaving) phase() {}
+
+// PhaseName returns the phase in lower-case English.
+func PhaseName(p Phase) string {
+	switch p.(type) {
+	case Warming:
+		return "warming"
+	case Serving:
+		return "serving"
+	case Leaving:
+		return "leaving"
+	}
+	return ""
+}
--- a/verbenad/query/admin/status.go
+++ b/verbenad/query/admin/status.go
@@ -87,7 +87,7 @@
 	list := []member{}
 	for _, m := range t.Members() {
 		list = append(list, member{
-			Instance: m.Instance(), Zone: m.Zone(), Service: m.Service(), Phase: phase(m.Phase()),
+			Instance: m.Instance(), Zone: m.Zone(), Service: m.Service(), Phase: table.PhaseName(m.Phase()),
 			Address: m.Address(), Incarnation: hex(m.Incarnation()), Shards: counts[m.Incarnation()],
 		})
 	}
@@ -125,18 +125,6 @@
 	return list
 }
 
-func phase(p table.Phase) string {
-	switch p.(type) {
-	case table.Warming:
-		return "warming"
-	case table.Serving:
-		return "serving"
-	case table.Leaving:
-		return "leaving"
-	}
-	return ""
-}
-
 func hex(i table.Incarnation) string {
 	if i == 0 {
 		return ""
