--- a/verbenad/command/ctrl/ctrl.go
+++ b/verbenad/command/ctrl/ctrl.go
@@ -21,6 +21,7 @@
 	"verbenabank/core/state/peer"
 	"verbenabank/core/state/snap"
 	"verbenabank/core/wire/codec"
+	"verbenabank/verbenad/state/view"
 )
 
 // queueLength is how many events may wait for the control goroutine.
@@ -36,7 +37,7 @@
 	events chan Event
 	urgent chan Event
 	done   chan struct{}
-	view   atomic.Pointer[View]
+	view   atomic.Pointer[view.View]
 
 	agent  *agent.Agent
 	cell   *snap.Cell
@@ -74,7 +75,7 @@
 	for _, o := range opts {
 		o(l)
 	}
-	l.view.Store(&View{fleet: l.fleet})
+	l.view.Store(view.New(l.fleet))
 	return l
 }
 
--- a/verbenad/command/ctrl/replica.go
+++ b/verbenad/command/ctrl/replica.go
@@ -6,10 +6,10 @@
 	"verbenabank/core/command/apply"
 	"verbenabank/core/command/leader"
 	"verbenabank/core/command/raft"
-	"verbenabank/core/state/fleet"
 	"verbenabank/core/state/order"
 	"verbenabank/core/state/peer"
 	"verbenabank/core/wire/codec"
+	"verbenabank/verbenad/state/view"
 )
 
 // packEvery is how many entries are applied between two snapshots.
@@ -195,35 +195,17 @@
 	l.stepNode(raft.NewOffered(token, data))
 }
 
-// View is what queries may know of the control state. It is immutable.
-type View struct {
-	fleet    *fleet.Fleet
-	status   raft.Status
-	replica  bool
-	sessions int
-}
-
-// Fleet returns the state of this replica, empty on other daemons.
-func (v *View) Fleet() *fleet.Fleet { return v.fleet }
-
-// Status returns the state of the replicated log and whether this process has
-// one.
-func (v *View) Status() (raft.Status, bool) { return v.status, v.replica }
-
-// Sessions returns the count of daemons that have a session with this leader.
-func (v *View) Sessions() int { return v.sessions }
-
 // View returns the control state as it was after the last event.
-func (l *Loop) View() *View { return l.view.Load() }
+func (l *Loop) View() *view.View { return l.view.Load() }
 
 // show publishes the state for queries.
 func (l *Loop) show() {
-	v := &View{fleet: l.fleet}
+	var opts []view.Option
 	if l.node != nil {
-		v.status, v.replica = l.node.Status(), true
+		opts = append(opts, view.WithStatus(l.node.Status()))
 	}
 	if l.leader != nil {
-		v.sessions = l.leader.Sessions()
+		opts = append(opts, view.WithSessions(l.leader.Sessions()))
 	}
-	l.view.Store(v)
+	l.view.Store(view.New(l.fleet, opts...))
 }
--- a/verbenad/query/admin/admin.go
+++ b/verbenad/query/admin/admin.go
@@ -11,7 +11,7 @@
 	"verbenabank/core/clock"
 	"verbenabank/core/state/fleet"
 	"verbenabank/core/state/snap"
-	"verbenabank/verbenad/command/ctrl"
+	"verbenabank/verbenad/state/view"
 )
 
 // Audit returns the audit trail of the control group.
@@ -23,7 +23,7 @@
 	zone     string
 	clock    *clock.Clock
 	cell     *snap.Cell
-	view     func() *ctrl.View
+	view     func() *view.View
 	audit    Audit
 }
 
@@ -36,7 +36,7 @@
 }
 
 // WithState sets where the state of the daemon is read.
-func WithState(c *clock.Clock, cell *snap.Cell, view func() *ctrl.View) Option {
+func WithState(c *clock.Clock, cell *snap.Cell, view func() *view.View) Option {
 	return func(a *Admin) { a.clock, a.cell, a.view = c, cell, view }
 }
 
