Keep operators' changes in a trail of their own

Cause: at the expected size the control group's own moves push all else out of the 10,000 audit records within 15 minutes, operators' changes included. Change: 10,000 records of each kind, shown in the order of the log.

--- a/core/command/apply/member.go
+++ b/core/command/apply/member.go
@@ -3,13 +3,11 @@
 import (
 	"fmt"
 
+	"verbenabank/core/state/fleet"
 	"verbenabank/core/state/order"
 	"verbenabank/core/state/table"
 )
 
-// control is the author of changes that no operator asked for.
-const control = "control"
-
 func (s *step) join(c order.Join) {
 	m := c.Member()
 	if _, ok := s.table().Member(m.Incarnation()); ok {
@@ -17,7 +15,7 @@
 		return
 	}
 	s.change(table.NewMemberSet(m))
-	s.record(control, "member "+m.Instance(), "", incarnation(m.Incarnation()), "joined")
+	s.record(fleet.Control, "member "+m.Instance(), "", incarnation(m.Incarnation()), "joined")
 }
 
 func (s *step) setPhase(c order.SetPhase) {
@@ -32,7 +30,7 @@
 	}
 	next := m.WithPhase(c.Phase())
 	s.change(table.NewMemberSet(next))
-	s.record(control, "member "+m.Instance(), table.PhaseName(m.Phase()), table.PhaseName(next.Phase()), "changed")
+	s.record(fleet.Control, "member "+m.Instance(), table.PhaseName(m.Phase()), table.PhaseName(next.Phase()), "changed")
 }
 
 // expire removes a member. What it held is vacant; what was on its way to it
@@ -50,7 +48,7 @@
 		}
 	}
 	s.change(table.NewMemberGone(gone))
-	s.record(control, "member "+m.Instance(), incarnation(gone), "", string(c.Cause()))
+	s.record(fleet.Control, "member "+m.Instance(), incarnation(gone), "", string(c.Cause()))
 }
 
 func (s *step) expireShard(service string, sh table.Shard, gone table.Incarnation) {
--- a/core/command/apply/owner.go
+++ b/core/command/apply/owner.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"verbenabank/core/state/fleet"
 	"verbenabank/core/state/order"
 	"verbenabank/core/state/table"
 )
@@ -82,7 +83,7 @@
 	s.change(table.NewOverrideSet(c.Service(), c.Key(), alone))
 	s.hold(c.Service(), alone, table.NewOwned(h.Owner(), 1))
 	s.options = append(s.options, withNext(alone+1))
-	s.record(control, "key "+c.Service()+"/"+c.Key(), "", fmt.Sprint(alone), "placed alone")
+	s.record(fleet.Control, "key "+c.Service()+"/"+c.Key(), "", fmt.Sprint(alone), "placed alone")
 }
 
 // unplace returns a key to its hash range, if both have the same owner.
@@ -105,7 +106,7 @@
 		return
 	}
 	s.change(table.NewOverrideGone(c.Service(), c.Key()))
-	s.record(control, "key "+c.Service()+"/"+c.Key(), fmt.Sprint(alone), "", "returned to its range")
+	s.record(fleet.Control, "key "+c.Service()+"/"+c.Key(), fmt.Sprint(alone), "", "returned to its range")
 }
 
 // canOwn reports whether a member may take a shard of the service, and rejects
@@ -133,5 +134,5 @@
 }
 
 func (s *step) moved(service string, sh table.Shard, from, to, outcome string, e table.Epoch) {
-	s.record(control, fmt.Sprintf("shard %s/%d", service, sh), from, to, fmt.Sprintf("%s at epoch %d", outcome, e))
+	s.record(fleet.Control, fmt.Sprintf("shard %s/%d", service, sh), from, to, fmt.Sprintf("%s at epoch %d", outcome, e))
 }
--- a/core/state/fleet/fleet.go
+++ b/core/state/fleet/fleet.go
@@ -3,20 +3,28 @@
 package fleet
 
 import (
+	"cmp"
+	"slices"
+
 	"verbenabank/core/state/order"
 	"verbenabank/core/state/table"
 )
 
-// AuditLimit is how many of the newest audit records are kept.
+// AuditLimit is how many of the newest audit records are kept: so many of changes
+// that operators asked for, and as many of the control group's own.
 const AuditLimit = 10_000
 
+// Control is the author of changes that no operator asked for.
+const Control = "control"
+
 // Fleet is the state after one log entry. It is an immutable value; the next one
 // is derived with With.
 type Fleet struct {
 	index        uint64
 	table        *table.Table
 	origin       Origin
-	audit        []Record
+	asked        []Record // by operators
+	own          []Record // of the control group
 	nextOverride table.Shard
 }
 
@@ -55,13 +63,20 @@
 // they share the trail.
 func WithRecords(records ...Record) Option {
 	return func(f *Fleet) {
-		f.audit = append(f.audit, records...)
-		if over := len(f.audit) - AuditLimit; over > 0 {
-			f.audit = f.audit[over:]
+		for _, r := range records {
+			if r.author == Control {
+				f.own = newest(append(f.own, r))
+			} else {
+				f.asked = newest(append(f.asked, r))
+			}
 		}
 	}
 }
 
+func newest(records []Record) []Record {
+	return records[max(0, len(records)-AuditLimit):]
+}
+
 // Index returns the log index of the last applied entry.
 func (f *Fleet) Index() uint64 { return f.index }
 
@@ -71,8 +86,12 @@
 // Origin returns where the rules in force came from.
 func (f *Fleet) Origin() Origin { return f.origin }
 
-// Audit returns the audit trail, oldest first. It must not be changed.
-func (f *Fleet) Audit() []Record { return f.audit[:len(f.audit):len(f.audit)] }
+// Audit returns the audit trail in the order of the log.
+func (f *Fleet) Audit() []Record {
+	all := slices.Concat(f.asked, f.own)
+	slices.SortStableFunc(all, func(a, b Record) int { return cmp.Compare(a.index, b.index) })
+	return all
+}
 
 // NextOverride returns the number of the next key that is placed alone.
 func (f *Fleet) NextOverride() table.Shard { return f.nextOverride }
