Count moves and show the greatest epoch

Cause: an operator could not alert on either. Change: verbenad.moves on control replicas and verbenad.epoch_highest. The process tests pass.

--- a/verbenad/command/ctrl/replica.go
+++ b/verbenad/command/ctrl/replica.go
@@ -119,6 +119,7 @@
 			r := a[len(a)-1]
 			l.log.WithFields(logrus.Fields{"author": r.Author(), "from": r.From(), "to": r.To()}).Info("ctrl: rules " + r.Outcome())
 		case apply.Changed:
+			countMoves(e.Changes())
 		}
 	}
 }
--- a/verbenad/command/serve/metric.go
+++ b/verbenad/command/serve/metric.go
@@ -21,6 +21,7 @@
 		"verbenad.rules_version":  func(d *Daemon) int64 { return int64(d.cell.Load().Table().Rules().Version()) },
 		"verbenad.table_version":  func(d *Daemon) int64 { return int64(d.cell.Load().Table().Version()) },
 		"verbenad.shards_owned":   func(d *Daemon) int64 { return int64(owned(d)) },
+		"verbenad.epoch_highest":  func(d *Daemon) int64 { return int64(highest(d)) },
 		"verbenad.target_flight":  func(d *Daemon) int64 { return int64(d.owner.Flight().Total()) },
 		"verbenad.target_queue":   func(d *Daemon) int64 { return int64(d.owner.Waiting()) },
 		"verbenad.control_term":   func(d *Daemon) int64 { s, _ := d.loop.View().Status(); return int64(s.Term()) },
@@ -33,15 +34,29 @@
 }
 
 // owned counts the shards that this daemon owns.
-func owned(d *Daemon) int {
-	s, count := d.cell.Load(), 0
+func owned(d *Daemon) int { return len(epochs(d)) }
+
+// highest returns the greatest epoch of a shard that this daemon owns, 0 if it owns
+// none.
+func highest(d *Daemon) table.Epoch {
+	greatest := table.Epoch(0)
+	for _, e := range epochs(d) {
+		greatest = max(greatest, e)
+	}
+	return greatest
+}
+
+// epochs returns the epochs of the shards that this daemon owns.
+func epochs(d *Daemon) []table.Epoch {
+	var list []table.Epoch
+	s := d.cell.Load()
 	m, _ := s.Table().Member(s.Self())
 	for _, sh := range s.Table().Shards(m.Service()) {
 		if o, ok := s.Table().Holding(m.Service(), sh).(table.Owned); ok && o.Owner() == s.Self() {
-			count++
+			list = append(list, o.Epoch())
 		}
 	}
-	return count
+	return list
 }
 
 // syncMs is how long the last sync of the log took, in milliseconds.
