Read the newest audit record without the whole trail

The address of the leader was looked up in four places, two of them with the same check; four functions were called by nobody. Ruled out: one generic reader or error type for the pairs that look alike in jtree and in errors.go; the house style keeps generics to small values and one error type a package. Change: Fleet.Newest, Loop.leaderAddress, tokens given out in one place, and the four unused functions removed. Behaviour stays.

--- a/core/state/fleet/fleet.go
+++ b/core/state/fleet/fleet.go
@@ -93,6 +93,18 @@
 	return all
 }
 
+// Newest returns the newest record of the audit trail, and whether there is one. It
+// is cheaper than Audit.
+func (f *Fleet) Newest() (Record, bool) {
+	var newest Record
+	for _, trail := range [][]Record{f.asked, f.own} {
+		if n := len(trail); n > 0 && trail[n-1].index >= newest.index {
+			newest = trail[n-1]
+		}
+	}
+	return newest, newest.index > 0
+}
+
 // NextOverride returns the number of the next key that is placed alone.
 func (f *Fleet) NextOverride() table.Shard { return f.nextOverride }
 
--- a/core/state/fleet/fleet_test.go
+++ b/core/state/fleet/fleet_test.go
@@ -16,6 +16,11 @@
 	}
 	f = f.With(WithRecords(NewRecord(AuditLimit+10, 0, "i:conf.d", "rules", "1", "2", "accepted")))
 	trail := f.Audit()
+	last, ok := f.Newest()
+	is.True(ok)
+	is.Equal(last, trail[len(trail)-1])
+	_, ok = New().Newest()
+	is.True(!ok)
 	is.Equal(len(trail), AuditLimit+2)
 	is.Equal(trail[0].Subject(), "rules")
 	is.Equal(trail[1].Index(), uint64(7)) // the oldest five moves are dropped
--- a/verbenad/adapt/hop/hop.go
+++ b/verbenad/adapt/hop/hop.go
@@ -12,7 +12,6 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
@@ -48,12 +47,6 @@
 // Option sets one property of a Client.
 type Option func(*Client)
 
-// WithCredentials sets what each request carries to prove that it comes from a
-// process of the system.
-func WithCredentials(c credentials.PerRPCCredentials) Option {
-	return WithDialOptions(grpc.WithPerRPCCredentials(c))
-}
-
 // WithDialOptions adds options to every connection.
 func WithDialOptions(opts ...grpc.DialOption) Option {
 	return func(c *Client) { c.dialOptions = append(c.dialOptions, opts...) }
--- a/verbenad/command/ctrl/leading.go
+++ b/verbenad/command/ctrl/leading.go
@@ -28,21 +28,25 @@
 	}
 	l.leader = nil
 	for s, o := range l.outlets {
-		o.Redirect(l.node.Status().LeaderAddress())
+		o.Redirect(l.leaderAddress())
 		delete(l.outlets, s)
 	}
 }
 
+// leaderAddress returns where the leader is reached, "" if it is not known.
+func (l *Loop) leaderAddress() string {
+	if l.node == nil {
+		return ""
+	}
+	return l.node.Status().LeaderAddress()
+}
+
 func (l *Loop) group() uint64 { return uint64(l.node.Status().Group()) }
 
 // open begins a session if this replica leads.
 func (l *Loop) open(e Opened) {
 	if l.leader == nil {
-		address := ""
-		if l.node != nil {
-			address = l.node.Status().LeaderAddress()
-		}
-		e.outlet.Redirect(address)
+		e.outlet.Redirect(l.leaderAddress())
 		return
 	}
 	l.outlets[e.session] = e.outlet
@@ -58,11 +62,7 @@
 // offered appends an offered configuration if this replica leads.
 func (l *Loop) offered(e Offered) {
 	if l.leader == nil {
-		address := ""
-		if l.node != nil {
-			address = l.node.Status().LeaderAddress()
-		}
-		e.answer(Undecided{leader: address})
+		e.answer(Undecided{leader: l.leaderAddress()})
 		return
 	}
 	l.propose(e.accept, offer{answer: e.answer})
--- a/verbenad/command/ctrl/replica.go
+++ b/verbenad/command/ctrl/replica.go
@@ -115,8 +115,7 @@
 		case apply.Rejected:
 			l.log.WithError(e.Err()).Debug("ctrl: command rejected")
 		case apply.Decided:
-			a := l.fleet.Audit()
-			r := a[len(a)-1]
+			r, _ := l.fleet.Newest()
 			l.log.WithFields(logrus.Fields{"author": r.Author(), "from": r.From(), "to": r.To()}).Info("ctrl: rules " + r.Outcome())
 		case apply.Changed:
 			countMoves(e.Changes())
@@ -151,9 +150,13 @@
 	}()
 }
 
+// nextToken returns a token of its own, and remembers what waits for it, if
+// anything does.
 func (l *Loop) nextToken(p pending) uint64 {
 	l.token++
-	l.pending[l.token] = p
+	if p != nil {
+		l.pending[l.token] = p
+	}
 	return l.token
 }
 
@@ -173,7 +176,7 @@
 	}
 	switch p := p.(type) {
 	case offer:
-		p.answer(Undecided{leader: l.node.Status().LeaderAddress()})
+		p.answer(Undecided{leader: l.leaderAddress()})
 	case round:
 		l.stepLeader(leader.NewUnconfirmed(p.token))
 	}
@@ -186,14 +189,7 @@
 		l.log.WithError(err).Error("ctrl: command cannot be encoded")
 		return
 	}
-	token := uint64(0)
-	if p != nil {
-		token = l.nextToken(p)
-	} else {
-		l.token++
-		token = l.token
-	}
-	l.stepNode(raft.NewOffered(token, data))
+	l.stepNode(raft.NewOffered(l.nextToken(p), data))
 }
 
 // View returns the control state as it was after the last event.
--- a/verbenad/command/owner/owner.go
+++ b/verbenad/command/owner/owner.go
@@ -67,9 +67,6 @@
 // WithExtender sets who tells the target of renewals; it must be set if Prolong is called.
 func WithExtender(e Extender) Option { return func(o *Owner) { o.extender = e } }
 
-// WithFlight sets the count of requests in flight.
-func WithFlight(f *flight.Flight) Option { return func(o *Owner) { o.flight = f } }
-
 // New returns an owner. Cell and target must be set by options.
 func New(opts ...Option) *Owner {
 	o := &Owner{
--- a/vload/state/layout/layout.go
+++ b/vload/state/layout/layout.go
@@ -41,9 +41,6 @@
 // Name returns the name of the service.
 func (s Service) Name() string { return s.name }
 
-// Count returns the number of its servers.
-func (s Service) Count() int { return s.count }
-
 // Keyed reports whether each key of the service has one owner.
 func (s Service) Keyed() bool { return s.keyed }
 
--- a/vscale/command/stand/stand.go
+++ b/vscale/command/stand/stand.go
@@ -125,9 +125,6 @@
 // Self returns the incarnation that the stand-in has now, 0 if it is not joined.
 func (s *Stand) Self() table.Incarnation { return s.cell.Load().Self() }
 
-// Table returns the routing table that the stand-in has now.
-func (s *Stand) Table() *table.Table { return s.cell.Load().Table() }
-
 // Leased waits until the stand-in has a lease by a renewal that it sent after
 // the instant, and returns when.
 func (s *Stand) Leased(ctx context.Context, after clock.Millis) (clock.Millis, error) {
