Give ordered keys spans with rising epochs, granted to targets

Cause: the users' platform divides a service by keys that are numbers, whose busy ones lie near one another and move, and only the daemon beside a target can tell it what it holds. Ruled out: fixed shards of neighboring keys, since a leaving member would need hundreds of commands and a renewal a call for each. Change: rules have routes and ordered services; the table has spans that split and join; the epoch of a granted span is the index of its command, so it is above all earlier ones; core/command/hold decides what the target is told, never beyond the lease; core/query/spread plans grants and moves by load. Terms of leases are a value instead of constants, and proposals that the log dropped are made again after 2 s.

--- a/core/command/agent/agent.go
+++ b/core/command/agent/agent.go
@@ -7,6 +7,7 @@
 
 import (
 	"verbenabank/core/clock"
+	"verbenabank/core/command/hold"
 	"verbenabank/core/command/lease"
 	"verbenabank/core/state/load"
 	"verbenabank/core/state/order"
@@ -21,6 +22,10 @@
 	zone     string
 	address  string
 	draw     func() uint64
+	terms    lease.Terms
+	hold     clock.Millis // the longest of a target
+	drainMax clock.Millis // 0 if only the rules bound a drain
+	lasting  bool         // the rules may be used without a lease
 
 	now       clock.Millis
 	connected bool
@@ -35,6 +40,9 @@
 
 	target target
 	next   target
+	room   int        // slots of the target
+	book   *hold.Book // nil without a target
+	orders uint64     // number of the last order to any target
 	leave  exit
 	effect []Effect
 }
@@ -44,6 +52,8 @@
 	service string
 	address string
 	boot    string
+	name    string
+	life    uint64
 }
 
 // Option sets one property of an Agent.
@@ -58,18 +68,36 @@
 // WithRandom sets the source of incarnations.
 func WithRandom(draw func() uint64) Option { return func(a *Agent) { a.draw = draw } }
 
+// DefaultHold is the longest hold in milliseconds that is asked of a target.
+const DefaultHold = 10 * clock.Second
+
+// WithTerms sets the terms of leases.
+func WithTerms(t lease.Terms) Option { return func(a *Agent) { a.terms = t } }
+
+// WithHold sets the longest hold in milliseconds that a target takes.
+func WithHold(most clock.Millis) Option { return func(a *Agent) { a.hold = most } }
+
+// WithDrain bounds how long a target that is about to stop gets new work, in milliseconds.
+func WithDrain(most clock.Millis) Option { return func(a *Agent) { a.drainMax = most } }
+
+// WithLastingRules lets traffic go on under the rules that are known while there is no
+// leader to ask for newer ones.
+func WithLastingRules() Option { return func(a *Agent) { a.lasting = true } }
+
 // New returns an agent that has no session, no target and no lease.
 func New(opts ...Option) *Agent {
 	a := &Agent{
 		draw:    func() uint64 { return 1 },
 		table:   table.Empty(),
-		holder:  lease.NewHolder(),
+		terms:   lease.Standard(),
+		hold:    DefaultHold,
 		handing: map[order.Release]handover{},
 		leave:   staying{},
 	}
 	for _, o := range opts {
 		o(a)
 	}
+	a.holder = lease.NewHolder(lease.WithTerms(a.terms))
 	a.self = a.incarnate()
 	return a
 }
@@ -79,6 +107,7 @@
 	a.now, a.effect = now, nil
 	a.react(e)
 	a.progress()
+	a.command()
 	return a.effect
 }
 
@@ -112,6 +141,8 @@
 		a.allDrained()
 	case StopAsked:
 		a.stopAsked()
+	case OrderEnded:
+		a.orderEnded(e)
 	}
 }
 
@@ -121,6 +152,9 @@
 	if d, ok := a.deadline(); ok && d < wake {
 		wake = d
 	}
+	if a.book != nil {
+		wake = min(wake, a.book.Wake(a.now))
+	}
 	return wake
 }
 
@@ -136,6 +170,9 @@
 func (a *Agent) emit(e Effect) { a.effect = append(a.effect, e) }
 
 func (a *Agent) incarnate() table.Incarnation {
+	if a.target.life != 0 {
+		return table.Incarnation(a.target.life)
+	}
 	for {
 		if i := table.Incarnation(a.draw()); i != 0 {
 			return i
@@ -150,7 +187,11 @@
 	if !a.joined || a.parted() {
 		self = 0
 	}
-	a.emit(Publish{snap: snap.New(a.table, self, a.holder.End(), a.holder.RulesEnd(), snap.WithClosed(a.closedPlaces()))})
+	rules := a.holder.RulesEnd()
+	if a.lasting && a.table.Rules().Version() > 0 {
+		rules = never
+	}
+	a.emit(Publish{snap: snap.New(a.table, self, a.holder.End(), rules, snap.WithClosed(a.closedPlaces()), snap.WithRuns(a.runs()))})
 }
 
 func (a *Agent) rulesOf(service string) (rules.Service, bool) {
--- a/core/command/agent/effect.go
+++ b/core/command/agent/effect.go
@@ -2,6 +2,7 @@
 
 import (
 	"verbenabank/core/clock"
+	"verbenabank/core/command/hold"
 	"verbenabank/core/state/load"
 	"verbenabank/core/state/order"
 	"verbenabank/core/state/snap"
@@ -38,6 +39,7 @@
 	version     uint64
 	releases    []order.Release
 	report      load.Report
+	spans       []order.ReleaseSpan
 }
 
 // Incarnation returns the member.
@@ -55,6 +57,9 @@
 // Report returns what traffic counted since the last renewal.
 func (e SendRenew) Report() load.Report { return e.report }
 
+// Spans returns the keys that the member's target holds no more.
+func (e SendRenew) Spans() []order.ReleaseSpan { return e.spans }
+
 // SendLeave tells the leader that the member is about to leave.
 type SendLeave struct{ incarnation table.Incarnation }
 
@@ -122,6 +127,8 @@
 type UseTarget struct {
 	service string
 	address string
+	name    string
+	room    int
 }
 
 // Service returns the name of the target's service.
@@ -130,6 +137,18 @@
 // Address returns where the target listens, as "ip:port".
 func (e UseTarget) Address() string { return e.address }
 
+// Name returns the name that the target goes by, "" if it has none.
+func (e UseTarget) Name() string { return e.name }
+
+// Room returns how many requests the target runs at once, 0 if only the rules say it.
+func (e UseTarget) Room() int { return e.room }
+
+// Command gives the target an order about keys. An OrderEnded event is to follow.
+type Command struct{ order hold.Order }
+
+// Order returns the order.
+func (e Command) Order() hold.Order { return e.order }
+
 // DropTarget closes all connections to the target.
 type DropTarget struct{}
 
@@ -163,3 +182,4 @@
 func (Freed) effect()      {}
 func (Violated) effect()   {}
 func (Stopped) effect()    {}
+func (Command) effect()    {}
--- a/core/command/agent/event.go
+++ b/core/command/agent/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"verbenabank/core/clock"
+	"verbenabank/core/command/hold"
 	"verbenabank/core/state/load"
 	"verbenabank/core/state/table"
 )
@@ -19,6 +20,9 @@
 	service string
 	address string
 	boot    string
+	name    string
+	life    uint64
+	room    int
 }
 
 // NewAnnounced returns the announcement of a target of service at address
@@ -27,9 +31,26 @@
 	return Announced{service: service, address: address, boot: boot}
 }
 
+// WithLife returns the announcement of a target that goes by a name and runs room requests
+// at once. life is new for each start of the target and not 0; a daemon that is restarted
+// finds by it what its target holds.
+func (e Announced) WithLife(name string, life uint64, room int) Announced {
+	e.name, e.life, e.room = name, life, room
+	return e
+}
+
 // Withdrawn says that the target is about to stop.
 type Withdrawn struct{}
 
+// OrderEnded brings the result of an order to the target.
+type OrderEnded struct {
+	id     uint64
+	result hold.Result
+}
+
+// NewOrderEnded returns the event for the order with the number.
+func NewOrderEnded(id uint64, r hold.Result) OrderEnded { return OrderEnded{id: id, result: r} }
+
 // TargetLost says that the target is gone or answers no more.
 type TargetLost struct{ loss Loss }
 
@@ -141,3 +162,4 @@
 func (ShardDrained) event() {}
 func (AllDrained) event()   {}
 func (StopAsked) event()    {}
+func (OrderEnded) event()   {}
--- a/core/command/agent/exit.go
+++ b/core/command/agent/exit.go
@@ -29,7 +29,10 @@
 }
 
 // draining daemons take no new work and wait for requests in flight.
-type draining struct{ purpose purpose }
+type draining struct {
+	purpose purpose
+	empty   bool
+}
 
 // fading daemons wait until the lease that their mute target may know of lapsed.
 type fading struct {
@@ -115,7 +118,11 @@
 			a.leave = gone{until: never}
 			a.emit(Stopped{})
 		}
-	case staying, draining:
+	case draining:
+		if l.empty && (a.book == nil || a.book.Free(a.now)) {
+			a.finish(l.purpose)
+		}
+	case staying:
 	}
 }
 
@@ -139,15 +146,22 @@
 }
 
 func (a *Agent) drainSpan() clock.Millis {
+	span := rules.DefaultDrain
 	if v, ok := a.rulesOf(a.target.service); ok {
-		return v.Drain()
+		span = v.Drain()
 	}
-	return rules.DefaultDrain
+	if a.drainMax > 0 {
+		span = min(span, a.drainMax)
+	}
+	return span
 }
 
 // drain takes no new work and waits for requests in flight.
 func (a *Agent) drain(p purpose) {
 	a.leave = draining{purpose: p}
+	if a.book != nil {
+		a.book.Retire()
+	}
 	a.publish()
 	a.emit(WatchAll{})
 }
@@ -161,14 +175,14 @@
 
 func (a *Agent) allDrained() {
 	if l, ok := a.leave.(draining); ok {
-		a.finish(l.purpose)
+		a.leave = draining{purpose: l.purpose, empty: true}
 	}
 }
 
 // finish gives up the incarnation, which holds nothing any more.
 func (a *Agent) finish(p purpose) {
 	a.leave = staying{}
-	a.target = target{}
+	a.setTarget(target{})
 	a.emit(DropTarget{})
 	switch p.(type) {
 	case stopping:
@@ -195,10 +209,12 @@
 
 // replaceIdentity joins as a new incarnation with the target that is there now.
 func (a *Agent) replaceIdentity() {
-	a.target, a.next = a.next, target{}
-	if a.target.service != "" {
-		a.emit(UseTarget{service: a.target.service, address: a.target.address})
-	}
+	next := a.next
+	a.next = target{}
 	a.giveUp()
+	a.setTarget(next)
+	if next.service != "" {
+		a.useTarget()
+	}
 	a.renewIdentity()
 }
--- a/core/command/agent/session.go
+++ b/core/command/agent/session.go
@@ -1,15 +1,10 @@
 package agent
 
 import (
-	"verbenabank/core/command/lease"
 	"verbenabank/core/state/load"
 	"verbenabank/core/state/table"
 )
 
-// answerWait is how long a renewal may go unanswered before the daemon looks for
-// another leader.
-const answerWait = lease.Every
-
 // connect greets the leader: a member renews, others join.
 func (a *Agent) connect() {
 	a.connected = true
@@ -30,7 +25,7 @@
 	}
 	m := table.NewMember(a.self, a.instance, a.zone, a.address, a.target.service, table.Warming{})
 	a.emit(SendJoin{member: m, group: a.group})
-	a.nextRenew = a.now.Add(lease.Every)
+	a.nextRenew = a.now.Add(a.terms.Every())
 }
 
 func (a *Agent) tick() {
@@ -42,15 +37,15 @@
 		return
 	}
 	a.join()
-	a.nextRenew = a.now.Add(lease.Every)
+	a.nextRenew = a.now.Add(a.terms.Every())
 }
 
 func (a *Agent) renew() {
-	a.nextRenew = a.now.Add(lease.Every)
+	a.nextRenew = a.now.Add(a.terms.Every())
 	if !a.connected || a.silent() {
 		return
 	}
-	if a.holder.Unanswered(a.now) >= answerWait {
+	if a.holder.Unanswered(a.now) >= a.terms.Patience() {
 		a.connected = false
 		a.emit(Reconnect{})
 		return
@@ -62,6 +57,7 @@
 		version:     a.table.Version(),
 		releases:    a.releases(),
 		report:      a.report,
+		spans:       a.spanReleases(),
 	})
 	a.report = load.Report{}
 }
@@ -101,6 +97,7 @@
 	a.table = next
 	a.checkMembership()
 	a.dropSettled()
+	a.followSpans()
 	a.publish()
 	for _, c := range e.changes {
 		a.follow(c)
@@ -109,8 +106,11 @@
 
 // checkMembership compares the table with what this daemon believes of itself.
 func (a *Agent) checkMembership() {
-	_, present := a.table.Member(a.self)
+	m, present := a.table.Member(a.self)
+	_, leaving := m.Phase().(table.Leaving)
 	switch {
+	case present && leaving && !a.joined && a.stays():
+		a.emit(SendGone{incarnation: a.self})
 	case present && !a.joined && !a.silent():
 		a.joined = true
 		a.nextRenew = a.now
@@ -149,6 +149,7 @@
 	a.joined = false
 	a.holder.GiveUp()
 	clear(a.handing)
+	a.renewBook()
 	a.self = a.incarnate()
 	a.settleExit()
 	a.join()
--- a/core/command/agent/target.go
+++ b/core/command/agent/target.go
@@ -3,17 +3,19 @@
 // announced takes note of the target beside. A new boot of a known target means
 // that the old one is dead.
 func (a *Agent) announced(e Announced) {
-	t := target(e)
+	t := target{service: e.service, address: e.address, boot: e.boot, name: e.name, life: e.life}
 	switch {
-	case t == a.target, t == a.next:
+	case t == a.target:
+		a.setRoom(e.room)
+	case t == a.next:
 	case a.target.service == "" && a.stays():
-		a.next = t
+		a.next, a.room = t, e.room
 		a.replaceIdentity()
 	case a.stays():
-		a.next = t
+		a.next, a.room = t, e.room
 		a.targetLost(NewTargetLost(Dead{}))
 	default:
-		a.next = t
+		a.next, a.room = t, e.room
 	}
 }
 
@@ -42,6 +44,7 @@
 	switch e.loss.(type) {
 	case Dead:
 		a.emit(DropTarget{})
+		a.dropBook()
 		a.drain(a.afterLoss())
 	case Mute:
 		a.loseMute()
@@ -69,7 +72,7 @@
 	case leaving:
 		a.leave = leaving{until: l.until, purpose: stopping{}}
 	case draining:
-		a.leave = draining{purpose: stopping{}}
+		a.leave = draining{purpose: stopping{}, empty: l.empty}
 	case fading:
 		a.leave = fading{until: l.until, purpose: stopping{}}
 	case gone:
--- a/core/command/apply/apply.go
+++ b/core/command/apply/apply.go
@@ -78,6 +78,12 @@
 		s.release(c)
 	case order.Accept:
 		s.accept(c)
+	case order.GrantSpan:
+		s.grantSpan(c)
+	case order.MoveSpan:
+		s.moveSpan(c)
+	case order.ReleaseSpan:
+		s.releaseSpan(c)
 	case order.Place:
 		s.place(c)
 	case order.Unplace:
--- a/core/command/apply/member.go
+++ b/core/command/apply/member.go
@@ -46,6 +46,7 @@
 		for _, sh := range s.table().Shards(v) {
 			s.expireShard(v, sh, gone)
 		}
+		s.expireSpans(v, gone)
 	}
 	s.change(table.NewMemberGone(gone))
 	s.record(fleet.Control, "member "+m.Instance(), incarnation(gone), "", string(c.Cause()))
--- a/core/command/gauge/gauge.go
+++ b/core/command/gauge/gauge.go
@@ -22,6 +22,10 @@
 	loaded  map[string]clock.Millis // the last report of any load, by service
 	onsets  map[string]clock.Millis // the first report of load after none, by service
 	costs   map[string]float64      // milliseconds of a mean request, by service
+	rates   map[string][]float64    // of the cells of ordered services
+	paces   map[table.Incarnation]load.Pace
+	counted map[table.Incarnation]clock.Millis // the last report of cells
+	moved   map[string]clock.Millis            // the last change of owner of a span, by service
 }
 
 // member is what is known of one member.
@@ -58,6 +62,10 @@
 		loaded:  map[string]clock.Millis{},
 		onsets:  map[string]clock.Millis{},
 		costs:   map[string]float64{},
+		rates:   map[string][]float64{},
+		paces:   map[table.Incarnation]load.Pace{},
+		counted: map[table.Incarnation]clock.Millis{},
+		moved:   map[string]clock.Millis{},
 	}
 }
 
@@ -74,6 +82,8 @@
 	delete(g.members, i)
 	delete(g.joined, i)
 	delete(g.keys, i)
+	delete(g.paces, i)
+	delete(g.counted, i)
 }
 
 // Knows reports whether the member was seen.
@@ -150,7 +160,8 @@
 
 // View returns the picture at this instant. It is void after the next command.
 func (g *Gauge) View() load.View {
-	return load.NewView(load.WithBegan(g.began, g.onsets), load.WithJoined(g.joined), load.WithTrends(g.trends), load.WithKeys(g.keys))
+	return load.NewView(load.WithBegan(g.began, g.onsets), load.WithJoined(g.joined), load.WithTrends(g.trends), load.WithKeys(g.keys),
+		load.WithCellRates(g.rates, g.moved), load.WithPaces(g.paces))
 }
 
 // Moved returns when a shard last changed its owner, 0 if it was not seen to.
--- a/core/command/leader/event.go
+++ b/core/command/leader/event.go
@@ -64,6 +64,7 @@
 	version     uint64
 	releases    []order.Release
 	report      load.Report
+	spans       []order.ReleaseSpan
 }
 
 // NewRenewAsked returns the event for a renewal of a member whose table is at
@@ -72,6 +73,12 @@
 	return RenewAsked{session: s, incarnation: i, sequence: sequence, version: version, releases: releases, report: r}
 }
 
+// WithSpans returns the renewal with the keys that the member's target holds no more.
+func (e RenewAsked) WithSpans(released []order.ReleaseSpan) RenewAsked {
+	e.spans = released
+	return e
+}
+
 // LeaveAsked says that a member wants to hand over what it owns.
 type LeaveAsked struct{ incarnation table.Incarnation }
 
--- a/core/command/leader/leader.go
+++ b/core/command/leader/leader.go
@@ -39,8 +39,9 @@
 	sessions map[Session]*session
 	history  *history
 	rounds   rounds
-	planned  map[subject]bool
-	joining  map[table.Incarnation]bool
+	planned  map[subject]clock.Millis // when it was proposed
+	joining  map[table.Incarnation]clock.Millis
+	terms    lease.Terms
 	gauge    *gauge.Gauge
 	nextPlan clock.Millis
 	nextPush clock.Millis
@@ -59,24 +60,36 @@
 	service string
 	shard   table.Shard
 	key     string
+	first   table.Key
+	last    table.Key
 	member  table.Incarnation
 }
 
+// Option sets one property of a Leader.
+type Option func(*Leader)
+
+// WithTerms sets the terms of leases.
+func WithTerms(t lease.Terms) Option { return func(l *Leader) { l.terms = t } }
+
 // New returns the leader of the control group that was established at now, when all
 // earlier entries of the log had been applied to f.
-func New(now clock.Millis, group uint64, f *fleet.Fleet) *Leader {
+func New(now clock.Millis, group uint64, f *fleet.Fleet, opts ...Option) *Leader {
 	l := &Leader{
 		now:      now,
 		group:    group,
 		fleet:    f,
-		book:     lease.NewBook(now, f.Table().Members()),
 		sessions: map[Session]*session{},
 		history:  newHistory(f.Table().Version()),
-		planned:  map[subject]bool{},
-		joining:  map[table.Incarnation]bool{},
+		planned:  map[subject]clock.Millis{},
+		joining:  map[table.Incarnation]clock.Millis{},
+		terms:    lease.Standard(),
 		gauge:    gauge.New(now),
 		nextPlan: now,
 	}
+	for _, o := range opts {
+		o(l)
+	}
+	l.book = lease.NewBook(now, f.Table().Members(), lease.WithTerms(l.terms))
 	l.survey()
 	return l
 }
@@ -159,6 +172,8 @@
 			l.gauge.Left(c.Incarnation())
 		case table.HoldingSet:
 			l.gauge.Held(load.NewPlace(c.Service(), c.Shard()), c.Holding(), l.now)
+		case table.SpanSet:
+			l.gauge.SpanMoved(c.Service(), l.now)
 		case table.OverrideSet:
 			l.gauge.Placed(c.Key(), l.base(c.Service(), c.Key()), load.NewPlace(c.Service(), c.Shard()))
 		case table.OverrideGone:
--- a/core/command/leader/member.go
+++ b/core/command/leader/member.go
@@ -1,7 +1,6 @@
 package leader
 
 import (
-	"verbenabank/core/command/lease"
 	"verbenabank/core/state/order"
 	"verbenabank/core/state/table"
 )
@@ -37,8 +36,8 @@
 		l.update(e.session, s)
 		return
 	}
-	if !l.joining[i] {
-		l.joining[i] = true
+	if !l.pending(l.joining[i]) {
+		l.joining[i] = l.now
 		l.offer(order.NewJoin(e.member))
 	}
 	l.update(e.session, s)
@@ -52,7 +51,7 @@
 		return
 	}
 	if _, ok := l.fleet.Table().Member(e.incarnation); !ok {
-		if !l.joining[e.incarnation] {
+		if !l.pending(l.joining[e.incarnation]) {
 			l.emit(SendRejoin{session: e.session, incarnation: e.incarnation})
 		}
 		return
@@ -64,6 +63,7 @@
 	l.update(e.session, s)
 	l.release(e)
 	l.gauge.Report(e.incarnation, e.report, l.now)
+	l.count(e)
 	if !l.book.MayRenew(e.incarnation) {
 		return
 	}
@@ -81,6 +81,7 @@
 			l.propose(r)
 		}
 	}
+	l.releaseSpans(e)
 }
 
 // ask starts a round if none is under way.
@@ -104,7 +105,7 @@
 		if !ok || !l.book.MayRenew(r.incarnation) {
 			continue
 		}
-		l.emit(SendLease{session: r.session, sequence: r.sequence, span: lease.Span, rulesSpan: lease.RulesSpan, version: s.version})
+		l.emit(SendLease{session: r.session, sequence: r.sequence, span: l.terms.Span(), rulesSpan: l.terms.Rules(), version: s.version})
 	}
 	l.rounds.asked = nil
 	l.ask()
@@ -131,6 +132,9 @@
 	for _, i := range l.book.Lapsed(l.now) {
 		l.gone(i, order.Silent)
 	}
+	for _, i := range l.book.Stuck(proposalSpan, l.now) {
+		l.offer(order.NewExpire(i, order.Silent))
+	}
 }
 
 // gone proposes to remove a member and never renews it again.
@@ -138,6 +142,44 @@
 	if !l.book.MayRenew(i) {
 		return
 	}
-	l.book.Bar(i)
+	l.book.Bar(i, l.now)
 	l.offer(order.NewExpire(i, cause))
 }
+
+// count takes the load of the keys that a member of an ordered service owns.
+func (l *Leader) count(e RenewAsked) {
+	m, _ := l.fleet.Table().Member(e.incarnation)
+	if e.report.Pace().Slots() == 0 {
+		return
+	}
+	var spans []table.Span
+	for _, s := range l.fleet.Table().Spans(m.Service()) {
+		if o, ok := s.Holding().(table.Owned); ok && o.Owner() == e.incarnation {
+			spans = append(spans, s)
+		}
+	}
+	l.gauge.Count(e.incarnation, m.Service(), spans, e.report, l.now)
+}
+
+// releaseSpans passes on the keys that the member's target holds no more.
+func (l *Leader) releaseSpans(e RenewAsked) {
+	for _, r := range e.spans {
+		p, ok := l.fleet.Table().SpanAt(r.Service(), r.First())
+		if ok && p.Covers(r.First(), r.Last()) && p.Holding().Epoch() == r.Epoch() && holder(p.Holding()) == e.incarnation {
+			l.propose(r)
+		}
+	}
+}
+
+// holder returns who holds keys or is to hand them over, 0 if nobody.
+func holder(h table.Holding) table.Incarnation {
+	switch h := h.(type) {
+	case table.Vacant:
+		return 0
+	case table.Owned:
+		return h.Owner()
+	case table.Moving:
+		return h.From()
+	}
+	return 0
+}
--- a/core/command/leader/plan.go
+++ b/core/command/leader/plan.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"verbenabank/core/clock"
 	"verbenabank/core/query/place"
 	"verbenabank/core/state/load"
 	"verbenabank/core/state/order"
@@ -48,13 +49,22 @@
 // propose offers a command unless one about the same subject is under way.
 func (l *Leader) propose(c order.Command) {
 	s := subjectOf(c)
-	if l.planned[s] {
+	if l.pending(l.planned[s]) {
 		return
 	}
-	l.planned[s] = true
+	l.planned[s] = l.now
 	l.offer(c)
 }
 
+// proposalSpan is how long a proposal in milliseconds stands before it may be made again: it
+// may have been dropped while the replicated log was busy.
+const proposalSpan = 2 * clock.Second
+
+// pending reports whether a proposal of an instant, 0 if there was none, still stands.
+func (l *Leader) pending(since clock.Millis) bool {
+	return since > 0 && l.now.Sub(since) < proposalSpan
+}
+
 // subjectOf returns what a command is about.
 func subjectOf(c order.Command) subject {
 	switch c := c.(type) {
@@ -64,6 +74,12 @@
 		return subject{service: c.Service(), shard: c.Shard()}
 	case order.Release:
 		return subject{service: c.Service(), shard: c.Shard()}
+	case order.GrantSpan:
+		return subject{service: c.Service(), first: c.First(), last: c.Last()}
+	case order.MoveSpan:
+		return subject{service: c.Service(), first: c.First(), last: c.Last()}
+	case order.ReleaseSpan:
+		return subject{service: c.Service(), first: c.First(), last: c.Last()}
 	case order.Place:
 		return subject{service: c.Service(), key: c.Key()}
 	case order.Unplace:
--- a/core/command/lease/book.go
+++ b/core/command/lease/book.go
@@ -29,31 +29,50 @@
 
 // Book is the leader's count of leases. It is for the control goroutine only.
 type Book struct {
+	terms  Terms
 	ends   map[table.Incarnation]clock.Millis
-	barred map[table.Incarnation]bool
-	next   clock.Millis // no lease runs out before it
+	barred map[table.Incarnation]clock.Millis // when its end was asked for last
+	next   clock.Millis                       // no lease runs out before it
 }
 
 // NewBook returns the book of a leader that was established at now. Each member may
 // hold a lease that the last leader gave just before.
-func NewBook(now clock.Millis, members []table.Member) *Book {
-	b := &Book{ends: map[table.Incarnation]clock.Millis{}, barred: map[table.Incarnation]bool{}, next: now.Add(Span + Margin)}
+func NewBook(now clock.Millis, members []table.Member, opts ...Option) *Book {
+	b := &Book{terms: terms(opts), ends: map[table.Incarnation]clock.Millis{}, barred: map[table.Incarnation]clock.Millis{}}
+	b.next = now.Add(b.whole())
 	for _, m := range members {
-		b.ends[m.Incarnation()] = now.Add(Span + Margin)
+		b.ends[m.Incarnation()] = now.Add(b.whole())
 	}
 	return b
 }
 
 // Arrived counts a renewal that arrived at now, whether or not it is answered.
 func (b *Book) Arrived(i table.Incarnation, now clock.Millis) {
-	if !b.barred[i] {
-		b.ends[i] = max(b.ends[i], now.Add(Span+Margin))
+	if _, barred := b.barred[i]; !barred {
+		b.ends[i] = max(b.ends[i], now.Add(b.whole()))
 		b.next = min(b.next, b.ends[i])
 	}
 }
 
+// whole is how long the leader counts a lease.
+func (b *Book) whole() clock.Millis { return b.terms.span + b.terms.margin }
+
 // Bar stops renewals of a member that is to be expired, for good.
-func (b *Book) Bar(i table.Incarnation) { b.barred[i] = true }
+func (b *Book) Bar(i table.Incarnation, now clock.Millis) { b.barred[i] = now }
+
+// Stuck returns the members that were barred longer than the span ago and are still there,
+// and counts them as barred now.
+func (b *Book) Stuck(span, now clock.Millis) []table.Incarnation {
+	var list []table.Incarnation
+	for i, since := range b.barred {
+		if now.Sub(since) >= span {
+			b.barred[i] = now
+			list = append(list, i)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
 
 // Forget drops a member that is gone.
 func (b *Book) Forget(i table.Incarnation) {
@@ -64,7 +83,8 @@
 // MayRenew reports whether the member may get a longer lease.
 func (b *Book) MayRenew(i table.Incarnation) bool {
 	_, known := b.ends[i]
-	return known && !b.barred[i]
+	_, barred := b.barred[i]
+	return known && !barred
 }
 
 // Lapsed returns the members whose lease surely ran out before now and that are
@@ -74,10 +94,11 @@
 		return nil
 	}
 	var lapsed []table.Incarnation
-	b.next = now.Add(Span + Margin)
+	b.next = now.Add(b.whole())
 	for i, end := range b.ends {
+		_, barred := b.barred[i]
 		switch {
-		case b.barred[i]:
+		case barred:
 		case end <= now:
 			lapsed = append(lapsed, i)
 			b.next = now
--- a/core/command/lease/book_test.go
+++ b/core/command/lease/book_test.go
@@ -22,7 +22,7 @@
 			if next, ok := b.Next(); ok && next <= now {
 				for _, i := range b.Lapsed(now) {
 					is.True(ends[i] <= now)
-					b.Bar(i)
+					b.Bar(i, now)
 					b.Forget(i)
 					delete(ends, i)
 				}
--- a/core/command/lease/holder.go
+++ b/core/command/lease/holder.go
@@ -8,6 +8,7 @@
 // Holder is a daemon's own count of its lease. It is for the control goroutine
 // only.
 type Holder struct {
+	terms    Terms
 	sequence uint64
 	sent     map[uint64]clock.Millis
 	end      clock.Millis
@@ -15,7 +16,9 @@
 }
 
 // NewHolder returns a holder without a lease.
-func NewHolder() *Holder { return &Holder{sent: map[uint64]clock.Millis{}} }
+func NewHolder(opts ...Option) *Holder {
+	return &Holder{terms: terms(opts), sent: map[uint64]clock.Millis{}}
+}
 
 // Send numbers a renewal that is sent at now.
 func (h *Holder) Send(now clock.Millis) {
@@ -39,8 +42,8 @@
 			delete(h.sent, n)
 		}
 	}
-	h.end = max(h.end, sent.Add(span-Margin))
-	h.rulesEnd = max(h.rulesEnd, sent.Add(rulesSpan-Margin))
+	h.end = max(h.end, sent.Add(span-h.terms.margin))
+	h.rulesEnd = max(h.rulesEnd, sent.Add(rulesSpan-h.terms.margin))
 }
 
 // Unanswered returns the age at now of the oldest renewal without an answer, 0 if
--- a/core/query/place/place.go
+++ b/core/query/place/place.go
@@ -8,6 +8,7 @@
 
 import (
 	"verbenabank/core/clock"
+	"verbenabank/core/query/spread"
 	"verbenabank/core/state/load"
 	"verbenabank/core/state/order"
 	"verbenabank/core/state/rules"
@@ -29,9 +30,13 @@
 	for _, n := range t.Rules().Names() {
 		s, _ := t.Rules().Service(n)
 		plan = append(plan, phases(t, v, s, now)...)
-		if k, ok := s.Kind().(rules.Keyed); ok {
+		switch k := s.Kind().(type) {
+		case rules.Keyed:
 			p := newPlanner(y, t, v, s, k, now)
 			plan = append(plan, p.plan()...)
+		case rules.Ordered:
+			plan = append(plan, spread.Plan(t, v, s, k, now)...)
+		case rules.Pooled:
 		}
 	}
 	return plan
--- /dev/null
+++ b/core/query/spread/balance.go
@@ -0,0 +1,121 @@
+package spread
+
+import (
+	"verbenabank/core/clock"
+	"verbenabank/core/state/load"
+	"verbenabank/core/state/order"
+	"verbenabank/core/state/table"
+)
+
+const (
+	// watch is how long the load is watched before the first move for balance.
+	watch = 2 * clock.Second
+	// rest is the pause between two moves for balance of a service, for reports to show
+	// what the last one did.
+	rest = 600 * clock.Millisecond
+	// fresh is how long a member must have been there to take keys for balance.
+	fresh = clock.Second
+	// movesAtOnce bounds the spans of a service that are on their way.
+	movesAtOnce = 3
+	// band is the difference of busy times up to which two members count as even.
+	band = 0.12
+	// calm is the busy time up to which no member is relieved.
+	calm = 0.3
+	// keyPrice is the difference of busy times that a move of all keys must remove.
+	keyPrice = 3.0
+	// least and most bound a moved load, as parts of what evens out both members.
+	least = 0.5
+	most  = 1.2
+)
+
+// balance moves the fewest keys that even out the busiest member and the idlest one.
+func (p *planner) balance() {
+	moved := p.view.SpanMoved(p.service)
+	if p.now.Sub(p.view.Began(p.service)) < watch || p.moving >= movesAtOnce || (moved > 0 && p.now.Sub(moved) < rest) {
+		return
+	}
+	from, to := p.busiest(), p.idlest()
+	if from == nil || to == nil || from == to || from.busy() < calm || from.busy()-to.busy() < band {
+		return
+	}
+	w, ok := p.window(from, (from.busy()-to.busy())/(from.cost+to.cost))
+	if !ok {
+		return
+	}
+	after := max(from.busy()-w.load*from.cost, to.busy()+w.load*to.cost)
+	gain := from.busy() - after
+	if gain < band/4 || gain < keyPrice*float64(w.last-w.first+1)/float64(p.keys) {
+		return
+	}
+	p.out = append(p.out, order.NewMoveSpan(p.service, w.first, w.last, w.epoch, to.member.Incarnation()))
+}
+
+func (p *planner) busiest() *member {
+	var found *member
+	for _, m := range p.members {
+		if found == nil || m.busy() > found.busy() {
+			found = m
+		}
+	}
+	return found
+}
+
+func (p *planner) idlest() *member {
+	var found *member
+	for _, m := range p.members {
+		if p.now.Sub(p.view.Joined(m.member.Incarnation())) < fresh {
+			continue
+		}
+		if found == nil || m.busy() < found.busy() {
+			found = m
+		}
+	}
+	return found
+}
+
+// window is a run of keys with one epoch.
+type window struct {
+	first table.Key
+	last  table.Key
+	epoch table.Epoch
+	load  float64
+}
+
+// window returns the fewest neighboring keys of the member that weigh about the load.
+func (p *planner) window(m *member, want float64) (window, bool) {
+	best, found := window{}, false
+	for _, s := range p.table.Spans(p.service) {
+		h, ok := s.Holding().(table.Owned)
+		if !ok || h.Owner() != m.member.Incarnation() {
+			continue
+		}
+		w, ok := p.within(s, want)
+		if ok && (!found || w.last-w.first < best.last-best.first) {
+			w.epoch = h.Epoch()
+			best, found = w, true
+		}
+	}
+	return best, found
+}
+
+// within looks for the window in one span.
+func (p *planner) within(s table.Span, want float64) (window, bool) {
+	best, found := window{}, false
+	begin, sum := load.CellOf(s.First()), 0.0
+	for c := begin; c <= load.CellOf(s.Last()); c++ {
+		sum += p.cell(c)
+		for sum-p.cell(begin) >= least*want && begin < c {
+			sum -= p.cell(begin)
+			begin++
+		}
+		if sum < least*want || sum > most*want {
+			continue
+		}
+		first := max(s.First(), table.Key(begin*load.CellKeys))
+		last := min(s.Last(), table.Key((c+1)*load.CellKeys-1))
+		if !found || last-first < best.last-best.first {
+			best, found = window{first: first, last: last, load: sum}, true
+		}
+	}
+	return best, found
+}
--- a/core/state/load/load.go
+++ b/core/state/load/load.go
@@ -8,6 +8,8 @@
 type Report struct {
 	shards []Shard
 	keys   []Key
+	cells  []Cell
+	pace   Pace
 }
 
 // NewReport returns a report of shards and of the hottest keys.
@@ -20,7 +22,7 @@
 func (r Report) Keys() []Key { return r.keys }
 
 // Empty reports whether nothing was counted.
-func (r Report) Empty() bool { return len(r.shards) == 0 && len(r.keys) == 0 }
+func (r Report) Empty() bool { return len(r.shards) == 0 && len(r.keys) == 0 && len(r.cells) == 0 }
 
 // Shard counts the requests of one shard.
 type Shard struct {
--- a/core/state/load/view.go
+++ b/core/state/load/view.go
@@ -13,6 +13,10 @@
 	joined map[table.Incarnation]clock.Millis
 	trends map[Place]Trend
 	keys   map[table.Incarnation]map[string]Heat
+	rates  map[string][]float64
+	paces  map[table.Incarnation]Pace
+
+	spanMoved map[string]clock.Millis
 }
 
 // ViewOption sets one part of a View.
--- a/core/state/rules/kind.go
+++ b/core/state/rules/kind.go
@@ -1,6 +1,6 @@
 package rules
 
-// Kind says how requests of a service are spread: Keyed or Pooled.
+// Kind says how requests of a service are spread: Keyed, Ordered or Pooled.
 type Kind interface{ kind() }
 
 // Keyed services have one owning target for each key.
@@ -19,11 +19,29 @@
 // Shards returns the count of hash ranges.
 func (k Keyed) Shards() int { return k.shards }
 
+// Ordered services have one owning target for each key, and their keys are the
+// numbers from 0. Owners hold spans of neighboring keys.
+type Ordered struct {
+	source KeySource
+	keys   int
+}
+
+// NewOrdered returns the kind of a service with so many keys, which come from source as
+// decimal numbers.
+func NewOrdered(source KeySource, keys int) Ordered { return Ordered{source: source, keys: keys} }
+
+// Source returns where a request carries its key.
+func (o Ordered) Source() KeySource { return o.source }
+
+// Keys returns the count of keys.
+func (o Ordered) Keys() int { return o.keys }
+
 // Pooled services may be served by any of their targets.
 type Pooled struct{}
 
-func (Keyed) kind()  {}
-func (Pooled) kind() {}
+func (Keyed) kind()   {}
+func (Ordered) kind() {}
+func (Pooled) kind()  {}
 
 // KeySource says where a request carries its key: PathSegment or Header.
 type KeySource interface{ keySource() }
--- a/core/state/rules/rules.go
+++ b/core/state/rules/rules.go
@@ -14,12 +14,15 @@
 	digest   string
 	content  []byte
 	services map[string]Service
+	routes   []Route
+	limits   Limits
 }
 
 // New returns rules with the given version, the digest of the merged content in
 // lower-case hexadecimal SHA-256, and services.
 func New(version uint64, digest string, services ...Service) Rules {
-	r := Rules{version: version, digest: digest, services: make(map[string]Service, len(services))}
+	r := Rules{version: version, digest: digest, services: make(map[string]Service, len(services)),
+		limits: NewLimits(DefaultHeadBytes, DefaultBodyBytes, DefaultHeadWait, DefaultIdleWait)}
 	for _, s := range services {
 		r.services[s.Name()] = s
 	}
@@ -50,3 +53,21 @@
 
 // Names returns the names of all services in order.
 func (r Rules) Names() []string { return slices.Sorted(maps.Keys(r.services)) }
+
+// WithRoutes returns the rules with routes by host and path.
+func (r Rules) WithRoutes(routes ...Route) Rules {
+	r.routes = routes
+	return r
+}
+
+// WithLimits returns the rules with limits for callers.
+func (r Rules) WithLimits(l Limits) Rules {
+	r.limits = l
+	return r
+}
+
+// Routes returns the routes by host and path, which must not be changed.
+func (r Rules) Routes() []Route { return r.routes }
+
+// Limits returns the limits for callers.
+func (r Rules) Limits() Limits { return r.limits }
--- a/core/state/snap/snap.go
+++ b/core/state/snap/snap.go
@@ -3,6 +3,7 @@
 package snap
 
 import (
+	"slices"
 	"sync/atomic"
 
 	"verbenabank/core/clock"
@@ -17,6 +18,7 @@
 	leaseEnd   clock.Millis
 	rulesEnd   clock.Millis
 	closed     map[Place]bool
+	runs       []Run
 	superseded chan struct{}
 }
 
@@ -79,6 +81,39 @@
 	return 0, false
 }
 
+// Run is a run of keys of an ordered service that the target beside surely holds.
+type Run struct {
+	first table.Key
+	last  table.Key
+	until clock.Millis
+}
+
+// NewRun returns the run of the keys from first to last, held until an instant.
+func NewRun(first, last table.Key, until clock.Millis) Run {
+	return Run{first: first, last: last, until: until}
+}
+
+// WithRuns sets the keys that the target holds, in order.
+func WithRuns(runs []Run) Option { return func(s *Snap) { s.runs = runs } }
+
+// OwnsKey returns the epoch at which the daemon serves a key of an ordered service at now.
+// It serves what the table gives it and its target holds.
+func (s *Snap) OwnsKey(service string, k table.Key, now clock.Millis) (table.Epoch, bool) {
+	p, _ := s.table.SpanAt(service, k)
+	h, ok := p.Holding().(table.Owned)
+	if !ok || s.self == 0 || h.Owner() != s.self || now >= s.leaseEnd {
+		return 0, false
+	}
+	i, _ := slices.BinarySearchFunc(s.runs, k, func(r Run, k table.Key) int {
+		if r.last < k {
+			return -1
+		}
+		return 1
+	})
+	held := i < len(s.runs) && s.runs[i].first <= k && now < s.runs[i].until
+	return h.Epoch(), held
+}
+
 // Current reports whether the rules may be used at now.
 func (s *Snap) Current(now clock.Millis) bool { return now < s.rulesEnd }
 
--- a/core/state/table/change.go
+++ b/core/state/table/change.go
@@ -97,6 +97,7 @@
 // Key returns the key.
 func (c OverrideGone) Key() string { return c.key }
 
+func (SpanSet) change()      {}
 func (RulesSet) change()     {}
 func (MemberSet) change()    {}
 func (MemberGone) change()   {}
@@ -134,6 +135,8 @@
 		delete(e.ownMembers(), c.incarnation)
 	case HoldingSet:
 		e.set(c.service, c.shard, c.holding)
+	case SpanSet:
+		e.setSpan(c.service, c.span)
 	case OverrideSet:
 		e.ownPlacement(c.service).overrides[c.key] = c.shard
 	case OverrideGone:
@@ -160,7 +163,7 @@
 		e.copied[service] = true
 		p := e.table.services[service]
 		e.table.services[service] = placement{
-			ranges: slices.Clone(p.ranges), alone: cloneMap(p.alone), overrides: cloneMap(p.overrides),
+			ranges: slices.Clone(p.ranges), alone: cloneMap(p.alone), overrides: cloneMap(p.overrides), spans: p.spans,
 		}
 	}
 	return e.table.services[service]
--- a/core/state/table/holding.go
+++ b/core/state/table/holding.go
@@ -18,13 +18,24 @@
 
 // Owned shards have one owner.
 type Owned struct {
-	owner Incarnation
-	epoch Epoch
+	owner    Incarnation
+	epoch    Epoch
+	handover string
 }
 
 // NewOwned returns the holding of owner at epoch e.
 func NewOwned(owner Incarnation, e Epoch) Owned { return Owned{owner: owner, epoch: e} }
 
+// WithHandover returns the holding with what the last owner's target gave for the next
+// one, "" if it gave nothing.
+func (o Owned) WithHandover(token string) Owned {
+	o.handover = token
+	return o
+}
+
+// Handover returns what the last owner's target gave for the next one.
+func (o Owned) Handover() string { return o.handover }
+
 // Owner returns the owner.
 func (o Owned) Owner() Incarnation { return o.owner }
 
--- a/core/state/table/list.go
+++ b/core/state/table/list.go
@@ -72,6 +72,9 @@
 		for _, s := range t.Shards(n) {
 			list = append(list, NewHoldingSet(n, s, t.Holding(n, s)))
 		}
+		for _, s := range t.Spans(n) {
+			list = append(list, NewSpanSet(n, s))
+		}
 	}
 	return list
 }
--- a/core/state/table/table.go
+++ b/core/state/table/table.go
@@ -35,6 +35,7 @@
 	ranges    pages
 	alone     map[Shard]Holding
 	overrides map[string]Shard
+	spans     []Span // in order, of ordered services; never changed in place
 }
 
 func (p placement) holding(s Shard) Holding {
--- a/core/wire/codec/command.go
+++ b/core/wire/codec/command.go
@@ -39,6 +39,17 @@
 		return &wirepb.Command{Command: &wirepb.Command_Release{Release: encodeRelease(c)}}
 	case order.Accept:
 		return &wirepb.Command{Command: &wirepb.Command_Accept{Accept: EncodeProposal(c)}}
+	case order.GrantSpan:
+		g := &wirepb.SpanRecord{Service: c.Service(), First: uint32(c.First()), Last: uint32(c.Last()), Owner: uint64(c.Owner())}
+		return &wirepb.Command{Command: &wirepb.Command_GrantSpan{GrantSpan: g}}
+	case order.MoveSpan:
+		v := &wirepb.SpanRecord{
+			Service: c.Service(), First: uint32(c.First()), Last: uint32(c.Last()),
+			Epoch: uint64(c.Epoch()), Successor: uint64(c.Successor()),
+		}
+		return &wirepb.Command{Command: &wirepb.Command_MoveSpan{MoveSpan: v}}
+	case order.ReleaseSpan:
+		return &wirepb.Command{Command: &wirepb.Command_ReleaseSpan{ReleaseSpan: encodeSpanRelease(c)}}
 	case order.Place:
 		return overrideCommand(&wirepb.OverrideRecord{Service: c.Service(), Key: c.Key()})
 	case order.Unplace:
@@ -59,6 +70,17 @@
 	return order.NewRelease(r.GetService(), table.Shard(r.GetShard()), table.Epoch(r.GetEpoch()))
 }
 
+func encodeSpanRelease(r order.ReleaseSpan) *wirepb.SpanRecord {
+	return &wirepb.SpanRecord{
+		Service: r.Service(), First: uint32(r.First()), Last: uint32(r.Last()), Epoch: uint64(r.Epoch()), Handover: r.Handover(),
+	}
+}
+
+func decodeSpanRelease(r *wirepb.SpanRecord) order.ReleaseSpan {
+	return order.NewReleaseSpan(r.GetService(), table.Key(r.GetFirst()), table.Key(r.GetLast()),
+		table.Epoch(r.GetEpoch()), r.GetHandover())
+}
+
 // EncodeProposal returns the message of an offered configuration.
 func EncodeProposal(c order.Accept) *wirepb.Proposal {
 	return &wirepb.Proposal{Configuration: EncodeRules(c.Rules()), Instance: c.Instance(), Folder: c.Folder()}
@@ -99,6 +121,16 @@
 		return decodeRelease(x.Release), nil
 	case *wirepb.Command_Accept:
 		return c.DecodeProposal(x.Accept)
+	case *wirepb.Command_GrantSpan:
+		g := x.GrantSpan
+		return order.NewGrantSpan(g.GetService(), table.Key(g.GetFirst()), table.Key(g.GetLast()),
+			table.Incarnation(g.GetOwner())), nil
+	case *wirepb.Command_MoveSpan:
+		v := x.MoveSpan
+		return order.NewMoveSpan(v.GetService(), table.Key(v.GetFirst()), table.Key(v.GetLast()),
+			table.Epoch(v.GetEpoch()), table.Incarnation(v.GetSuccessor())), nil
+	case *wirepb.Command_ReleaseSpan:
+		return decodeSpanRelease(x.ReleaseSpan), nil
 	case *wirepb.Command_Override:
 		if x.Override.GetGone() {
 			return order.NewUnplace(x.Override.GetService(), x.Override.GetKey()), nil
--- a/core/wire/codec/session.go
+++ b/core/wire/codec/session.go
@@ -34,6 +34,15 @@
 	for _, s := range e.Report().Shards() {
 		m.Loads = append(m.Loads, &wirepb.ShardLoad{Shard: uint32(s.Shard()), Requests: s.Requests(), BusyMs: s.Busy()})
 	}
+	for _, r := range e.Spans() {
+		m.Released = append(m.Released, encodeSpanRelease(r))
+	}
+	for _, c := range e.Report().Cells() {
+		m.Cells = append(m.Cells, &wirepb.CellLoad{Cell: uint32(c.Number()), Requests: c.Requests()})
+	}
+	if p := e.Report().Pace(); p.Slots() > 0 {
+		m.Pace = &wirepb.Pace{Slots: uint32(p.Slots()), MeanUs: uint64(p.Mean() * 1000), Waiting: uint64(p.Waiting())}
+	}
 	for _, k := range e.Report().Keys() {
 		m.Hot = append(m.Hot, &wirepb.KeyLoad{Key: k.Key(), Requests: k.Requests()})
 	}
@@ -73,8 +82,17 @@
 	for _, k := range m.GetHot() {
 		keys = append(keys, load.NewKey(k.GetKey(), k.GetRequests()))
 	}
+	var cells []load.Cell
+	for _, c := range m.GetCells() {
+		cells = append(cells, load.NewCell(int(c.GetCell()), c.GetRequests()))
+	}
+	var spans []order.ReleaseSpan
+	for _, r := range m.GetReleased() {
+		spans = append(spans, decodeSpanRelease(r))
+	}
+	p := load.NewPace(int(m.GetPace().GetSlots()), float64(m.GetPace().GetMeanUs())/1000, int(m.GetPace().GetWaiting()))
 	return leader.NewRenewAsked(s, table.Incarnation(m.GetIncarnation()), m.GetSequence(), m.GetTableVersion(),
-		releases, load.NewReport(shards, keys))
+		releases, load.NewReport(shards, keys).WithCells(cells, p)).WithSpans(spans)
 }
 
 // EncodeLease returns the answer to a renewal, given by the control group.
--- a/core/wire/codec/table.go
+++ b/core/wire/codec/table.go
@@ -24,6 +24,8 @@
 		return &wirepb.TableChange{Change: &wirepb.TableChange_Gone{Gone: uint64(c.Incarnation())}}
 	case table.HoldingSet:
 		return &wirepb.TableChange{Change: &wirepb.TableChange_Holding{Holding: encodeHolding(c)}}
+	case table.SpanSet:
+		return &wirepb.TableChange{Change: &wirepb.TableChange_Span{Span: encodeSpan(c)}}
 	case table.OverrideSet:
 		return override(&wirepb.OverrideRecord{Service: c.Service(), Key: c.Key(), Shard: uint32(c.Shard())})
 	case table.OverrideGone:
@@ -48,6 +50,36 @@
 	return r
 }
 
+func encodeSpan(c table.SpanSet) *wirepb.SpanRecord {
+	s := c.Span()
+	r := &wirepb.SpanRecord{
+		Service: c.Service(), First: uint32(s.First()), Last: uint32(s.Last()), Epoch: uint64(s.Holding().Epoch()),
+	}
+	switch h := s.Holding().(type) {
+	case table.Vacant:
+	case table.Owned:
+		r.Owner, r.Handover = uint64(h.Owner()), h.Handover()
+	case table.Moving:
+		r.Owner, r.Successor = uint64(h.From()), uint64(h.To())
+	}
+	return r
+}
+
+func decodeSpan(r *wirepb.SpanRecord) (table.Change, error) {
+	if r.GetFirst() > r.GetLast() {
+		return nil, fail("span", OutOfRange, nil)
+	}
+	owner, e := table.Incarnation(r.GetOwner()), table.Epoch(r.GetEpoch())
+	var h table.Holding = table.NewVacant(e)
+	switch {
+	case r.GetSuccessor() != 0:
+		h = table.NewMoving(owner, table.Incarnation(r.GetSuccessor()), e)
+	case r.GetOwner() != 0:
+		h = table.NewOwned(owner, e).WithHandover(r.GetHandover())
+	}
+	return table.NewSpanSet(r.GetService(), table.NewSpan(table.Key(r.GetFirst()), table.Key(r.GetLast()), h)), nil
+}
+
 func encodeMember(m table.Member) *wirepb.MemberRecord {
 	return &wirepb.MemberRecord{
 		Incarnation: uint64(m.Incarnation()), Instance: m.Instance(), Zone: m.Zone(),
@@ -93,6 +125,8 @@
 	case *wirepb.TableChange_Holding:
 		h := x.Holding
 		return table.NewHoldingSet(h.GetService(), table.Shard(h.GetShard()), decodeHolding(h)), nil
+	case *wirepb.TableChange_Span:
+		return decodeSpan(x.Span)
 	case *wirepb.TableChange_Override:
 		o := x.Override
 		if o.GetGone() {
