--- a/core/command/admit/admit.go
+++ b/core/command/admit/admit.go
@@ -61,6 +61,8 @@
 type Ticket struct {
 	arrived  clock.Millis
 	deadline clock.Millis
+	wait     clock.Millis
+	priority int
 	ready    chan Grant
 }
 
@@ -83,7 +85,25 @@
 // Arrive asks for a slot at now, for a request with a deadline. The grant comes
 // on the ticket's channel, at once if there is a slot or no hope.
 func (g *Gate) Arrive(now, deadline clock.Millis, l Limits) *Ticket {
-	t := &Ticket{arrived: now, deadline: deadline, ready: make(chan Grant, 1)}
+	return g.Enter(now, NewWant(deadline, l.wait, 0), l)
+}
+
+// Want is what an arriving request asks for.
+type Want struct {
+	deadline clock.Millis
+	wait     clock.Millis
+	priority int
+}
+
+// NewWant returns the wish of a request to be done by the deadline, an instant, and to wait
+// no longer than a span. Requests of a lower number of priority go first.
+func NewWant(deadline, wait clock.Millis, priority int) Want {
+	return Want{deadline: deadline, wait: wait, priority: priority}
+}
+
+// Enter is Arrive for a request with a priority and a patience of its own.
+func (g *Gate) Enter(now clock.Millis, w Want, l Limits) *Ticket {
+	t := &Ticket{arrived: now, deadline: w.deadline, wait: w.wait, priority: w.priority, ready: make(chan Grant, 1)}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.limits = l
@@ -92,7 +112,7 @@
 		g.admit(t)
 		return t
 	}
-	if !g.hope(now, deadline) {
+	if !g.hope(now, t) {
 		t.ready <- g.overloaded()
 		return t
 	}
@@ -101,26 +121,29 @@
 }
 
 // hope reports whether a newcomer can be served in time.
-func (g *Gate) hope(now, deadline clock.Millis) bool {
+func (g *Gate) hope(now clock.Millis, t *Ticket) bool {
 	if g.limits.queue <= 0 {
 		return false
 	}
-	ahead := len(g.waiting)
-	if g.overloadedAt(now) {
-		ahead = 0
+	ahead := 0
+	for _, w := range g.waiting {
+		if w.priority < t.priority || (w.priority == t.priority && !g.overloadedAt(now)) {
+			ahead++
+		}
 	}
 	wait := g.estimate(ahead)
-	return wait <= g.limits.wait && now+wait+g.service/1000 < deadline
+	return wait <= t.wait && now+wait+g.service/1000 < t.deadline
 }
 
 func (g *Gate) enqueue(t *Ticket, now clock.Millis) {
 	if len(g.waiting) >= g.limits.queue {
-		if !g.overloadedAt(now) {
+		i := g.last()
+		if w := g.waiting[i]; w.priority < t.priority || (w.priority == t.priority && !g.overloadedAt(now)) {
 			t.ready <- g.overloaded()
 			return
 		}
-		g.waiting[0].ready <- g.overloaded()
-		g.waiting = g.waiting[1:]
+		g.waiting[i].ready <- g.overloaded()
+		g.waiting = append(g.waiting[:i], g.waiting[i+1:]...)
 	}
 	if len(g.waiting) == 0 {
 		g.stood = now
@@ -128,6 +151,24 @@
 	g.waiting = append(g.waiting, t)
 }
 
+// last returns the place of the oldest request of the lowest priority.
+func (g *Gate) last() int {
+	i := 0
+	for k, t := range g.waiting {
+		if t.priority > g.waiting[i].priority {
+			i = k
+		}
+	}
+	return i
+}
+
+// Service returns the mean time of a request in milliseconds.
+func (g *Gate) Service() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return float64(g.service) / 1000
+}
+
 // Leave gives a slot back that was held for the span held.
 func (g *Gate) Leave(now, held clock.Millis) {
 	g.mu.Lock()
@@ -170,7 +211,7 @@
 func (g *Gate) fill(now clock.Millis) {
 	for len(g.waiting) > 0 && g.busy < g.limits.slots {
 		t := g.next(now)
-		if now-t.arrived > g.limits.wait || now+g.service/1000 >= t.deadline {
+		if now-t.arrived > t.wait || now+g.service/1000 >= t.deadline {
 			t.ready <- g.overloaded()
 			continue
 		}
@@ -181,8 +222,11 @@
 // next takes the request whose turn it is.
 func (g *Gate) next(now clock.Millis) *Ticket {
 	i := 0
-	if g.overloadedAt(now) {
-		i = len(g.waiting) - 1
+	for k, t := range g.waiting {
+		first := g.waiting[i]
+		if t.priority < first.priority || (t.priority == first.priority && g.overloadedAt(now)) {
+			i = k
+		}
 	}
 	t := g.waiting[i]
 	g.waiting = append(g.waiting[:i], g.waiting[i+1:]...)
--- a/core/command/agent/agent.go
+++ b/core/command/agent/agent.go
@@ -41,6 +41,8 @@
 	target target
 	next   target
 	room   int        // slots of the target
+	heard  life       // the target that was heard last
+	beside string     // address of the target, "" if any will do
 	book   *hold.Book // nil without a target
 	orders uint64     // number of the last order to any target
 	leave  exit
@@ -80,6 +82,9 @@
 // WithDrain bounds how long a target that is about to stop gets new work, in milliseconds.
 func WithDrain(most clock.Millis) Option { return func(a *Agent) { a.drainMax = most } }
 
+// WithBeside sets the address ("ip:port") of the target; words of others count for nothing.
+func WithBeside(address string) Option { return func(a *Agent) { a.beside = address } }
+
 // WithLastingRules lets traffic go on under the rules that are known while there is no
 // leader to ask for newer ones.
 func WithLastingRules() Option { return func(a *Agent) { a.lasting = true } }
@@ -141,6 +146,8 @@
 		a.allDrained()
 	case StopAsked:
 		a.stopAsked()
+	case Beat:
+		a.beat(e)
 	case OrderEnded:
 		a.orderEnded(e)
 	}
--- a/core/command/agent/event.go
+++ b/core/command/agent/event.go
@@ -163,3 +163,4 @@
 func (AllDrained) event()   {}
 func (StopAsked) event()    {}
 func (OrderEnded) event()   {}
+func (Beat) event()         {}
--- a/core/command/apply/rules.go
+++ b/core/command/apply/rules.go
@@ -19,7 +19,8 @@
 	switch v := v.(type) {
 	case fleet.Accepted:
 		s.change(table.NewRulesSet(c.Rules()))
-		s.options = append(s.options, fleet.WithOrigin(fleet.NewOrigin(c.Instance(), c.Folder())))
+		s.options = append(s.options, fleet.WithOrigin(fleet.NewOrigin(c.Instance(), c.Folder())),
+			fleet.WithAccepted(fleet.NewMark(c.Rules().Version(), c.Rules().Digest())))
 		s.record(author, "rules", from, to, "accepted")
 	case fleet.Repeated:
 		s.record(author, "rules", from, to, "accepted again")
@@ -34,7 +35,12 @@
 
 func (s *step) judge(c order.Accept) fleet.Verdict {
 	present, offered := s.table().Rules(), c.Rules()
+	base, bound := c.Base()
 	switch {
+	case bound && s.fleet.Accepted(offered.Version(), offered.Digest()):
+		return fleet.Repeated{}
+	case bound && base != present.Version():
+		return fleet.NewOlder(present.Version())
 	case offered.Version() < present.Version():
 		return fleet.NewOlder(present.Version())
 	case offered.Version() == present.Version() && offered.Digest() == present.Digest():
--- a/core/query/retry/after.go
+++ b/core/query/retry/after.go
@@ -23,10 +23,10 @@
 	switch o.Reason() {
 	case result.Overloaded, result.Shed:
 		return AfterLoad
-	case result.NotReady, result.NoOwner, result.NotOwner, result.NoTarget, result.Leaving, result.Unreachable:
+	case result.NotReady, result.NoOwner, result.NotOwner, result.NotHeld, result.NoTarget, result.Leaving, result.Unreachable:
 		return AfterLoss
-	case result.BadRequest, result.UnknownService, result.TooLarge, result.Expired, result.TimedOut,
-		result.Interrupted, result.Truncated, result.LeaseLapsed, result.Cancelled:
+	case result.BadRequest, result.UnknownService, result.UnknownRoute, result.TooLarge, result.HeadTooLarge, result.Expired,
+		result.TimedOut, result.Interrupted, result.Truncated, result.Foreign, result.LeaseLapsed, result.Cancelled:
 		return 0
 	}
 	return 0
--- a/core/query/retry/retry.go
+++ b/core/query/retry/retry.go
@@ -26,6 +26,7 @@
 func (Proven) policy() {}
 func (All) policy()    {}
 func (None) policy()   {}
+func (Routed) policy() {}
 
 // Verdict is what to do next: Stop, Again or Await.
 type Verdict interface{ verdict() }
@@ -34,11 +35,17 @@
 type Stop struct{}
 
 // Again tries once more, elsewhere if there is a choice.
-type Again struct{ after clock.Millis }
+type Again struct {
+	after clock.Millis
+	free  bool
+}
 
 // After returns how long to wait first.
 func (a Again) After() clock.Millis { return a.after }
 
+// Free reports whether the attempt costs no budget: no target was sent the request so far.
+func (a Again) Free() bool { return a.free }
+
 // Await tries once more when a newer snapshot is there or a pause is over,
 // whichever comes first.
 type Await struct{ pause clock.Millis }
@@ -54,7 +61,9 @@
 type Attempt struct {
 	outcome    result.Outcome
 	count      int
+	sent       int
 	limit      int
+	aim        clock.Millis
 	left       clock.Millis
 	awaited    clock.Millis
 	repeatable bool
@@ -68,6 +77,12 @@
 // WithCount sets how many attempts were made and how many are allowed.
 func WithCount(made, limit int) Option { return func(a *Attempt) { a.count, a.limit = made, limit } }
 
+// WithSent sets how many targets may have been sent the request.
+func WithSent(targets int) Option { return func(a *Attempt) { a.sent = targets } }
+
+// WithAim sets how many milliseconds are left until an answer loses most of its worth.
+func WithAim(left clock.Millis) Option { return func(a *Attempt) { a.aim = left } }
+
 // WithLeft sets the time to the deadline.
 func WithLeft(left clock.Millis) Option { return func(a *Attempt) { a.left = left } }
 
@@ -121,6 +136,8 @@
 		return Again{after: a.pause(0)}
 	case Proven:
 		return proven(a)
+	case Routed:
+		return routed(a)
 	}
 	return Stop{}
 }
@@ -144,7 +161,7 @@
 	switch o.Reason() {
 	case result.NoOwner:
 		return a.await(MaxAwait)
-	case result.NotOwner:
+	case result.NotOwner, result.NotHeld:
 		return a.await(Pause << min(a.count, 4))
 	case result.Unreachable, result.NoTarget, result.Leaving, result.NotReady:
 		if !a.choice {
@@ -159,8 +176,8 @@
 			return Stop{}
 		}
 		return a.again(o.After())
-	case result.BadRequest, result.UnknownService, result.TooLarge, result.Expired, result.TimedOut,
-		result.Interrupted, result.Truncated, result.LeaseLapsed, result.Cancelled:
+	case result.BadRequest, result.UnknownService, result.UnknownRoute, result.TooLarge, result.HeadTooLarge, result.Expired,
+		result.TimedOut, result.Interrupted, result.Truncated, result.Foreign, result.LeaseLapsed, result.Cancelled:
 		return Stop{}
 	}
 	return Stop{}
--- a/core/query/route/route.go
+++ b/core/query/route/route.go
@@ -12,8 +12,10 @@
 
 // Facts are what a request tells about where it belongs.
 type Facts struct {
-	path   string
-	header func(name string) string
+	service string // "" if the path names it
+	key     string
+	path    string
+	header  func(name string) string
 }
 
 // NewFacts returns the facts of a request with the path as it was sent and a lookup
@@ -22,6 +24,17 @@
 	return Facts{path: path, header: header}
 }
 
+// Direct returns the facts of a request whose service and key a route has given.
+func Direct(service, key string) Facts { return Facts{service: service, key: key} }
+
+// name returns the name of the service.
+func (f Facts) name() string {
+	if f.service != "" {
+		return f.service
+	}
+	return segment(f.path, 1)
+}
+
 // Decision is where a request goes: Keyed, Pooled or Refuse.
 type Decision interface{ decision() }
 
@@ -77,6 +90,7 @@
 type Index struct {
 	table *table.Table
 	pools map[string]*pool
+	hosts map[string][]rules.Route // longest prefix first
 }
 
 // pool is the members of one service that take work.
@@ -88,7 +102,7 @@
 // Next returns the index of t, made of the parts of x that did not change.
 func (x *Index) Next(t *table.Table) *Index {
 	if t.SharesMembers(x.table) {
-		return &Index{table: t, pools: x.pools}
+		return &Index{table: t, pools: x.pools, hosts: x.hostsOf(t)}
 	}
 	return NewIndex(t)
 }
@@ -96,6 +110,7 @@
 // NewIndex returns the index of t.
 func NewIndex(t *table.Table) *Index {
 	x := &Index{table: t, pools: map[string]*pool{}}
+	x.hosts = x.hostsOf(t)
 	for _, m := range t.Members() {
 		if m.Service() != "" && takesWork(m.Phase()) {
 			x.add(m)
@@ -129,7 +144,7 @@
 
 // Service returns the service of a request, named by the first path segment.
 func (x *Index) Service(f Facts) (rules.Service, bool) {
-	return x.table.Rules().Service(segment(f.path, 1))
+	return x.table.Rules().Service(f.name())
 }
 
 // Decide returns where the request goes.
@@ -141,6 +156,8 @@
 	switch k := s.Kind().(type) {
 	case rules.Keyed:
 		return x.keyed(s, k, f)
+	case rules.Ordered:
+		return x.ordered(s, k, f)
 	case rules.Pooled:
 		return x.pooled(s)
 	}
@@ -184,6 +201,9 @@
 }
 
 func keyOf(source rules.KeySource, f Facts) string {
+	if f.service != "" {
+		return f.key
+	}
 	switch s := source.(type) {
 	case rules.PathSegment:
 		return segment(f.path, s.Index())
--- a/core/state/call/call.go
+++ b/core/state/call/call.go
@@ -5,6 +5,8 @@
 import (
 	"io"
 
+	"verbenabank/core/clock"
+
 	"verbenabank/core/state/table"
 )
 
@@ -35,6 +37,10 @@
 	incarnation table.Incarnation
 	length      int64
 	body        io.Reader
+	id          string
+	priority    int
+	aim         clock.Millis
+	repeatable  bool
 }
 
 // Option sets one property of a Request.
@@ -48,6 +54,17 @@
 	return func(r *Request) { r.key, r.shard = key, s }
 }
 
+// WithID sets the identity of the request, for logs.
+func WithID(id string) Option { return func(r *Request) { r.id = id } }
+
+// WithRank sets the priority (0 is the highest), how many milliseconds are left until an
+// answer loses most of its worth, 0 if that is not known, and whether the request may run more than once.
+func WithRank(priority int, aim clock.Millis, repeatable bool) Option {
+	return func(r *Request) {
+		r.priority, r.aim, r.repeatable = priority, aim, repeatable
+	}
+}
+
 // WithMember sets the incarnation that is to run the request.
 func WithMember(i table.Incarnation) Option { return func(r *Request) { r.incarnation = i } }
 
@@ -93,3 +110,16 @@
 
 // Body returns the body, nil if there is none.
 func (r Request) Body() io.Reader { return r.body }
+
+// ID returns the identity of the request, for logs.
+func (r Request) ID() string { return r.id }
+
+// Priority returns the rank of the request; 0 is the highest.
+func (r Request) Priority() int { return r.priority }
+
+// Aim returns how many milliseconds were left, when the attempt was made, until an answer
+// loses most of its worth.
+func (r Request) Aim() clock.Millis { return r.aim }
+
+// Repeatable reports whether the request may run more than once.
+func (r Request) Repeatable() bool { return r.repeatable }
--- a/core/state/fleet/fleet.go
+++ b/core/state/fleet/fleet.go
@@ -26,6 +26,7 @@
 	asked        []Record // by operators
 	own          []Record // of the control group
 	nextOverride table.Shard
+	accepted     []Mark // newest last
 }
 
 // Option sets one part of a Fleet.
--- a/core/state/load/load.go
+++ b/core/state/load/load.go
@@ -22,7 +22,9 @@
 func (r Report) Keys() []Key { return r.keys }
 
 // Empty reports whether nothing was counted.
-func (r Report) Empty() bool { return len(r.shards) == 0 && len(r.keys) == 0 && len(r.cells) == 0 }
+func (r Report) Empty() bool {
+	return len(r.shards) == 0 && len(r.keys) == 0 && len(r.cells) == 0 && r.pace.slots == 0
+}
 
 // Shard counts the requests of one shard.
 type Shard struct {
--- a/core/state/order/order.go
+++ b/core/state/order/order.go
@@ -71,6 +71,8 @@
 	rules    rules.Rules
 	instance string
 	folder   string
+	base     uint64
+	bound    bool
 }
 
 // NewAccept returns the offer of rules from a folder of an instance.
@@ -87,6 +89,16 @@
 // Folder returns the folder that holds the files.
 func (c Accept) Folder() string { return c.folder }
 
+// WithBase returns the command that is to be accepted only if the rules of that version are
+// in force, 0 if none are.
+func (c Accept) WithBase(version uint64) Accept {
+	c.base, c.bound = version, true
+	return c
+}
+
+// Base returns the version that must be in force, and whether one must.
+func (c Accept) Base() (uint64, bool) { return c.base, c.bound }
+
 func (Join) command()     {}
 func (Expire) command()   {}
 func (SetPhase) command() {}
--- a/core/state/result/reason.go
+++ b/core/state/result/reason.go
@@ -9,9 +9,12 @@
 	NotReady       Reason = "not-ready"       // this daemon has no current configuration
 	BadRequest     Reason = "bad-request"     // the request is malformed or its key is missing
 	UnknownService Reason = "unknown-service" // no service has this name
+	UnknownRoute   Reason = "unknown-route"   // no route fits the host and the path
+	HeadTooLarge   Reason = "head-too-large"  // the head is over its limit
 	TooLarge       Reason = "too-large"       // the body or the key is over its limit
 	NoOwner        Reason = "no-owner"        // the key has no owner at present
 	NotOwner       Reason = "not-owner"       // the daemon that was asked owns the key no more
+	NotHeld        Reason = "not-held"        // the target does not hold the key yet
 	NoTarget       Reason = "no-target"       // no target of the service can take work
 	Overloaded     Reason = "overloaded"      // the queue is full or too slow for the deadline
 	Shed           Reason = "shed"            // the target itself refused the work
@@ -25,6 +28,7 @@
 	TimedOut    Reason = "timed-out"    // the deadline passed after the request was sent
 	Interrupted Reason = "interrupted"  // the connection broke after the request was sent
 	Truncated   Reason = "truncated"    // the answer ended early
+	Foreign     Reason = "foreign"      // what came is no answer to the request
 	LeaseLapsed Reason = "lease-lapsed" // ownership lapsed while the request ran
 	Cancelled   Reason = "cancelled"    // the caller went away
 )
--- a/core/state/result/result.go
+++ b/core/state/result/result.go
@@ -20,6 +20,7 @@
 type Refused struct {
 	reason Reason
 	after  clock.Millis
+	sent   bool
 }
 
 // NewRefused returns the outcome with its reason and how long the caller should
@@ -34,6 +35,15 @@
 // After returns how long to wait before another try, 0 if none is of use.
 func (r Refused) After() clock.Millis { return r.after }
 
+// WithSent returns the refusal of a target that was sent the request.
+func (r Refused) WithSent() Refused {
+	r.sent = true
+	return r
+}
+
+// Sent reports whether a target was sent the request, which it did not run.
+func (r Refused) Sent() bool { return r.sent }
+
 // Unknown requests may have run, once at most.
 type Unknown struct{ reason Reason }
 
--- a/core/state/rules/rules.go
+++ b/core/state/rules/rules.go
@@ -21,8 +21,7 @@
 // New returns rules with the given version, the digest of the merged content in
 // lower-case hexadecimal SHA-256, and services.
 func New(version uint64, digest string, services ...Service) Rules {
-	r := Rules{version: version, digest: digest, services: make(map[string]Service, len(services)),
-		limits: NewLimits(DefaultHeadBytes, DefaultBodyBytes, DefaultHeadWait, DefaultIdleWait)}
+	r := Rules{version: version, digest: digest, services: make(map[string]Service, len(services))}
 	for _, s := range services {
 		r.services[s.Name()] = s
 	}
@@ -70,4 +69,9 @@
 func (r Rules) Routes() []Route { return r.routes }
 
 // Limits returns the limits for callers.
-func (r Rules) Limits() Limits { return r.limits }
+func (r Rules) Limits() Limits {
+	if r.limits == (Limits{}) {
+		return NewLimits(DefaultHeadBytes, DefaultBodyBytes, DefaultHeadWait, DefaultIdleWait)
+	}
+	return r.limits
+}
--- a/core/wire/codec/command.go
+++ b/core/wire/codec/command.go
@@ -83,13 +83,20 @@
 
 // EncodeProposal returns the message of an offered configuration.
 func EncodeProposal(c order.Accept) *wirepb.Proposal {
-	return &wirepb.Proposal{Configuration: EncodeRules(c.Rules()), Instance: c.Instance(), Folder: c.Folder()}
+	base, bound := c.Base()
+	return &wirepb.Proposal{
+		Configuration: EncodeRules(c.Rules()), Instance: c.Instance(), Folder: c.Folder(), Base: base, Bound: bound,
+	}
 }
 
 // DecodeProposal returns the offered configuration of a message.
 func (c *Codec) DecodeProposal(m *wirepb.Proposal) (order.Accept, error) {
 	r, err := c.DecodeRules(m.GetConfiguration())
-	return order.NewAccept(r, m.GetInstance(), m.GetFolder()), err
+	a := order.NewAccept(r, m.GetInstance(), m.GetFolder())
+	if m.GetBound() {
+		a = a.WithBase(m.GetBase())
+	}
+	return a, err
 }
 
 // DecodeCommand returns the command of a log entry and when it was proposed.
--- a/core/wire/codec/session.go
+++ b/core/wire/codec/session.go
@@ -121,8 +121,8 @@
 }
 
 // EncodeWelcome returns the order that opens a session with the leader of group.
-func EncodeWelcome(group uint64) *wirepb.Order {
-	return &wirepb.Order{Order: &wirepb.Order_Welcome{Welcome: &wirepb.Welcome{Group: group}}}
+func EncodeWelcome(group uint64, replicas []string) *wirepb.Order {
+	return &wirepb.Order{Order: &wirepb.Order_Welcome{Welcome: &wirepb.Welcome{Group: group, Replicas: replicas}}}
 }
 
 // DecodeOrder returns what an order of the leader means to a daemon. Redirect and
--- a/core/wire/codec/state.go
+++ b/core/wire/codec/state.go
@@ -19,6 +19,9 @@
 		Origin:       &wirepb.Proposal{Instance: f.Origin().Instance(), Folder: f.Origin().Folder()},
 		NextOverride: uint32(f.NextOverride()),
 	}
+	for _, k := range f.Marks() {
+		m.Accepted = append(m.Accepted, &wirepb.Configuration{Version: k.Version(), Digest: k.Digest()})
+	}
 	if !audit {
 		return m
 	}
@@ -55,7 +58,12 @@
 	if err != nil {
 		return nil, err
 	}
+	var marks []fleet.Mark
+	for _, k := range m.GetAccepted() {
+		marks = append(marks, fleet.NewMark(k.GetVersion(), k.GetDigest()))
+	}
 	return fleet.New(
+		fleet.WithAccepted(marks...),
 		fleet.WithIndex(m.GetIndex()),
 		fleet.WithTable(table.Empty().With(m.GetTableVersion(), changes...)),
 		fleet.WithOrigin(fleet.NewOrigin(m.GetOrigin().GetInstance(), m.GetOrigin().GetFolder())),
@@ -93,3 +101,21 @@
 	}
 	return m
 }
+
+// DecodeVerdict reads what became of an offer, and whether it was decided.
+func DecodeVerdict(m *wirepb.Verdict) (fleet.Verdict, bool) {
+	switch m.GetCode() {
+	case wirepb.VerdictCode_VERDICT_CODE_ACCEPTED:
+		return fleet.Accepted{}, true
+	case wirepb.VerdictCode_VERDICT_CODE_REPEATED:
+		return fleet.Repeated{}, true
+	case wirepb.VerdictCode_VERDICT_CODE_CONFLICT:
+		return fleet.NewConflict(m.GetDigest(), fleet.NewOrigin(m.GetFirstInstance(), m.GetFirstFolder())), true
+	case wirepb.VerdictCode_VERDICT_CODE_OLDER:
+		return fleet.NewOlder(m.GetVersion()), true
+	case wirepb.VerdictCode_VERDICT_CODE_INVALID:
+		return fleet.NewInvalid(m.GetMessage()), true
+	case wirepb.VerdictCode_VERDICT_CODE_UNDECIDED, wirepb.VerdictCode_VERDICT_CODE_UNSPECIFIED:
+	}
+	return nil, false
+}
--- a/core/wire/parts/parts.go
+++ b/core/wire/parts/parts.go
@@ -17,6 +17,7 @@
 	return &wirepb.RequestPart{Part: &wirepb.RequestPart_Head{Head: &wirepb.RequestHead{
 		Service: r.Service(), Method: r.Method(), Uri: r.URI(), Headers: headers(r.Fields()),
 		Key: r.Key(), Shard: uint32(r.Shard()), Incarnation: uint64(r.Incarnation()), ContentLength: length(r),
+		Id: r.ID(), Priority: uint32(r.Priority()), AimMs: int64(r.Aim()), Repeatable: r.Repeatable(),
 	}}}
 }
 
@@ -38,6 +39,7 @@
 		call.WithFields(fields(h.GetHeaders())),
 		call.WithKey(h.GetKey(), table.Shard(h.GetShard())),
 		call.WithMember(table.Incarnation(h.GetIncarnation())),
+		call.WithID(h.GetId()), call.WithRank(int(h.GetPriority()), clock.Millis(h.GetAimMs()), h.GetRepeatable()),
 	}
 	if h.GetContentLength() != 0 {
 		opts = append(opts, call.WithBody(body, h.GetContentLength()))
@@ -72,7 +74,7 @@
 	f := &wirepb.Failure{}
 	switch o := o.(type) {
 	case result.Refused:
-		f.NotRun, f.Reason, f.RetryAfterMs = true, string(o.Reason()), int64(o.After())
+		f.NotRun, f.Reason, f.RetryAfterMs, f.Sent = true, string(o.Reason()), int64(o.After()), o.Sent()
 	case result.Unknown:
 		f.Reason = string(o.Reason())
 	case result.Answered:
@@ -84,7 +86,11 @@
 // Outcome returns the outcome that a failure tells.
 func Outcome(f *wirepb.Failure) result.Outcome {
 	if f.GetNotRun() {
-		return result.NewRefused(result.Reason(f.GetReason()), clock.Millis(f.GetRetryAfterMs()))
+		o := result.NewRefused(result.Reason(f.GetReason()), clock.Millis(f.GetRetryAfterMs()))
+		if f.GetSent() {
+			return o.WithSent()
+		}
+		return o
 	}
 	return result.NewUnknown(result.Reason(f.GetReason()))
 }
--- /dev/null
+++ b/verbenad/adapt/front/conn.go
@@ -0,0 +1,264 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http/httputil"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"verbenabank/core/state/result"
+	"verbenabank/core/state/rules"
+)
+
+const (
+	// lingerSpan and lingerBytes bound how much of an unread body is read and thrown away
+	// before a connection is closed, so that the response arrives.
+	lingerSpan  = 500 * time.Millisecond
+	lingerBytes = 16 << 20
+)
+
+// conn is a connection of a caller. One goroutine reads it; each request has one of its
+// own, which writes when its turn has come.
+type conn struct {
+	front  *Front
+	net    net.Conn
+	reader *bufio.Reader
+	ctx    context.Context // ends when the caller leaves
+	cancel context.CancelFunc
+	ahead  atomic.Int32  // requests under way
+	room   chan struct{} // has an element for each request under way
+	group  sync.WaitGroup
+
+	mu      sync.Mutex
+	turn    chan struct{} // closed when the last response is written
+	waiting bool          // for the first byte of a request
+	ending  bool          // no request is read any more
+	broken  bool          // the last response is not whole
+	unread  bool          // a body is left in the connection
+}
+
+func newConn(f *Front, n net.Conn) *conn {
+	c := &conn{front: f, net: n, reader: bufio.NewReaderSize(n, readBytes), room: make(chan struct{}, MaxAhead)}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.turn = make(chan struct{})
+	close(c.turn)
+	return c
+}
+
+func (c *conn) serve() {
+	defer c.front.drop(c)
+	for c.next() {
+	}
+	c.group.Wait()
+	c.cancel()
+	c.close()
+}
+
+// next reads a request and starts it. It reports false at the end of the connection.
+func (c *conn) next() bool {
+	limits := c.front.relay.Limits()
+	if !c.await(limits) {
+		return false
+	}
+	x := &exchange{conn: c, done: make(chan struct{}), began: c.front.clock.Now()}
+	_ = c.net.SetReadDeadline(time.Now().Add(limits.HeadWait().Duration()))
+	err := x.head.Read(c.reader)
+	switch {
+	case err == nil:
+	case isSmall(err):
+		return c.start(x, result.HeadTooLarge)
+	case errors.Is(err, io.EOF), errors.Is(err, os.ErrDeadlineExceeded), isNet(err):
+		c.cancel()
+		return false
+	default:
+		return c.start(x, result.BadRequest)
+	}
+	if !c.take(x) {
+		return false
+	}
+	return x.open(limits)
+}
+
+// await waits for the first byte of a request. A caller that leaves meanwhile ends all its
+// requests.
+func (c *conn) await(limits rules.Limits) bool {
+	if c.reader.Buffered() > 0 {
+		return c.open()
+	}
+	for {
+		c.mu.Lock()
+		c.waiting = true
+		ending := c.ending
+		if !ending {
+			_ = c.net.SetReadDeadline(time.Now().Add(limits.IdleWait().Duration()))
+		}
+		c.mu.Unlock()
+		if ending && c.ahead.Load() == 0 {
+			return false
+		}
+		_, err := c.reader.Peek(1)
+		c.mu.Lock()
+		c.waiting = false
+		c.mu.Unlock()
+		switch {
+		case err == nil:
+			return c.open()
+		case errors.Is(err, os.ErrDeadlineExceeded) && c.ahead.Load() > 0 && c.open():
+			continue
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			c.cancel()
+		}
+		return false
+	}
+}
+
+// take puts a request behind those before it. One that was read after the connection began
+// to end counts as not read: its caller sends it again.
+func (c *conn) take(x *exchange) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ending {
+		return false
+	}
+	x.before, c.turn = c.turn, x.done
+	return true
+}
+
+// ends reports whether the response to x is the last one, which it is to be if wanted. One
+// with requests behind it is not: they are under way and get their answers.
+func (c *conn) ends(x *exchange, wanted bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.turn != x.done {
+		return false
+	}
+	c.ending = c.ending || wanted
+	return c.ending
+}
+
+// open reports whether requests are still read.
+func (c *conn) open() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.ending
+}
+
+// start refuses a request whose head cannot be read and ends the connection.
+func (c *conn) start(x *exchange, reason result.Reason) bool {
+	return c.take(x) && c.reject(x, reason)
+}
+
+// reject refuses a request at once and ends the connection.
+func (c *conn) reject(x *exchange, reason result.Reason) bool {
+	c.end(true)
+	c.run(x, func() { x.refuse(reason) })
+	return false
+}
+
+// run runs a request beside the reading of the connection.
+func (c *conn) run(x *exchange, f func()) {
+	c.room <- struct{}{}
+	c.ahead.Add(1)
+	c.group.Add(1)
+	go func() {
+		defer c.group.Done()
+		f()
+		close(x.done)
+		c.ahead.Add(-1)
+		<-c.room
+	}()
+}
+
+// end stops the reading of requests. unread says that a body is left in the connection.
+func (c *conn) end(unread bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending = true
+	c.unread = c.unread || unread
+}
+
+// stop ends the connection after the response that was just written.
+func (c *conn) stop(broken bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending, c.broken = true, c.broken || broken
+	if c.waiting {
+		_ = c.net.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// endIfIdle ends the connection if no request is under way.
+func (c *conn) endIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.waiting && c.ahead.Load() == 0 {
+		c.ending = true
+		_ = c.net.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// close closes the connection. One whose last response is not whole is reset, so that the
+// response cannot look complete.
+func (c *conn) close() {
+	t, ok := c.net.(*net.TCPConn)
+	switch {
+	case ok && c.broken:
+		_ = t.SetLinger(0)
+	case ok && c.unread:
+		_ = t.CloseWrite()
+		_ = t.SetReadDeadline(time.Now().Add(lingerSpan))
+		_, _ = io.CopyN(io.Discard, t, lingerBytes)
+	}
+	_ = c.net.Close()
+}
+
+// bodyReader returns the reader of the body that a head announces, nil without one.
+func (c *conn) bodyReader(h *fasthttp.RequestHeader) (io.Reader, int64) {
+	switch length := int64(h.ContentLength()); {
+	case length > 0:
+		return io.LimitReader(c.reader, length), length
+	case length == -1:
+		return &chunked{reader: c.reader, chunks: httputil.NewChunkedReader(c.reader)}, -1
+	}
+	return nil, 0
+}
+
+// chunked reads a body in chunks, with its trailer.
+type chunked struct {
+	reader *bufio.Reader
+	chunks io.Reader
+}
+
+func (b *chunked) Read(p []byte) (int, error) {
+	n, err := b.chunks.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	for {
+		line, err := b.reader.ReadSlice('\n')
+		if err != nil {
+			return n, io.ErrUnexpectedEOF
+		}
+		if len(line) <= 2 {
+			return n, io.EOF
+		}
+	}
+}
+
+func isSmall(err error) bool {
+	var small *fasthttp.ErrSmallBuffer
+	return errors.As(err, &small)
+}
+
+func isNet(err error) bool {
+	var n *net.OpError
+	return errors.As(err, &n) || errors.Is(err, io.ErrUnexpectedEOF)
+}
--- /dev/null
+++ b/verbenad/adapt/front/exchange.go
@@ -0,0 +1,189 @@
+package front
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"verbenabank/core/clock"
+	"verbenabank/core/query/route"
+	"verbenabank/core/state/call"
+	"verbenabank/core/state/result"
+	"verbenabank/core/state/rules"
+	"verbenabank/verbenad/adapt/head"
+	"verbenabank/verbenad/command/relay"
+)
+
+// exchange is one request and its response.
+type exchange struct {
+	conn   *conn
+	head   fasthttp.RequestHeader
+	before chan struct{} // closed when the response before is written
+	done   chan struct{} // closed when this one is
+	began  clock.Millis
+	ask    Ask
+	body   *relay.Body
+	cut    bool // the body was not read whole
+}
+
+// open starts the request. It returns once its body is read, or is not to be read, and
+// reports whether another request may be read from the connection.
+func (x *exchange) open(limits rules.Limits) bool {
+	c, f := x.conn, x.conn.front
+	x.ask = f.dialect.Ask(&x.head)
+	source, length := c.bodyReader(&x.head)
+	switch {
+	case !head.WellFormed(&x.head) || len(x.head.Host()) == 0:
+		return c.reject(x, result.BadRequest)
+	case length > limits.BodyBytes():
+		return c.reject(x, result.TooLarge)
+	case source == nil:
+		c.run(x, x.serve)
+		return true
+	}
+	read := make(chan struct{})
+	x.body = relay.NewBody(&continuing{exchange: x, source: source}, length, limits.BodyBytes(), func() { close(read) })
+	_ = c.net.SetReadDeadline(time.Now().Add(bodyWait))
+	c.run(x, x.serve)
+	select {
+	case <-read:
+		return true
+	case <-x.done:
+	}
+	select {
+	case <-read:
+		return true
+	default:
+		return false
+	}
+}
+
+// bodyWait bounds how long a body may take.
+const bodyWait = 10 * time.Minute
+
+// continuing reads a body, and asks the caller for it first if the caller waits for that.
+type continuing struct {
+	exchange *exchange
+	source   io.Reader
+	asked    bool
+}
+
+func (b *continuing) Read(p []byte) (int, error) {
+	if x := b.exchange; !b.asked && x.head.PeekBytes([]byte("Expect")) != nil {
+		<-x.before
+		if _, err := x.conn.net.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+			return 0, err
+		}
+	}
+	b.asked = true
+	n, err := b.source.Read(p)
+	if err != nil && err != io.EOF {
+		b.exchange.conn.cancel()
+	}
+	return n, err
+}
+
+// serve runs the request and writes its response.
+func (x *exchange) serve() {
+	f := x.conn.front
+	f.meter.Begin()
+	o := x.run()
+	f.meter.End(o, f.clock.Now()-x.began)
+	if x.body != nil && !x.body.Finish(x.interrupt) && !x.cut {
+		x.conn.end(true)
+	}
+}
+
+func (x *exchange) interrupt() { _ = x.conn.net.SetReadDeadline(time.Unix(1, 0)) }
+
+func (x *exchange) run() result.Outcome {
+	f := x.conn.front
+	s, ok := f.relay.Current()
+	if !ok {
+		return x.refuse(result.NotReady)
+	}
+	i := f.relay.Index(s)
+	uri := target(&x.head)
+	path, _, _ := strings.Cut(uri, "?")
+	r, ok := i.Find(host(&x.head), path)
+	if !ok {
+		return x.refuse(result.UnknownRoute)
+	}
+	p, ok := route.Share(r, rand.IntN)
+	if !ok {
+		return x.refuse(result.NoTarget)
+	}
+	v, ok := s.Table().Rules().Service(p.Service())
+	if !ok {
+		return x.refuse(result.UnknownService)
+	}
+	wait := r.Timeout()
+	if x.ask.wait > 0 {
+		wait = min(wait, x.ask.wait)
+	}
+	deadline := x.began + wait
+	ctx, cancel := context.WithTimeout(x.conn.ctx, (deadline - f.clock.Now()).Duration())
+	defer cancel()
+	d := relay.NewDemand(v, route.Direct(v.Name(), x.key(v)), deadline,
+		relay.WithMessage(x.ask.id, string(x.head.Method()), uri),
+		relay.WithFields(f.dialect.Forward(fields(&x.head), f.origin())), relay.WithBody(x.body),
+		relay.WithRoute(r, x.began+r.Aim()))
+	switch reply := f.relay.Run(ctx, d).Reply().(type) {
+	case call.Answer:
+		return x.answer(ctx, reply)
+	case call.Failure:
+		return x.fail(reply.Outcome())
+	}
+	return x.fail(result.NewUnknown(result.Interrupted))
+}
+
+// key returns the key of the request, "" if the service has none.
+func (x *exchange) key(s rules.Service) string {
+	o, ok := s.Kind().(rules.Ordered)
+	if !ok {
+		return ""
+	}
+	switch k := o.Source().(type) {
+	case rules.Header:
+		return string(x.head.Peek(k.Name()))
+	case rules.PathSegment:
+		return ""
+	}
+	return ""
+}
+
+// target returns path and query as the caller sent them.
+func target(h *fasthttp.RequestHeader) string {
+	uri := string(h.RequestURI())
+	if strings.HasPrefix(uri, "/") {
+		return uri
+	}
+	if _, rest, ok := strings.Cut(uri, "://"); ok {
+		if i := strings.IndexByte(rest, '/'); i >= 0 {
+			return rest[i:]
+		}
+	}
+	return "/"
+}
+
+// host returns the host name without a port.
+func host(h *fasthttp.RequestHeader) string {
+	name, _, _ := strings.Cut(string(h.Host()), ":")
+	return name
+}
+
+// fields returns the header fields that are not about the connection.
+func fields(h *fasthttp.RequestHeader) []call.Field {
+	named := head.Tokens(string(h.Peek(fasthttp.HeaderConnection)))
+	list := make([]call.Field, 0, h.Len()+2)
+	for k, v := range h.All() {
+		if name := string(k); head.Passed(name, named) {
+			list = append(list, call.NewField(name, string(v)))
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/verbenad/adapt/front/front.go
@@ -0,0 +1,192 @@
+// Package front takes HTTP/1.1 requests of callers by host and path, runs those of one
+// connection side by side, and answers them in order.
+//
+// It reads on while requests run, so it notices at once when a caller leaves. How callers
+// name things is the matter of a Dialect.
+package front
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"verbenabank/core/clock"
+	"verbenabank/core/state/call"
+	"verbenabank/core/state/result"
+	"verbenabank/verbenad/command/meter"
+	"verbenabank/verbenad/command/relay"
+)
+
+const (
+	// MaxAhead is how many requests of one connection run side by side.
+	MaxAhead = 32
+	// MaxConnections is how many callers may be connected at once.
+	MaxConnections = 2048
+	// readBytes is the size in bytes of a connection's buffer, and with it of the largest
+	// head that is read.
+	readBytes = 16<<10 + 512
+)
+
+// Ask is what the head of a request says to the system.
+type Ask struct {
+	id   string
+	wait clock.Millis
+}
+
+// NewAsk returns the identity of a request and how many milliseconds its caller waits, 0 if
+// it does not say.
+func NewAsk(id string, wait clock.Millis) Ask { return Ask{id: id, wait: wait} }
+
+// Failure is how a caller is told that there is no answer.
+type Failure struct {
+	status int
+	fields []call.Field
+	text   string
+}
+
+// NewFailure returns the response with a status, header fields and a line of text.
+func NewFailure(status int, text string, fields ...call.Field) Failure {
+	return Failure{status: status, text: text, fields: fields}
+}
+
+// Dialect is how callers are spoken to. It only maps names.
+type Dialect interface {
+	// Ask reads what a request says to the system.
+	Ask(h *fasthttp.RequestHeader) Ask
+	// Forward returns the header fields for the target out of those of the caller. origin is
+	// the service of the instance that the request comes from.
+	Forward(fields []call.Field, origin string) []call.Field
+	// Fail returns the response for an outcome without an answer.
+	Fail(id string, o result.Outcome) Failure
+}
+
+// Front takes requests of callers. It is safe for concurrent use.
+type Front struct {
+	clock   *clock.Clock
+	relay   *relay.Relay
+	dialect Dialect
+	meter   *meter.Meter
+	log     *logrus.Entry
+	origin  func() string
+	group   conc.WaitGroup
+	leaving atomic.Bool
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+// Option sets one property of a Front.
+type Option func(*Front)
+
+// WithClock sets the clock.
+func WithClock(c *clock.Clock) Option { return func(f *Front) { f.clock = c } }
+
+// WithRelay sets what serves the requests.
+func WithRelay(r *relay.Relay) Option { return func(f *Front) { f.relay = r } }
+
+// WithDialect sets how callers are spoken to.
+func WithDialect(d Dialect) Option { return func(f *Front) { f.dialect = d } }
+
+// WithOrigin sets what tells the service of this instance.
+func WithOrigin(f func() string) Option { return func(x *Front) { x.origin = f } }
+
+// WithLog sets the log.
+func WithLog(e *logrus.Entry) Option { return func(f *Front) { f.log = e } }
+
+// New returns a front.
+func New(opts ...Option) *Front {
+	f := &Front{
+		clock: clock.New(), meter: meter.Of("entry"), log: logrus.NewEntry(logrus.StandardLogger()),
+		conns: map[*conn]struct{}{}, origin: func() string { return "" },
+	}
+	for _, o := range opts {
+		o(f)
+	}
+	return f
+}
+
+// Serve takes connections until the listener is closed.
+func (f *Front) Serve(l net.Listener) error {
+	for {
+		n, err := l.Accept()
+		if err != nil {
+			return err
+		}
+		c := newConn(f, n)
+		if !f.add(c) {
+			_ = n.Close()
+			continue
+		}
+		f.group.Go(c.serve)
+	}
+}
+
+func (f *Front) add(c *conn) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.conns) >= MaxConnections {
+		f.meter.Event("connections_refused", 1)
+		return false
+	}
+	f.conns[c] = struct{}{}
+	return true
+}
+
+func (f *Front) drop(c *conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.conns, c)
+}
+
+// Leave asks callers to go elsewhere: each connection ends with its next response.
+func (f *Front) Leave() { f.leaving.Store(true) }
+
+// Busy returns how many connections have requests under way.
+func (f *Front) Busy() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	count := 0
+	for c := range f.conns {
+		if c.ahead.Load() > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// Shutdown ends idle connections and waits for the others until ctx ends.
+func (f *Front) Shutdown(ctx context.Context) {
+	f.Leave()
+	f.mu.Lock()
+	for c := range f.conns {
+		c.endIfIdle()
+	}
+	f.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		f.group.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		f.cut()
+		<-done
+	}
+}
+
+// cut ends all connections at once.
+func (f *Front) cut() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		_ = c.net.SetDeadline(time.Unix(1, 0))
+		c.cancel()
+	}
+}
--- a/verbenad/command/entry/strict.go
+++ b/verbenad/adapt/head/strict.go
@@ -1,4 +1,4 @@
-package entry
+package head
 
 import (
 	"bytes"
@@ -6,10 +6,10 @@
 	"github.com/valyala/fasthttp"
 )
 
-// wellFormed reports whether the head means the same to every reader. The parser of
+// WellFormed reports whether the head means the same to every reader. The parser of
 // fasthttp takes two things that others refuse or read otherwise: names of fields with
 // spaces, and a body with both an announced length and chunks.
-func wellFormed(h *fasthttp.RequestHeader) bool {
+func WellFormed(h *fasthttp.RequestHeader) bool {
 	for name := range h.All() {
 		if !token(name) {
 			return false
--- a/verbenad/adapt/hop/hop.go
+++ b/verbenad/adapt/hop/hop.go
@@ -13,7 +13,6 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/grpc/keepalive"
 
 	"verbenabank/core/state/call"
 	"verbenabank/core/state/result"
@@ -25,10 +24,6 @@
 	WindowBytes = 64 << 10
 	// DefaultConnectTimeout bounds the making of a connection.
 	DefaultConnectTimeout = 500 * time.Millisecond
-	// keepaliveTime is how long a connection may be silent before it is probed, and
-	// keepaliveTimeout how long the probe may take.
-	keepaliveTime    = 10 * time.Second
-	keepaliveTimeout = 2 * time.Second
 	// chunkBytes is the size of the largest part of a body. With its head the part fits
 	// a pooled buffer of gRPC of 32 KiB; the next size is 1 MiB.
 	chunkBytes = 32<<10 - 64
@@ -115,7 +110,6 @@
 		grpc.WithDisableServiceConfig(),
 		grpc.WithInitialWindowSize(WindowBytes),
 		grpc.WithIdleTimeout(0),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: 20 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 500 * time.Millisecond},
 			MinConnectTimeout: c.connectTimeout,
--- a/verbenad/adapt/jsonc/address.go
+++ b/verbenad/adapt/jsonc/address.go
@@ -16,8 +16,9 @@
 		l.Fault("listen", "is missing; set callers, peers and admin in it")
 		return nil
 	}
-	r.Only("callers", "peers", "admin", "advertise")
-	callers, peers, admin := listen(r, "callers"), listen(r, "peers"), listen(r, "admin")
+	r.Only("callers", "peers", "admin", "ready", "advertise")
+	callers, ready := optional(r, "callers"), optional(r, "ready")
+	peers, admin := listen(r, "peers"), listen(r, "admin")
 	if peers.IsValid() && peers.Addr().IsUnspecified() {
 		r.Fault("peers", "must be an address that other processes can reach, not the unspecified one")
 	}
@@ -31,15 +32,15 @@
 	if r.Has("advertise") {
 		advertised = listen(r, "advertise")
 	}
-	replicas := l.replicas()
+	replicas := l.replicas(advertised.Port())
 	listed := slices.Contains(replicas, advertised)
-	if l.Has("control") && !listed && len(replicas) > 0 {
+	if l.Has("control") && !l.Has("seeds") && !listed && len(replicas) > 0 {
 		l.Fault("control", "is set, so replicas must have the address of listen.peers; add it there or remove control")
 	}
 	if !l.Has("control") && listed {
 		l.Fault("replicas", "has the address of listen.peers, so control must be set; add control or remove the address")
 	}
-	return []sets.Option{sets.WithListen(callers, peers, admin), sets.WithAdvertised(advertised), sets.WithReplicas(replicas...)}
+	return []sets.Option{sets.WithListen(callers, peers, admin), sets.WithAdvertised(advertised), sets.WithReplicas(replicas...), sets.WithReady(ready)}
 }
 
 func listen(r jtree.Reader, field string) netip.AddrPort {
@@ -51,7 +52,10 @@
 	return address
 }
 
-func (l loader) replicas() []netip.AddrPort {
+func (l loader) replicas(port uint16) []netip.AddrPort {
+	if l.Has("seeds") {
+		return l.seeds(port)
+	}
 	texts := l.Texts("replicas", nil)
 	if len(texts) == 0 {
 		l.Fault("replicas", "must have the peers address of each control replica")
@@ -67,3 +71,33 @@
 	}
 	return replicas
 }
+
+// seeds reads the addresses of instances that have control replicas. A replica may join a
+// group that it is not listed in, and all replicas use the port of this daemon.
+func (l loader) seeds(port uint16) []netip.AddrPort {
+	if l.Has("replicas") {
+		l.Fault("seeds", "stands beside replicas; set one of them")
+	}
+	texts := l.Texts("seeds", nil)
+	if len(texts) == 0 {
+		l.Fault("seeds", "must have the address of an instance with a control replica")
+	}
+	seeds := make([]netip.AddrPort, 0, len(texts))
+	for i, t := range texts {
+		address, err := netip.ParseAddrPort(t)
+		if err != nil || address.Addr().IsUnspecified() {
+			l.Item("seeds", i, addressRule)
+			continue
+		}
+		seeds = append(seeds, netip.AddrPortFrom(address.Addr(), port))
+	}
+	return seeds
+}
+
+// optional reads an address that may be left out.
+func optional(r jtree.Reader, field string) netip.AddrPort {
+	if !r.Has(field) {
+		return netip.AddrPort{}
+	}
+	return listen(r, field)
+}
--- a/verbenad/adapt/jsonc/jsonc.go
+++ b/verbenad/adapt/jsonc/jsonc.go
@@ -44,11 +44,10 @@
 }
 
 func (l loader) options() []sets.Option {
-	l.Only("instance", "zone", "listen", "replicas", "secret_file", "control", "tls", "configuration_folder", "log")
-	opts := []sets.Option{
-		sets.WithName(l.name("instance"), l.name("zone")),
-		sets.WithSecret(l.secret()),
-	}
+	l.Only("instance", "zone", "listen", "replicas", "seeds", "secret_file", "open_network", "control", "tls",
+		"configuration_folder", "log", "target", "lease", "hold_ms", "drain_ms", "grace_ms", "retries", "lasting_rules")
+	opts := []sets.Option{sets.WithName(l.name("instance"), l.name("zone")), l.trust(), l.spans(), l.retries(), l.beside()}
+	opts = append(opts, sets.WithLasting(l.Truth("lasting_rules", false)))
 	opts = append(opts, l.addresses()...)
 	if l.Has("control") {
 		opts = append(opts, sets.WithControl(l.control()))
--- a/verbenad/adapt/link/client.go
+++ b/verbenad/adapt/link/client.go
@@ -8,13 +8,14 @@
 
 	"verbenabank/core/state/fleet"
 	"verbenabank/core/state/order"
+	"verbenabank/core/state/rules"
 	"verbenabank/core/wire/codec"
 	"verbenabank/core/wire/wirepb"
 )
 
 // Spans of calls to the leader.
 const (
-	callTimeout = 2 * time.Second
+	callTimeout = time.Second
 	// decideWithin is how long an offer looks for a leader.
 	decideWithin = 10 * time.Second
 )
@@ -22,57 +23,99 @@
 // Client makes single calls to the leader of the control group. It is safe for
 // concurrent use.
 type Client struct {
-	replicas []string
+	replicas *Addresses
 	options  []grpc.DialOption
 	codec    *codec.Codec
 }
 
 // NewClient returns a client that finds the leader through the replicas.
-func NewClient(replicas []string, options []grpc.DialOption, c *codec.Codec) *Client {
+func NewClient(replicas *Addresses, options []grpc.DialOption, c *codec.Codec) *Client {
 	return &Client{replicas: replicas, options: options, codec: c}
 }
 
 // Offer offers a configuration until a leader decided it. An offer that was lost
 // on the way is made again, which is safe: what is in force is accepted again.
-func (c *Client) Offer(ctx context.Context, a order.Accept) (*wirepb.Verdict, error) {
+func (c *Client) Offer(ctx context.Context, a order.Accept) (fleet.Verdict, error) {
 	ctx, cancel := context.WithTimeout(ctx, decideWithin)
 	defer cancel()
-	m, next, hint := codec.EncodeProposal(a), 0, ""
+	m := codec.EncodeProposal(a)
+	var verdict fleet.Verdict
+	ok := c.ask(ctx, func(ctx context.Context, r wirepb.ControlClient) (string, bool) {
+		v, err := r.Offer(ctx, m)
+		decided := false
+		if err == nil {
+			verdict, decided = codec.DecodeVerdict(v)
+		}
+		if decided {
+			return "", true
+		}
+		return v.GetLeader(), false
+	})
+	if !ok {
+		return nil, &Error{op: "offer", kind: Undecided, cause: ctx.Err()}
+	}
+	return verdict, nil
+}
+
+// Rules returns the rules in force, confirmed by a quorum after the call.
+func (c *Client) Rules(ctx context.Context) (rules.Rules, error) {
+	var found *wirepb.Configuration
+	ok := c.ask(ctx, func(ctx context.Context, r wirepb.ControlClient) (string, bool) {
+		reply, err := r.Read(ctx, &wirepb.ReadRequest{})
+		if err == nil && reply.GetConfirmed() {
+			found = reply.GetRules()
+			return "", true
+		}
+		return reply.GetLeader(), false
+	})
+	if !ok {
+		return rules.Rules{}, &Error{op: "read rules", kind: Undecided, cause: ctx.Err()}
+	}
+	if found.GetVersion() == 0 {
+		return rules.Rules{}, nil
+	}
+	return c.codec.DecodeRules(found)
+}
+
+// ask calls replicas, the leader if one names it, until a call is done or ctx ends.
+func (c *Client) ask(ctx context.Context, call func(context.Context, wirepb.ControlClient) (string, bool)) bool {
+	next, hint := 0, ""
 	for ctx.Err() == nil {
 		address := hint
 		if address == "" {
-			address = c.replicas[next%len(c.replicas)]
+			list := c.replicas.List()
+			address = list[next%len(list)]
 			next++
 		}
-		v, err := c.offer(ctx, address, m)
-		if err == nil && v.GetCode() != wirepb.VerdictCode_VERDICT_CODE_UNDECIDED {
-			return v, nil
+		leader, done := c.try(ctx, address, call)
+		if done {
+			return true
 		}
 		hint = ""
-		if l := v.GetLeader(); l != address {
-			hint = l
+		if leader != address {
+			hint = leader
 		}
 		if hint == "" {
 			pause(ctx, backoffLeast)
 		}
 	}
-	return nil, &Error{op: "offer", kind: Undecided, cause: ctx.Err()}
+	return false
 }
 
-func (c *Client) offer(ctx context.Context, address string, m *wirepb.Proposal) (*wirepb.Verdict, error) {
+func (c *Client) try(ctx context.Context, address string, call func(context.Context, wirepb.ControlClient) (string, bool)) (string, bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	conn, err := dial(address, c.options)
 	if err != nil {
-		return nil, err
+		return "", false
 	}
 	defer func() { _ = conn.Close() }()
-	return wirepb.NewControlClient(conn).Offer(ctx, m)
+	return call(ctx, wirepb.NewControlClient(conn))
 }
 
 // Audit returns the audit trail of the first replica that answers.
 func (c *Client) Audit(ctx context.Context) ([]fleet.Record, error) {
-	for _, address := range c.replicas {
+	for _, address := range c.replicas.List() {
 		if f, err := c.inspect(ctx, address); err == nil {
 			return f.Audit(), nil
 		}
--- a/verbenad/adapt/link/link.go
+++ b/verbenad/adapt/link/link.go
@@ -7,7 +7,6 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/keepalive"
 )
 
 // Spans of connections.
@@ -17,8 +16,6 @@
 	backoffMost    = 250 * time.Millisecond
 	attachMost     = 80 * time.Millisecond // between two attempts to attach
 	attachSteps    = 2                     // doublings from backoffLeast to attachMost
-	keepaliveTime  = 10 * time.Second
-	keepaliveWait  = 2 * time.Second
 )
 
 // How many messages may wait for one connection.
@@ -37,7 +34,6 @@
 			Backoff:           backoff.Config{BaseDelay: backoffLeast, Multiplier: 1.6, Jitter: 0.2, MaxDelay: backoffMost},
 			MinConnectTimeout: connectTimeout,
 		}),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveWait}),
 	}, options...)
 	c, err := grpc.NewClient("passthrough:///"+address, all...)
 	if err != nil {
--- a/verbenad/adapt/link/outlet.go
+++ b/verbenad/adapt/link/outlet.go
@@ -35,7 +35,9 @@
 func (unencoded) parcel() {}
 
 // Welcome opens the session.
-func (o *outlet) Welcome(group uint64) { o.put(encoded{order: codec.EncodeWelcome(group)}) }
+func (o *outlet) Welcome(group uint64, replicas []string) {
+	o.put(encoded{order: codec.EncodeWelcome(group, replicas)})
+}
 
 // Send queues what the leader decided.
 func (o *outlet) Send(e leader.Effect, group uint64) {
--- a/verbenad/adapt/link/server.go
+++ b/verbenad/adapt/link/server.go
@@ -119,3 +119,21 @@
 		Term:  uint64(st.Term()), Leader: st.LeaderAddress(),
 	}, nil
 }
+
+// Read returns the rules in force once a quorum confirmed that this replica leads.
+func (s *Server) Read(ctx context.Context, _ *wirepb.ReadRequest) (*wirepb.ReadReply, error) {
+	findings := make(chan ctrl.Finding, 1)
+	s.loop.Post(ctrl.NewConsulted(func(f ctrl.Finding) { findings <- f }))
+	select {
+	case <-ctx.Done():
+		return nil, status.FromContextError(ctx.Err()).Err()
+	case f := <-findings:
+		switch f := f.(type) {
+		case ctrl.Confirmed:
+			return &wirepb.ReadReply{Confirmed: true, Rules: codec.EncodeRules(f.Fleet().Table().Rules())}, nil
+		case ctrl.Unconfirmed:
+			return &wirepb.ReadReply{Leader: f.Leader()}, nil
+		}
+	}
+	return nil, status.Error(codes.Internal, "link: no finding")
+}
--- a/verbenad/adapt/link/uplink.go
+++ b/verbenad/adapt/link/uplink.go
@@ -18,7 +18,7 @@
 // Uplink keeps a session with the leader: it asks the replicas of the settings in
 // turn and follows their redirects. It is safe for concurrent use.
 type Uplink struct {
-	replicas []string
+	replicas *Addresses
 	options  []grpc.DialOption
 	codec    *codec.Codec
 	post     func(agent.Event)
@@ -33,7 +33,7 @@
 
 // NewUplink returns an uplink to one of the replicas and the function that ends
 // it. It does nothing before Start.
-func NewUplink(replicas []string, options []grpc.DialOption, c *codec.Codec, log *logrus.Entry) (*Uplink, func()) {
+func NewUplink(replicas *Addresses, options []grpc.DialOption, c *codec.Codec, log *logrus.Entry) (*Uplink, func()) {
 	u := &Uplink{replicas: replicas, options: options, codec: c, log: log, cancel: func() {}}
 	return u, func() {
 		u.cancel()
@@ -83,7 +83,7 @@
 	case agent.SendGone:
 		return codec.EncodeGone(e)
 	case agent.Publish, agent.AwaitQuiet, agent.WatchShard, agent.WatchAll, agent.UseTarget, agent.DropTarget,
-		agent.Reconnect, agent.Freed, agent.Violated, agent.Stopped:
+		agent.Reconnect, agent.Freed, agent.Violated, agent.Stopped, agent.Command:
 	}
 	return nil
 }
@@ -96,7 +96,8 @@
 	for ctx.Err() == nil {
 		address := hint
 		if address == "" {
-			address = u.replicas[next%len(u.replicas)]
+			list := u.replicas.List()
+			address = list[next%len(list)]
 			next++
 		}
 		met := false
@@ -148,6 +149,7 @@
 	if m.GetWelcome() == nil {
 		return "", false
 	}
+	u.replicas.Learn(m.GetWelcome().GetReplicas())
 	u.log.WithField("address", address).Info("link: session with the leader")
 	hint := u.talk(ctx, cancel, s)
 	u.log.WithField("address", address).Info("link: session ended")
--- a/verbenad/adapt/link/uplink_test.go
+++ b/verbenad/adapt/link/uplink_test.go
@@ -33,7 +33,7 @@
 			_ = c.Close()
 		}
 	}()
-	u, stop := link.NewUplink([]string{l.Addr().String()},
+	u, stop := link.NewUplink(link.NewAddresses(l.Addr().String()),
 		[]grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())}, codec.New(), logrus.NewEntry(logrus.New()))
 	u.Start(func(agent.Event) {})
 	time.Sleep(time.Second)
--- a/verbenad/adapt/target/answer.go
+++ b/verbenad/adapt/target/answer.go
@@ -22,6 +22,7 @@
 	for name, value := range h.All() {
 		fields = append(fields, call.NewField(string(name), string(value)))
 	}
+	x.conn.heed(h.Peek("Keep-Alive"))
 	length := int64(h.ContentLength())
 	b := &answerBody{exchange: x, keep: !h.ConnectionClose(), left: length}
 	switch {
--- a/verbenad/adapt/target/conn.go
+++ b/verbenad/adapt/target/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"net"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -15,6 +17,7 @@
 	net.Conn
 	address string
 	since   time.Time
+	keep    time.Duration // how long it may be idle
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	wrote   atomic.Bool
@@ -69,3 +72,19 @@
 	})
 	return err == nil && quiet
 }
+
+// keepSlack is how long before the target's end of an idle connection it is not used any more.
+const keepSlack = 500 * time.Millisecond
+
+// heed takes over how long the target keeps the connection idle, as "timeout=N" in seconds.
+func (c *conn) heed(value []byte) {
+	_, rest, ok := bytes.Cut(value, []byte("timeout="))
+	if !ok {
+		return
+	}
+	text, _, _ := bytes.Cut(rest, []byte(","))
+	seconds, err := strconv.Atoi(string(bytes.TrimSpace(text)))
+	if err == nil && seconds > 0 {
+		c.keep = time.Duration(seconds)*time.Second - keepSlack
+	}
+}
--- a/verbenad/adapt/target/exchange.go
+++ b/verbenad/adapt/target/exchange.go
@@ -57,6 +57,7 @@
 		return x.fail(result.Unreachable, result.Interrupted)
 	}
 	var h fasthttp.ResponseHeader
+	h.SetNoDefaultContentType(true)
 	for {
 		if err := h.Read(x.conn.reader); err != nil {
 			return x.fail(result.Unreachable, result.Interrupted)
--- a/verbenad/adapt/target/target.go
+++ b/verbenad/adapt/target/target.go
@@ -15,6 +15,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -41,6 +42,7 @@
 	dialTimeout time.Duration
 	idleTimeout time.Duration
 	settling    time.Duration
+	refused     func()
 	group       conc.WaitGroup
 
 	mu      sync.Mutex
@@ -65,10 +67,13 @@
 // WithSettle sets how long a target may take to end a request that was given up.
 func WithSettle(span time.Duration) Option { return func(t *Target) { t.settling = span } }
 
+// WithRefused sets what is called when nobody listens at the target's address.
+func WithRefused(f func()) Option { return func(t *Target) { t.refused = f } }
+
 // New returns a target without an address. The clean-up function closes idle
 // connections.
 func New(opts ...Option) (*Target, func()) {
-	t := &Target{dial: dialTCP, dialTimeout: DefaultDialTimeout, idleTimeout: DefaultIdleTimeout, settling: DefaultSettle}
+	t := &Target{dial: dialTCP, dialTimeout: DefaultDialTimeout, idleTimeout: DefaultIdleTimeout, settling: DefaultSettle, refused: func() {}}
 	for _, o := range opts {
 		o(t)
 	}
@@ -132,9 +137,14 @@
 	defer cancel()
 	n, err := t.dial(ctx, address)
 	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			t.refused()
+		}
 		return nil, call.Refuse(result.Unreachable)
 	}
-	return newConn(n, address), call.Failure{}
+	c = newConn(n, address)
+	c.keep = t.idleTimeout
+	return c, call.Failure{}
 }
 
 // kept returns an idle connection if one is still usable.
@@ -144,7 +154,7 @@
 	for len(t.idle) > 0 {
 		c := t.idle[len(t.idle)-1]
 		t.idle = t.idle[:len(t.idle)-1]
-		if c.usable(t.idleTimeout) {
+		if c.usable(min(t.idleTimeout, c.keep)) {
 			return t.address, c
 		}
 		c.close()
@@ -157,7 +167,7 @@
 // longest time for that the connection is closed in any case.
 func (t *Target) settle(c *conn, w call.Work) {
 	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok {
+	if !ok || t.settling <= 0 {
 		c.close()
 		w.Abandoned()
 		return
--- a/verbenad/adapt/trust/trust.go
+++ b/verbenad/adapt/trust/trust.go
@@ -23,6 +23,7 @@
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 
+	"verbenabank/verbenad/adapt/sock"
 	"verbenabank/verbenad/state/sets"
 )
 
@@ -38,7 +39,7 @@
 type Trust struct {
 	proof     string
 	transport credentials.TransportCredentials
-	dialer    net.Dialer
+	dialer    *net.Dialer
 }
 
 // New returns the trust of the settings.
@@ -46,9 +47,11 @@
 	sum := hmac.New(sha256.New, s.Secret())
 	sum.Write([]byte("verbenabank peers"))
 	t := &Trust{proof: hex.EncodeToString(sum.Sum(nil)), transport: insecure.NewCredentials()}
+	var local net.Addr
 	if a := s.Peers().Addr(); a.IsValid() {
-		t.dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(a, 0))
+		local = net.TCPAddrFromAddrPort(netip.AddrPortFrom(a, 0))
 	}
+	t.dialer = sock.Dialer(local)
 	if files, ok := s.TLS(); ok {
 		c, err := mutual(files)
 		if err != nil {
--- a/verbenad/command/ctrl/ctrl.go
+++ b/verbenad/command/ctrl/ctrl.go
@@ -16,6 +16,7 @@
 	"verbenabank/core/clock"
 	"verbenabank/core/command/agent"
 	"verbenabank/core/command/leader"
+	"verbenabank/core/command/lease"
 	"verbenabank/core/command/raft"
 	"verbenabank/core/state/fleet"
 	"verbenabank/core/state/peer"
@@ -40,6 +41,7 @@
 	view   atomic.Pointer[view.View]
 
 	agent  *agent.Agent
+	terms  lease.Terms
 	cell   *snap.Cell
 	uplink Uplink
 	target Target
@@ -64,6 +66,7 @@
 	l := &Loop{
 		clock:   clock.New(),
 		codec:   codec.New(),
+		terms:   lease.Standard(),
 		log:     logrus.NewEntry(logrus.StandardLogger()),
 		events:  make(chan Event, queueLength),
 		urgent:  make(chan Event, queueLength),
@@ -94,7 +97,7 @@
 	switch e.(type) {
 	case Peer, Synced, DiskFailed:
 		return l.urgent
-	case Local, Opened, Closed, Asked, Offered, Compacted, Handover:
+	case Local, Opened, Closed, Asked, Offered, Compacted, Handover, Consulted:
 		return l.events
 	}
 	return l.events
@@ -160,6 +163,9 @@
 	switch e := e.(type) {
 	case Local:
 		l.stepAgent(e.inner)
+		if e.done != nil {
+			e.done()
+		}
 	case Peer:
 		l.stepNode(raft.NewReceived(e.message))
 	case Synced:
@@ -176,6 +182,8 @@
 		l.stepNode(raft.NewCompacted(peer.Index(e.index), e.data))
 	case DiskFailed:
 		l.fail("append", Storage, e.err)
+	case Consulted:
+		l.consulted(e)
 	case Handover:
 		l.stepNode(raft.TransferAsked{})
 	}
--- a/verbenad/command/ctrl/event.go
+++ b/verbenad/command/ctrl/event.go
@@ -13,11 +13,21 @@
 type Event interface{ event() }
 
 // Local is an event of this daemon's agent.
-type Local struct{ inner agent.Event }
+type Local struct {
+	inner agent.Event
+	done  func()
+}
 
 // NewLocal returns the event for the agent.
 func NewLocal(e agent.Event) Local { return Local{inner: e} }
 
+// Then returns the event with a function that is called once the agent has taken it. It must
+// not block.
+func (e Local) Then(done func()) Local {
+	e.done = done
+	return e
+}
+
 // Peer brings a message of another control replica.
 type Peer struct{ message peer.Message }
 
@@ -69,6 +79,31 @@
 	data  []byte
 }
 
+// Consulted asks for the rules in force, confirmed by a quorum.
+type Consulted struct{ answer func(Finding) }
+
+// NewConsulted returns the question; answer is called once, from the control goroutine, and
+// must not block.
+func NewConsulted(answer func(Finding)) Consulted { return Consulted{answer: answer} }
+
+// Finding is the answer to Consulted: Confirmed or Unconfirmed.
+type Finding interface{ finding() }
+
+// Confirmed brings the state that was in force at some instant after the question.
+type Confirmed struct{ fleet *fleet.Fleet }
+
+// Fleet returns the state.
+func (c Confirmed) Fleet() *fleet.Fleet { return c.fleet }
+
+// Unconfirmed says that this replica does not lead.
+type Unconfirmed struct{ leader string }
+
+// Leader returns the address of the replica to ask, "" if it is not known.
+func (u Unconfirmed) Leader() string { return u.leader }
+
+func (Confirmed) finding()   {}
+func (Unconfirmed) finding() {}
+
 // DiskFailed says that the storage cannot go on.
 type DiskFailed struct{ err error }
 
@@ -88,6 +123,7 @@
 func (Compacted) event()  {}
 func (DiskFailed) event() {}
 func (Handover) event()   {}
+func (Consulted) event()  {}
 
 // Answer is what became of an offer: Judged or Undecided.
 type Answer interface{ answer() }
--- a/verbenad/command/ctrl/leading.go
+++ b/verbenad/command/ctrl/leading.go
@@ -18,7 +18,7 @@
 
 func (l *Loop) startLeading() {
 	elections.Add(1)
-	l.leader = leader.New(l.clock.Now(), l.group(), l.fleet)
+	l.leader = leader.New(l.clock.Now(), l.group(), l.fleet, leader.WithTerms(l.terms))
 }
 
 // stopLeading sends all daemons elsewhere.
@@ -41,6 +41,15 @@
 	return l.node.Status().LeaderAddress()
 }
 
+// replicas returns the addresses of the group's members.
+func (l *Loop) replicas() []string {
+	var list []string
+	for _, r := range l.node.Status().Members().List() {
+		list = append(list, r.Address())
+	}
+	return list
+}
+
 func (l *Loop) group() uint64 { return uint64(l.node.Status().Group()) }
 
 // open begins a session if this replica leads.
@@ -50,7 +59,7 @@
 		return
 	}
 	l.outlets[e.session] = e.outlet
-	e.outlet.Welcome(l.group())
+	e.outlet.Welcome(l.group(), l.replicas())
 	l.stepLeader(leader.NewOpened(e.session))
 }
 
@@ -68,6 +77,16 @@
 	l.propose(e.accept, offer{answer: e.answer})
 }
 
+// consulted asks a quorum whether this replica leads, so that the answer is not older than
+// anything that was acknowledged.
+func (l *Loop) consulted(e Consulted) {
+	if l.leader == nil {
+		e.answer(Unconfirmed{leader: l.leaderAddress()})
+		return
+	}
+	l.stepNode(raft.NewConfirmAsked(l.nextToken(question(e))))
+}
+
 // stepLeader carries out what the leader decides.
 func (l *Loop) stepLeader(e leader.Event) {
 	if l.leader == nil {
--- a/verbenad/command/ctrl/local.go
+++ b/verbenad/command/ctrl/local.go
@@ -4,6 +4,7 @@
 	"errors"
 
 	"verbenabank/core/command/agent"
+	"verbenabank/core/command/hold"
 )
 
 // stepAgent carries out what the daemon decides.
@@ -28,7 +29,10 @@
 		l.flight.Empty(func() { go l.Post(NewLocal(agent.AllDrained{})) })
 	case agent.UseTarget:
 		l.log.WithField("address", f.Address()).Info("ctrl: target is up")
-		l.target.Use(f.Service(), f.Address())
+		l.target.Use(f)
+	case agent.Command:
+		id := f.Order().ID()
+		l.target.Command(f.Order(), func(r hold.Result) { l.Post(NewLocal(agent.NewOrderEnded(id, r))) })
 	case agent.DropTarget:
 		l.target.Drop()
 	case agent.Reconnect:
--- a/verbenad/command/ctrl/options.go
+++ b/verbenad/command/ctrl/options.go
@@ -5,6 +5,7 @@
 
 	"verbenabank/core/clock"
 	"verbenabank/core/command/agent"
+	"verbenabank/core/command/lease"
 	"verbenabank/core/command/raft"
 	"verbenabank/core/state/fleet"
 	"verbenabank/core/state/snap"
@@ -20,6 +21,9 @@
 	return func(l *Loop) { l.clock, l.stamp = c, stamp }
 }
 
+// WithTerms sets the terms of the leases that this replica gives when it leads.
+func WithTerms(t lease.Terms) Option { return func(l *Loop) { l.terms = t } }
+
 // WithCodec sets the encoding of log entries and snapshots.
 func WithCodec(c *codec.Codec) Option { return func(l *Loop) { l.codec = c } }
 
--- a/verbenad/command/ctrl/ports.go
+++ b/verbenad/command/ctrl/ports.go
@@ -3,6 +3,7 @@
 import (
 	"verbenabank/core/clock"
 	"verbenabank/core/command/agent"
+	"verbenabank/core/command/hold"
 	"verbenabank/core/command/leader"
 	"verbenabank/core/state/order"
 	"verbenabank/core/state/peer"
@@ -14,7 +15,7 @@
 
 // Outlet sends orders to one daemon. A full outlet ends its session.
 type Outlet interface {
-	Welcome(group uint64)
+	Welcome(group uint64, replicas []string)
 	Send(e leader.Effect, group uint64)
 	// Redirect names the replica to ask instead and ends the session.
 	Redirect(address string)
@@ -38,8 +39,10 @@
 
 // Target is the traffic side of the target beside the daemon.
 type Target interface {
-	Use(service, address string)
+	Use(t agent.UseTarget)
 	Drop()
+	// Command gives the target an order about keys and calls done once with its result.
+	Command(o hold.Order, done func(hold.Result))
 }
 
 // Flight tells when requests in flight are done, from any goroutine.
--- a/verbenad/command/ctrl/replica.go
+++ b/verbenad/command/ctrl/replica.go
@@ -24,8 +24,12 @@
 // offer waits for a verdict.
 type offer struct{ answer func(Answer) }
 
-func (round) pending() {}
-func (offer) pending() {}
+// question waits for a quorum to confirm that this replica leads.
+type question struct{ answer func(Finding) }
+
+func (round) pending()    {}
+func (question) pending() {}
+func (offer) pending()    {}
 
 // stepNode carries out what the replicated log decides. Events that arise from
 // its effects wait until all of these are carried out, so that batches reach the
@@ -161,10 +165,17 @@
 }
 
 func (l *Loop) confirmed(token uint64) {
-	r, ok := l.pending[token].(round)
+	p, ok := l.pending[token]
 	delete(l.pending, token)
-	if ok && l.leader != nil {
-		l.stepLeader(leader.NewConfirmed(r.token))
+	if !ok {
+		return
+	}
+	switch p := p.(type) {
+	case round:
+		l.stepLeader(leader.NewConfirmed(p.token))
+	case question:
+		p.answer(Confirmed{fleet: l.fleet})
+	case offer:
 	}
 }
 
@@ -179,6 +190,8 @@
 		p.answer(Undecided{leader: l.leaderAddress()})
 	case round:
 		l.stepLeader(leader.NewUnconfirmed(p.token))
+	case question:
+		p.answer(Unconfirmed{leader: l.leaderAddress()})
 	}
 }
 
--- a/verbenad/command/entry/entry.go
+++ b/verbenad/command/entry/entry.go
@@ -5,19 +5,15 @@
 import (
 	"context"
 	"net"
-	"sync"
-	"sync/atomic"
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/sourcegraph/conc"
 
 	"verbenabank/core/clock"
-	"verbenabank/core/command/budget"
 	"verbenabank/core/query/retry"
-	"verbenabank/core/query/route"
-	"verbenabank/core/state/call"
 	"verbenabank/core/state/snap"
 	"verbenabank/verbenad/command/meter"
+	"verbenabank/verbenad/command/relay"
 )
 
 const (
@@ -27,66 +23,51 @@
 	MaxConnections = 4 << 10
 )
 
-// Local serves a request with the target beside this daemon.
-type Local interface {
-	Serve(ctx context.Context, r call.Request) call.Reply
-}
-
-// Remote forwards a request to the daemon at an address.
-type Remote interface {
-	Send(ctx context.Context, address string, r call.Request) call.Reply
-}
-
-// Entry is the server of callers. It is safe for concurrent use.
+// Entry takes requests of callers. It is safe for concurrent use.
 type Entry struct {
 	clock    *clock.Clock
-	cell     *snap.Cell
-	local    Local
-	remote   Remote
-	policy   retry.Policy
+	relay    *relay.Relay
+	relaying []relay.Option
 	instance string
-	zone     string
 	meter    *meter.Meter
-
 	app      *fiber.App
 	watches  conc.WaitGroup
-	index    atomic.Pointer[route.Index]
-	indexing sync.Mutex // held while an index is made, so that it is made once
-	budgets  sync.Map   // of *budget.Budget by service
-	peers    *peers
 }
 
 // Option sets one property of an Entry.
 type Option func(*Entry)
 
-// WithClock sets the clock of leases and deadlines.
-func WithClock(c *clock.Clock) Option { return func(e *Entry) { e.clock = c } }
+// WithClock sets the clock.
+func WithClock(c *clock.Clock) Option {
+	return func(e *Entry) { e.clock = c; e.pass(relay.WithClock(c)) }
+}
 
-// WithCell sets where snapshots are read.
-func WithCell(c *snap.Cell) Option { return func(e *Entry) { e.cell = c } }
+// WithCell sets where the present snapshot is read.
+func WithCell(c *snap.Cell) Option { return func(e *Entry) { e.pass(relay.WithCell(c)) } }
 
-// WithLocal sets who serves requests for this daemon's own target.
-func WithLocal(l Local) Option { return func(e *Entry) { e.local = l } }
+// WithLocal sets what serves requests whose target stands beside this daemon.
+func WithLocal(l relay.Local) Option { return func(e *Entry) { e.pass(relay.WithLocal(l)) } }
 
-// WithRemote sets who forwards requests to other daemons.
-func WithRemote(r Remote) Option { return func(e *Entry) { e.remote = r } }
+// WithRemote sets what sends requests to other daemons.
+func WithRemote(r relay.Remote) Option { return func(e *Entry) { e.pass(relay.WithRemote(r)) } }
 
-// WithRetry sets which failures are tried again. The default is retry.Proven.
-func WithRetry(p retry.Policy) Option { return func(e *Entry) { e.policy = p } }
+// WithRetry sets the policy of further attempts.
+func WithRetry(p retry.Policy) Option { return func(e *Entry) { e.pass(relay.WithRetry(p)) } }
 
-// WithInstance sets the names of this instance and its availability zone.
+// WithInstance sets the names of the instance and its availability zone.
 func WithInstance(name, zone string) Option {
-	return func(e *Entry) { e.instance, e.zone = name, zone }
+	return func(e *Entry) { e.instance = name; e.pass(relay.WithZone(zone)) }
 }
 
-// New returns an entry. Cell, local and remote must be set by options.
+func (e *Entry) pass(o relay.Option) { e.relaying = append(e.relaying, o) }
+
+// New returns an entry.
 func New(opts ...Option) *Entry {
-	e := &Entry{clock: clock.New(), policy: retry.Proven{}, meter: meter.Of("entry")}
+	e := &Entry{clock: clock.New(), meter: meter.Of("entry")}
 	for _, o := range opts {
 		o(e)
 	}
-	e.peers = newPeers(e.clock, e.zone)
-	e.index.Store(route.NewIndex(e.cell.Load().Table()))
+	e.relay = relay.New(append(e.relaying, relay.WithMeter(e.meter))...)
 	e.app = newApp(e.handle)
 	return e
 }
@@ -100,26 +81,3 @@
 // Shutdown takes no new connections and returns when all requests are answered, or
 // with an error when ctx ends first.
 func (e *Entry) Shutdown(ctx context.Context) error { return e.app.ShutdownWithContext(ctx) }
-
-// indexOf returns the index of the table of s.
-func (e *Entry) indexOf(s *snap.Snap) *route.Index {
-	if x := e.index.Load(); x.Table() == s.Table() {
-		return x
-	}
-	e.indexing.Lock()
-	defer e.indexing.Unlock()
-	x := e.index.Load()
-	if x.Table() != s.Table() {
-		x = x.Next(s.Table())
-		e.index.Store(x)
-	}
-	return x
-}
-
-func (e *Entry) budget(service string) *budget.Budget {
-	if b, ok := e.budgets.Load(service); ok {
-		return b.(*budget.Budget)
-	}
-	b, _ := e.budgets.LoadOrStore(service, budget.New())
-	return b.(*budget.Budget)
-}
--- a/verbenad/command/entry/handle.go
+++ b/verbenad/command/entry/handle.go
@@ -11,9 +11,10 @@
 
 	"verbenabank/core/clock"
 	"verbenabank/core/query/route"
-	"verbenabank/core/state/call"
 	"verbenabank/core/state/result"
 	"verbenabank/core/state/rules"
+	"verbenabank/verbenad/adapt/head"
+	"verbenabank/verbenad/command/relay"
 )
 
 const (
@@ -79,7 +80,7 @@
 // request cannot be taken.
 func (t *task) prepare(s rules.Service) (result.Reason, bool) {
 	h := &t.http.Request.Header
-	if !wellFormed(h) {
+	if !head.WellFormed(h) {
 		return result.BadRequest, false
 	}
 	deadline := s.Deadline()
@@ -125,7 +126,7 @@
 	if t.caller != nil {
 		_ = t.caller.SetReadDeadline(t.end())
 	}
-	t.body = newBody(stream, max(length, -1), s.BodyBytes(), t.watch)
+	t.body = relay.NewBody(stream, max(length, -1), s.BodyBytes(), t.watch)
 	return "", true
 }
 
@@ -140,12 +141,3 @@
 		t.caller.watch(t.cancel)
 	}
 }
-
-// request returns the request of the next attempt.
-func (t *task) request(s rules.Service, opts ...call.Option) call.Request {
-	opts = append(opts, call.WithFields(t.fields))
-	if t.body != nil {
-		opts = append(opts, call.WithBody(t.body.open(), t.body.length))
-	}
-	return call.NewRequest(s.Name(), t.method, t.uri, opts...)
-}
--- a/verbenad/command/entry/respond.go
+++ b/verbenad/command/entry/respond.go
@@ -82,7 +82,7 @@
 // respond writes the target's answer.
 func (t *task) respond(a call.Answer) result.Outcome {
 	if t.body != nil {
-		t.body.finish(t.interrupt)
+		t.body.Finish(t.interrupt)
 	}
 	bodiless := t.method == fasthttp.MethodHead || a.Status() == fasthttp.StatusNoContent ||
 		a.Status() == fasthttp.StatusNotModified
--- a/verbenad/command/notice/notice.go
+++ b/verbenad/command/notice/notice.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/gofiber/fiber/v3"
 
@@ -25,13 +26,49 @@
 // use.
 type Notice struct {
 	post func(agent.Event)
+	take func(agent.Event, func())
+	beat func()
 
 	mu      sync.Mutex
 	waiting []chan struct{}
 }
 
 // New returns a notice whose events go to post.
-func New(post func(agent.Event)) *Notice { return &Notice{post: post} }
+func New(post func(agent.Event), opts ...Option) *Notice {
+	n := &Notice{post: post, take: func(e agent.Event, done func()) { post(e); done() }, beat: func() {}}
+	for _, o := range opts {
+		o(n)
+	}
+	return n
+}
+
+// Option sets one property of a Notice.
+type Option func(*Notice)
+
+// WithTake sets what hands the agent an event and calls a function once it has taken it.
+func WithTake(take func(agent.Event, func())) Option { return func(n *Notice) { n.take = take } }
+
+// WithBeat sets what is called at each beat.
+func WithBeat(beat func()) Option { return func(n *Notice) { n.beat = beat } }
+
+// takeWithin bounds how long a beat waits for the agent.
+const takeWithin = 500 * time.Millisecond
+
+// Beat takes the word of the target and reports whether the agent has it, so that it may be
+// acknowledged.
+func (n *Notice) Beat(b agent.Beat) bool {
+	n.beat()
+	taken := make(chan struct{})
+	go n.take(b, func() { close(taken) })
+	t := time.NewTimer(takeWithin)
+	defer t.Stop()
+	select {
+	case <-taken:
+		return true
+	case <-t.C:
+		return false
+	}
+}
 
 // Register adds the commands to the admin server.
 func (n *Notice) Register(r fiber.Router) {
--- a/verbenad/command/owner/guard.go
+++ b/verbenad/command/owner/guard.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -32,6 +31,15 @@
 	reserveShare = 10
 )
 
+const (
+	// holdWait is how long in milliseconds a request waits for the target to hold its key.
+	holdWait = 300 * clock.Millisecond
+	// aimPart is the part of the time left for an answer of full worth that a request may
+	// wait for a slot, and leastPatience the wait in milliseconds of one that is late.
+	aimPart       = 2
+	leastPatience = 50 * clock.Millisecond
+)
+
 // refusalBytes of a refusal's body are read, so that the connection can be kept.
 const refusalBytes = 4 << 10
 
@@ -54,11 +62,11 @@
 
 // serve runs the request. The caller must call done after a failure.
 func (g *guard) serve(ctx context.Context) call.Reply {
-	pass, reason := g.owner.check(g.request)
+	pass, reason := g.await(ctx)
 	if reason != "" {
 		return call.Refuse(reason)
 	}
-	g.owner.count(g.request)
+	g.owner.count(g.request, pass.service)
 	if failure, ok := g.admit(ctx, pass.service); !ok {
 		return failure
 	}
@@ -79,16 +87,20 @@
 	if reason != "" {
 		return call.Request{}, reason
 	}
-	fields := g.name()
+	g.name()
 	g.dispatch(pass)
-	return g.ordered(fields), ""
+	r := g.request
+	return call.NewRequest(r.Service(), r.Method(), r.URI(), call.WithFields(g.owner.dialect.Dress(r, g.known())),
+		call.WithKey(r.Key(), r.Shard()), call.WithMember(r.Incarnation()), call.WithBody(r.Body(), r.Length()),
+		call.WithID(r.ID()), call.WithRank(r.Priority(), r.Aim(), r.Repeatable())), ""
 }
 
 // admit waits for a slot.
 func (g *guard) admit(ctx context.Context, s rules.Service) (call.Failure, bool) {
 	now, gate := g.owner.clock.Now(), g.owner.gate
-	slots := min(s.Slots(), s.Connections())
-	t := gate.Arrive(now, g.deadline, admit.NewLimits(slots, s.Queue(), s.QueueWait()))
+	wait := g.patience(s)
+	w := admit.NewWant(g.deadline, wait, g.request.Priority())
+	t := gate.Enter(now, w, admit.NewLimits(g.owner.slots(s), s.Queue(), wait))
 	select {
 	case o := <-t.Ready():
 		return g.granted(o)
@@ -96,7 +108,7 @@
 	}
 	g.owner.meter.Event("waiting", 1)
 	defer g.owner.meter.Event("waiting", -1)
-	timer := time.NewTimer(min(s.QueueWait(), g.deadline-now).Duration())
+	timer := time.NewTimer(min(wait, g.deadline-now).Duration())
 	defer timer.Stop()
 	select {
 	case o := <-t.Ready():
@@ -108,7 +120,39 @@
 	if ctx.Err() != nil || g.owner.clock.Now() >= g.deadline {
 		return call.Refuse(result.Expired), false
 	}
-	return call.NewFailure(result.NewRefused(result.Overloaded, s.QueueWait())), false
+	return call.NewFailure(result.NewRefused(result.Overloaded, wait)), false
+}
+
+// patience returns how long the request may wait for a slot: as the service says, and if an
+// answer has a time within which it is worth most, for a part of that.
+func (g *guard) patience(s rules.Service) clock.Millis {
+	if g.request.Aim() == 0 {
+		return s.QueueWait()
+	}
+	return min(s.QueueWait(), max(leastPatience, g.request.Aim()/aimPart))
+}
+
+// await checks that the daemon serves the request. Keys that were just given to it are
+// served once the target has them.
+func (g *guard) await(ctx context.Context) (admission, result.Reason) {
+	end := g.entered + holdWait
+	for {
+		s := g.owner.cell.Load()
+		pass, reason := g.owner.check(g.request)
+		now := g.owner.clock.Now()
+		if reason != result.NotHeld || now >= min(end, g.deadline) {
+			return pass, reason
+		}
+		timer := time.NewTimer((min(end, g.deadline) - now).Duration())
+		select {
+		case <-s.Superseded():
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return pass, result.Expired
+		}
+		timer.Stop()
+	}
 }
 
 func (g *guard) granted(o admit.Grant) (call.Failure, bool) {
@@ -122,27 +166,17 @@
 	return call.Refuse(result.Overloaded), false
 }
 
-// ordered returns the request with the fields and those that a target may check.
-func (g *guard) ordered(fields []call.Field) call.Request {
-	r := g.request
-	left := max(1, g.deadline-g.owner.clock.Now())
-	fields = append(fields, call.NewField(HeaderDeadline, strconv.FormatInt(int64(left), 10)))
-	if r.Key() != "" {
-		fields = append(fields,
-			call.NewField(HeaderShard, strconv.FormatUint(uint64(r.Shard()), 10)),
-			call.NewField(HeaderEpoch, strconv.FormatUint(uint64(g.pass.epoch), 10)),
-			call.NewField(HeaderLease, strconv.FormatInt(int64(g.pass.until), 10)))
-	}
-	return call.NewRequest(r.Service(), r.Method(), r.URI(), call.WithFields(fields),
-		call.WithKey(r.Key(), r.Shard()), call.WithMember(r.Incarnation()), call.WithBody(r.Body(), r.Length()))
-}
-
 // judge decides what the target's answer proves.
 func (g *guard) judge(a call.Answer) call.Reply {
-	if reason, refused := g.refused(a); refused {
+	switch j := g.owner.dialect.Judge(a, g.request, g.known()).(type) {
+	case Declined:
 		_, _ = io.CopyN(io.Discard, a.Body(), refusalBytes)
 		_ = a.Body().Close()
-		return call.NewFailure(result.NewRefused(reason, retryAfter(a)))
+		return call.NewFailure(result.NewRefused(j.reason, j.after).WithSent())
+	case Foreign:
+		_ = a.Body().Close()
+		return call.Unknown(result.Foreign)
+	case Whole:
 	}
 	if !g.valid() {
 		_ = a.Body().Close()
@@ -151,24 +185,25 @@
 	return a
 }
 
-// refused reports whether the target surely did not run the request.
-func (g *guard) refused(a call.Answer) (result.Reason, bool) {
-	switch a.Status() {
-	case http.StatusServiceUnavailable:
-		_, ok := g.pass.service.Shedding().(rules.ShedNotRun)
-		return result.Shed, ok
-	case http.StatusPreconditionFailed:
-		_, ok := g.pass.service.Fencing().(rules.Checked)
-		return result.NotOwner, ok && a.Field(HeaderRefused) == refusedStale
-	default:
-		return "", false
+// known returns what the target is told of the request.
+func (g *guard) known() Pass {
+	return Pass{
+		service: g.pass.service, epoch: g.pass.epoch, until: g.pass.until, id: g.id,
+		target: *g.owner.name.Load(),
+		left:   max(1, g.deadline-g.owner.clock.Now()),
 	}
 }
 
+// held reports whether the target itself runs requests only for keys that it holds.
+func (g *guard) held() bool {
+	_, ok := g.pass.service.Kind().(rules.Ordered)
+	return ok
+}
+
 // valid reports whether the answer was given under ownership: by the target's own
 // check, or because the daemon holds the shard still.
 func (g *guard) valid() bool {
-	if g.request.Key() == "" {
+	if g.request.Key() == "" || g.held() {
 		return true
 	}
 	switch g.pass.service.Fencing().(type) {
--- a/verbenad/command/owner/lapse.go
+++ b/verbenad/command/owner/lapse.go
@@ -56,7 +56,7 @@
 // cancels if only the daemon guards its target.
 func (g *guard) enlist(ctx context.Context) context.Context {
 	ctx, g.cancel = context.WithTimeout(ctx, (g.deadline - g.owner.clock.Now()).Duration())
-	if _, ok := g.pass.service.Fencing().(rules.Unchecked); !ok || g.request.Key() == "" {
+	if _, ok := g.pass.service.Fencing().(rules.Unchecked); !ok || g.request.Key() == "" || g.held() {
 		return ctx
 	}
 	g.owner.mu.Lock()
--- a/verbenad/command/owner/owner.go
+++ b/verbenad/command/owner/owner.go
@@ -13,6 +13,7 @@
 	"verbenabank/core/command/admit"
 	"verbenabank/core/command/heavy"
 	"verbenabank/core/state/call"
+	"verbenabank/core/state/load"
 	"verbenabank/core/state/result"
 	"verbenabank/core/state/rules"
 	"verbenabank/core/state/snap"
@@ -40,6 +41,9 @@
 	cell     *snap.Cell
 	target   Sender
 	extender Extender
+	dialect  Dialect
+	room     atomic.Int64 // slots that the target announced, 0 if it did not
+	name     atomic.Pointer[string]
 	flight   *flight.Flight
 	gate     *admit.Gate
 	closed   atomic.Bool
@@ -48,6 +52,7 @@
 
 	mu      sync.Mutex
 	hot     *heavy.Sketch
+	cells   map[int]uint64
 	running map[*guard]struct{} // at a target that does not check leases
 	lasting map[*guard]struct{} // at a target that does
 }
@@ -75,16 +80,50 @@
 		gate:    admit.New(admit.NewLimits(rules.DefaultSlots, rules.DefaultQueue, rules.DefaultQueueWait)),
 		meter:   meter.Of("owner"),
 		hot:     heavy.New(HotCounters),
+		cells:   map[int]uint64{},
+		dialect: plain{},
 		running: map[*guard]struct{}{},
 		lasting: map[*guard]struct{}{},
 	}
 	o.attempts.Store(rand.Uint64())
+	o.SetTarget("", 0)
 	for _, f := range opts {
 		f(o)
 	}
 	return o
 }
 
+// WithDialect sets how the target is spoken to.
+func WithDialect(d Dialect) Option { return func(o *Owner) { o.dialect = d } }
+
+// SetTarget sets the name of the target, and how many requests it runs at once, 0 if only
+// the rules say it.
+func (o *Owner) SetTarget(name string, slots int) {
+	o.name.Store(&name)
+	o.room.Store(int64(slots))
+}
+
+// slots returns how many requests the target of the service is sent at once.
+func (o *Owner) slots(s rules.Service) int {
+	if room := int(o.room.Load()); room > 0 {
+		return min(room, s.Connections())
+	}
+	return min(s.Slots(), s.Connections())
+}
+
+// TakeCells returns the counts of requests by cell since the last call, in no order, and
+// the pace of the target.
+func (o *Owner) TakeCells() ([]load.Cell, load.Pace) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	list := make([]load.Cell, 0, len(o.cells))
+	for c, n := range o.cells {
+		list = append(list, load.NewCell(c, n))
+	}
+	clear(o.cells)
+	return list, load.NewPace(int(o.room.Load()), o.gate.Service(), o.gate.Waiting())
+}
+
 // Flight returns the count of requests in flight.
 func (o *Owner) Flight() *flight.Flight { return o.flight }
 
@@ -132,12 +171,18 @@
 }
 
 // count adds the request to the hot keys.
-func (o *Owner) count(r call.Request) {
+func (o *Owner) count(r call.Request, s rules.Service) {
 	if r.Key() == "" {
 		return
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if k, ok := s.Kind().(rules.Ordered); ok {
+		if n, ok := table.ParseKey(r.Key(), k.Keys()); ok {
+			o.cells[load.CellOf(n)]++
+		}
+		return
+	}
 	o.hot.Add(r.Key())
 }
 
@@ -172,12 +217,31 @@
 			return admission{}, result.NotOwner
 		}
 		return admission{service: service, epoch: epoch, until: s.LeaseEnd()}, ""
+	case rules.Ordered:
+		return o.checkOrdered(s, service, k, r.Key())
 	case rules.Pooled:
 		return o.checkPooled(s, service)
 	}
 	return admission{}, result.UnknownService
 }
 
+// checkOrdered checks ownership of a key that is a number. The key may belong to this
+// daemon while its target does not hold it yet.
+func (o *Owner) checkOrdered(s *snap.Snap, service rules.Service, k rules.Ordered, key string) (admission, result.Reason) {
+	n, ok := table.ParseKey(key, k.Keys())
+	if !ok {
+		return admission{}, result.BadRequest
+	}
+	epoch, held := s.OwnsKey(service.Name(), n, o.clock.Now())
+	switch {
+	case epoch == 0:
+		return admission{}, result.NotOwner
+	case !held:
+		return admission{}, result.NotHeld
+	}
+	return admission{service: service, epoch: epoch, until: s.LeaseEnd()}, ""
+}
+
 func (o *Owner) checkPooled(s *snap.Snap, service rules.Service) (admission, result.Reason) {
 	m, ok := s.Table().Member(s.Self())
 	if !ok || m.Service() != service.Name() {
--- a/verbenad/command/owner/prolong.go
+++ b/verbenad/command/owner/prolong.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"verbenabank/core/clock"
-	"verbenabank/core/state/call"
 	"verbenabank/core/state/rules"
 	"verbenabank/core/state/snap"
 )
@@ -83,19 +82,15 @@
 	}
 }
 
-// name returns the fields of the request with the id of this attempt.
-func (g *guard) name() []call.Field {
+// name gives this attempt an identity of its own.
+func (g *guard) name() {
 	id := ""
-	fields := make([]call.Field, 0, len(g.request.Fields())+5)
 	for _, f := range g.request.Fields() {
 		if f.Name() == HeaderRequestID {
 			id = f.Value()
-			continue
 		}
-		fields = append(fields, f)
 	}
 	g.id = g.owner.mark(id)
-	return append(fields, call.NewField(HeaderRequestID, g.id))
 }
 
 // abandoned gives back the slot of a request that the target may still run. It stays in
--- a/verbenad/command/entry/body.go
+++ b/verbenad/command/relay/body.go
@@ -1,4 +1,4 @@
-package entry
+package relay
 
 import (
 	"io"
@@ -9,9 +9,9 @@
 // sends before the other daemon admits the request.
 const replayBytes = 192 << 10
 
-// body is the body of a request, read from the caller once and kept in part, so that
+// Body is the body of a request, read from the caller once and kept in part, so that
 // attempts which surely did not run can be made again.
-type body struct {
+type Body struct {
 	source  io.Reader
 	length  int64
 	limit   int64
@@ -28,14 +28,14 @@
 	err     *Error
 }
 
-// newBody returns the body of announced length, -1 if it is not announced, and at
+// NewBody returns the body of announced length, -1 if it is not announced, and at
 // most limit bytes. onWhole is called when all of it was read.
-func newBody(source io.Reader, length, limit int64, onWhole func()) *body {
-	return &body{source: source, length: length, limit: limit, onWhole: onWhole}
+func NewBody(source io.Reader, length, limit int64, onWhole func()) *Body {
+	return &Body{source: source, length: length, limit: limit, onWhole: onWhole}
 }
 
 // open returns the reader of a new attempt; the readers of earlier ones fail.
-func (b *body) open() io.Reader {
+func (b *Body) open() io.Reader {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.attempt++
@@ -44,23 +44,26 @@
 
 // replayable ends the present attempt and reports whether another one would get the
 // whole body.
-func (b *body) replayable() bool {
+func (b *Body) replayable() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.attempt++
 	return !b.over && b.err == nil
 }
 
+// Length returns the announced length in bytes, -1 if it was not announced.
+func (b *Body) Length() int64 { return b.length }
+
 // fault returns why the body could not be read whole, nil if there was no fault.
-func (b *body) fault() *Error {
+func (b *Body) fault() *Error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.err
 }
 
-// finish ends all attempts. It reports whether the whole body was read; if not, interrupt
+// Finish ends all attempts. It reports whether the whole body was read; if not, interrupt
 // is called to end a read that is under way.
-func (b *body) finish(interrupt func()) bool {
+func (b *Body) Finish(interrupt func()) bool {
 	b.mu.Lock()
 	b.attempt++
 	whole := b.whole
@@ -78,7 +81,7 @@
 
 // attemptBody reads the body for one attempt.
 type attemptBody struct {
-	body    *body
+	body    *Body
 	attempt int
 	offset  int64
 }
--- /dev/null
+++ b/verbenad/command/relay/demand.go
@@ -0,0 +1,69 @@
+package relay
+
+import (
+	"verbenabank/core/clock"
+	"verbenabank/core/query/route"
+	"verbenabank/core/state/call"
+	"verbenabank/core/state/rules"
+)
+
+// Demand is one request of a caller.
+type Demand struct {
+	service    rules.Service
+	facts      route.Facts
+	id         string
+	method     string
+	uri        string
+	fields     []call.Field
+	body       *Body
+	deadline   clock.Millis
+	aim        clock.Millis
+	repeatable bool
+	attempts   int
+	percent    int
+	priority   int
+}
+
+// DemandOption sets one property of a Demand.
+type DemandOption func(*Demand)
+
+// NewDemand returns the request of a service. It must be answered at the deadline, an
+// instant on the relay's clock. It may run at as many targets as the service allows.
+func NewDemand(s rules.Service, f route.Facts, deadline clock.Millis, opts ...DemandOption) Demand {
+	d := Demand{
+		service: s, facts: f, deadline: deadline, aim: deadline,
+		attempts: s.RetryAttempts(), percent: s.RetryPercent(), priority: rules.LowestPriority,
+	}
+	for _, o := range opts {
+		o(&d)
+	}
+	return d
+}
+
+// WithMessage sets the identity, the method, and path with query.
+func WithMessage(id, method, uri string) DemandOption {
+	return func(d *Demand) { d.id, d.method, d.uri = id, method, uri }
+}
+
+// WithFields sets the header fields to forward.
+func WithFields(fields []call.Field) DemandOption { return func(d *Demand) { d.fields = fields } }
+
+// WithBody sets the body.
+func WithBody(b *Body) DemandOption { return func(d *Demand) { d.body = b } }
+
+// WithRepeatable sets whether the request may run more than once.
+func WithRepeatable(yes bool) DemandOption { return func(d *Demand) { d.repeatable = yes } }
+
+// WithRoute takes over what a route says of its requests. aim is the instant by which an
+// answer is worth most.
+func WithRoute(r rules.Route, aim clock.Millis) DemandOption {
+	return func(d *Demand) {
+		d.aim, d.priority, d.attempts, d.repeatable = min(aim, d.deadline), r.Priority(), r.Attempts(), r.Repeatable()
+	}
+}
+
+// Method returns the method.
+func (d Demand) Method() string { return d.method }
+
+// Deadline returns the instant by which the request must be answered.
+func (d Demand) Deadline() clock.Millis { return d.deadline }
--- a/verbenad/command/entry/errors.go
+++ b/verbenad/command/relay/errors.go
@@ -1,4 +1,4 @@
-package entry
+package relay
 
 import "fmt"
 
@@ -32,9 +32,9 @@
 // Error returns the operation, the kind and the cause.
 func (e *Error) Error() string {
 	if e.cause == nil {
-		return fmt.Sprintf("entry: %s: %s", e.op, e.kind)
+		return fmt.Sprintf("relay: %s: %s", e.op, e.kind)
 	}
-	return fmt.Sprintf("entry: %s: %s: %v", e.op, e.kind, e.cause)
+	return fmt.Sprintf("relay: %s: %s: %v", e.op, e.kind, e.cause)
 }
 
 func unread(kind Kind, cause error) *Error {
--- a/verbenad/command/entry/peers.go
+++ b/verbenad/command/relay/peers.go
@@ -1,4 +1,4 @@
-package entry
+package relay
 
 import (
 	"io"
--- a/verbenad/command/entry/ready.go
+++ b/verbenad/command/relay/ready.go
@@ -1,4 +1,4 @@
-package entry
+package relay
 
 import (
 	"time"
@@ -11,11 +11,11 @@
 // the daemon starts or the control group changes its leader.
 const readyWait = 500 * clock.Millisecond
 
-// current returns a snapshot whose rules may be used. It waits for one for a while
+// Current returns a snapshot whose rules may be used. It waits for one for a while
 // and reports false if none came.
-func (e *Entry) current() (*snap.Snap, bool) {
-	s, now := e.cell.Load(), e.clock.Now()
-	for end := now.Add(readyWait); !s.Current(now); s, now = e.cell.Load(), e.clock.Now() {
+func (r *Relay) Current() (*snap.Snap, bool) {
+	s, now := r.cell.Load(), r.clock.Now()
+	for end := now.Add(readyWait); !s.Current(now); s, now = r.cell.Load(), r.clock.Now() {
 		if now >= end {
 			return s, false
 		}
--- a/verbenad/command/serve/folder.go
+++ b/verbenad/command/serve/folder.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"verbenabank/core/state/fleet"
 	"verbenabank/core/state/order"
 	"verbenabank/core/wire/wirepb"
 	"verbenabank/verbenad/adapt/folder"
@@ -16,7 +17,7 @@
 
 // watchFolder offers what the operators write to the control group.
 func (d *Daemon) watchFolder() error {
-	path, ok := d.settings.Folder()
+	path, ok := d.settings.Load().Folder()
 	if !ok {
 		return nil
 	}
@@ -68,7 +69,7 @@
 		log.WithError(err).Error("rules: the configuration cannot be read")
 		return true
 	}
-	v, err := d.client.Offer(ctx, order.NewAccept(r, d.settings.Instance(), path))
+	v, err := d.client.Offer(ctx, order.NewAccept(r, d.settings.Load().Instance(), path))
 	if err != nil {
 		log.WithError(err).Warn("rules: not decided yet")
 		return false
@@ -77,20 +78,19 @@
 	return true
 }
 
-func logVerdict(log *logrus.Entry, v *wirepb.Verdict) {
-	switch v.GetCode() {
-	case wirepb.VerdictCode_VERDICT_CODE_ACCEPTED:
+func logVerdict(log *logrus.Entry, v fleet.Verdict) {
+	switch v := v.(type) {
+	case fleet.Accepted:
 		log.Info("rules: accepted")
-	case wirepb.VerdictCode_VERDICT_CODE_REPEATED:
+	case fleet.Repeated:
 		log.Info("rules: in force already")
-	case wirepb.VerdictCode_VERDICT_CODE_CONFLICT:
-		log.WithField("in_force", v.GetDigest()).Errorf(
+	case fleet.Conflict:
+		log.WithField("in_force", v.Digest()).Errorf(
 			"rules: refused, since %s:%s came first with this version and other content; compare both folders, merge by hand and raise the version",
-			v.GetFirstInstance(), v.GetFirstFolder())
-	case wirepb.VerdictCode_VERDICT_CODE_OLDER:
-		log.WithField("in_force", v.GetVersion()).Warn("rules: ignored, a newer version is in force")
-	case wirepb.VerdictCode_VERDICT_CODE_INVALID:
-		log.Errorf("rules: refused: %s", v.GetMessage())
-	case wirepb.VerdictCode_VERDICT_CODE_UNDECIDED, wirepb.VerdictCode_VERDICT_CODE_UNSPECIFIED:
+			v.First().Instance(), v.First().Folder())
+	case fleet.Older:
+		log.WithField("in_force", v.Version()).Warn("rules: ignored, a newer version is in force")
+	case fleet.Invalid:
+		log.Errorf("rules: refused: %s", v.Problem())
 	}
 }
--- a/verbenad/command/serve/replica.go
+++ b/verbenad/command/serve/replica.go
@@ -22,7 +22,7 @@
 	}
 	d.atEnd(stop)
 	node := raft.New(
-		raft.WithAddress(d.settings.Advertised().String()), raft.WithSeeds(replicas...), raft.WithForm(c.Form()),
+		raft.WithAddress(d.settings.Load().Advertised().String()), raft.WithSeeds(replicas...), raft.WithForm(c.Form()),
 		raft.WithRandom(rand.Uint64(), rand.Uint64()), raft.WithStored(store.Stored()))
 	senders, stopSenders := link.NewPeers(d.trust.DialOptions(), d.part())
 	d.atEnd(stopSenders)
--- a/verbenad/command/serve/report.go
+++ b/verbenad/command/serve/report.go
@@ -12,20 +12,26 @@
 
 // Measuring of traffic for the leader.
 const (
-	measureEvery = time.Second
+	measureEvery = 500 * time.Millisecond
+	keyedEvery   = 2 // measurements
 	hotKeys      = 8
 )
 
-// measure hands the control goroutine what traffic counted, once a second.
+// measure hands the control goroutine what traffic counted: keys that are numbers at each
+// measurement, hash ranges and hot keys at every second one.
 func measure(ctx context.Context, o *owner.Owner, l *ctrl.Loop) {
 	t := time.NewTicker(measureEvery)
 	defer t.Stop()
-	for {
+	for n := 1; ; n++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			if r := taken(o); !r.Empty() {
+			r := load.NewReport(nil, nil)
+			if n%keyedEvery == 0 {
+				r = taken(o)
+			}
+			if r = r.WithCells(o.TakeCells()); !r.Empty() {
 				l.Post(ctrl.NewLocal(agent.NewMeasured(r)))
 			}
 		}
--- a/verbenad/command/serve/run.go
+++ b/verbenad/command/serve/run.go
@@ -13,6 +13,7 @@
 	"verbenabank/core/command/agent"
 	"verbenabank/core/state/fleet"
 	"verbenabank/verbenad/command/ctrl"
+	"verbenabank/verbenad/state/sets"
 )
 
 // Spans of a planned stop.
@@ -29,15 +30,28 @@
 )
 
 // adminBodyBytes is the largest body that the admin server takes.
-const adminBodyBytes = 64 << 10
+const (
+	// noticeSpan is how long callers may take to see that the daemon is not ready, and
+	// partSpan how long they are then asked to end their connections.
+	noticeSpan = 2200 * time.Millisecond
+	partSpan   = 400 * time.Millisecond
+	// graceLeft is the part of the grace time that is kept for callers' requests, and
+	// graceLast what is kept for the end of the process.
+	graceLeft = 2500 * time.Millisecond
+	graceLast = 700 * time.Millisecond
+)
+
+const adminBodyBytes = 8 << 20
 
 // Run serves until ctx ends, then stops gracefully: the daemon hands over what it
 // owns, finishes what is in flight, and closes its ports last. It returns an error
 // if the process had to end by itself.
 func (d *Daemon) Run(ctx context.Context) error {
-	ended := make(chan error, 4)
+	ended := make(chan error, 5)
 	d.start(ended)
-	d.uplink.Start(d.post)
+	if d.callersPort != nil {
+		d.uplink.Start(d.post)
+	}
 	d.part().Info("serve: daemon is up")
 	select {
 	case <-ctx.Done():
@@ -57,7 +71,17 @@
 	d.group.Go(func() { d.owner.Prolong(d.life) })
 	d.group.Go(func() { d.hops.Follow(d.life, d.cell) })
 	d.group.Go(func() { d.report(ended, d.peers.Serve(d.peersPort)) })
-	d.group.Go(func() { d.report(ended, d.entry.Serve(d.callersPort)) })
+	switch {
+	case d.entry != nil:
+		d.group.Go(func() { d.report(ended, d.entry.Serve(d.callersPort)) })
+	case d.front != nil:
+		d.group.Go(func() { d.report(ended, d.front.Serve(d.callersPort)) })
+	}
+	if d.readyPort != nil {
+		d.group.Go(func() {
+			d.report(ended, d.ready.Listener(d.readyPort, fiber.ListenConfig{DisableStartupMessage: true}))
+		})
+	}
 	d.group.Go(func() {
 		d.report(ended, d.admin.Listener(d.adminPort, fiber.ListenConfig{DisableStartupMessage: true}))
 	})
@@ -72,23 +96,80 @@
 }
 
 func (d *Daemon) stop() error {
+	begun := time.Now()
 	d.part().Info("serve: planned stop begins")
-	d.post(agent.StopAsked{})
-	select {
-	case <-d.waiter.stopped:
-	case <-time.After(leaveWithin):
-		d.part().Warn("serve: leaving took too long")
+	d.leaving.Store(true)
+	d.leaveGroup()
+	if d.front != nil {
+		return d.stopFront(begun)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callersWithin)
+	defer cancel()
+	var err error
+	if d.entry != nil {
+		err = d.entry.Shutdown(ctx)
+	}
+	d.stopServers()
+	d.part().Info("serve: planned stop is done")
+	return err
+}
+
+// leaveGroup hands over what the daemon owns and leads. A daemon without a port for callers
+// is no member and owns nothing.
+func (d *Daemon) leaveGroup() {
+	within := leaveWithin
+	if g := d.settings.Load().Terms().Grace(); g > 0 {
+		within = min(within, max(0, g.Duration()-graceLeft))
+	}
+	if d.callersPort != nil {
+		d.post(agent.StopAsked{})
+		select {
+		case <-d.waiter.stopped:
+		case <-time.After(within):
+			d.part().Warn("serve: leaving took too long")
+		}
 	}
 	if v := d.loop.View(); v.Sessions() > 0 {
 		d.loop.Post(ctrl.Handover{})
 		time.Sleep(handoverWait)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), callersWithin)
+}
+
+// stopFront goes on serving callers until they have seen that the daemon is not ready, and
+// then ends their connections one by one.
+func (d *Daemon) stopFront(begun time.Time) error {
+	pause(begun.Add(noticeSpan))
+	d.front.Leave()
+	pause(begun.Add(noticeSpan + partSpan))
+	_ = d.callersPort.Close()
+	end := begun.Add(callersWithin)
+	if g := d.settings.Load().Terms().Grace(); g > 0 {
+		end = begun.Add(g.Duration() - graceLast)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	err := d.entry.Shutdown(ctx)
+	d.front.Shutdown(ctx)
 	d.stopServers()
 	d.part().Info("serve: planned stop is done")
-	return err
+	return nil
+}
+
+func pause(until time.Time) {
+	if left := time.Until(until); left > 0 {
+		time.Sleep(left)
+	}
+}
+
+// Reload takes over settings that may change while the daemon runs: where control replicas
+// are, and what is known of the target.
+func (d *Daemon) Reload(s sets.Settings) {
+	old := d.settings.Swap(&s)
+	replicas := make([]string, 0, len(s.Replicas()))
+	for _, r := range s.Replicas() {
+		replicas = append(replicas, r.String())
+	}
+	d.seeds.Reload(replicas)
+	d.part().WithField("replicas", replicas).WithField("was", old.Replicas()).Info("serve: settings reloaded")
 }
 
 // stopServers closes the remaining ports. Requests of other daemons are answered;
--- a/verbenad/command/serve/serve.go
+++ b/verbenad/command/serve/serve.go
@@ -4,8 +4,9 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
+	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
@@ -21,11 +22,11 @@
 	"verbenabank/core/wire/codec"
 	"verbenabank/core/wire/confjs"
 	"verbenabank/core/wire/wirepb"
-	"verbenabank/verbenad/adapt/extend"
+	"verbenabank/verbenad/adapt/front"
 	"verbenabank/verbenad/adapt/hop"
+	"verbenabank/verbenad/adapt/keeper"
 	"verbenabank/verbenad/adapt/link"
-	"verbenabank/verbenad/adapt/probe"
-	"verbenabank/verbenad/adapt/target"
+	"verbenabank/verbenad/adapt/sock"
 	"verbenabank/verbenad/adapt/trust"
 	"verbenabank/verbenad/command/ctrl"
 	"verbenabank/verbenad/command/entry"
@@ -37,7 +38,13 @@
 
 // Daemon is one process of the system.
 type Daemon struct {
-	settings sets.Settings
+	settings atomic.Pointer[sets.Settings]
+	parse    func(content []byte) (rules.Rules, error)
+	callers  front.Dialect
+	speech   owner.Dialect
+	orders   keeper.Dialect
+	register func(r fiber.Router, door Door)
+	leaving  atomic.Bool
 	clock    *clock.Clock
 	log      *logrus.Logger
 	codec    *codec.Codec
@@ -50,6 +57,8 @@
 	sidecar *sidecar
 	owner   *owner.Owner
 	entry   *entry.Entry
+	front   *front.Front
+	seeds   *link.Addresses
 	hops    *hop.Client
 	uplink  *link.Uplink
 	client  *link.Client
@@ -57,15 +66,21 @@
 	loop    *ctrl.Loop
 	peers   *grpc.Server
 	admin   *fiber.App
+	ready   *fiber.App
 
-	callersPort, peersPort, adminPort net.Listener
+	callersPort, peersPort, adminPort, readyPort net.Listener
 }
 
 // New builds the daemon of the settings and opens its ports. The clean-up function
 // frees all it holds; it is to be called after Run.
-func New(s sets.Settings, log *logrus.Logger) (*Daemon, func(), error) {
+func New(s sets.Settings, log *logrus.Logger, opts ...Option) (*Daemon, func(), error) {
 	life, cancel := context.WithCancel(context.Background())
-	d := &Daemon{settings: s, clock: clock.New(), log: log, life: life, cell: snap.NewCell(), waiter: newWaiter()}
+	d := &Daemon{clock: clock.New(), log: log, life: life, cell: snap.NewCell(), waiter: newWaiter()}
+	d.settings.Store(&s)
+	d.parse = func(content []byte) (rules.Rules, error) { return confjs.Decode("rules", content) }
+	for _, o := range opts {
+		o(d)
+	}
 	d.atEnd(cancel)
 	for _, build := range []func() error{d.listen, d.buildTrust, d.buildTraffic, d.buildControl, d.buildServers, d.watchFolder} {
 		if err := build(); err != nil {
@@ -85,19 +100,33 @@
 	d.group.Wait()
 }
 
-func (d *Daemon) part() *logrus.Entry { return d.log.WithField("instance", d.settings.Instance()) }
+func (d *Daemon) part() *logrus.Entry {
+	return d.log.WithField("instance", d.settings.Load().Instance())
+}
+
+// address returns the text of an address, "" if it is not set.
+func address(a netip.AddrPort) string {
+	if !a.IsValid() {
+		return ""
+	}
+	return a.String()
+}
 
 func (d *Daemon) listen() error {
 	ports := []struct {
 		address string
 		port    *net.Listener
 	}{
-		{d.settings.Callers().String(), &d.callersPort},
-		{d.settings.Peers().String(), &d.peersPort},
-		{d.settings.Admin().String(), &d.adminPort},
+		{address(d.settings.Load().Callers()), &d.callersPort},
+		{address(d.settings.Load().Peers()), &d.peersPort},
+		{address(d.settings.Load().Admin()), &d.adminPort},
+		{address(d.settings.Load().Ready()), &d.readyPort},
 	}
 	for _, p := range ports {
-		l, err := net.Listen("tcp", p.address)
+		if p.address == "" {
+			continue
+		}
+		l, err := sock.Listen(p.address)
 		if err != nil {
 			return &Error{op: "listen on " + p.address, kind: PortTaken, cause: err}
 		}
@@ -108,54 +137,32 @@
 }
 
 func (d *Daemon) buildTrust() error {
-	d.codec = codec.New(codec.WithRules(func(content []byte) (rules.Rules, error) {
-		return confjs.Decode("rules", content)
-	}))
-	t, err := trust.New(d.settings)
+	d.codec = codec.New(codec.WithRules(d.parse))
+	t, err := trust.New(*d.settings.Load())
 	d.trust = t
 	return err
 }
 
-func (d *Daemon) buildTraffic() error {
-	t, stop := target.New()
-	d.atEnd(stop)
-	x, stopExtender := extend.New()
-	d.atEnd(stopExtender)
-	d.sidecar = newSidecar(d.clock, t, x)
-	p, stopProbe := probe.New(probe.WithClock(d.clock), probe.WithLog(d.part()),
-		probe.WithAnswered(d.sidecar.Answered), probe.WithPost(d.post))
-	d.atEnd(stopProbe)
-	d.sidecar.probe = p
-	d.owner = owner.New(owner.WithClock(d.clock), owner.WithCell(d.cell), owner.WithTarget(d.sidecar),
-		owner.WithExtender(x))
-	client, stopClient := hop.New(hop.WithDialOptions(d.trust.DialOptions()...))
-	d.atEnd(stopClient)
-	d.hops = client
-	d.entry = entry.New(entry.WithClock(d.clock), entry.WithCell(d.cell), entry.WithLocal(d.owner),
-		entry.WithRemote(client), entry.WithInstance(d.settings.Instance(), d.settings.Zone()))
-	return nil
-}
-
 // post hands an event to the agent.
 func (d *Daemon) post(e agent.Event) { d.loop.Post(ctrl.NewLocal(e)) }
 
 func (d *Daemon) buildControl() error {
-	replicas := make([]string, 0, len(d.settings.Replicas()))
-	for _, r := range d.settings.Replicas() {
+	replicas := make([]string, 0, len(d.settings.Load().Replicas()))
+	for _, r := range d.settings.Load().Replicas() {
 		replicas = append(replicas, r.String())
 	}
-	up, stop := link.NewUplink(replicas, d.trust.DialOptions(), d.codec, d.part())
+	d.seeds = link.NewAddresses(replicas...)
+	up, stop := link.NewUplink(d.seeds, d.trust.DialOptions(), d.codec, d.part())
 	d.atEnd(stop)
 	d.uplink = up
-	d.client = link.NewClient(replicas, d.trust.DialOptions(), d.codec)
-	a := agent.New(agent.WithInstance(d.settings.Instance(), d.settings.Zone(), d.settings.Advertised().String()),
-		agent.WithRandom(rand.Uint64))
+	d.client = link.NewClient(d.seeds, d.trust.DialOptions(), d.codec)
+	a := agent.New(d.agentOptions()...)
 	options := []ctrl.Option{
 		ctrl.WithClock(d.clock, func() order.Stamp { return order.Stamp(time.Now().UnixMilli()) }),
 		ctrl.WithCodec(d.codec), ctrl.WithLog(d.part()), ctrl.WithAgent(a, d.cell),
-		ctrl.WithTraffic(d.sidecar, d.owner.Flight()), ctrl.WithUplink(up), ctrl.WithWaiter(d.waiter),
+		ctrl.WithTraffic(d.sidecar, d.owner.Flight()), ctrl.WithUplink(up), ctrl.WithWaiter(d.waiter), ctrl.WithTerms(d.terms()),
 	}
-	if c, ok := d.settings.Control(); ok {
+	if c, ok := d.settings.Load().Control(); ok {
 		o, err := d.buildReplica(c, replicas)
 		if err != nil {
 			return err
@@ -171,11 +178,19 @@
 	link.NewServer(d.loop, d.codec, d.part()).Register(d.peers)
 	wirepb.RegisterHopServer(d.peers, hop.NewServer(d.owner))
 	d.admin = fiber.New(fiber.Config{AppName: "verbenad", BodyLimit: adminBodyBytes})
-	n := notice.New(d.post)
+	n := notice.New(d.post, notice.WithBeat(d.sidecar.Heard),
+		notice.WithTake(func(e agent.Event, done func()) { d.loop.Post(ctrl.NewLocal(e).Then(done)) }))
 	d.waiter.notice = n
 	n.Register(d.admin)
-	admin.New(admin.WithInstance(d.settings.Instance(), d.settings.Zone()),
-		admin.WithState(d.clock, d.cell, d.loop.View), admin.WithAudit(d.audit)).Register(d.admin)
+	s := d.settings.Load()
+	a := admin.New(admin.WithInstance(s.Instance(), s.Zone()), admin.WithLeaving(d.leaving.Load),
+		admin.WithState(d.clock, d.cell, d.loop.View), admin.WithAudit(d.audit))
+	a.Register(d.admin)
+	d.ready = fiber.New(fiber.Config{AppName: "verbenad"})
+	a.RegisterReady(d.ready)
+	if d.register != nil {
+		d.register(d.admin, d)
+	}
 	publish(d)
 	return nil
 }
--- a/verbenad/command/serve/target.go
+++ b/verbenad/command/serve/target.go
@@ -6,56 +6,82 @@
 	"sync/atomic"
 
 	"verbenabank/core/clock"
+	"verbenabank/core/command/agent"
+	"verbenabank/core/command/hold"
 	"verbenabank/core/state/call"
 	"verbenabank/verbenad/adapt/extend"
-	"verbenabank/verbenad/adapt/probe"
+	"verbenabank/verbenad/adapt/keeper"
 	"verbenabank/verbenad/adapt/target"
+	"verbenabank/verbenad/command/owner"
 )
 
-// sidecar is the target beside the daemon: traffic sends requests to it and the
-// control goroutine says which one it is. Safe for concurrent use, but for Use and
-// Drop, which are for the control goroutine.
+// watch finds out that a target is gone.
+type watch interface {
+	Watch(address string)
+	Drop()
+}
+
+// sidecar is the target beside the daemon with what watches and tells it. Sending is safe
+// for concurrent use, the rest is for the control goroutine.
 type sidecar struct {
 	clock    *clock.Clock
 	target   *target.Target
 	extender *extend.Extender
-	probe    *probe.Probe
+	watch    watch
+	keeper   *keeper.Keeper
+	owner    *owner.Owner
+	heard    func()
 	answered atomic.Int64
+	using    agent.UseTarget
 
 	mu     sync.Mutex
 	life   context.Context
 	cancel context.CancelFunc
 }
 
-// newSidecar returns a sidecar without a target.
-func newSidecar(c *clock.Clock, t *target.Target, e *extend.Extender) *sidecar {
-	b := &sidecar{clock: c, target: t, extender: e}
+func newSidecar(c *clock.Clock, e *extend.Extender) *sidecar {
+	b := &sidecar{clock: c, extender: e, heard: func() {}}
 	b.life, b.cancel = context.WithCancel(context.Background())
 	return b
 }
 
-// Use sends requests to the target at address.
-func (b *sidecar) Use(_, address string) {
+// Heard takes note of a beat.
+func (b *sidecar) Heard() { b.heard() }
+
+// Use sends traffic to a target. One that is used already may only have other room.
+func (b *sidecar) Use(t agent.UseTarget) {
+	b.owner.SetTarget(t.Name(), t.Room())
+	same := t.Address() == b.using.Address() && t.Name() == b.using.Name() && t.Name() != ""
+	b.using = t
+	if same {
+		return
+	}
 	b.mu.Lock()
 	b.life, b.cancel = context.WithCancel(context.Background())
 	b.mu.Unlock()
 	b.answered.Store(0)
-	b.target.Point(address)
-	b.extender.Point(address)
-	b.probe.Watch(address)
+	b.target.Point(t.Address())
+	b.extender.Point(t.Address())
+	b.keeper.Point(t.Address())
+	b.watch.Watch(t.Address())
 }
 
-// Drop sends no more requests and ends those in flight.
+// Drop ends all exchanges with the target.
 func (b *sidecar) Drop() {
-	b.probe.Drop()
+	b.using = agent.UseTarget{}
+	b.watch.Drop()
 	b.target.Point("")
 	b.extender.Point("")
+	b.keeper.Point("")
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.cancel()
 }
 
-// Send exchanges one request with the target, unless the target is dropped first.
+// Command gives the target an order about keys.
+func (b *sidecar) Command(o hold.Order, done func(hold.Result)) { b.keeper.Command(o, done) }
+
+// Send carries one exchange until it ends or the target is dropped.
 func (b *sidecar) Send(ctx context.Context, w call.Work) call.Reply {
 	b.mu.Lock()
 	life := b.life
@@ -72,5 +98,5 @@
 	return reply
 }
 
-// Answered returns when the target last answered a request, 0 if never.
+// Answered returns when the target last answered a request.
 func (b *sidecar) Answered() clock.Millis { return clock.Millis(b.answered.Load()) }
--- /dev/null
+++ b/verbenad/command/start/start.go
@@ -0,0 +1,116 @@
+// Package start runs a daemon as a process: its command line, settings, log and signals.
+package start
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/sirupsen/logrus"
+
+	"verbenabank/verbenad/adapt/jsonc"
+	"verbenabank/verbenad/command/serve"
+	"verbenabank/verbenad/state/sets"
+)
+
+// Exit codes.
+const (
+	ExitFailed   = 1
+	ExitSettings = 2
+)
+
+// reloadEvery is how often the settings file is looked at, besides at SIGHUP.
+const reloadEvery = 2 * time.Second
+
+// Run runs the program until it is told to stop, and returns its exit code. Logs go to out.
+func Run(name string, out io.Writer, build func(sets.Settings) []serve.Option) int {
+	path, check := "verbenad.jsonc", false
+	flaggy.SetName(name)
+	flaggy.SetDescription("the daemon of verbenabank")
+	flaggy.String(&path, "s", "settings", "path of the settings file")
+	flaggy.Bool(&check, "c", "check", "check the settings and exit")
+	flaggy.Parse()
+	settings, err := jsonc.Load(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ExitSettings
+	}
+	if check {
+		return 0
+	}
+	if err := run(path, settings, logger(settings, out), build); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ExitFailed
+	}
+	return 0
+}
+
+func run(path string, s sets.Settings, log *logrus.Logger, build func(sets.Settings) []serve.Option) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	d, clean, err := serve.New(s, log, build(s)...)
+	if err != nil {
+		return err
+	}
+	defer clean()
+	go watch(ctx, path, d, log)
+	return d.Run(ctx)
+}
+
+// watch reloads the settings when the file changed, at SIGHUP at once.
+func watch(ctx context.Context, path string, d *serve.Daemon, log *logrus.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	t := time.NewTicker(reloadEvery)
+	defer t.Stop()
+	last, err := os.ReadFile(path)
+	if err != nil {
+		log.WithError(err).Warn("start: the settings file cannot be read")
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			log.Info("start: asked to reload the settings")
+		case <-t.C:
+		}
+		text, err := os.ReadFile(path)
+		if err != nil {
+			log.WithError(err).Warn("start: the settings file cannot be read, the last ones stay in force")
+			continue
+		}
+		if bytes.Equal(text, last) {
+			continue
+		}
+		last = text
+		s, err := jsonc.Load(path)
+		if err != nil {
+			log.WithError(err).Error("start: the settings are not valid, the last ones stay in force")
+			continue
+		}
+		d.Reload(s)
+	}
+}
+
+func logger(s sets.Settings, out io.Writer) *logrus.Logger {
+	l := logrus.New()
+	l.SetOutput(out)
+	if level, err := logrus.ParseLevel(s.LogLevel().String()); err == nil {
+		l.SetLevel(level)
+	}
+	switch s.LogFormat().(type) {
+	case sets.Plain:
+		l.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, DisableColors: true})
+	case sets.Structured:
+		l.SetFormatter(&logrus.JSONFormatter{})
+	}
+	return l
+}
--- a/verbenad/query/admin/admin.go
+++ b/verbenad/query/admin/admin.go
@@ -25,6 +25,7 @@
 	cell     *snap.Cell
 	view     func() *view.View
 	audit    Audit
+	leaving  func() bool
 }
 
 // Option sets one property of an Admin.
@@ -43,9 +44,12 @@
 // WithAudit sets where the audit trail is read.
 func WithAudit(f Audit) Option { return func(a *Admin) { a.audit = f } }
 
+// WithLeaving sets what tells whether the daemon is about to stop.
+func WithLeaving(f func() bool) Option { return func(a *Admin) { a.leaving = f } }
+
 // New returns an admin.
 func New(opts ...Option) *Admin {
-	a := &Admin{}
+	a := &Admin{leaving: func() bool { return false }}
 	for _, o := range opts {
 		o(a)
 	}
@@ -55,7 +59,7 @@
 // Register adds the queries to the admin server.
 func (a *Admin) Register(r fiber.Router) {
 	r.Get("/health", func(c fiber.Ctx) error { return c.SendString("ok\n") })
-	r.Get("/ready", a.ready)
+	a.RegisterReady(r)
 	r.Get("/status", a.status)
 	r.Get("/route", a.route)
 	r.Get("/audit", a.trail)
@@ -63,8 +67,14 @@
 	r.Get("/debug/vars", adaptor.HTTPHandler(expvar.Handler()))
 }
 
+// RegisterReady adds only the query for readiness.
+func (a *Admin) RegisterReady(r fiber.Router) { r.Get("/ready", a.ready) }
+
 // ready answers 200 if the daemon may serve callers.
 func (a *Admin) ready(c fiber.Ctx) error {
+	if a.leaving() {
+		return c.Status(fiber.StatusServiceUnavailable).SendString("not ready: the daemon is about to stop\n")
+	}
 	if a.cell.Load().Current(a.clock.Now()) {
 		return c.SendString("ready\n")
 	}
--- a/verbenad/state/sets/options.go
+++ b/verbenad/state/sets/options.go
@@ -48,3 +48,21 @@
 func WithLog(level Level, format Format) Option {
 	return func(s *Settings) { s.level, s.format = level, format }
 }
+
+// WithReady sets the address of the port that only tells whether the daemon is ready.
+func WithReady(a netip.AddrPort) Option { return func(s *Settings) { s.ready = a } }
+
+// WithBeside sets what is known of the target beside before it speaks.
+func WithBeside(b Beside) Option { return func(s *Settings) { s.beside = b } }
+
+// WithTerms sets the spans of leases, holds and stops.
+func WithTerms(t Terms) Option { return func(s *Settings) { s.terms = t } }
+
+// WithRetries sets the retry budget of the fleet.
+func WithRetries(r Retries) Option { return func(s *Settings) { s.retries = r } }
+
+// WithOpen says that the network between the processes is trusted.
+func WithOpen() Option { return func(s *Settings) { s.open = true } }
+
+// WithLasting lets traffic go on under the known rules while no leader can be asked.
+func WithLasting(yes bool) Option { return func(s *Settings) { s.lasting = yes } }
--- a/verbenad/state/sets/sets.go
+++ b/verbenad/state/sets/sets.go
@@ -20,6 +20,12 @@
 	control    Choice[Control]
 	tls        Choice[TLS]
 	folder     Choice[string]
+	ready      netip.AddrPort
+	beside     Beside
+	terms      Terms
+	retries    Retries
+	open       bool
+	lasting    bool
 	level      Level
 	format     Format
 }
@@ -67,6 +73,27 @@
 // Folder returns the path of the configuration folder, if this daemon has one.
 func (s Settings) Folder() (string, bool) { return s.folder.value, s.folder.set }
 
+// Ready returns the address of a port that only tells whether the daemon is ready, the zero
+// value if there is none.
+func (s Settings) Ready() netip.AddrPort { return s.ready }
+
+// Beside returns what is known of the target beside before it speaks.
+func (s Settings) Beside() Beside { return s.beside }
+
+// Terms returns the spans of leases, holds and stops; those that are 0 are not set.
+func (s Settings) Terms() Terms { return s.terms }
+
+// Retries returns the retry budget of the fleet; it is not set if its window is 0.
+func (s Settings) Retries() Retries { return s.retries }
+
+// Open reports whether the network between the processes is trusted, so that they need no
+// secret.
+func (s Settings) Open() bool { return s.open }
+
+// Lasting reports whether traffic goes on under the known rules while no leader can be
+// asked for newer ones.
+func (s Settings) Lasting() bool { return s.lasting }
+
 // LogLevel returns the least severe level that is logged.
 func (s Settings) LogLevel() Level { return s.level }
 
