Release keys that an earlier process may have granted

Likewise a member that an earlier process left half gone was given up without a release. Change: what the first table shows may be held; it is released at the target, or waited for. A restarted daemon finishes the leave that it finds.

--- a/core/command/agent/keys.go
+++ b/core/command/agent/keys.go
@@ -53,7 +53,7 @@
 	}
 	v, ok := a.rulesOf(a.target.service)
 	if _, ordered := v.Kind().(rules.Ordered); ok && ordered && a.joined {
-		a.book.Follow(a.table.Spans(a.target.service), a.self)
+		a.book.Follow(a.table.Spans(a.target.service), a.self, a.now)
 		if a.parted() {
 			a.book.Retire()
 		}
--- a/core/command/agent/session.go
+++ b/core/command/agent/session.go
@@ -110,7 +110,7 @@
 	_, leaving := m.Phase().(table.Leaving)
 	switch {
 	case present && leaving && !a.joined && a.stays():
-		a.emit(SendGone{incarnation: a.self})
+		a.resumeLeave()
 	case present && !a.joined && !a.silent():
 		a.joined = true
 		a.nextRenew = a.now
@@ -119,6 +119,14 @@
 	}
 }
 
+// resumeLeave finishes what an earlier process began: its member was about to leave, and its
+// target may hold keys still. After that the target joins anew.
+func (a *Agent) resumeLeave() {
+	a.joined, a.nextRenew = true, a.now
+	a.next = a.target
+	a.startLeaving(losing{})
+}
+
 // follow begins to hand over the shards that move away.
 func (a *Agent) follow(c table.Change) {
 	h, ok := c.(table.HoldingSet)
--- a/core/command/hold/hold.go
+++ b/core/command/hold/hold.go
@@ -41,6 +41,7 @@
 	pieces []*piece
 	calls  map[uint64]call
 	id     uint64
+	knows  bool // it has seen all that was granted since
 }
 
 // piece is a run of keys with one epoch.
@@ -63,7 +64,7 @@
 type keep struct{}
 
 // part pieces are to be released.
-type part struct{ moving bool }
+type part struct{}
 
 // parted pieces are held by the target no more; the leader is being told.
 type parted struct{ handover string }
@@ -89,27 +90,27 @@
 
 // Follow takes over what the table says of the target's daemon: its owned spans, and those
 // that it is to hand over.
-func (b *Book) Follow(spans []table.Span, self table.Incarnation) {
+func (b *Book) Follow(spans []table.Span, self table.Incarnation, now clock.Millis) {
 	var next []*piece
 	for _, s := range spans {
 		switch h := s.Holding().(type) {
 		case table.Vacant:
 		case table.Owned:
 			if h.Owner() == self {
-				next = append(next, b.piece(s, h.Epoch(), h.Handover(), keep{}))
+				next = append(next, b.piece(s, h.Epoch(), h.Handover(), keep{}, now))
 			}
 		case table.Moving:
 			if h.From() == self {
-				next = append(next, b.piece(s, h.Epoch(), "", part{moving: true}))
+				next = append(next, b.piece(s, h.Epoch(), "", part{}, now))
 			}
 		}
 	}
-	b.pieces = next
+	b.pieces, b.knows = next, true
 }
 
 // piece returns what is known of the keys of a span, with the aim unless an earlier one
-// goes further.
-func (b *Book) piece(s table.Span, e table.Epoch, handover string, a aim) *piece {
+// goes further. Keys that the table shows at first may be held since an earlier process.
+func (b *Book) piece(s table.Span, e table.Epoch, handover string, a aim, now clock.Millis) *piece {
 	p := &piece{first: s.First(), last: s.Last(), epoch: e, handover: handover, aim: a}
 	covered := 0
 	for _, o := range b.pieces {
@@ -132,6 +133,9 @@
 	}
 	if covered < s.Size() {
 		p.sure = 0
+		if !b.knows {
+			p.doubt = end(now, b.most)
+		}
 	}
 	return p
 }
--- /dev/null
+++ b/core/command/hold/hold_test.go
@@ -0,0 +1,147 @@
+package hold_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"verbenabank/core/clock"
+	"verbenabank/core/command/hold"
+	"verbenabank/core/state/table"
+)
+
+const (
+	self  = table.Incarnation(1)
+	other = table.Incarnation(2)
+	most  = 10 * clock.Second
+)
+
+func owned(first, last table.Key, e table.Epoch) table.Span {
+	return table.NewSpan(first, last, table.NewOwned(self, e))
+}
+
+func moving(first, last table.Key, e table.Epoch) table.Span {
+	return table.NewSpan(first, last, table.NewMoving(self, other, e))
+}
+
+// one wants one order that is due.
+func one[T hold.Order](t *testing.T, b *hold.Book, now clock.Millis) T {
+	t.Helper()
+	due := b.Due(now)
+	if len(due) != 1 {
+		t.Fatalf("%d orders are due, want 1: %v", len(due), due)
+	}
+	o, ok := due[0].(T)
+	if !ok {
+		t.Fatalf("the order is %T", due[0])
+	}
+	return o
+}
+
+// granted returns a book whose target holds the keys 0 to 99 at epoch 5 since 1000, with a
+// lease until 6000.
+func granted(t *testing.T) *hold.Book {
+	b := hold.New(most, 0)
+	b.Follow(nil, self, 900)
+	b.Follow([]table.Span{owned(0, 99, 5)}, self, 1000)
+	b.Lease(6000)
+	g := one[hold.Grant](t, b, 1000)
+	b.Answered(g.ID(), hold.NewDone(""), 1002)
+	return b
+}
+
+func TestHoldEndsBeforeTheLease(t *testing.T) {
+	is := is.New(t)
+	b := hold.New(most, 0)
+	b.Follow([]table.Span{owned(0, 99, 5)}, self, 1000)
+	is.Equal(len(b.Due(1000)), 0) // without a lease
+	b.Lease(6000)
+	g := one[hold.Grant](t, b, 1000)
+	is.Equal(g.Epoch(), table.Epoch(5))
+	is.True(1000+g.Span()+g.Span()*2/100 <= 6000-hold.Slack)
+	is.Equal(len(b.Holds()), 0)
+	b.Answered(g.ID(), hold.NewDone(""), 1010)
+	is.Equal(b.Holds()[0].Until(), 1000+g.Span())
+}
+
+func TestGrantIsRenewedWithTheLease(t *testing.T) {
+	is := is.New(t)
+	b := granted(t)
+	is.Equal(len(b.Due(1500)), 0)
+	b.Lease(8000)
+	is.Equal(one[hold.Grant](t, b, 3000).Epoch(), table.Epoch(5))
+}
+
+func TestMovingKeysAreReleasedWithTheirHandover(t *testing.T) {
+	is := is.New(t)
+	b := granted(t)
+	b.Follow([]table.Span{owned(0, 49, 5), moving(50, 99, 5)}, self, 1100)
+	is.Equal(len(b.Holds()), 1)
+	r := one[hold.Release](t, b, 1100)
+	first, last := r.Keys()
+	is.Equal([]table.Key{first, last}, []table.Key{50, 99})
+	is.Equal(len(b.Releases("s")), 0)
+	b.Answered(r.ID(), hold.NewDone("token"), 1300)
+	is.Equal(len(b.Releases("s")), 1)
+	is.Equal(b.Releases("s")[0].Handover(), "token")
+}
+
+// TestFreshBookReleasesWhatItDoesNotKnow is the case of a daemon that was killed and finds
+// its keys moving: its target still holds them. Seen as OWNER on trouble-3 of mflha-mesh.
+func TestFreshBookReleasesWhatItDoesNotKnow(t *testing.T) {
+	is := is.New(t)
+	b := hold.New(most, 0)
+	b.Follow([]table.Span{moving(0, 99, 5)}, self, 1000)
+	r := one[hold.Release](t, b, 1000)
+	is.Equal(len(b.Releases("s")), 0)
+	is.True(!b.Free(1000))
+	b.Answered(r.ID(), hold.NewDone("token"), 1200)
+	is.Equal(len(b.Releases("s")), 1)
+	is.True(b.Free(1200))
+}
+
+// TestGrantWithoutAnswerDelaysTheRelease is the case of an order that takes effect late.
+func TestGrantWithoutAnswerDelaysTheRelease(t *testing.T) {
+	is := is.New(t)
+	b := hold.New(most, 0)
+	b.Follow(nil, self, 900)
+	b.Follow([]table.Span{owned(0, 99, 5)}, self, 1000)
+	b.Lease(6000)
+	g := one[hold.Grant](t, b, 1000)
+	b.Answered(g.ID(), hold.Unanswered{}, 1700)
+	b.Follow([]table.Span{moving(0, 99, 5)}, self, 1800)
+	for now := clock.Millis(1800); now < 1700+g.Span(); now += 100 {
+		for _, o := range b.Due(now) {
+			b.Answered(o.ID(), hold.NewDone(""), now)
+		}
+		is.Equal(len(b.Releases("s")), 0) // the grant may still take effect
+	}
+	b.Due(1700 + g.Span() + g.Span()*2/100 + 2)
+	is.Equal(len(b.Releases("s")), 1)
+}
+
+func TestReleaseWithoutAnswerWaitsForTheHold(t *testing.T) {
+	is := is.New(t)
+	b := granted(t)
+	b.Follow([]table.Span{moving(0, 99, 5)}, self, 1100)
+	for now := clock.Millis(1100); now < 5600; now += 100 {
+		for _, o := range b.Due(now) {
+			b.Answered(o.ID(), hold.Unanswered{}, now)
+		}
+		is.Equal(len(b.Releases("s")), 0)
+	}
+	b.Due(7000)
+	is.Equal(len(b.Releases("s")), 1)
+}
+
+func TestStaleGrantIsGivenBackAndNotSentAgain(t *testing.T) {
+	is := is.New(t)
+	b := hold.New(most, 0)
+	b.Follow([]table.Span{owned(0, 99, 5)}, self, 1000)
+	b.Lease(6000)
+	b.Answered(one[hold.Grant](t, b, 1000).ID(), hold.Stale{}, 1010)
+	r := one[hold.Release](t, b, 1010)
+	b.Answered(r.ID(), hold.NewDone(""), 1020)
+	is.Equal(len(b.Releases("s")), 1)
+	is.Equal(len(b.Due(5000)), 0)
+}
