End earlier lives of a target, deal keys in runs, queue by priority and aim

Vacant runs were dealt one by one over all members, so keys broke into hundreds of spans. Refusals came after 250 ms in a queue that let the newest go first. Change: the join of a target that started later ends members of its instance that started earlier; keys are dealt in runs that go on with one member; routed requests queue by priority and the instant of full worth, are refused on arrival or stay, and each fifth turn is a lower priority's.

--- a/core/command/admit/admit.go
+++ b/core/command/admit/admit.go
@@ -62,7 +62,9 @@
 	arrived  clock.Millis
 	deadline clock.Millis
 	wait     clock.Millis
+	stay     clock.Millis
 	priority int
+	aim      clock.Millis
 	ready    chan Grant
 }
 
@@ -77,33 +79,57 @@
 	waiting []*Ticket
 	stood   clock.Millis // since when the queue was never empty
 	service clock.Millis // mean time of service in 1/1000 ms
+	order   Order
+	turns   int // of the highest priority since another one had its turn
 }
 
 // New returns a gate with the limits.
-func New(l Limits) *Gate { return &Gate{limits: l, service: FirstService * 1000} }
+func New(l Limits, opts ...Option) *Gate {
+	g := &Gate{limits: l, service: FirstService * 1000, order: Adaptive{}}
+	for _, o := range opts {
+		o(g)
+	}
+	return g
+}
+
+// Option sets one property of a Gate.
+type Option func(*Gate)
+
+// WithOrder sets who goes first.
+func WithOrder(o Order) Option { return func(g *Gate) { g.order = o } }
 
 // Arrive asks for a slot at now, for a request with a deadline. The grant comes
 // on the ticket's channel, at once if there is a slot or no hope.
 func (g *Gate) Arrive(now, deadline clock.Millis, l Limits) *Ticket {
-	return g.Enter(now, NewWant(deadline, l.wait, 0), l)
+	return g.Enter(now, NewWant(deadline, l.wait), l)
 }
 
 // Want is what an arriving request asks for.
 type Want struct {
 	deadline clock.Millis
 	wait     clock.Millis
+	stay     clock.Millis
 	priority int
+	aim      clock.Millis
 }
 
 // NewWant returns the wish of a request to be done by the deadline, an instant, and to wait
-// no longer than a span. Requests of a lower number of priority go first.
-func NewWant(deadline, wait clock.Millis, priority int) Want {
-	return Want{deadline: deadline, wait: wait, priority: priority}
+// no longer than a span.
+func NewWant(deadline, wait clock.Millis) Want {
+	return Want{deadline: deadline, wait: wait, stay: wait}
+}
+
+// WithRank returns the wish of a request of a priority (0 goes first) that is worth most by
+// the instant aim. Once it is let in, it may wait for the span stay.
+func (w Want) WithRank(priority int, aim, stay clock.Millis) Want {
+	w.priority, w.aim, w.stay = priority, aim, stay
+	return w
 }
 
 // Enter is Arrive for a request with a priority and a patience of its own.
 func (g *Gate) Enter(now clock.Millis, w Want, l Limits) *Ticket {
-	t := &Ticket{arrived: now, deadline: w.deadline, wait: w.wait, priority: w.priority, ready: make(chan Grant, 1)}
+	t := &Ticket{arrived: now, deadline: w.deadline, wait: w.wait, stay: w.stay, priority: w.priority, aim: w.aim,
+		ready: make(chan Grant, 1)}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.limits = l
@@ -127,7 +153,7 @@
 	}
 	ahead := 0
 	for _, w := range g.waiting {
-		if w.priority < t.priority || (w.priority == t.priority && !g.overloadedAt(now)) {
+		if g.before(w, t, now) {
 			ahead++
 		}
 	}
@@ -138,7 +164,7 @@
 func (g *Gate) enqueue(t *Ticket, now clock.Millis) {
 	if len(g.waiting) >= g.limits.queue {
 		i := g.last()
-		if w := g.waiting[i]; w.priority < t.priority || (w.priority == t.priority && !g.overloadedAt(now)) {
+		if g.before(g.waiting[i], t, now) {
 			t.ready <- g.overloaded()
 			return
 		}
@@ -211,7 +237,7 @@
 func (g *Gate) fill(now clock.Millis) {
 	for len(g.waiting) > 0 && g.busy < g.limits.slots {
 		t := g.next(now)
-		if now-t.arrived > t.wait || now+g.service/1000 >= t.deadline {
+		if now-t.arrived > t.stay || now+g.service/1000 >= t.deadline {
 			t.ready <- g.overloaded()
 			continue
 		}
@@ -221,13 +247,7 @@
 
 // next takes the request whose turn it is.
 func (g *Gate) next(now clock.Millis) *Ticket {
-	i := 0
-	for k, t := range g.waiting {
-		first := g.waiting[i]
-		if t.priority < first.priority || (t.priority == first.priority && g.overloadedAt(now)) {
-			i = k
-		}
-	}
+	i := g.first(now)
 	t := g.waiting[i]
 	g.waiting = append(g.waiting[:i], g.waiting[i+1:]...)
 	return t
--- /dev/null
+++ b/core/command/admit/order.go
@@ -0,0 +1,78 @@
+package admit
+
+import "verbenabank/core/clock"
+
+// Order says who of the waiting requests goes first: Adaptive or Earliest.
+type Order interface{ order() }
+
+// Adaptive lets the oldest request go first, and the newest while the queue stands for long:
+// then some are served in time instead of all too late.
+type Adaptive struct{}
+
+// Earliest lets requests go by priority, and those of one priority by the instant by which
+// they are worth most. Each otherTurn-th turn goes to a lower priority, so that none starves.
+type Earliest struct{}
+
+func (Adaptive) order() {}
+func (Earliest) order() {}
+
+// otherTurn is how often a lower priority has its turn while a higher one waits.
+const otherTurn = 5
+
+// before reports whether a waiting request goes before one that has just arrived.
+func (g *Gate) before(w, t *Ticket, now clock.Millis) bool {
+	if w.priority != t.priority {
+		return w.priority < t.priority
+	}
+	switch g.order.(type) {
+	case Adaptive:
+		return !g.overloadedAt(now)
+	case Earliest:
+		return w.aim <= t.aim
+	}
+	return true
+}
+
+// first returns the place of the request that goes next.
+func (g *Gate) first(now clock.Millis) int {
+	switch g.order.(type) {
+	case Adaptive:
+		if g.overloadedAt(now) {
+			return len(g.waiting) - 1
+		}
+		return 0
+	case Earliest:
+		return g.earliest()
+	}
+	return 0
+}
+
+// earliest returns the place of the request of the highest priority, or at its turn of
+// another one, that is worth most by the earliest instant.
+func (g *Gate) earliest() int {
+	top, lower := -1, -1
+	for k, t := range g.waiting {
+		if top < 0 || less(t, g.waiting[top]) {
+			top = k
+		}
+	}
+	for k, t := range g.waiting {
+		if t.priority > g.waiting[top].priority && (lower < 0 || less(t, g.waiting[lower])) {
+			lower = k
+		}
+	}
+	if lower < 0 {
+		g.turns = 0
+		return top
+	}
+	g.turns++
+	if g.turns >= otherTurn {
+		g.turns = 0
+		return lower
+	}
+	return top
+}
+
+func less(a, b *Ticket) bool {
+	return a.priority < b.priority || (a.priority == b.priority && a.aim < b.aim)
+}
--- a/core/command/agent/agent.go
+++ b/core/command/agent/agent.go
@@ -56,6 +56,7 @@
 	boot    string
 	name    string
 	life    uint64
+	born    uint64
 }
 
 // Option sets one property of an Agent.
--- a/core/command/agent/beat.go
+++ b/core/command/agent/beat.go
@@ -80,7 +80,7 @@
 	case Willing:
 		if !a.heard.retired {
 			boot := strconv.FormatUint(a.heard.born, 36)
-			a.announced(NewAnnounced(b.service, b.address, boot).WithLife(b.name, a.lifeOf(a.heard), b.room))
+			a.announced(NewAnnounced(b.service, b.address, boot).WithLife(b.name, a.lifeOf(a.heard), b.room).WithBorn(a.heard.born))
 		}
 	case Retiring, Parting:
 		a.retire()
--- a/core/command/agent/event.go
+++ b/core/command/agent/event.go
@@ -23,6 +23,7 @@
 	name    string
 	life    uint64
 	room    int
+	born    uint64
 }
 
 // NewAnnounced returns the announcement of a target of service at address
@@ -39,6 +40,12 @@
 	return e
 }
 
+// WithBorn returns the announcement with the time of the target's start.
+func (e Announced) WithBorn(born uint64) Announced {
+	e.born = born
+	return e
+}
+
 // Withdrawn says that the target is about to stop.
 type Withdrawn struct{}
 
--- a/core/command/agent/session.go
+++ b/core/command/agent/session.go
@@ -23,7 +23,7 @@
 	if _, ok := a.leave.(staying); !ok || !a.connected {
 		return
 	}
-	m := table.NewMember(a.self, a.instance, a.zone, a.address, a.target.service, table.Warming{})
+	m := table.NewMember(a.self, a.instance, a.zone, a.address, a.target.service, table.Warming{}).WithBorn(a.target.born)
 	a.emit(SendJoin{member: m, group: a.group})
 	a.nextRenew = a.now.Add(a.terms.Every())
 }
--- a/core/command/agent/target.go
+++ b/core/command/agent/target.go
@@ -3,7 +3,7 @@
 // announced takes note of the target beside. A new boot of a known target means
 // that the old one is dead.
 func (a *Agent) announced(e Announced) {
-	t := target{service: e.service, address: e.address, boot: e.boot, name: e.name, life: e.life}
+	t := target{service: e.service, address: e.address, boot: e.boot, name: e.name, life: e.life, born: e.born}
 	switch {
 	case t == a.target:
 		a.setRoom(e.room)
--- a/core/command/apply/member.go
+++ b/core/command/apply/member.go
@@ -16,6 +16,16 @@
 	}
 	s.change(table.NewMemberSet(m))
 	s.record(fleet.Control, "member "+m.Instance(), "", incarnation(m.Incarnation()), "joined")
+	s.succeed(m)
+}
+
+// succeed ends earlier lives of the target beside a daemon: one process of it runs at a time.
+func (s *step) succeed(m table.Member) {
+	for _, o := range s.table().Members() {
+		if o.Instance() == m.Instance() && o.Incarnation() != m.Incarnation() && o.Born() > 0 && o.Born() < m.Born() {
+			s.end(o, order.Succeeded)
+		}
+	}
 }
 
 func (s *step) setPhase(c order.SetPhase) {
@@ -42,6 +52,12 @@
 		s.reject("expire", UnknownMember)
 		return
 	}
+	s.end(m, c.Cause())
+}
+
+// end removes a member and what it held.
+func (s *step) end(m table.Member, cause order.Cause) {
+	gone := m.Incarnation()
 	for _, v := range s.table().Services() {
 		for _, sh := range s.table().Shards(v) {
 			s.expireShard(v, sh, gone)
@@ -49,7 +65,7 @@
 		s.expireSpans(v, gone)
 	}
 	s.change(table.NewMemberGone(gone))
-	s.record(fleet.Control, "member "+m.Instance(), incarnation(gone), "", string(c.Cause()))
+	s.record(fleet.Control, "member "+m.Instance(), incarnation(gone), "", string(cause))
 }
 
 func (s *step) expireShard(service string, sh table.Shard, gone table.Incarnation) {
--- a/core/query/spread/spread.go
+++ b/core/query/spread/spread.go
@@ -133,26 +133,50 @@
 	return sum
 }
 
+// run is a run of keys.
+type run struct {
+	first table.Key
+	last  table.Key
+}
+
 // grant gives vacant keys to members.
 func (p *planner) grant() {
-	spans := p.table.Spans(p.service)
-	if len(spans) == 0 && !p.settled() {
+	if len(p.table.Spans(p.service)) == 0 && !p.settled() {
 		return
 	}
+	vacant := p.vacant()
+	d := p.dealer(vacant)
+	for _, r := range vacant {
+		d.deal(r, func(first, last table.Key, to *member) {
+			p.out = append(p.out, order.NewGrantSpan(p.service, first, last, to.member.Incarnation()))
+		})
+	}
+}
+
+// vacant returns the runs of keys that nobody holds.
+func (p *planner) vacant() []run {
+	var list []run
+	add := func(first, last table.Key) {
+		if n := len(list); n > 0 && list[n-1].last+1 == first {
+			list[n-1].last = last
+			return
+		}
+		list = append(list, run{first: first, last: last})
+	}
 	next := table.Key(0)
-	end := table.Key(p.keys - 1)
-	for _, s := range spans {
+	for _, s := range p.table.Spans(p.service) {
 		if s.First() > next {
-			p.deal(next, s.First()-1, p.granted)
+			add(next, s.First()-1)
 		}
 		if _, ok := s.Holding().(table.Vacant); ok {
-			p.deal(s.First(), s.Last(), p.granted)
+			add(s.First(), s.Last())
 		}
 		next = s.Last() + 1
 	}
-	if next <= end {
-		p.deal(next, end, p.granted)
+	if end := table.Key(p.keys - 1); next <= end {
+		add(next, end)
 	}
+	return list
 }
 
 func (p *planner) settled() bool {
@@ -164,45 +188,71 @@
 	return true
 }
 
-func (p *planner) granted(first, last table.Key, to *member) {
-	p.out = append(p.out, order.NewGrantSpan(p.service, first, last, to.member.Incarnation()))
-}
-
 // relieve moves keys off owners that leave or that have no target of the service.
 func (p *planner) relieve() {
+	var runs []run
+	epochs := map[table.Key]table.Epoch{}
 	for _, s := range p.table.Spans(p.service) {
 		h, ok := s.Holding().(table.Owned)
 		if _, able := p.able[h.Owner()]; !ok || able {
 			continue
 		}
-		p.deal(s.First(), s.Last(), func(first, last table.Key, to *member) {
-			p.out = append(p.out, order.NewMoveSpan(p.service, first, last, h.Epoch(), to.member.Incarnation()))
+		runs = append(runs, run{first: s.First(), last: s.Last()})
+		epochs[s.First()] = h.Epoch()
+	}
+	d := p.dealer(runs)
+	for _, r := range runs {
+		e := epochs[r.first]
+		d.deal(r, func(first, last table.Key, to *member) {
+			p.out = append(p.out, order.NewMoveSpan(p.service, first, last, e, to.member.Incarnation()))
 		})
 	}
 }
 
-// deal cuts the keys from first to last into a piece for each member that is below its
-// part of the load, the one furthest below first.
-func (p *planner) deal(first, last table.Key, give func(first, last table.Key, to *member)) {
-	total, speed := p.load(first, last), 0.0
+// dealer hands out runs of keys so that members end up with equal parts of the load. It goes
+// on with one member until that has its part, so that the keys of a member stay together.
+type dealer struct {
+	planner *planner
+	takers  []*member // the one furthest below its part first
+	room    map[*member]float64
+}
+
+func (p *planner) dealer(runs []run) *dealer {
+	total, speed := 0.0, 0.0
+	for _, r := range runs {
+		total += p.load(r.first, r.last)
+	}
 	for _, m := range p.members {
 		total += m.rate
 		speed += 1 / m.cost
 	}
-	room := func(m *member) float64 { return total/m.cost/speed - m.rate }
-	takers := slices.Clone(p.members)
-	slices.SortStableFunc(takers, func(a, b *member) int { return cmp.Compare(room(b), room(a)) })
-	for n, m := range takers {
-		until := last
-		if n < len(takers)-1 {
-			until = p.cut(first, last, room(m))
+	d := &dealer{planner: p, takers: slices.Clone(p.members), room: map[*member]float64{}}
+	for _, m := range p.members {
+		d.room[m] = total/m.cost/speed - m.rate
+	}
+	slices.SortStableFunc(d.takers, func(a, b *member) int { return cmp.Compare(d.room[b], d.room[a]) })
+	return d
+}
+
+// deal hands out one run, whole or in pieces.
+func (d *dealer) deal(r run, give func(first, last table.Key, to *member)) {
+	for {
+		m := d.takers[0]
+		until := r.last
+		if len(d.takers) > 1 {
+			until = d.planner.cut(r.first, r.last, d.room[m])
+		}
+		give(r.first, until, m)
+		weight := d.planner.load(r.first, until)
+		m.rate += weight
+		d.room[m] -= weight
+		if d.room[m] <= 0 && len(d.takers) > 1 {
+			d.takers = d.takers[1:]
 		}
-		give(first, until, m)
-		m.rate += p.load(first, until)
-		if until == last {
+		if until == r.last {
 			return
 		}
-		first = until + 1
+		r.first = until + 1
 	}
 }
 
--- a/core/state/fleet/fleet.go
+++ b/core/state/fleet/fleet.go
@@ -94,6 +94,15 @@
 	return all
 }
 
+// Since returns the records of the control group from the index on, oldest first.
+func (f *Fleet) Since(index uint64) []Record {
+	i := len(f.own)
+	for i > 0 && f.own[i-1].index >= index {
+		i--
+	}
+	return f.own[i:]
+}
+
 // Newest returns the newest record of the audit trail, and whether there is one. It
 // is cheaper than Audit.
 func (f *Fleet) Newest() (Record, bool) {
--- a/core/state/order/order.go
+++ b/core/state/order/order.go
@@ -38,6 +38,8 @@
 	Silent Cause = "lease ran out"
 	Left   Cause = "left"
 	Lost   Cause = "target lost"
+	// Succeeded members are ended by the join of a later life of their target.
+	Succeeded Cause = "target started again"
 )
 
 // NewExpire returns the command that removes i.
--- a/core/wire/codec/command.go
+++ b/core/wire/codec/command.go
@@ -150,11 +150,11 @@
 func encodeJoin(m table.Member, group uint64) *wirepb.Join {
 	return &wirepb.Join{
 		Incarnation: uint64(m.Incarnation()), Instance: m.Instance(), Zone: m.Zone(),
-		Address: m.Address(), Service: m.Service(), Group: group,
+		Address: m.Address(), Service: m.Service(), Group: group, Born: m.Born(),
 	}
 }
 
 func decodeJoin(j *wirepb.Join) table.Member {
 	return table.NewMember(table.Incarnation(j.GetIncarnation()), j.GetInstance(), j.GetZone(),
-		j.GetAddress(), j.GetService(), table.Warming{})
+		j.GetAddress(), j.GetService(), table.Warming{}).WithBorn(j.GetBorn())
 }
--- a/core/wire/codec/table.go
+++ b/core/wire/codec/table.go
@@ -83,7 +83,7 @@
 func encodeMember(m table.Member) *wirepb.MemberRecord {
 	return &wirepb.MemberRecord{
 		Incarnation: uint64(m.Incarnation()), Instance: m.Instance(), Zone: m.Zone(),
-		Address: m.Address(), Service: m.Service(), Phase: encodePhase(m.Phase()),
+		Address: m.Address(), Service: m.Service(), Phase: encodePhase(m.Phase()), Born: m.Born(),
 	}
 }
 
@@ -154,7 +154,7 @@
 		err = fail("member", Missing, nil)
 	}
 	return table.NewMember(table.Incarnation(m.GetIncarnation()), m.GetInstance(), m.GetZone(),
-		m.GetAddress(), m.GetService(), p), err
+		m.GetAddress(), m.GetService(), p).WithBorn(m.GetBorn()), err
 }
 
 func decodePhase(p wirepb.PhaseCode) (table.Phase, error) {
--- a/verbenad/adapt/front/exchange.go
+++ b/verbenad/adapt/front/exchange.go
@@ -28,6 +28,14 @@
 	ask    Ask
 	body   *relay.Body
 	cut    bool // the body was not read whole
+
+	// What the log tells of the request.
+	route   string
+	service string
+	number  string // of the key
+	asked   int    // daemons
+	by      string // the last instance that was asked
+	version uint64 // of the table
 }
 
 // open starts the request. It returns once its body is read, or is not to be read, and
@@ -93,6 +101,7 @@
 	f.meter.Begin()
 	o := x.run()
 	f.meter.End(o, f.clock.Now()-x.began)
+	f.tell(x, o)
 	if x.body != nil && !x.body.Finish(x.interrupt) && !x.cut {
 		x.conn.end(true)
 	}
@@ -107,12 +116,14 @@
 		return x.refuse(result.NotReady)
 	}
 	i := f.relay.Index(s)
+	x.version = s.Table().Version()
 	uri := target(&x.head)
 	path, _, _ := strings.Cut(uri, "?")
 	r, ok := i.Find(host(&x.head), path)
 	if !ok {
 		return x.refuse(result.UnknownRoute)
 	}
+	x.route = r.Name()
 	p, ok := route.Share(r, rand.IntN)
 	if !ok {
 		return x.refuse(result.NoTarget)
@@ -128,11 +139,14 @@
 	deadline := x.began + wait
 	ctx, cancel := context.WithTimeout(x.conn.ctx, (deadline - f.clock.Now()).Duration())
 	defer cancel()
-	d := relay.NewDemand(v, route.Direct(v.Name(), x.key(v)), deadline,
+	x.service, x.number = v.Name(), x.key(v)
+	d := relay.NewDemand(v, route.Direct(x.service, x.number), deadline,
 		relay.WithMessage(x.ask.id, string(x.head.Method()), uri),
 		relay.WithFields(f.dialect.Forward(fields(&x.head), f.origin())), relay.WithBody(x.body),
 		relay.WithRoute(r, x.began+r.Aim()))
-	switch reply := f.relay.Run(ctx, d).Reply().(type) {
+	done := f.relay.Run(ctx, d)
+	x.asked, x.by = done.Sends(), done.Instance()
+	switch reply := done.Reply().(type) {
 	case call.Answer:
 		return x.answer(ctx, reply)
 	case call.Failure:
--- a/verbenad/adapt/front/front.go
+++ b/verbenad/adapt/front/front.go
@@ -76,6 +76,7 @@
 	origin  func() string
 	group   conc.WaitGroup
 	leaving atomic.Bool
+	story   story
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
--- a/verbenad/command/ctrl/local.go
+++ b/verbenad/command/ctrl/local.go
@@ -2,9 +2,14 @@
 
 import (
 	"errors"
+	"fmt"
+
+	"github.com/sirupsen/logrus"
 
 	"verbenabank/core/command/agent"
 	"verbenabank/core/command/hold"
+	"verbenabank/core/state/snap"
+	"verbenabank/core/state/table"
 )
 
 // stepAgent carries out what the daemon decides.
@@ -17,7 +22,7 @@
 func (l *Loop) local(f agent.Effect) {
 	switch f := f.(type) {
 	case agent.Publish:
-		l.cell.Publish(f.Snap())
+		l.publish(f.Snap())
 	case agent.SendJoin, agent.SendRenew, agent.SendLeave, agent.SendGone:
 		l.uplink.Send(f)
 	case agent.AwaitQuiet:
@@ -46,6 +51,27 @@
 	}
 }
 
+// publish shows traffic a snapshot, and logs what it changes for this daemon.
+func (l *Loop) publish(s *snap.Snap) {
+	last := l.cell.Load()
+	l.cell.Publish(s)
+	fields := logrus.Fields{
+		"self": incarnation(s.Self()), "table": s.Table().Version(), "rules": s.Table().Rules().Version(),
+		"lease_left_ms": int64(max(0, s.LeaseEnd()-l.clock.Now())),
+	}
+	if s.Self() != last.Self() {
+		fields["was"] = incarnation(last.Self())
+		l.log.WithFields(fields).Info("ctrl: own membership changed")
+	}
+	if s.Table().Rules().Version() != last.Table().Rules().Version() {
+		fields["was_rules"] = last.Table().Rules().Version()
+		l.log.WithFields(fields).Info("ctrl: rules in force")
+	}
+}
+
+// incarnation returns the text of an incarnation, as the audit trail has it.
+func incarnation(i table.Incarnation) string { return fmt.Sprintf("%016x", uint64(i)) }
+
 // awaitQuiet waits for the requests that may be for keys of the shard and entered under
 // another, however long they take, and only then for the shard itself.
 func (l *Loop) awaitQuiet(f agent.AwaitQuiet) {
--- a/verbenad/command/ctrl/replica.go
+++ b/verbenad/command/ctrl/replica.go
@@ -6,6 +6,7 @@
 	"verbenabank/core/command/apply"
 	"verbenabank/core/command/leader"
 	"verbenabank/core/command/raft"
+	"verbenabank/core/state/fleet"
 	"verbenabank/core/state/order"
 	"verbenabank/core/state/peer"
 	"verbenabank/core/wire/codec"
@@ -93,6 +94,7 @@
 	l.fleet = next
 	l.answer(c.Token(), effects)
 	l.report(effects)
+	l.record(next)
 	if l.leader != nil {
 		l.stepLeader(leader.NewApplied(next, command, effects))
 	}
@@ -112,6 +114,20 @@
 	}
 }
 
+// record logs what a command changed, on the leader: members and owners of keys.
+func (l *Loop) record(f *fleet.Fleet) {
+	if l.leader == nil {
+		return
+	}
+	for _, r := range f.Since(f.Index()) {
+		if r.Author() == fleet.Control {
+			l.log.WithFields(logrus.Fields{
+				"index": r.Index(), "subject": r.Subject(), "from": r.From(), "to": r.To(), "outcome": r.Outcome(),
+			}).Info("ctrl: change of the fleet")
+		}
+	}
+}
+
 // report logs what the audit trail gained and what was rejected.
 func (l *Loop) report(effects []apply.Effect) {
 	for _, e := range effects {
--- a/verbenad/command/owner/guard.go
+++ b/verbenad/command/owner/guard.go
@@ -99,7 +99,11 @@
 func (g *guard) admit(ctx context.Context, s rules.Service) (call.Failure, bool) {
 	now, gate := g.owner.clock.Now(), g.owner.gate
 	wait := g.patience(s)
-	w := admit.NewWant(g.deadline, wait, g.request.Priority())
+	w, stay := admit.NewWant(g.deadline, wait), wait
+	if g.request.Aim() > 0 {
+		stay = max(0, g.deadline-now-clock.Millis(gate.Service()))
+		w = w.WithRank(g.request.Priority(), g.entered+g.request.Aim(), stay)
+	}
 	t := gate.Enter(now, w, admit.NewLimits(g.owner.slots(s), s.Queue(), wait))
 	select {
 	case o := <-t.Ready():
@@ -108,7 +112,7 @@
 	}
 	g.owner.meter.Event("waiting", 1)
 	defer g.owner.meter.Event("waiting", -1)
-	timer := time.NewTimer(min(wait, g.deadline-now).Duration())
+	timer := time.NewTimer(min(stay, g.deadline-now).Duration())
 	defer timer.Stop()
 	select {
 	case o := <-t.Ready():
--- a/verbenad/command/owner/owner.go
+++ b/verbenad/command/owner/owner.go
@@ -77,7 +77,7 @@
 	o := &Owner{
 		clock:   clock.New(),
 		flight:  flight.New(),
-		gate:    admit.New(admit.NewLimits(rules.DefaultSlots, rules.DefaultQueue, rules.DefaultQueueWait)),
+		gate:    newGate(),
 		meter:   meter.Of("owner"),
 		hot:     heavy.New(HotCounters),
 		cells:   map[int]uint64{},
@@ -96,6 +96,15 @@
 // WithDialect sets how the target is spoken to.
 func WithDialect(d Dialect) Option { return func(o *Owner) { o.dialect = d } }
 
+// WithOrder sets who of the waiting requests goes first.
+func WithOrder(x admit.Order) Option {
+	return func(o *Owner) { o.gate = newGate(admit.WithOrder(x)) }
+}
+
+func newGate(opts ...admit.Option) *admit.Gate {
+	return admit.New(admit.NewLimits(rules.DefaultSlots, rules.DefaultQueue, rules.DefaultQueueWait), opts...)
+}
+
 // SetTarget sets the name of the target, and how many requests it runs at once, 0 if only
 // the rules say it.
 func (o *Owner) SetTarget(name string, slots int) {
--- a/verbenad/command/serve/traffic.go
+++ b/verbenad/command/serve/traffic.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 
 	"verbenabank/core/clock"
+	"verbenabank/core/command/admit"
 	"verbenabank/core/command/agent"
 	"verbenabank/core/command/budget"
 	"verbenabank/core/command/lease"
@@ -29,7 +30,7 @@
 		owner.WithClock(d.clock), owner.WithCell(d.cell), owner.WithTarget(d.sidecar), owner.WithExtender(x),
 	}
 	if d.speech != nil {
-		options = append(options, owner.WithDialect(d.speech))
+		options = append(options, owner.WithDialect(d.speech), owner.WithOrder(admit.Earliest{}))
 	}
 	d.owner = owner.New(options...)
 	d.sidecar.owner = d.owner
--- a/verbenad/command/start/start.go
+++ b/verbenad/command/start/start.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"verbenabank/verbenad/adapt/jsonc"
+	"verbenabank/verbenad/adapt/logs"
 	"verbenabank/verbenad/command/serve"
 	"verbenabank/verbenad/state/sets"
 )
@@ -44,7 +45,9 @@
 	if check {
 		return 0
 	}
-	if err := run(path, settings, logger(settings, out), build); err != nil {
+	lines, flush := logs.New(out)
+	defer flush()
+	if err := run(path, settings, logger(settings, lines), build); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return ExitFailed
 	}
