Queue requests with little time first, late ones last

Cause: requests that were late already went before fresh ones of their priority. Change: order within a priority by the time left at arrival, late ones behind.

--- a/core/command/admit/order.go
+++ b/core/command/admit/order.go
@@ -9,8 +9,10 @@
 // then some are served in time instead of all too late.
 type Adaptive struct{}
 
-// Earliest lets requests go by priority, and those of one priority by the instant by which
-// they are worth most. Each otherTurn-th turn goes to a lower priority, so that none starves.
+// Earliest lets requests go by priority, and those of one priority by how soon after their
+// arrival they are worth most: calls that others wait for have little time and take little.
+// Those that cannot make that instant any more go after those that can. Each otherTurn-th
+// turn goes to a lower priority, so that none starves.
 type Earliest struct{}
 
 func (Adaptive) order() {}
@@ -28,7 +30,7 @@
 	case Adaptive:
 		return !g.overloadedAt(now)
 	case Earliest:
-		return w.aim <= t.aim
+		return !g.less(t, w, now)
 	}
 	return true
 }
@@ -42,22 +44,22 @@
 		}
 		return 0
 	case Earliest:
-		return g.earliest()
+		return g.earliest(now)
 	}
 	return 0
 }
 
 // earliest returns the place of the request of the highest priority, or at its turn of
 // another one, that is worth most by the earliest instant.
-func (g *Gate) earliest() int {
+func (g *Gate) earliest(now clock.Millis) int {
 	top, lower := -1, -1
 	for k, t := range g.waiting {
-		if top < 0 || less(t, g.waiting[top]) {
+		if top < 0 || g.less(t, g.waiting[top], now) {
 			top = k
 		}
 	}
 	for k, t := range g.waiting {
-		if t.priority > g.waiting[top].priority && (lower < 0 || less(t, g.waiting[lower])) {
+		if t.priority > g.waiting[top].priority && (lower < 0 || g.less(t, g.waiting[lower], now)) {
 			lower = k
 		}
 	}
@@ -73,6 +75,19 @@
 	return top
 }
 
-func less(a, b *Ticket) bool {
-	return a.priority < b.priority || (a.priority == b.priority && a.aim < b.aim)
+// less reports whether a goes before b.
+func (g *Gate) less(a, b *Ticket, now clock.Millis) bool {
+	if a.priority != b.priority {
+		return a.priority < b.priority
+	}
+	if x, y := g.late(a, now), g.late(b, now); x != y {
+		return y
+	}
+	if x, y := a.aim-a.arrived, b.aim-b.arrived; x != y {
+		return x < y
+	}
+	return a.aim < b.aim
 }
+
+// late reports whether a request cannot be answered any more while it is worth most.
+func (g *Gate) late(t *Ticket, now clock.Millis) bool { return now+g.service/1000 > t.aim }
--- /dev/null
+++ b/core/command/admit/order_test.go
@@ -0,0 +1,68 @@
+package admit
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"verbenabank/core/clock"
+)
+
+// full returns a gate of one slot that is taken, for requests of about 100 ms.
+func full() (*Gate, Limits) {
+	l := NewLimits(1, 10, clock.Second)
+	g := New(l, WithOrder(Earliest{}))
+	for range 40 {
+		g.Enter(0, NewWant(10*clock.Second, clock.Second), l)
+		g.Leave(0, 100)
+	}
+	g.Enter(0, NewWant(10*clock.Second, clock.Second), l)
+	return g, l
+}
+
+func wait(g *Gate, l Limits, now clock.Millis, priority int, aim clock.Millis) *Ticket {
+	return g.Enter(now, NewWant(now+5*clock.Second, 5*clock.Second).WithRank(priority, aim, 5*clock.Second), l)
+}
+
+func admitted(t *Ticket) bool {
+	select {
+	case o := <-t.Ready():
+		_, ok := o.(Admitted)
+		return ok
+	default:
+		return false
+	}
+}
+
+func TestRequestWithLittleTimeGoesFirst(t *testing.T) {
+	is := is.New(t)
+	g, l := full()
+	slow, fast := wait(g, l, 0, 1, 600), wait(g, l, 480, 1, 630)
+	g.Leave(490, 100)
+	is.True(admitted(fast) && !admitted(slow))
+}
+
+// TestLateRequestsDoNotHoldUpThoseThatAreInTime is the case of depot-desk on scale-2 of
+// mflha-mesh: uploads that were late already went before calls with a nearer end.
+func TestLateRequestsDoNotHoldUpThoseThatAreInTime(t *testing.T) {
+	is := is.New(t)
+	g, l := full()
+	late, fresh := wait(g, l, 0, 1, 550), wait(g, l, 500, 1, 700)
+	g.Leave(501, 100)
+	is.True(admitted(fresh) && !admitted(late))
+	g.Leave(600, 100)
+	is.True(admitted(late))
+}
+
+func TestLowerPriorityHasItsTurn(t *testing.T) {
+	is := is.New(t)
+	g, l := full()
+	low := wait(g, l, 0, 2, 400)
+	turns := 0
+	for !admitted(low) {
+		wait(g, l, 1, 1, 300)
+		g.Leave(2, 100)
+		turns++
+	}
+	is.Equal(turns, otherTurn)
+}
