Estimate waits for a slot by the times of each class of requests

Cause: one mean over short calls and long uploads made calls look hopeless at a busy target, so they were refused at once and the requests that made them failed. Change: the route is the class of a request; the gate keeps a mean for each.

--- a/core/command/admit/admit.go
+++ b/core/command/admit/admit.go
@@ -65,6 +65,7 @@
 	stay     clock.Millis
 	priority int
 	aim      clock.Millis
+	class    string
 	ready    chan Grant
 }
 
@@ -80,12 +81,13 @@
 	stood   clock.Millis // since when the queue was never empty
 	service clock.Millis // mean time of service in 1/1000 ms
 	order   Order
-	turns   int // of the highest priority since another one had its turn
+	turns   int                     // of the highest priority since another one had its turn
+	classes map[string]clock.Millis // mean time of service of each class in 1/1000 ms
 }
 
 // New returns a gate with the limits.
 func New(l Limits, opts ...Option) *Gate {
-	g := &Gate{limits: l, service: FirstService * 1000, order: Adaptive{}}
+	g := &Gate{limits: l, service: FirstService * 1000, order: Adaptive{}, classes: map[string]clock.Millis{}}
 	for _, o := range opts {
 		o(g)
 	}
@@ -111,6 +113,7 @@
 	stay     clock.Millis
 	priority int
 	aim      clock.Millis
+	class    string
 }
 
 // NewWant returns the wish of a request to be done by the deadline, an instant, and to wait
@@ -126,9 +129,15 @@
 	return w
 }
 
+// WithClass returns the wish of a request that takes about as long as others of its class.
+func (w Want) WithClass(name string) Want {
+	w.class = name
+	return w
+}
+
 // Enter is Arrive for a request with a priority and a patience of its own.
 func (g *Gate) Enter(now clock.Millis, w Want, l Limits) *Ticket {
-	t := &Ticket{arrived: now, deadline: w.deadline, wait: w.wait, stay: w.stay, priority: w.priority, aim: w.aim,
+	t := &Ticket{arrived: now, deadline: w.deadline, wait: w.wait, stay: w.stay, priority: w.priority, aim: w.aim, class: w.class,
 		ready: make(chan Grant, 1)}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -151,14 +160,14 @@
 	if g.limits.queue <= 0 {
 		return false
 	}
-	ahead := 0
+	work := g.service
 	for _, w := range g.waiting {
 		if g.before(w, t, now) {
-			ahead++
+			work += g.mean(w.class)
 		}
 	}
-	wait := g.estimate(ahead)
-	return wait <= t.wait && now+wait+g.service/1000 < t.deadline
+	wait := work / clock.Millis(max(1, g.limits.slots)) / 1000
+	return wait <= t.wait && now+wait+g.mean(t.class)/1000 < t.deadline
 }
 
 func (g *Gate) enqueue(t *Ticket, now clock.Millis) {
@@ -196,9 +205,16 @@
 }
 
 // Leave gives a slot back that was held for the span held.
-func (g *Gate) Leave(now, held clock.Millis) {
+func (g *Gate) Leave(now, held clock.Millis) { g.LeaveOf("", now, held) }
+
+// LeaveOf is Leave for a request of a class.
+func (g *Gate) LeaveOf(class string, now, held clock.Millis) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if _, known := g.classes[class]; class != "" && (known || len(g.classes) < mostClasses) {
+		mean := g.mean(class)
+		g.classes[class] = mean + (held*1000-mean)/smoothing
+	}
 	g.busy--
 	g.service += (held*1000 - g.service) / smoothing
 	g.fill(now)
@@ -237,7 +253,7 @@
 func (g *Gate) fill(now clock.Millis) {
 	for len(g.waiting) > 0 && g.busy < g.limits.slots {
 		t := g.next(now)
-		if now-t.arrived > t.stay || now+g.service/1000 >= t.deadline {
+		if now-t.arrived > t.stay || now+g.mean(t.class)/1000 >= t.deadline {
 			t.ready <- g.overloaded()
 			continue
 		}
@@ -266,6 +282,17 @@
 	return Refused{reason: result.Overloaded, after: max(1, g.estimate(len(g.waiting)))}
 }
 
+// mostClasses bounds the classes whose times are known one by one.
+const mostClasses = 1024
+
+// mean returns the time of service of a class in 1/1000 ms.
+func (g *Gate) mean(class string) clock.Millis {
+	if m, ok := g.classes[class]; ok {
+		return m
+	}
+	return g.service
+}
+
 // estimate returns how long a request waits behind ahead others.
 func (g *Gate) estimate(ahead int) clock.Millis {
 	return g.service * clock.Millis(ahead+1) / clock.Millis(max(1, g.limits.slots)) / 1000
--- a/core/command/admit/order.go
+++ b/core/command/admit/order.go
@@ -90,4 +90,4 @@
 }
 
 // late reports whether a request cannot be answered any more while it is worth most.
-func (g *Gate) late(t *Ticket, now clock.Millis) bool { return now+g.service/1000 > t.aim }
+func (g *Gate) late(t *Ticket, now clock.Millis) bool { return now+g.mean(t.class)/1000 > t.aim }
--- a/core/state/call/call.go
+++ b/core/state/call/call.go
@@ -41,6 +41,7 @@
 	priority    int
 	aim         clock.Millis
 	repeatable  bool
+	class       string
 }
 
 // Option sets one property of a Request.
@@ -65,6 +66,9 @@
 	}
 }
 
+// WithClass sets the class of requests that take about the same time, such as a route.
+func WithClass(name string) Option { return func(r *Request) { r.class = name } }
+
 // WithMember sets the incarnation that is to run the request.
 func WithMember(i table.Incarnation) Option { return func(r *Request) { r.incarnation = i } }
 
@@ -123,3 +127,6 @@
 
 // Repeatable reports whether the request may run more than once.
 func (r Request) Repeatable() bool { return r.repeatable }
+
+// Class returns the class of requests that take about the same time, "" if there is none.
+func (r Request) Class() string { return r.class }
--- a/core/wire/parts/parts.go
+++ b/core/wire/parts/parts.go
@@ -17,7 +17,7 @@
 	return &wirepb.RequestPart{Part: &wirepb.RequestPart_Head{Head: &wirepb.RequestHead{
 		Service: r.Service(), Method: r.Method(), Uri: r.URI(), Headers: headers(r.Fields()),
 		Key: r.Key(), Shard: uint32(r.Shard()), Incarnation: uint64(r.Incarnation()), ContentLength: length(r),
-		Id: r.ID(), Priority: uint32(r.Priority()), AimMs: int64(r.Aim()), Repeatable: r.Repeatable(),
+		Id: r.ID(), Priority: uint32(r.Priority()), AimMs: int64(r.Aim()), Repeatable: r.Repeatable(), Class: r.Class(),
 	}}}
 }
 
@@ -40,6 +40,7 @@
 		call.WithKey(h.GetKey(), table.Shard(h.GetShard())),
 		call.WithMember(table.Incarnation(h.GetIncarnation())),
 		call.WithID(h.GetId()), call.WithRank(int(h.GetPriority()), clock.Millis(h.GetAimMs()), h.GetRepeatable()),
+		call.WithClass(h.GetClass()),
 	}
 	if h.GetContentLength() != 0 {
 		opts = append(opts, call.WithBody(body, h.GetContentLength()))
--- a/verbenad/command/owner/guard.go
+++ b/verbenad/command/owner/guard.go
@@ -102,7 +102,7 @@
 	w, stay := admit.NewWant(g.deadline, wait), wait
 	if g.request.Aim() > 0 {
 		stay = max(0, g.deadline-now-clock.Millis(gate.Service()))
-		w = w.WithRank(g.request.Priority(), g.entered+g.request.Aim(), stay)
+		w = w.WithRank(g.request.Priority(), g.entered+g.request.Aim(), stay).WithClass(g.request.Class())
 	}
 	t := gate.Enter(now, w, admit.NewLimits(g.owner.slots(s), s.Queue(), wait))
 	select {
@@ -248,7 +248,7 @@
 	now := g.owner.clock.Now()
 	switch {
 	case g.slotted && g.sent > 0:
-		g.owner.gate.Leave(now, now-g.sent)
+		g.owner.gate.LeaveOf(g.request.Class(), now, now-g.sent)
 	case g.slotted:
 		g.owner.gate.Return(now)
 	}
--- a/verbenad/command/relay/demand.go
+++ b/verbenad/command/relay/demand.go
@@ -22,6 +22,7 @@
 	attempts   int
 	percent    int
 	priority   int
+	class      string
 }
 
 // DemandOption sets one property of a Demand.
@@ -58,6 +59,7 @@
 // answer is worth most.
 func WithRoute(r rules.Route, aim clock.Millis) DemandOption {
 	return func(d *Demand) {
+		d.class = r.Name()
 		d.aim, d.priority, d.attempts, d.repeatable = min(aim, d.deadline), r.Priority(), r.Attempts(), r.Repeatable()
 	}
 }
--- a/verbenad/command/relay/task.go
+++ b/verbenad/command/relay/task.go
@@ -114,7 +114,7 @@
 // request makes the request of one attempt.
 func (t *task) request(opts ...call.Option) call.Request {
 	d := t.demand
-	opts = append(opts, call.WithFields(d.fields), call.WithID(d.id),
+	opts = append(opts, call.WithFields(d.fields), call.WithID(d.id), call.WithClass(d.class),
 		call.WithRank(d.priority, max(1, d.aim-t.relay.clock.Now()), d.repeatable))
 	if d.body != nil {
 		opts = append(opts, call.WithBody(d.body.open(), d.body.length))
