Let unlisted replicas join the control group and take the place of lost ones

Cause: a lost control machine comes back empty at another address, where only seeds are known; on grown sites most replicas are not seeds. A full disk ended the process again and again. Change: an open group takes proven greetings from any address, members name the leader, members silent for 4 s are removed while 2f+1 voters are left, and removed ones greet again. A write on a full disk is tried again, unacknowledged.

--- a/core/command/raft/election.go
+++ b/core/command/raft/election.go
@@ -34,6 +34,7 @@
 	if !n.mayLead() || n.leads() {
 		return
 	}
+	n.greetAgain()
 	n.become(PreCandidate{})
 	n.ballot = map[peer.ID]bool{n.id: true}
 	if n.wins() {
@@ -137,3 +138,11 @@
 
 // others returns the members but this replica.
 func (n *Node) others() []peer.Replica { return n.members.Without(n.id).List() }
+
+// greetAgain greets the others while no leader is heard from: this replica may have been
+// removed while it was away, and does not know it.
+func (n *Node) greetAgain() {
+	if n.open && n.timer.hello == Never {
+		n.timer.hello = n.now.Add(HelloEvery)
+	}
+}
--- a/core/command/raft/greet.go
+++ b/core/command/raft/greet.go
@@ -1,6 +1,9 @@
 package raft
 
 import (
+	"maps"
+	"slices"
+
 	"verbenabank/core/clock"
 	"verbenabank/core/state/peer"
 )
@@ -9,6 +12,7 @@
 type greeting struct {
 	nonces  map[string]*nonces // by address
 	answers map[string]answer  // of blank replicas to this one, by address
+	leaders map[string]bool    // addresses that members named as the leader's
 }
 
 // nonces are those between this replica and an address.
@@ -27,7 +31,7 @@
 }
 
 func newGreeting() greeting {
-	return greeting{nonces: map[string]*nonces{}, answers: map[string]answer{}}
+	return greeting{nonces: map[string]*nonces{}, answers: map[string]answer{}, leaders: map[string]bool{}}
 }
 
 // noncesOf returns the nonces between this replica and an address.
@@ -70,10 +74,33 @@
 	return ok
 }
 
+// greets reports whether greetings from an address are taken.
+func (n *Node) greets(address string) bool {
+	return address != n.address && (n.open || n.seed(address))
+}
+
+// known returns the addresses at which other replicas may be.
+func (n *Node) known() []string {
+	if !n.open {
+		return n.seeds
+	}
+	set := map[string]bool{}
+	for _, s := range n.seeds {
+		set[s] = true
+	}
+	for a := range n.greet.leaders {
+		set[a] = true
+	}
+	for _, r := range n.members.List() {
+		set[r.Address()] = true
+	}
+	return slices.Sorted(maps.Keys(set))
+}
+
 // sayHello presents this replica to all addresses in its settings.
 func (n *Node) sayHello() {
 	n.timer.hello = n.now.Add(HelloEvery)
-	for _, s := range n.seeds {
+	for _, s := range n.known() {
 		if s == n.address {
 			continue
 		}
@@ -94,12 +121,12 @@
 
 // onHello answers a replica that has no group, or that its group does not know.
 func (n *Node) onHello(m peer.Message, h peer.Hello) {
-	if !n.seed(m.Address()) || (m.Group() != 0 && m.Group() != n.group) {
+	if !n.greets(m.Address()) || (m.Group() != 0 && m.Group() != n.group) {
 		return
 	}
 	n.noncesOf(m.Address()).echo = h.Nonce()
 	known := n.proves(m, h.Echo())
-	reply := peer.NewHelloReply(n.noncesOf(m.Address()).issued, h.Nonce(), known, n.settled.Votes(m.From()))
+	reply := peer.NewHelloReply(n.noncesOf(m.Address()).issued, h.Nonce(), known, n.settled.Votes(m.From())).WithLeader(n.addressOf(n.leader))
 	n.greetAt(m.Address(), m.From(), reply)
 	n.passForm(m, h)
 	if known && n.leads() {
@@ -110,7 +137,7 @@
 // onHelloReply takes note of the nonce to echo, and of who is blank and knows
 // this replica by its present identity.
 func (n *Node) onHelloReply(m peer.Message, r peer.HelloReply) {
-	if m.To() != n.id || !n.seed(m.Address()) {
+	if m.To() != n.id || !n.greets(m.Address()) {
 		return
 	}
 	x := n.noncesOf(m.Address())
@@ -119,6 +146,9 @@
 		return
 	}
 	delete(n.greet.answers, m.Address())
+	if n.open && r.Leader() != "" && m.Group() != 0 {
+		n.greet.leaders[r.Leader()] = true
+	}
 	if r.Voter() && m.Group() != 0 {
 		n.vouch(m.Group())
 	}
--- a/core/command/raft/host_test.go
+++ b/core/command/raft/host_test.go
@@ -32,6 +32,7 @@
 	state   uint64
 	value   uint64 // the token in the last command
 	wiped   int
+	open    int     // least count of voters of an open group, 0 if it is not open
 	later   []Event // to take after the effects of the present step
 }
 
@@ -51,8 +52,14 @@
 
 func (h *host) start() {
 	r := h.world.random
-	h.node = New(WithAddress(h.address), WithSeeds(h.seeds...), WithForm(true), WithTrail(20), WithChunk(64), WithLimit(200),
-		WithRandom(r.Uint64(), r.Uint64()), WithStored(h.disk))
+	options := []Option{
+		WithAddress(h.address), WithSeeds(h.seeds...), WithForm(true), WithTrail(20), WithChunk(64), WithLimit(200),
+		WithRandom(r.Uint64(), r.Uint64()), WithStored(h.disk),
+	}
+	if h.open > 0 {
+		options = append(options, WithOpen(h.open))
+	}
+	h.node = New(options...)
 	h.inbox, h.pending, h.index, h.state, h.value = nil, nil, 0, 0, 0
 	h.step(Started{})
 }
--- a/core/command/raft/options.go
+++ b/core/command/raft/options.go
@@ -29,6 +29,12 @@
 	return func(n *Node) { n.form = form }
 }
 
+// WithOpen lets replicas join that no settings list, and removes members that are silent for
+// long as long as the least count of voters is left. They may join again.
+func WithOpen(least int) Option {
+	return func(n *Node) { n.open, n.least = true, least }
+}
+
 // WithRandom sets the seed of identities, nonces and election timeouts. Each
 // start of a process needs another one.
 func WithRandom(high, low uint64) Option {
--- a/core/command/raft/raft.go
+++ b/core/command/raft/raft.go
@@ -27,6 +27,7 @@
 	HelloEvery   = 200 * clock.Millisecond
 	roundSpacing = 5 * clock.Millisecond // least span between two rounds that were asked for
 	helloFresh   = 2 * clock.Second      // how long an answer to Hello counts
+	silentAfter  = 4 * clock.Second      // how long a member may be silent before it may be removed
 
 	maxInFlight    = 8       // requests with entries, per follower
 	maxUncommitted = 1 << 14 // entries, beyond which offers are dropped
@@ -40,6 +41,8 @@
 	address string
 	seeds   []string
 	form    bool
+	open    bool
+	least   int // voters, below which none is removed for its silence
 	random  *rand.Rand
 	stored  peer.Stored
 	trail   peer.Index
--- a/core/command/raft/repair.go
+++ b/core/command/raft/repair.go
@@ -58,6 +58,9 @@
 	if !n.mayChange() {
 		return
 	}
+	if n.open && n.removeSilent() {
+		return
+	}
 	for _, r := range n.others() {
 		p, ok := n.lead.progress[r.ID()]
 		if !r.Votes() && ok && p.match > 0 && p.match+promoteLag >= n.commit && n.lives(r.ID()) {
@@ -66,3 +69,20 @@
 		}
 	}
 }
+
+// removeSilent removes a member that was not heard from for long, and reports whether it
+// does: a learner, or a voter if enough others are left.
+func (n *Node) removeSilent() bool {
+	for _, r := range n.others() {
+		p, ok := n.lead.progress[r.ID()]
+		if !ok || n.now.Sub(p.heard) < silentAfter || (r.Votes() && n.members.Voters() <= n.least) {
+			continue
+		}
+		before := n.log.last()
+		n.remove(r)
+		if n.log.last() > before {
+			return true
+		}
+	}
+	return false
+}
--- a/core/state/peer/hello.go
+++ b/core/state/peer/hello.go
@@ -23,10 +23,11 @@
 
 // HelloReply answers Hello. The group of the message is 0 if the sender is blank.
 type HelloReply struct {
-	nonce uint64
-	echo  uint64
-	known bool
-	voter bool
+	nonce  uint64
+	echo   uint64
+	known  bool
+	voter  bool
+	leader string
 }
 
 // NewHelloReply returns the answer with a nonce for the next greeting and the
@@ -36,6 +37,15 @@
 	return HelloReply{nonce: nonce, echo: echo, known: known, voter: voter}
 }
 
+// WithLeader returns the answer with the address of the leader, "" if it is not known.
+func (r HelloReply) WithLeader(address string) HelloReply {
+	r.leader = address
+	return r
+}
+
+// Leader returns the address of the leader, "" if it is not known.
+func (r HelloReply) Leader() string { return r.leader }
+
 // Voter reports whether committed members of the sender's group have the
 // receiver as a voter.
 func (r HelloReply) Voter() bool { return r.voter }
--- a/core/wire/peers/decode.go
+++ b/core/wire/peers/decode.go
@@ -48,7 +48,7 @@
 		return peer.NewHello(b.Hello.GetNonce(), b.Hello.GetEcho()), nil
 	case *wirepb.PeerMessage_HelloReply:
 		r := b.HelloReply
-		return peer.NewHelloReply(r.GetNonce(), r.GetEcho(), r.GetKnown(), r.GetVoter()), nil
+		return peer.NewHelloReply(r.GetNonce(), r.GetEcho(), r.GetKnown(), r.GetVoter()).WithLeader(r.GetLeader()), nil
 	case *wirepb.PeerMessage_Form:
 		m, err := decodeMembers(b.Form.GetMembers())
 		return peer.NewForm(m, b.Form.GetEcho()), err
--- a/core/wire/peers/peers.go
+++ b/core/wire/peers/peers.go
@@ -44,7 +44,7 @@
 		p.Message = &wirepb.PeerMessage_HelloReply{
 			HelloReply: &wirepb.HelloReply{
 				Id: p.From, Group: p.Group, Address: p.Address, Blank: p.Group == 0,
-				Nonce: b.Nonce(), Echo: b.Echo(), Known: b.Known(), Voter: b.Voter(),
+				Nonce: b.Nonce(), Echo: b.Echo(), Known: b.Known(), Voter: b.Voter(), Leader: b.Leader(),
 			},
 		}
 	case peer.Form:
--- a/verbenad/adapt/disk/disk.go
+++ b/verbenad/adapt/disk/disk.go
@@ -33,12 +33,14 @@
 	folder string
 	done   func(uint64)
 	fatal  func(error)
+	full   func(error)
 	synced func(Sync)
 	clock  *clock.Clock
 	sync   func(*os.File) error
 
 	lock     *os.File
 	log      *os.File
+	size     int64  // of the log file, as far as it is durable
 	number   uint64 // of the log file
 	snapshot uint64 // of the snapshot file, 0 if there is none
 	stored   peer.Stored
@@ -54,7 +56,7 @@
 // *Error. The clean-up function makes durable what was appended, and closes.
 func New(opts ...Option) (*Disk, func(), error) {
 	d := &Disk{
-		done: func(uint64) {}, fatal: func(error) {}, synced: func(Sync) {}, clock: clock.New(),
+		done: func(uint64) {}, fatal: func(error) {}, full: func(error) {}, synced: func(Sync) {}, clock: clock.New(),
 		sync: (*os.File).Sync, wake: make(chan struct{}, 1), stop: make(chan struct{}),
 	}
 	for _, o := range opts {
--- a/verbenad/adapt/disk/options.go
+++ b/verbenad/adapt/disk/options.go
@@ -26,6 +26,10 @@
 	return func(d *Disk) { d.fatal = fatal }
 }
 
+// WithFull sets what is called, from the storage goroutine, each time a write found the disk
+// full and is to be tried again.
+func WithFull(full func(error)) Option { return func(d *Disk) { d.full = full } }
+
 // WithSynced sets what is called, on the storage goroutine, after each sync.
 func WithSynced(synced func(Sync)) Option {
 	return func(d *Disk) { d.synced = synced }
--- a/verbenad/adapt/disk/write.go
+++ b/verbenad/adapt/disk/write.go
@@ -1,6 +1,10 @@
 package disk
 
 import (
+	"errors"
+	"syscall"
+	"time"
+
 	"verbenabank/core/state/peer"
 	"verbenabank/core/wire/peers"
 )
@@ -39,6 +43,12 @@
 			count = 1
 			err = d.renew(batches[0])
 		}
+		if errors.Is(err, syscall.ENOSPC) {
+			if !d.awaitSpace(err) {
+				return nil
+			}
+			continue
+		}
 		if err != nil {
 			return err
 		}
@@ -48,6 +58,23 @@
 	return nil
 }
 
+// spaceEvery is the pause before a write is tried again on a full disk.
+const spaceEvery = 200 * time.Millisecond
+
+// awaitSpace pauses after a write that found the disk full. What was to be written is written
+// again; until then nothing of it is acknowledged. It reports false at the end of the process.
+func (d *Disk) awaitSpace(err error) bool {
+	d.full(err)
+	t := time.NewTimer(spaceEvery)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-d.stop:
+		return false
+	}
+}
+
 // write appends batches to the log file with one sync.
 func (d *Disk) write(batches []peer.Batch) error {
 	begin := d.clock.Now()
@@ -58,12 +85,13 @@
 			return err
 		}
 	}
-	if _, err := d.log.Write(data); err != nil {
+	if _, err := d.log.WriteAt(data, d.size); err != nil {
 		return failed("write", d.log.Name(), err)
 	}
 	if err := d.sync(d.log); err != nil {
 		return failed("sync", d.log.Name(), err)
 	}
+	d.size += int64(len(data))
 	d.synced(Sync{span: d.clock.Now().Sub(begin), batches: len(batches), bytes: len(data)})
 	return nil
 }
@@ -124,6 +152,6 @@
 	if d.log != nil {
 		_ = d.log.Close()
 	}
-	d.log, d.number, d.snapshot = file, number, snapshot
+	d.log, d.number, d.snapshot, d.size = file, number, snapshot, int64(len(data))
 	return len(data), d.tidy()
 }
--- a/verbenad/adapt/jsonc/jsonc.go
+++ b/verbenad/adapt/jsonc/jsonc.go
@@ -69,13 +69,20 @@
 	return name
 }
 
+// mostLosses bounds how many replicas a group is to bear the loss of.
+const mostLosses = 10
+
 func (l loader) control() sets.Control {
 	r, ok := l.Object("control")
 	if !ok {
 		return sets.Control{}
 	}
-	r.Only("data_folder", "form")
-	return sets.NewControl(l.path(r, "data_folder"), r.Truth("form", false))
+	r.Only("data_folder", "form", "bear_losses")
+	c := sets.NewControl(l.path(r, "data_folder"), r.Truth("form", false))
+	if r.Has("bear_losses") {
+		c = c.WithLeast(2*int(r.Whole("bear_losses", 0, mostLosses, 1)) + 1)
+	}
+	return c
 }
 
 func (l loader) tls() sets.TLS {
--- a/verbenad/command/serve/replica.go
+++ b/verbenad/command/serve/replica.go
@@ -16,14 +16,20 @@
 	store, stop, err := disk.New(disk.WithFolder(c.DataFolder()),
 		disk.WithDone(func(sequence uint64) { d.loop.Post(ctrl.NewSynced(sequence)) }),
 		disk.WithFatal(func(err error) { d.loop.Post(ctrl.NewDiskFailed(err)) }),
+		disk.WithFull(func(err error) { d.part().WithError(err).Warn("serve: the disk is full, nothing new is durable") }),
 		disk.WithSynced(func(s disk.Sync) { syncMs.Set(int64(s.Span())) }))
 	if err != nil {
 		return nil, &Error{op: "open " + c.DataFolder(), kind: BadData, cause: err}
 	}
 	d.atEnd(stop)
-	node := raft.New(
+	options := []raft.Option{
 		raft.WithAddress(d.settings.Load().Advertised().String()), raft.WithSeeds(replicas...), raft.WithForm(c.Form()),
-		raft.WithRandom(rand.Uint64(), rand.Uint64()), raft.WithStored(store.Stored()))
+		raft.WithRandom(rand.Uint64(), rand.Uint64()), raft.WithStored(store.Stored()),
+	}
+	if c.Least() > 0 {
+		options = append(options, raft.WithOpen(c.Least()))
+	}
+	node := raft.New(options...)
 	senders, stopSenders := link.NewPeers(d.trust.DialOptions(), d.part())
 	d.atEnd(stopSenders)
 	return ctrl.WithReplica(node, fleet.New(), senders, store), nil
--- a/verbenad/state/sets/parts.go
+++ b/verbenad/state/sets/parts.go
@@ -4,6 +4,7 @@
 type Control struct {
 	dataFolder string
 	form       bool
+	least      int
 }
 
 // NewControl returns the settings of a replica that keeps its state in
@@ -12,6 +13,16 @@
 	return Control{dataFolder: dataFolder, form: form}
 }
 
+// WithLeast returns the settings of a replica in an open group: replicas that nobody lists may
+// join, and those that are silent for long are removed while the least count of voters is left.
+func (c Control) WithLeast(voters int) Control {
+	c.least = voters
+	return c
+}
+
+// Least returns the least count of voters of an open group, 0 if the group is not open.
+func (c Control) Least() int { return c.least }
+
 // DataFolder returns the path of the folder for durable state.
 func (c Control) DataFolder() string { return c.dataFolder }
 
