--- a/verbenad/adapt/front/exchange.go
+++ b/verbenad/adapt/front/exchange.go
@@ -139,6 +139,7 @@
 	deadline := x.began + wait
 	ctx, cancel := context.WithTimeout(x.conn.ctx, (deadline - f.clock.Now()).Duration())
 	defer cancel()
+	defer context.AfterFunc(f.ending, cancel)()
 	x.service, x.number = v.Name(), x.key(v)
 	d := relay.NewDemand(v, route.Direct(x.service, x.number), deadline,
 		relay.WithMessage(x.ask.id, string(x.head.Method()), uri),
--- a/verbenad/adapt/front/front.go
+++ b/verbenad/adapt/front/front.go
@@ -77,6 +77,8 @@
 	group   conc.WaitGroup
 	leaving atomic.Bool
 	story   story
+	ending  context.Context // ends when requests under way get no more time
+	end     context.CancelFunc
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -106,6 +108,7 @@
 		clock: clock.New(), meter: meter.Of("entry"), log: logrus.NewEntry(logrus.StandardLogger()),
 		conns: map[*conn]struct{}{}, origin: func() string { return "" },
 	}
+	f.ending, f.end = context.WithCancel(context.Background())
 	for _, o := range opts {
 		o(f)
 	}
@@ -161,7 +164,11 @@
 	return count
 }
 
-// Shutdown ends idle connections and waits for the others until ctx ends.
+// answerWithin is how long requests that get no more time may take to be told so.
+const answerWithin = 250 * time.Millisecond
+
+// Shutdown ends idle connections and waits for the others until ctx ends. Requests that are
+// under way then are answered that they have no answer of a target.
 func (f *Front) Shutdown(ctx context.Context) {
 	f.Leave()
 	f.mu.Lock()
@@ -177,8 +184,13 @@
 	select {
 	case <-done:
 	case <-ctx.Done():
-		f.cut()
-		<-done
+		f.end()
+		select {
+		case <-done:
+		case <-time.After(answerWithin):
+			f.cut()
+			<-done
+		}
 	}
 }
 
