Plan several moves for balance at once

Cause: one move each 600 ms cannot spread a hot run of keys over a service of 24 targets. Change: a plan goes on with the next busiest and idlest members.

--- a/core/query/spread/balance.go
+++ b/core/query/spread/balance.go
@@ -15,7 +15,8 @@
 	rest = 600 * clock.Millisecond
 	// fresh is how long a member must have been there to take keys for balance.
 	fresh = clock.Second
-	// movesAtOnce bounds the spans of a service that are on their way.
+	// movesAtOnce is how many spans of a service may be on their way at least; where members
+	// are many it is half of them.
 	movesAtOnce = 3
 	// band is the difference of busy times up to which two members count as even.
 	band = 0.12
@@ -28,26 +29,38 @@
 	most  = 1.2
 )
 
-// balance moves the fewest keys that even out the busiest member and the idlest one.
+// balance moves the fewest keys that even out the busiest member and the idlest one, and goes
+// on with the next two as long as that helps.
 func (p *planner) balance() {
 	moved := p.view.SpanMoved(p.service)
-	if p.now.Sub(p.view.Began(p.service)) < watch || p.moving >= movesAtOnce || (moved > 0 && p.now.Sub(moved) < rest) {
+	if p.now.Sub(p.view.Began(p.service)) < watch || (moved > 0 && p.now.Sub(moved) < rest) {
 		return
 	}
+	for p.moving < max(movesAtOnce, len(p.members)/2) && p.even() {
+		p.moving++
+	}
+}
+
+// even moves keys from the busiest member to the idlest one, and reports whether it does.
+func (p *planner) even() bool {
 	from, to := p.busiest(), p.idlest()
 	if from == nil || to == nil || from == to || from.busy() < calm || from.busy()-to.busy() < band {
-		return
+		return false
 	}
 	w, ok := p.window(from, (from.busy()-to.busy())/(from.cost+to.cost))
 	if !ok {
-		return
+		return false
 	}
 	after := max(from.busy()-w.load*from.cost, to.busy()+w.load*to.cost)
 	gain := from.busy() - after
 	if gain < band/4 || gain < keyPrice*float64(w.last-w.first+1)/float64(p.keys) {
-		return
+		return false
 	}
+	from.rate -= w.load
+	to.rate += w.load
+	p.taken = append(p.taken, run{first: w.first, last: w.last})
 	p.out = append(p.out, order.NewMoveSpan(p.service, w.first, w.last, w.epoch, to.member.Incarnation()))
+	return true
 }
 
 func (p *planner) busiest() *member {
@@ -103,6 +116,10 @@
 	best, found := window{}, false
 	begin, sum := load.CellOf(s.First()), 0.0
 	for c := begin; c <= load.CellOf(s.Last()); c++ {
+		if p.isTaken(c) {
+			begin, sum = c+1, 0
+			continue
+		}
 		sum += p.cell(c)
 		for sum-p.cell(begin) >= least*want && begin < c {
 			sum -= p.cell(begin)
@@ -119,3 +136,13 @@
 	}
 	return best, found
 }
+
+// isTaken reports whether keys of the cell are moved by this plan already.
+func (p *planner) isTaken(c int) bool {
+	for _, r := range p.taken {
+		if load.CellOf(r.first) <= c && c <= load.CellOf(r.last) {
+			return true
+		}
+	}
+	return false
+}
--- a/core/query/spread/spread.go
+++ b/core/query/spread/spread.go
@@ -39,6 +39,7 @@
 	members []*member
 	able    map[table.Incarnation]*member
 	moving  int
+	taken   []run // moved by this plan
 	out     []order.Command
 }
 
