Serve counters and histograms in a format that collectors read

Cause: on-call engineers have only logs and metrics, and expvar alone is read by few collectors. Change: /metrics on the admin port by VictoriaMetrics/metrics: requests by part, outcome and reason; times as a whole, in the queue and at the target; control state; heap; dropped log lines.

--- a/core/query/spread/balance.go
+++ b/core/query/spread/balance.go
@@ -65,9 +65,24 @@
 	return false
 }
 
-// shift moves keys from one member to another if that is worth it.
+// level returns the busy time of all members if the load were even.
+func (p *planner) level() float64 {
+	rate, speed := 0.0, 0.0
+	for _, m := range p.members {
+		rate += m.rate
+		speed += 1 / m.cost
+	}
+	return rate / speed
+}
+
+// shift moves keys from one member to another if that is worth it: as many as the other takes
+// until it is as busy as all would be, or if there are none so few, as even out the two.
 func (p *planner) shift(from, to *member) bool {
-	w, ok := p.window(from, (from.busy()-to.busy())/(from.cost+to.cost))
+	both := (from.busy() - to.busy()) / (from.cost + to.cost)
+	w, ok := p.window(from, min(both, (p.level()-to.busy())/to.cost))
+	if !ok {
+		w, ok = p.window(from, both)
+	}
 	if !ok {
 		return false
 	}
--- a/core/state/snap/snap.go
+++ b/core/state/snap/snap.go
@@ -114,6 +114,15 @@
 	return h.Epoch(), held
 }
 
+// Held returns how many keys of its ordered service the target beside holds.
+func (s *Snap) Held() int {
+	count := 0
+	for _, r := range s.runs {
+		count += int(r.last-r.first) + 1
+	}
+	return count
+}
+
 // Current reports whether the rules may be used at now.
 func (s *Snap) Current(now clock.Millis) bool { return now < s.rulesEnd }
 
--- a/verbenad/command/owner/guard.go
+++ b/verbenad/command/owner/guard.go
@@ -72,6 +72,7 @@
 	}
 	g.pass = pass
 	g.passed = true
+	g.owner.meter.Wait("queue", g.owner.clock.Now()-g.entered)
 	switch reply := g.owner.target.Send(g.enlist(ctx), call.NewWork(g.prepare, g.ended, call.WithAbandoned(g.abandoned))).(type) {
 	case call.Answer:
 		return g.judge(reply)
@@ -248,6 +249,7 @@
 	now := g.owner.clock.Now()
 	switch {
 	case g.slotted && g.sent > 0:
+		g.owner.meter.Wait("target", now-g.sent)
 		g.owner.gate.LeaveOf(g.request.Class(), now, now-g.sent)
 	case g.slotted:
 		g.owner.gate.Return(now)
--- a/verbenad/command/serve/metric.go
+++ b/verbenad/command/serve/metric.go
@@ -2,8 +2,12 @@
 
 import (
 	"expvar"
+	"runtime"
+	"strings"
 	"sync/atomic"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"verbenabank/core/state/table"
 )
 
@@ -16,20 +20,26 @@
 		return
 	}
 	gauges := map[string]func(*Daemon) int64{
-		"verbenad.lease_left_ms":  func(d *Daemon) int64 { return int64(max(0, d.cell.Load().LeaseEnd().Sub(d.clock.Now()))) },
-		"verbenad.rules_left_ms":  func(d *Daemon) int64 { return int64(max(0, d.cell.Load().RulesEnd().Sub(d.clock.Now()))) },
-		"verbenad.rules_version":  func(d *Daemon) int64 { return int64(d.cell.Load().Table().Rules().Version()) },
-		"verbenad.table_version":  func(d *Daemon) int64 { return int64(d.cell.Load().Table().Version()) },
-		"verbenad.shards_owned":   func(d *Daemon) int64 { return int64(owned(d)) },
-		"verbenad.epoch_highest":  func(d *Daemon) int64 { return int64(highest(d)) },
-		"verbenad.target_flight":  func(d *Daemon) int64 { return int64(d.owner.Flight().Total()) },
-		"verbenad.target_queue":   func(d *Daemon) int64 { return int64(d.owner.Waiting()) },
-		"verbenad.control_term":   func(d *Daemon) int64 { s, _ := d.loop.View().Status(); return int64(s.Term()) },
-		"verbenad.control_commit": func(d *Daemon) int64 { s, _ := d.loop.View().Status(); return int64(s.Commit()) },
-		"verbenad.sessions":       func(d *Daemon) int64 { return int64(d.loop.View().Sessions()) },
+		"verbenad.lease_left_ms":     func(d *Daemon) int64 { return int64(max(0, d.cell.Load().LeaseEnd().Sub(d.clock.Now()))) },
+		"verbenad.rules_left_ms":     func(d *Daemon) int64 { return int64(max(0, d.cell.Load().RulesEnd().Sub(d.clock.Now()))) },
+		"verbenad.rules_version":     func(d *Daemon) int64 { return int64(d.cell.Load().Table().Rules().Version()) },
+		"verbenad.table_version":     func(d *Daemon) int64 { return int64(d.cell.Load().Table().Version()) },
+		"verbenad.shards_owned":      func(d *Daemon) int64 { return int64(owned(d)) },
+		"verbenad.epoch_highest":     func(d *Daemon) int64 { return int64(highest(d)) },
+		"verbenad.target_flight":     func(d *Daemon) int64 { return int64(d.owner.Flight().Total()) },
+		"verbenad.target_queue":      func(d *Daemon) int64 { return int64(d.owner.Waiting()) },
+		"verbenad.control_term":      func(d *Daemon) int64 { s, _ := d.loop.View().Status(); return int64(s.Term()) },
+		"verbenad.control_commit":    func(d *Daemon) int64 { s, _ := d.loop.View().Status(); return int64(s.Commit()) },
+		"verbenad.control_members":   func(d *Daemon) int64 { s, _ := d.loop.View().Status(); return int64(s.Members().Voters()) },
+		"verbenad.members":           func(d *Daemon) int64 { return int64(len(d.cell.Load().Table().Members())) },
+		"verbenad.keys_held":         func(d *Daemon) int64 { return int64(d.cell.Load().Held()) },
+		"verbenad.heap_bytes":        func(*Daemon) int64 { var m runtime.MemStats; runtime.ReadMemStats(&m); return int64(m.HeapAlloc) },
+		"verbenad.log_lines_dropped": func(d *Daemon) int64 { return d.dropped() },
+		"verbenad.sessions":          func(d *Daemon) int64 { return int64(d.loop.View().Sessions()) },
 	}
 	for name, read := range gauges {
 		expvar.Publish(name, expvar.Func(func() any { return read(shown.Load()) }))
+		metrics.NewGauge(strings.ReplaceAll(name, ".", "_"), func() float64 { return float64(read(shown.Load())) })
 	}
 }
 
--- a/verbenad/command/serve/options.go
+++ b/verbenad/command/serve/options.go
@@ -31,6 +31,9 @@
 	return func(d *Daemon) { d.speech, d.orders = x, k }
 }
 
+// WithDropped sets what tells how many log lines were dropped.
+func WithDropped(f func() int64) Option { return func(d *Daemon) { d.dropped = f } }
+
 // WithAdmin adds handlers to the admin server.
 func WithAdmin(register func(r fiber.Router, door Door)) Option {
 	return func(d *Daemon) { d.register = register }
--- a/verbenad/command/serve/serve.go
+++ b/verbenad/command/serve/serve.go
@@ -45,6 +45,7 @@
 	orders   keeper.Dialect
 	register func(r fiber.Router, door Door)
 	leaving  atomic.Bool
+	dropped  func() int64
 	clock    *clock.Clock
 	log      *logrus.Logger
 	codec    *codec.Codec
@@ -77,6 +78,7 @@
 	life, cancel := context.WithCancel(context.Background())
 	d := &Daemon{clock: clock.New(), log: log, life: life, cell: snap.NewCell(), waiter: newWaiter()}
 	d.settings.Store(&s)
+	d.dropped = func() int64 { return 0 }
 	d.parse = func(content []byte) (rules.Rules, error) { return confjs.Decode("rules", content) }
 	for _, o := range opts {
 		o(d)
--- a/verbenad/command/start/start.go
+++ b/verbenad/command/start/start.go
@@ -47,17 +47,17 @@
 	}
 	lines, flush := logs.New(out)
 	defer flush()
-	if err := run(path, settings, logger(settings, lines), build); err != nil {
+	if err := run(path, settings, logger(settings, lines), append(build(settings), serve.WithDropped(lines.Dropped))); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return ExitFailed
 	}
 	return 0
 }
 
-func run(path string, s sets.Settings, log *logrus.Logger, build func(sets.Settings) []serve.Option) error {
+func run(path string, s sets.Settings, log *logrus.Logger, options []serve.Option) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	d, clean, err := serve.New(s, log, build(s)...)
+	d, clean, err := serve.New(s, log, options...)
 	if err != nil {
 		return err
 	}
--- a/verbenad/query/admin/admin.go
+++ b/verbenad/query/admin/admin.go
@@ -5,6 +5,7 @@
 import (
 	"expvar"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/gofiber/fiber/v3"
 	"github.com/gofiber/fiber/v3/middleware/adaptor"
 
@@ -65,6 +66,10 @@
 	r.Get("/audit", a.trail)
 	r.Get("/rules", a.rules)
 	r.Get("/debug/vars", adaptor.HTTPHandler(expvar.Handler()))
+	r.Get("/metrics", func(c fiber.Ctx) error {
+		metrics.WritePrometheus(c, false)
+		return nil
+	})
 }
 
 // RegisterReady adds only the query for readiness.
