Tell the story of requests without an answer, at the front and at the owner

Cause: an on-call engineer could not get from a request's id to its cause. Times in logs have milliseconds.

--- a/verbenad/adapt/front/exchange.go
+++ b/verbenad/adapt/front/exchange.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
 	"verbenabank/core/clock"
@@ -101,12 +102,21 @@
 	f.meter.Begin()
 	o := x.run()
 	f.meter.End(o, f.clock.Now()-x.began)
-	f.tell(x, o)
+	f.story.Tell(o, x.facts)
 	if x.body != nil && !x.body.Finish(x.interrupt) && !x.cut {
 		x.conn.end(true)
 	}
 }
 
+// facts are what the log tells of the request: what decided its end, and the version of the
+// table that it was routed by.
+func (x *exchange) facts() logrus.Fields {
+	return logrus.Fields{
+		"request": x.ask.id, "route": x.route, "service": x.service, "key": x.number, "asked": x.asked, "by": x.by,
+		"table": x.version, "took_ms": int64(x.conn.front.clock.Now() - x.began),
+	}
+}
+
 func (x *exchange) interrupt() { _ = x.conn.net.SetReadDeadline(time.Unix(1, 0)) }
 
 func (x *exchange) run() result.Outcome {
--- a/verbenad/adapt/front/front.go
+++ b/verbenad/adapt/front/front.go
@@ -21,6 +21,7 @@
 	"verbenabank/core/state/result"
 	"verbenabank/verbenad/command/meter"
 	"verbenabank/verbenad/command/relay"
+	"verbenabank/verbenad/command/story"
 )
 
 const (
@@ -76,7 +77,7 @@
 	origin  func() string
 	group   conc.WaitGroup
 	leaving atomic.Bool
-	story   story
+	story   *story.Story
 	ending  context.Context // ends when requests under way get no more time
 	end     context.CancelFunc
 
@@ -112,6 +113,7 @@
 	for _, o := range opts {
 		o(f)
 	}
+	f.story = story.New(f.clock, f.log, "front")
 	return f
 }
 
--- a/verbenad/command/owner/guard.go
+++ b/verbenad/command/owner/guard.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"verbenabank/core/clock"
 	"verbenabank/core/command/admit"
 	"verbenabank/core/state/call"
@@ -236,6 +238,20 @@
 		g.ended()
 	}
 	g.owner.meter.End(o, g.owner.clock.Now()-g.entered)
+	if g.owner.story != nil {
+		g.owner.story.Tell(o, g.facts)
+	}
+}
+
+// facts are what the log tells of the request: what decided its end here.
+func (g *guard) facts() logrus.Fields {
+	now, s := g.owner.clock.Now(), g.owner.cell.Load()
+	return logrus.Fields{
+		"request": g.request.ID(), "service": g.request.Service(), "key": g.request.Key(), "route": g.request.Class(),
+		"epoch": uint64(g.pass.epoch), "table": s.Table().Version(), "lease_left_ms": int64(max(0, s.LeaseEnd()-now)),
+		"sent": g.sent > 0, "waiting": g.owner.gate.Waiting(), "busy": g.owner.gate.Busy(),
+		"mean_ms": int64(g.owner.gate.Service()), "deadline_left_ms": int64(g.deadline - now), "took_ms": int64(now - g.entered),
+	}
 }
 
 // ended gives back the slot and the place in the count of requests in flight.
--- a/verbenad/command/owner/owner.go
+++ b/verbenad/command/owner/owner.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"verbenabank/core/clock"
 	"verbenabank/core/command/admit"
 	"verbenabank/core/command/heavy"
@@ -20,6 +22,7 @@
 	"verbenabank/core/state/table"
 	"verbenabank/verbenad/command/flight"
 	"verbenabank/verbenad/command/meter"
+	"verbenabank/verbenad/command/story"
 )
 
 // HotCounters is how many keys are counted at once, and so 1/HotCounters the
@@ -49,6 +52,7 @@
 	closed   atomic.Bool
 	attempts atomic.Uint64
 	meter    *meter.Meter
+	story    *story.Story
 
 	mu      sync.Mutex
 	hot     *heavy.Sketch
@@ -93,6 +97,11 @@
 	return o
 }
 
+// WithLog sets the log of requests that the target does not answer.
+func WithLog(e *logrus.Entry) Option {
+	return func(o *Owner) { o.story = story.New(o.clock, e, "owner") }
+}
+
 // WithDialect sets how the target is spoken to.
 func WithDialect(d Dialect) Option { return func(o *Owner) { o.dialect = d } }
 
--- a/verbenad/command/start/start.go
+++ b/verbenad/command/start/start.go
@@ -113,7 +113,7 @@
 	case sets.Plain:
 		l.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, DisableColors: true})
 	case sets.Structured:
-		l.SetFormatter(&logrus.JSONFormatter{})
+		l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
 	}
 	return l
 }
