--- a/verbena/query/cmds/cmds.go
+++ b/verbena/query/cmds/cmds.go
@@ -11,7 +11,7 @@
 	"verbenabank/verbena/query/show"
 )
 
-// Query is what the operator asks: Check, Explain, Diff, DiffInForce or Ask.
+// Query is what the operator asks: Check, Explain, Diff, DiffInForce, Ask, Story or StoryOfKey.
 type Query interface{ query() }
 
 // Check asks whether a folder is valid.
@@ -35,6 +35,20 @@
 	question remote.Question
 }
 
+// Story asks what logs say of a request.
+type Story struct {
+	request string
+	files   []string
+}
+
+// StoryOfKey asks what logs say of a key that is a number.
+type StoryOfKey struct {
+	key   uint32
+	files []string
+}
+
+func (Story) query()       {}
+func (StoryOfKey) query()  {}
 func (Check) query()       {}
 func (Explain) query()     {}
 func (Diff) query()        {}
@@ -75,6 +89,10 @@
 			return show.Report{}, err
 		}
 		return local.DiffInForce(content, q.folder)
+	case Story:
+		return local.StoryOf(q.request, q.files)
+	case StoryOfKey:
+		return local.StoryOfKey(q.key, q.files)
 	case Ask:
 		return remote.Report(q.daemon, q.question)
 	}
--- a/verbena/query/cmds/errors.go
+++ b/verbena/query/cmds/errors.go
@@ -14,6 +14,7 @@
 	KindSyntax    Kind = iota // a flag has a wrong value
 	KindNoCommand             // no command was given
 	KindNoDaemon              // the command needs the address of a daemon
+	KindNoSubject             // the story needs a request or a key
 )
 
 // String returns what the operator can do.
@@ -23,6 +24,8 @@
 		return "see verbena --help"
 	case KindNoCommand:
 		return "a command is missing; see verbena --help"
+	case KindNoSubject:
+		return "give either --request ID or --key NUMBER"
 	case KindNoDaemon:
 		return "give the admin address of a daemon with --daemon IP:port"
 	}
--- a/verbena/query/cmds/parse.go
+++ b/verbena/query/cmds/parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strconv"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/integrii/flaggy"
@@ -16,9 +17,9 @@
 	json   bool
 	daemon string
 
-	check, explain, diff, status, route, audit *flaggy.Subcommand
+	check, explain, diff, status, route, audit, story *flaggy.Subcommand
 
-	folder, path, other, service, key string
+	folder, path, other, service, key, request, number string
 }
 
 func newCommands() *commands {
@@ -42,6 +43,9 @@
 	c.route.AddPositionalValue(&c.service, "SERVICE", 1, true, "Name of the service.")
 	c.route.AddPositionalValue(&c.key, "KEY", 2, true, "Key.")
 	c.audit = c.add("audit", "Show the trail of changes (needs --daemon).")
+	c.story = c.add("story", "Tell what logs in JSON say of a request or a key, in time order. Give files after --.")
+	c.story.String(&c.request, "r", "request", "Id of a request.")
+	c.story.String(&c.number, "k", "key", "Key of an ordered service, a number.")
 	return c
 }
 
@@ -82,12 +86,29 @@
 		return c.ask(remote.Status{})
 	case c.route.Used:
 		return c.ask(remote.NewRoute(c.service, c.key))
+	case c.story.Used:
+		return c.tell()
 	case c.audit.Used:
 		return c.ask(remote.Audit{})
 	}
 	return nil, &Error{op: OpParse, kind: KindNoCommand}
 }
 
+func (c *commands) tell() (Query, error) {
+	files := c.parser.TrailingArguments
+	if len(files) == 0 {
+		files = []string{"-"}
+	}
+	key, err := strconv.ParseUint(c.number, 10, 32)
+	switch {
+	case c.request != "" && c.number == "":
+		return Story{request: c.request, files: files}, nil
+	case c.request == "" && err == nil:
+		return StoryOfKey{key: uint32(key), files: files}, nil
+	}
+	return nil, &Error{op: OpParse, kind: KindNoSubject}
+}
+
 func (c *commands) ask(q remote.Question) (Query, error) {
 	daemon, err := c.address()
 	return Ask{daemon: daemon, question: q}, err
--- /dev/null
+++ b/verbena/query/local/story.go
@@ -0,0 +1,134 @@
+package local
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"verbenabank/verbena/query/show"
+)
+
+// longestLine is the size in bytes of the longest log line that is read.
+const longestLine = 1 << 20
+
+// event is one log line.
+type event struct {
+	Time     string         `json:"time"`
+	Instance string         `json:"instance"`
+	Message  string         `json:"msg"`
+	Fields   map[string]any `json:"fields"`
+}
+
+// keysOf finds the keys in the subject of a change of the fleet, such as "keys s/10-20".
+var keysOf = regexp.MustCompile(`^keys [^/]+/(\d+)-(\d+)$`)
+
+// StoryOf tells what the logs of many processes say of one request, in time order.
+func StoryOf(request string, files []string) (show.Report, error) {
+	return story(files, func(e event) bool { return e.Fields["request"] == request })
+}
+
+// StoryOfKey tells what the logs say of a key that is a number: who held it, and the
+// requests for it that had no answer.
+func StoryOfKey(key uint32, files []string) (show.Report, error) {
+	return story(files, func(e event) bool { return concerns(e, uint64(key)) })
+}
+
+func concerns(e event, key uint64) bool {
+	if e.Fields["key"] == strconv.FormatUint(key, 10) {
+		return true
+	}
+	if subject, ok := e.Fields["subject"].(string); ok {
+		if m := keysOf.FindStringSubmatch(subject); m != nil {
+			first, _ := strconv.ParseUint(m[1], 10, 32)
+			last, _ := strconv.ParseUint(m[2], 10, 32)
+			return first <= key && key <= last
+		}
+	}
+	first, ok := e.Fields["first"].(float64)
+	last, too := e.Fields["last"].(float64)
+	return ok && too && first <= float64(key) && float64(key) <= last
+}
+
+func story(files []string, fits func(event) bool) (show.Report, error) {
+	var list []event
+	unread := 0
+	for _, f := range files {
+		found, bad, err := events(f, fits)
+		if err != nil {
+			return show.Report{}, err
+		}
+		list, unread = append(list, found...), unread+bad
+	}
+	slices.SortStableFunc(list, func(a, b event) int { return cmp.Compare(a.Time, b.Time) })
+	var text strings.Builder
+	for _, e := range list {
+		fmt.Fprintf(&text, "%s\t%s\t%s\t%s\n", e.Time, e.Instance, e.Message, facts(e.Fields))
+	}
+	if unread > 0 {
+		fmt.Fprintf(&text, "%d lines are no log lines in JSON and were left out\n", unread)
+	}
+	status := show.OK
+	if len(list) == 0 {
+		status = show.Problem
+		text.WriteString("no line is about that; was it answered, or was the line summed up or dropped?\n")
+	}
+	return show.NewReport(status, list, text.String()), nil
+}
+
+// events reads the lines of a file that fit, and counts those that cannot be read. "-" is
+// standard input.
+func events(file string, fits func(event) bool) ([]event, int, error) {
+	var in io.Reader = os.Stdin
+	if file != "-" {
+		f, err := os.Open(file)
+		if err != nil {
+			return nil, 0, err
+		}
+		defer func() { _ = f.Close() }()
+		in = f
+	}
+	var list []event
+	unread := 0
+	lines := bufio.NewScanner(in)
+	lines.Buffer(nil, longestLine)
+	for lines.Scan() {
+		line := lines.Text()
+		begin := strings.IndexByte(line, '{') // collectors put their own words before
+		e := event{}
+		if begin < 0 || json.Unmarshal([]byte(line[begin:]), &e.Fields) != nil {
+			unread++
+			continue
+		}
+		e.Time, e.Instance, e.Message = word(e.Fields, "time"), word(e.Fields, "instance"), word(e.Fields, "msg")
+		delete(e.Fields, "level")
+		if fits(e) {
+			list = append(list, e)
+		}
+	}
+	return list, unread, lines.Err()
+}
+
+// word takes a text out of the fields.
+func word(fields map[string]any, name string) string {
+	text, _ := fields[name].(string)
+	delete(fields, name)
+	return text
+}
+
+func facts(fields map[string]any) string {
+	var list []string
+	for _, k := range slices.Sorted(maps.Keys(fields)) {
+		if text := fmt.Sprint(fields[k]); text != "" {
+			list = append(list, k+"="+text)
+		}
+	}
+	return strings.Join(list, " ")
+}
--- /dev/null
+++ b/verbena/query/local/story_test.go
@@ -0,0 +1,75 @@
+package local_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"verbenabank/verbena/query/local"
+	"verbenabank/verbena/query/show"
+)
+
+// logs are lines as processes write them.
+const (
+	entryLog = `{"asked":2,"by":"m-2","instance":"m-1","key":"300","level":"info","msg":"front: request has no answer","outcome":"refused","reason":"overloaded","request":"abc","time":"2026-04-05T02:52:24.030Z"}
+not json
+{"instance":"m-1","level":"info","msg":"serve: daemon is up","time":"2026-04-05T02:52:20.000Z"}
+`
+	ownerLog = `{"busy":12,"instance":"m-2","key":"300","level":"info","msg":"owner: request has no answer","reason":"overloaded","request":"abc","time":"2026-04-05T02:52:24.020Z","waiting":9}
+{"epoch":7,"first":256,"instance":"m-2","last":511,"level":"warning","msg":"keeper: no answer, the order may take effect late","order":"/grant","time":"2026-04-05T02:52:23.000Z"}
+`
+	leaderLog = `{"from":"m-3","instance":"c-1","level":"info","msg":"ctrl: change of the fleet","outcome":"moved at epoch 7","subject":"keys s/256-511","time":"2026-04-05T02:52:22.000Z","to":"m-2"}
+{"from":"m-3","instance":"c-1","level":"info","msg":"ctrl: change of the fleet","outcome":"moved at epoch 8","subject":"keys s/512-600","time":"2026-04-05T02:52:22.500Z","to":"m-2"}
+`
+)
+
+func files(t *testing.T) []string {
+	var list []string
+	for name, text := range map[string]string{"entry": entryLog, "owner": ownerLog, "leader": leaderLog} {
+		path := filepath.Join(t.TempDir(), name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		list = append(list, path)
+	}
+	return list
+}
+
+func text(t *testing.T, r show.Report) string {
+	var out bytes.Buffer
+	if err := show.Write(&out, show.Text{}, r); err != nil {
+		t.Fatal(err)
+	}
+	return out.String()
+}
+
+func TestStoryOfARequestInTimeOrder(t *testing.T) {
+	is := is.New(t)
+	r, err := local.StoryOf("abc", files(t))
+	is.NoErr(err)
+	lines := strings.Split(text(t, r), "\n")
+	is.True(strings.Contains(lines[0], "owner:") && strings.Contains(lines[0], "waiting=9"))
+	is.True(strings.Contains(lines[1], "front:") && strings.Contains(lines[1], "asked=2"))
+	is.True(strings.HasPrefix(lines[2], "1 lines"))
+}
+
+func TestStoryOfAKeyHasItsOwnersAndRequests(t *testing.T) {
+	is := is.New(t)
+	r, err := local.StoryOfKey(300, files(t))
+	is.NoErr(err)
+	lines := strings.Split(text(t, r), "\n")
+	is.True(strings.Contains(lines[0], "moved at epoch 7"))
+	is.True(strings.Contains(lines[1], "keeper:"))
+	is.True(strings.Contains(lines[3], "front:"))
+	is.True(!strings.Contains(text(t, r), "epoch 8"))
+}
+
+func TestStoryOfNothingIsAProblem(t *testing.T) {
+	r, err := local.StoryOf("xyz", files(t))
+	is.New(t).NoErr(err)
+	is.New(t).Equal(r.Status(), show.Problem)
+}
