Build and check all modules with platform among them

Cause: the scale stand-ins still used the former verdicts, addresses and target calls, so vscale did not build; platform was not in the list of modules.

--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,11 @@
-MODULES := core verbenad verbena vload vscale
+MODULES := core platform verbenad verbena vload vscale
 BIN := bin
 
 .PHONY: build run test race lint format model generate capacity soak
 
 build:
 	@mkdir -p $(BIN)
-	go build -o $(BIN)/ ./verbenad ./verbena ./vload ./vscale
+	go build -o $(BIN)/ ./platform ./verbenad ./verbena ./vload ./vscale
 
 run: build
 	@scripts/run
--- a/core/command/hold/hold.go
+++ b/core/command/hold/hold.go
@@ -328,7 +328,7 @@
 		case Done:
 			p.handover, p.doubt = r.handover, p.late
 			if p.doubt <= now {
-				p.aim = parted{handover: r.handover}
+				p.aim = parted(r)
 			}
 		case Stale, Unanswered, Unreached:
 			p.retry = now + callAgain
--- a/core/state/call/call.go
+++ b/core/state/call/call.go
@@ -6,7 +6,6 @@
 	"io"
 
 	"verbenabank/core/clock"
-
 	"verbenabank/core/state/table"
 )
 
--- a/verbenad/adapt/front/front_test.go
+++ b/verbenad/adapt/front/front_test.go
@@ -95,6 +95,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer func() { _ = a.Body.Close() }()
 	text, err := io.ReadAll(a.Body)
 	if err != nil {
 		t.Fatal(err)
@@ -192,7 +193,9 @@
 		if err != nil {
 			continue
 		}
-		if _, err = io.ReadAll(a.Body); err == nil && a.StatusCode == 200 {
+		_, err = io.ReadAll(a.Body)
+		_ = a.Body.Close()
+		if err == nil && a.StatusCode == 200 {
 			t.Fatalf("length %d: an answer that broke off looks whole", c.length)
 		}
 	}
--- a/verbenad/command/entry/respond.go
+++ b/verbenad/command/entry/respond.go
@@ -66,14 +66,17 @@
 	switch reason {
 	case result.BadRequest:
 		return fasthttp.StatusBadRequest
-	case result.UnknownService:
+	case result.UnknownService, result.UnknownRoute:
 		return fasthttp.StatusNotFound
+	case result.HeadTooLarge:
+		return fasthttp.StatusRequestHeaderFieldsTooLarge
 	case result.TooLarge:
 		return fasthttp.StatusRequestEntityTooLarge
 	case result.Expired, result.TimedOut:
 		return fasthttp.StatusGatewayTimeout
 	case result.NotReady, result.NoOwner, result.NotOwner, result.NoTarget, result.Overloaded, result.Shed,
-		result.Leaving, result.Unreachable, result.Interrupted, result.Truncated, result.LeaseLapsed, result.Cancelled:
+		result.Leaving, result.Unreachable, result.Interrupted, result.Truncated, result.LeaseLapsed, result.Cancelled, result.NotHeld,
+		result.Foreign:
 		return otherwise
 	}
 	return otherwise
--- a/vscale/command/stand/idle.go
+++ b/vscale/command/stand/idle.go
@@ -2,6 +2,8 @@
 
 import (
 	"verbenabank/core/clock"
+	"verbenabank/core/command/agent"
+	"verbenabank/core/command/hold"
 	"verbenabank/core/state/table"
 )
 
@@ -9,7 +11,7 @@
 type idle struct{}
 
 // Use takes a target that is never asked.
-func (idle) Use(string, string) {}
+func (idle) Use(agent.UseTarget) {}
 
 // Drop closes nothing.
 func (idle) Drop() {}
@@ -34,3 +36,6 @@
 
 // Failed needs no answer; a stand-in without leases shows it.
 func (idle) Failed(error) {}
+
+// Command answers that it is done, since the target holds nothing.
+func (idle) Command(_ hold.Order, done func(hold.Result)) { done(hold.Done{}) }
--- a/vscale/command/stand/stand.go
+++ b/vscale/command/stand/stand.go
@@ -78,7 +78,7 @@
 		o(s)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	up, stop := link.NewUplink(s.replicas, s.dial, s.codec, s.log)
+	up, stop := link.NewUplink(link.NewAddresses(s.replicas...), s.dial, s.codec, s.log)
 	a := agent.New(agent.WithInstance(s.name, s.zone, s.address), agent.WithRandom(rand.Uint64))
 	s.loop = ctrl.New(
 		ctrl.WithClock(s.clock, func() order.Stamp { return 0 }), ctrl.WithCodec(s.codec), ctrl.WithLog(s.log),
--- a/vscale/command/trial/change.go
+++ b/vscale/command/trial/change.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
 	"verbenabank/core/clock"
+	"verbenabank/core/state/fleet"
 	"verbenabank/core/state/order"
 	"verbenabank/core/wire/confjs"
-	"verbenabank/core/wire/wirepb"
 	"verbenabank/vscale/command/stand"
 )
 
@@ -29,13 +30,17 @@
 	if err != nil {
 		return 0, fail("offer", Refused, err)
 	}
-	switch v.GetCode() {
-	case wirepb.VerdictCode_VERDICT_CODE_ACCEPTED, wirepb.VerdictCode_VERDICT_CODE_REPEATED:
+	switch v := v.(type) {
+	case fleet.Accepted, fleet.Repeated:
 		return t.clock.Now().Sub(begin), nil
-	case wirepb.VerdictCode_VERDICT_CODE_UNSPECIFIED, wirepb.VerdictCode_VERDICT_CODE_CONFLICT,
-		wirepb.VerdictCode_VERDICT_CODE_OLDER, wirepb.VerdictCode_VERDICT_CODE_INVALID, wirepb.VerdictCode_VERDICT_CODE_UNDECIDED:
+	case fleet.Conflict:
+		return 0, fail("offer", Refused, fmt.Errorf("version %d has other content", t.version))
+	case fleet.Older:
+		return 0, fail("offer", Refused, fmt.Errorf("version %d is in force", v.Version()))
+	case fleet.Invalid:
+		return 0, fail("offer", Refused, errors.New(v.Problem()))
 	}
-	return 0, fail("offer", Refused, fmt.Errorf("verdict %s: %s", v.GetCode(), v.GetMessage()))
+	return 0, fail("offer", Refused, fmt.Errorf("unknown verdict %T", v))
 }
 
 // Change offers count configurations, one every interval, and measures when each
--- a/vscale/command/trial/trial.go
+++ b/vscale/command/trial/trial.go
@@ -63,7 +63,7 @@
 		return nil, nil, fail("trust", NotReady, err)
 	}
 	t.dial = append(trusted.DialOptions(), grpc.WithContextDialer(t.tally.Dial))
-	t.client = link.NewClient(g.Addresses(), trusted.DialOptions(), t.codec)
+	t.client = link.NewClient(link.NewAddresses(g.Addresses()...), trusted.DialOptions(), t.codec)
 	if _, err := t.offer(); err != nil {
 		t.close()
 		return nil, nil, err
