Refuse late requests early where enough in time wait; ask another where any will do

Requests without keys waited for a daemon that had taken the address of another one and answered not-owner. Requests for keys on their way gave up after 400 ms with seconds left. Ruled out: uneven load (busiest/mean 1.27 to 1.33). Change: while the queue stands and enough requests in time wait, late ones are refused at once; not-owner, not-held and not-ready lead to another daemon where any will do; keys that are handed over are waited for up to 1.5 s, at most half of the time left.

--- a/core/command/admit/admit.go
+++ b/core/command/admit/admit.go
@@ -142,6 +142,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.limits = l
+	g.giveUp(now)
 	g.fill(now)
 	if g.busy < g.limits.slots {
 		g.admit(t)
@@ -167,7 +168,11 @@
 		}
 	}
 	wait := work / clock.Millis(max(1, g.limits.slots)) / 1000
-	return wait <= t.wait && now+wait+g.mean(t.class)/1000 < t.deadline
+	done := now + wait + g.mean(t.class)/1000
+	if _, ok := g.order.(Earliest); ok && g.hopeless(t, done, now) {
+		return false
+	}
+	return wait <= t.wait && done < t.deadline
 }
 
 func (g *Gate) enqueue(t *Ticket, now clock.Millis) {
@@ -217,6 +222,7 @@
 	}
 	g.busy--
 	g.service += (held*1000 - g.service) / smoothing
+	g.giveUp(now)
 	g.fill(now)
 }
 
--- a/core/command/admit/order.go
+++ b/core/command/admit/order.go
@@ -12,12 +12,21 @@
 // Earliest lets requests go by priority, and those of one priority by how soon after their
 // arrival they are worth most: calls that others wait for have little time and take little.
 // Those that cannot make that instant any more go after those that can. Each otherTurn-th
-// turn goes to a lower priority, so that none starves.
+// turn goes to a lower priority, so that none starves. While the queue stands, those that can
+// make that instant keep the target busy, so the others are refused at once rather than held.
 type Earliest struct{}
 
 func (Adaptive) order() {}
 func (Earliest) order() {}
 
+const (
+	// ahead is which part of the slots those in time must fill while they wait, as 1/n, for a
+	// late request to have no turn soon.
+	ahead = 4
+	// leastAhead is how many they are at least.
+	leastAhead = 3
+)
+
 // otherTurn is how often a lower priority has its turn while a higher one waits.
 const otherTurn = 5
 
@@ -91,3 +100,40 @@
 
 // late reports whether a request cannot be answered any more while it is worth most.
 func (g *Gate) late(t *Ticket, now clock.Millis) bool { return now+g.mean(t.class)/1000 > t.aim }
+
+// hopeless reports whether a request that would be answered at the instant done is worth little
+// by then, while enough others that are in time wait for its turns.
+func (g *Gate) hopeless(t *Ticket, done, now clock.Millis) bool {
+	if done <= t.aim || !g.overloadedAt(now) {
+		return false
+	}
+	timely := 0
+	for _, w := range g.waiting {
+		if w != t && w.priority <= t.priority && !g.late(w, now) {
+			timely++
+		}
+	}
+	return timely >= max(leastAhead, g.limits.slots/ahead)
+}
+
+// giveUp refuses waiting requests that have become late and whose turn is not near.
+func (g *Gate) giveUp(now clock.Millis) {
+	switch g.order.(type) {
+	case Adaptive:
+		return
+	case Earliest:
+	}
+	kept := g.waiting[:0]
+	var late []*Ticket
+	for _, t := range g.waiting {
+		if g.late(t, now) && g.hopeless(t, now+g.mean(t.class)/1000, now) {
+			late = append(late, t)
+		} else {
+			kept = append(kept, t)
+		}
+	}
+	g.waiting = kept
+	for _, t := range late {
+		t.ready <- g.overloaded()
+	}
+}
--- a/core/query/retry/routed.go
+++ b/core/query/retry/routed.go
@@ -16,6 +16,9 @@
 	// RoutedAwait bounds in milliseconds how long a request waits for its keys to have an
 	// owner again.
 	RoutedAwait = 400 * clock.Millisecond
+	// MoveAwait bounds the same in milliseconds where the owner is up and hands the keys over,
+	// which waits for what runs at its target.
+	MoveAwait = 1500 * clock.Millisecond
 	// RoutedPause is the pause after which the present owner is asked again, unless the
 	// table changes before.
 	RoutedPause = 100 * clock.Millisecond
@@ -39,11 +42,17 @@
 // elsewhere decides after a refusal.
 func (a Attempt) elsewhere(o result.Refused) Verdict {
 	switch o.Reason() {
-	case result.NoOwner, result.NotOwner, result.NotHeld, result.NotReady:
-		return a.hold()
-	case result.Unreachable, result.NoTarget, result.Leaving:
+	case result.NotOwner, result.NotHeld:
+		if a.choice {
+			return a.another()
+		}
+		// Half of the time is left for the request's run.
+		return a.hold(max(RoutedAwait, min(MoveAwait, (a.left+a.awaited)/2)))
+	case result.NoOwner:
+		return a.hold(RoutedAwait)
+	case result.NotReady, result.Unreachable, result.NoTarget, result.Leaving:
 		if !a.choice {
-			return a.hold()
+			return a.hold(RoutedAwait)
 		}
 		return a.another()
 	case result.Overloaded, result.Shed:
@@ -66,9 +75,9 @@
 	return Again{free: a.sent == 0}
 }
 
-// hold waits for the table to change.
-func (a Attempt) hold() Verdict {
-	w := min(RoutedPause, RoutedAwait-a.awaited, a.left-MinLeft)
+// hold waits for the table to change, within milliseconds at most in all.
+func (a Attempt) hold(within clock.Millis) Verdict {
+	w := min(RoutedPause, within-a.awaited, a.left-MinLeft)
 	if w <= 0 || a.sent > a.limit {
 		return Stop{}
 	}
