Send long bodies between daemons only once the owner reads them

Bodies of uploads went ahead of their turn, also of those that were refused, filled the links, and the daemons there lost their sessions with the leader for 5 to 7 s: configurations late (CONFIG), leases lost. Ruled out: processor time (0.047 of 0.16 cores), a cut network. Change: a head says that its body waits; the owner's daemon asks for it on the first read, which is after its slot was granted. Bodies up to 8 KiB go at once as before. Conclusion: a refused upload costs its head only.

--- a/core/wire/parts/parts.go
+++ b/core/wire/parts/parts.go
@@ -12,12 +12,14 @@
 	"verbenabank/core/wire/wirepb"
 )
 
-// Head returns the first message of a request.
-func Head(r call.Request) *wirepb.RequestPart {
+// Head returns the first message of a request. One that waits sends its body only after an
+// invitation.
+func Head(r call.Request, waits bool) *wirepb.RequestPart {
 	return &wirepb.RequestPart{Part: &wirepb.RequestPart_Head{Head: &wirepb.RequestHead{
 		Service: r.Service(), Method: r.Method(), Uri: r.URI(), Headers: headers(r.Fields()),
 		Key: r.Key(), Shard: uint32(r.Shard()), Incarnation: uint64(r.Incarnation()), ContentLength: length(r),
 		Id: r.ID(), Priority: uint32(r.Priority()), AimMs: int64(r.Aim()), Repeatable: r.Repeatable(), Class: r.Class(),
+		Waits: waits,
 	}}}
 }
 
@@ -28,6 +30,11 @@
 	return r.Length()
 }
 
+// Invite returns the message that asks for the body of a request.
+func Invite() *wirepb.AnswerPart {
+	return &wirepb.AnswerPart{Part: &wirepb.AnswerPart_Invite{Invite: &wirepb.Invite{}}}
+}
+
 // Chunk returns a message with a part of a request's body.
 func Chunk(p []byte) *wirepb.RequestPart {
 	return &wirepb.RequestPart{Part: &wirepb.RequestPart_Body{Body: p}}
--- a/verbenad/adapt/hop/exchange.go
+++ b/verbenad/adapt/hop/exchange.go
@@ -29,19 +29,19 @@
 
 // run sends the request and waits for the head of the answer.
 func (e *exchange) run() call.Reply {
-	if err := e.stream.Send(parts.Head(e.request)); err != nil {
+	length := e.request.Length()
+	waits := e.request.Body() != nil && (length < 0 || length > inlineBytes)
+	if err := e.stream.Send(parts.Head(e.request, waits)); err != nil {
 		e.cancel()
 		return call.Refuse(result.Unreachable)
 	}
-	switch length := e.request.Length(); {
+	switch {
 	case e.request.Body() == nil:
 		_ = e.stream.CloseSend()
-	case length >= 0 && length <= inlineBytes:
+	case !waits:
 		e.sendBody()
-	default:
-		e.upload.Go(e.sendBody)
 	}
-	p, err := e.stream.Recv()
+	p, err := e.receive(waits)
 	if err != nil {
 		e.cancel()
 		return e.failed(err)
@@ -59,8 +59,25 @@
 	}
 }
 
-// inlineBytes is the size of the largest body that is sent before the answer is
-// read.
+// receive returns the first part of the answer. A body that waits is sent once it is asked
+// for, so that a request that is refused costs the network no more than its head.
+func (e *exchange) receive(waits bool) (*wirepb.AnswerPart, error) {
+	for {
+		p, err := e.stream.Recv()
+		if err != nil {
+			return nil, err
+		}
+		if _, ok := p.GetPart().(*wirepb.AnswerPart_Invite); !ok {
+			return p, nil
+		}
+		if waits {
+			waits = false
+			e.upload.Go(e.sendBody)
+		}
+	}
+}
+
+// inlineBytes is the size of the largest body that is sent with its head, without waiting.
 const inlineBytes = 8 << 10
 
 // sendBody sends the body. If it cannot be read whole the stream is cancelled, so
--- a/verbenad/adapt/hop/hop_test.go
+++ b/verbenad/adapt/hop/hop_test.go
@@ -1,8 +1,11 @@
 package hop_test
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -64,3 +67,62 @@
 		is.True(time.Since(began) < 2*time.Second)
 	}
 }
+
+// counted is a body that counts what is read of it.
+type counted struct {
+	bytes.Reader
+	read atomic.Int64
+}
+
+func (c *counted) Read(p []byte) (int, error) {
+	n, err := c.Reader.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// picky refuses requests of one service, answers those of another at once, and reads the bodies
+// of all others.
+type picky struct{}
+
+func (picky) Serve(_ context.Context, r call.Request) call.Reply {
+	switch r.Service() {
+	case "full":
+		return call.Refuse(result.Overloaded)
+	case "early":
+		return call.NewAnswer(200, nil, io.NopCloser(bytes.NewReader([]byte("early"))), 5)
+	}
+	content, err := io.ReadAll(r.Body())
+	if err != nil {
+		return call.Unknown(result.Interrupted)
+	}
+	return call.NewAnswer(200, nil, io.NopCloser(bytes.NewReader(content)), int64(len(content)))
+}
+
+// TestBodyIsSentOnceItIsRead is the case of intake on scale-2 of tb-appraisal-grown: bodies of
+// uploads that were refused filled the links of its machines, and sessions with the leader ended.
+func TestBodyIsSentOnceItIsRead(t *testing.T) {
+	address, _ := peer(t, picky{})
+	c, stop := hop.New()
+	defer stop()
+	content := bytes.Repeat([]byte("festoon "), 40<<10)
+	for _, length := range []int64{int64(len(content)), -1} {
+		for _, service := range []string{"full", "early", "whole"} {
+			t.Run(service, func(t *testing.T) {
+				is := is.New(t)
+				b := &counted{}
+				b.Reset(content)
+				reply := c.Send(context.Background(), address, call.NewRequest(service, "POST", "/", call.WithBody(b, length)))
+				switch service {
+				case "full":
+					is.Equal(reply, call.Reply(call.Refuse(result.Overloaded)))
+				case "early", "whole":
+					a := reply.(call.Answer)
+					got, err := io.ReadAll(a.Body())
+					is.NoErr(err)
+					is.True(string(got) == "early" || bytes.Equal(got, content))
+				}
+				is.Equal(b.read.Load() > 0, service == "whole")
+			})
+		}
+	}
+}
--- a/verbenad/adapt/hop/server.go
+++ b/verbenad/adapt/hop/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -37,8 +38,11 @@
 	if h == nil {
 		return status.Error(codes.InvalidArgument, "hop: first part is not a head")
 	}
-	r := parts.Request(h, &requestBody{stream: stream})
-	switch reply := s.owner.Serve(stream.Context(), r).(type) {
+	b := &requestBody{stream: stream, waits: h.GetWaits()}
+	r := parts.Request(h, b)
+	reply := s.owner.Serve(stream.Context(), r)
+	b.answer()
+	switch reply := reply.(type) {
 	case call.Answer:
 		return sendAnswer(stream, reply)
 	case call.Failure:
@@ -70,14 +74,38 @@
 	}
 }
 
-// requestBody reads the body of a request from the stream.
+// requestBody reads the body of a request from the stream, and asks for it first if it waits.
 type requestBody struct {
 	stream wirepb.Hop_ForwardServer
 	chunk  []byte
+
+	mu    sync.Mutex // held while something is sent by the reader
+	waits bool
+}
+
+// answer takes the stream for the answer: a body that was not asked for by now stays away.
+func (b *requestBody) answer() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.waits = false
+}
+
+// invite asks for the body once.
+func (b *requestBody) invite() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.waits {
+		return nil
+	}
+	b.waits = false
+	return b.stream.Send(parts.Invite())
 }
 
 // Read returns io.EOF when the other daemon has sent the whole body.
 func (b *requestBody) Read(p []byte) (int, error) {
+	if err := b.invite(); err != nil {
+		return 0, err
+	}
 	for len(b.chunk) == 0 {
 		part, err := b.stream.Recv()
 		if err != nil {
