Replace streams between replicas that have gone silent

Ruled out: a replica that was not started again (none was stopped). Change: a replica that takes messages says so every 300 ms; after 1 s and four messages without a sign the sender makes a new stream.

--- a/verbenad/adapt/link/peers.go
+++ b/verbenad/adapt/link/peers.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -14,6 +16,15 @@
 	"verbenabank/core/wire/wirepb"
 )
 
+const (
+	// tellEvery is the least pause between two signs that messages of a replica arrive.
+	tellEvery = 300 * time.Millisecond
+	// silentFor is how long such signs may be missing while messages are sent, and unheardMost
+	// how many messages there are at least, before a stream counts as broken.
+	silentFor   = time.Second
+	unheardMost = 4
+)
+
 // Peers sends messages to other control replicas, one stream for each. Messages
 // that cannot be sent are lost, which the replicated log allows for. It is safe
 // for concurrent use.
@@ -79,10 +90,17 @@
 	if err != nil {
 		return &Error{op: "exchange", kind: Unreachable, cause: err}
 	}
+	var heard atomic.Int64 // count of signs that messages arrive
 	p.group.Go(func() {
-		_, _ = s.Recv()
-		cancel()
+		defer cancel()
+		for {
+			if _, err := s.Recv(); err != nil {
+				return
+			}
+			heard.Add(1)
+		}
 	})
+	w := watch{since: time.Now()}
 	for {
 		select {
 		case <-ctx.Done():
@@ -91,10 +109,32 @@
 			if err := s.Send(m); err != nil {
 				return &Error{op: "exchange", kind: Unreachable, cause: err}
 			}
+			if w.silent(time.Now(), heard.Load()) {
+				return &Error{op: "exchange", kind: Unreachable, cause: errSilent}
+			}
 		}
 	}
 }
 
+// errSilent tells of a line that takes messages and brings nothing back.
+var errSilent = errors.New("no sign that messages arrive")
+
+// watch notices a stream that has gone silent though nothing says that it ended.
+type watch struct {
+	since time.Time // of the first message after the last sign
+	heard int64
+	sent  int
+}
+
+// silent reports whether signs are missing after one more message was sent at now.
+func (w *watch) silent(now time.Time, heard int64) bool {
+	if heard != w.heard || w.sent == 0 {
+		w.since, w.heard, w.sent = now, heard, 0
+	}
+	w.sent++
+	return w.sent >= unheardMost && now.Sub(w.since) > silentFor
+}
+
 // pause waits for the span or the end of ctx.
 func pause(ctx context.Context, span time.Duration) {
 	t := time.NewTimer(span)
--- a/verbenad/adapt/link/server.go
+++ b/verbenad/adapt/link/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
@@ -39,8 +40,10 @@
 	wirepb.RegisterPeerServer(r, s)
 }
 
-// Exchange takes the messages of one control replica.
+// Exchange takes the messages of one control replica. Empty messages tell it now and then
+// that they arrive.
 func (s *Server) Exchange(stream wirepb.Peer_ExchangeServer) error {
+	var told time.Time
 	for {
 		m, err := stream.Recv()
 		if err != nil {
@@ -52,6 +55,12 @@
 			return status.Error(codes.InvalidArgument, err.Error())
 		}
 		s.loop.Post(ctrl.NewPeer(d))
+		if now := time.Now(); now.Sub(told) >= tellEvery {
+			told = now
+			if err := stream.Send(&wirepb.PeerMessage{}); err != nil {
+				return err
+			}
+		}
 	}
 }
 
