Judge who is late by the whole queue

Cause: giveUp filtered the queue in place while hopeless still counted in it, so that requests in time behind a removed one counted twice, and late ones were refused with fewer of them than the bound says. Ruled out: the crowd test saw it; it has one priority, where the bound is met anyway. Change: the queue is changed once all are judged; the order is asked in one place, and the second test for lateness, which hopeless has, is gone. Measured: the new test fails before and passes after; the others are unchanged.

--- a/core/command/admit/admit.go
+++ b/core/command/admit/admit.go
@@ -169,10 +169,7 @@
 	}
 	wait := work / clock.Millis(max(1, g.limits.slots)) / 1000
 	done := now + wait + g.mean(t.class)/1000
-	if _, ok := g.order.(Earliest); ok && g.hopeless(t, done, now) {
-		return false
-	}
-	return wait <= t.wait && done < t.deadline
+	return wait <= t.wait && done < t.deadline && !g.hopeless(t, done, now)
 }
 
 func (g *Gate) enqueue(t *Ticket, now clock.Millis) {
--- a/core/command/admit/order.go
+++ b/core/command/admit/order.go
@@ -1,6 +1,10 @@
 package admit
 
-import "verbenabank/core/clock"
+import (
+	"slices"
+
+	"verbenabank/core/clock"
+)
 
 // Order says who of the waiting requests goes first: Adaptive or Earliest.
 type Order interface{ order() }
@@ -104,35 +108,31 @@
 // hopeless reports whether a request that would be answered at the instant done is worth little
 // by then, while enough others that are in time wait for its turns.
 func (g *Gate) hopeless(t *Ticket, done, now clock.Millis) bool {
-	if done <= t.aim || !g.overloadedAt(now) {
+	if _, ok := g.order.(Earliest); !ok || done <= t.aim || !g.overloadedAt(now) {
 		return false
 	}
-	timely := 0
+	enough := max(leastAhead, g.limits.slots/ahead)
 	for _, w := range g.waiting {
 		if w != t && w.priority <= t.priority && !g.late(w, now) {
-			timely++
+			enough--
 		}
 	}
-	return timely >= max(leastAhead, g.limits.slots/ahead)
+	return enough <= 0
 }
 
 // giveUp refuses waiting requests that have become late and whose turn is not near.
 func (g *Gate) giveUp(now clock.Millis) {
-	switch g.order.(type) {
-	case Adaptive:
-		return
-	case Earliest:
-	}
-	kept := g.waiting[:0]
 	var late []*Ticket
 	for _, t := range g.waiting {
-		if g.late(t, now) && g.hopeless(t, now+g.mean(t.class)/1000, now) {
+		if g.hopeless(t, now+g.mean(t.class)/1000, now) {
 			late = append(late, t)
-		} else {
-			kept = append(kept, t)
 		}
 	}
-	g.waiting = kept
+	if len(late) == 0 {
+		return
+	}
+	// Only now does the queue change: who is late is judged by all that wait.
+	g.waiting = slices.DeleteFunc(g.waiting, func(t *Ticket) bool { return slices.Contains(late, t) })
 	for _, t := range late {
 		t.ready <- g.overloaded()
 	}
--- a/core/command/admit/order_test.go
+++ b/core/command/admit/order_test.go
@@ -66,3 +66,23 @@
 	}
 	is.Equal(turns, otherTurn)
 }
+
+// TestLateRequestsAreCountedAgainstThoseInTimeOnce has a late request that is given up before
+// another one: those in time behind the first must not count twice for the second.
+func TestLateRequestsAreCountedAgainstThoseInTimeOnce(t *testing.T) {
+	is := is.New(t)
+	g, l := full()
+	first := wait(g, l, 0, 2, 300)
+	lower := wait(g, l, 0, 2, 900)
+	timely := []*Ticket{wait(g, l, 0, 1, 900), wait(g, l, 0, 1, 900)}
+	second := wait(g, l, 0, 1, 300)
+	g.giveUp(250)
+	select {
+	case o := <-first.Ready(): // three in time are of its priority or a higher one
+		_, ok := o.(Refused)
+		is.True(ok)
+	default:
+		is.Fail()
+	}
+	is.Equal(g.waiting, []*Ticket{lower, timely[0], timely[1], second}) // two are, for the second
+}
