Let short requests of a priority go first, also late

Change: within a priority the order is by worth for the time that a slot is held, a late answer being worth a third; only those that go before a late request count against it.

--- a/core/command/admit/order.go
+++ b/core/command/admit/order.go
@@ -13,22 +13,25 @@
 // then some are served in time instead of all too late.
 type Adaptive struct{}
 
-// Earliest lets requests go by priority, and those of one priority by how soon after their
-// arrival they are worth most: calls that others wait for have little time and take little.
-// Those that cannot make that instant any more go after those that can. Each otherTurn-th
-// turn goes to a lower priority, so that none starves. While the queue stands, those that can
-// make that instant keep the target busy, so the others are refused at once rather than held.
+// Earliest lets requests go by priority, and those of one priority by their worth for the time
+// that they hold a slot: calls that others wait for take little, and are worth their turn late
+// too. Those of one class go by how soon they are worth most, and those that cannot make that
+// instant any more after those that can. Each otherTurn-th turn goes to a lower priority, so that
+// none starves. While the queue stands, a late request with enough others before it is refused
+// at once rather than held.
 type Earliest struct{}
 
 func (Adaptive) order() {}
 func (Earliest) order() {}
 
 const (
-	// ahead is which part of the slots those in time must fill while they wait, as 1/n, for a
-	// late request to have no turn soon.
+	// ahead is which part of the slots must be wanted by those before a late request, as 1/n,
+	// for it to have no turn soon.
 	ahead = 4
 	// leastAhead is how many they are at least.
 	leastAhead = 3
+	// lateWorth is what a late answer is worth, as 1/n of one in time.
+	lateWorth = 3
 )
 
 // otherTurn is how often a lower priority has its turn while a higher one waits.
@@ -93,8 +96,8 @@
 	if a.priority != b.priority {
 		return a.priority < b.priority
 	}
-	if x, y := g.late(a, now), g.late(b, now); x != y {
-		return y
+	if x, y := g.cost(a, now), g.cost(b, now); x != y {
+		return x < y
 	}
 	if x, y := a.aim-a.arrived, b.aim-b.arrived; x != y {
 		return x < y
@@ -102,18 +105,27 @@
 	return a.aim < b.aim
 }
 
+// cost returns the time that a request holds a slot, in 1/1000 ms for the worth of an answer in
+// time.
+func (g *Gate) cost(t *Ticket, now clock.Millis) clock.Millis {
+	if g.late(t, now) {
+		return g.mean(t.class) * lateWorth
+	}
+	return g.mean(t.class)
+}
+
 // late reports whether a request cannot be answered any more while it is worth most.
 func (g *Gate) late(t *Ticket, now clock.Millis) bool { return now+g.mean(t.class)/1000 > t.aim }
 
 // hopeless reports whether a request that would be answered at the instant done is worth little
-// by then, while enough others that are in time wait for its turns.
+// by then, while enough others wait that go before it.
 func (g *Gate) hopeless(t *Ticket, done, now clock.Millis) bool {
 	if _, ok := g.order.(Earliest); !ok || done <= t.aim || !g.overloadedAt(now) {
 		return false
 	}
 	enough := max(leastAhead, g.limits.slots/ahead)
 	for _, w := range g.waiting {
-		if w != t && w.priority <= t.priority && !g.late(w, now) {
+		if w != t && g.less(w, t, now) {
 			enough--
 		}
 	}
--- a/core/command/admit/order_test.go
+++ b/core/command/admit/order_test.go
@@ -54,6 +54,33 @@
 	is.True(admitted(late))
 }
 
+// ask waits as a request of a class.
+func ask(g *Gate, l Limits, now clock.Millis, class string, aim clock.Millis) *Ticket {
+	return g.Enter(now, NewWant(now+5*clock.Second, 5*clock.Second).WithRank(1, aim, 5*clock.Second).WithClass(class), l)
+}
+
+// TestLateCallsGoBeforeLongRequests is the case of certifier on scale-2 of tb-appraisal-grown:
+// calls of 55 ms that had waited for 150 ms went after requests of 290 ms, or were refused, and
+// the requests that needed them failed after they had held a slot.
+func TestLateCallsGoBeforeLongRequests(t *testing.T) {
+	is := is.New(t)
+	g, l := full()
+	for range 40 {
+		g.busy += 2
+		g.LeaveOf("call", 0, 50)
+		g.LeaveOf("long", 0, 300)
+	}
+	var long []*Ticket
+	for range 4 {
+		long = append(long, ask(g, l, 0, "long", 1000))
+	}
+	call := ask(g, l, 0, "call", 200)
+	g.giveUp(300)
+	g.Leave(300, 100)
+	is.True(admitted(call))
+	is.True(!admitted(long[0]))
+}
+
 func TestLowerPriorityHasItsTurn(t *testing.T) {
 	is := is.New(t)
 	g, l := full()
