Take distant bodies in one by one on slow links, before the slot

Cause: photos are 60 kB and come at 113 a second to 10 machines of intake with links of 5.8 Mbit/s: 54 of 58 Mbit/s. Bodies were read while their requests held slots, so up to nine shared a link (540 kB, 0.75 s), slots stood idle, and calls to intake with 0.6 s to live waited on the link behind them. Their parents at certifier failed or held slots, which starved the calls of ledger-reader in turn.

Change: setting link_mbps; on a slow link the daemon of the target lets bodies of other daemons in through a gate of their own, as many as the link carries in 0.1 s, before the request asks for a slot. A body that stands still for 0.25 s gives its place up.

--- a/core/command/admit/admit.go
+++ b/core/command/admit/admit.go
@@ -206,6 +206,13 @@
 	return float64(g.service) / 1000
 }
 
+// ServiceOf returns the mean time of a request of a class.
+func (g *Gate) ServiceOf(class string) clock.Millis {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.mean(class) / 1000
+}
+
 // Leave gives a slot back that was held for the span held.
 func (g *Gate) Leave(now, held clock.Millis) { g.LeaveOf("", now, held) }
 
--- a/core/state/call/call.go
+++ b/core/state/call/call.go
@@ -41,6 +41,7 @@
 	aim         clock.Millis
 	repeatable  bool
 	class       string
+	distant     bool
 }
 
 // Option sets one property of a Request.
@@ -77,6 +78,10 @@
 	return func(r *Request) { r.body, r.length = body, length }
 }
 
+// WithDistant sets whether another daemon still has the body, so that it crosses the network
+// when it is read.
+func WithDistant(yes bool) Option { return func(r *Request) { r.distant = yes } }
+
 // NewRequest returns a request for a service without a key, fields and body,
 // changed by opts.
 func NewRequest(service, method, uri string, opts ...Option) Request {
@@ -114,6 +119,15 @@
 // Body returns the body, nil if there is none.
 func (r Request) Body() io.Reader { return r.body }
 
+// Distant reports whether another daemon still has the body.
+func (r Request) Distant() bool { return r.distant }
+
+// Arrived returns the request with a body that this daemon has read, in place of the distant one.
+func (r Request) Arrived(body io.Reader) Request {
+	r.body, r.distant = body, false
+	return r
+}
+
 // ID returns the identity of the request, for logs.
 func (r Request) ID() string { return r.id }
 
--- a/core/wire/parts/parts.go
+++ b/core/wire/parts/parts.go
@@ -50,7 +50,7 @@
 		call.WithClass(h.GetClass()),
 	}
 	if h.GetContentLength() != 0 {
-		opts = append(opts, call.WithBody(body, h.GetContentLength()))
+		opts = append(opts, call.WithBody(body, h.GetContentLength()), call.WithDistant(h.GetWaits()))
 	}
 	return call.NewRequest(h.GetService(), h.GetMethod(), h.GetUri(), opts...)
 }
--- a/verbenad/adapt/jsonc/jsonc.go
+++ b/verbenad/adapt/jsonc/jsonc.go
@@ -45,9 +45,9 @@
 
 func (l loader) options() []sets.Option {
 	l.Only("instance", "zone", "listen", "replicas", "seeds", "secret_file", "open_network", "control", "tls",
-		"configuration_folder", "log", "target", "lease", "hold_ms", "drain_ms", "grace_ms", "retries", "lasting_rules")
+		"configuration_folder", "log", "target", "lease", "hold_ms", "drain_ms", "grace_ms", "retries", "lasting_rules", "link_mbps")
 	opts := []sets.Option{sets.WithName(l.name("instance"), l.name("zone")), l.trust(), l.spans(), l.retries(), l.beside()}
-	opts = append(opts, sets.WithLasting(l.Truth("lasting_rules", false)))
+	opts = append(opts, sets.WithLasting(l.Truth("lasting_rules", false)), sets.WithLink(l.Real("link_mbps", 0, mostLink, 0)))
 	opts = append(opts, l.addresses()...)
 	if l.Has("control") {
 		opts = append(opts, sets.WithControl(l.control()))
@@ -69,6 +69,9 @@
 	return name
 }
 
+// mostLink bounds the rate of a link in Mbit/s.
+const mostLink = 1e6
+
 // mostLosses bounds how many replicas a group is to bear the loss of.
 const mostLosses = 10
 
--- a/verbenad/command/owner/guard.go
+++ b/verbenad/command/owner/guard.go
@@ -69,6 +69,9 @@
 		return call.Refuse(reason)
 	}
 	g.owner.count(g.request, pass.service)
+	if failure, ok := g.fetch(ctx, pass.service); !ok {
+		return failure
+	}
 	if failure, ok := g.admit(ctx, pass.service); !ok {
 		return failure
 	}
@@ -100,17 +103,25 @@
 
 // admit waits for a slot.
 func (g *guard) admit(ctx context.Context, s rules.Service) (call.Failure, bool) {
-	now, gate := g.owner.clock.Now(), g.owner.gate
+	failure, held := g.queue(ctx, s, g.owner.gate, g.owner.slots(s), g.entered+g.request.Aim())
+	g.slotted = held
+	return failure, failure.Outcome() == nil
+}
+
+// queue waits for one of the slots of a gate, for a request that is worth most by the instant
+// aim. It reports whether a slot is held, which it may be after a failure too.
+func (g *guard) queue(ctx context.Context, s rules.Service, gate *admit.Gate, slots int, aim clock.Millis) (call.Failure, bool) {
+	now := g.owner.clock.Now()
 	wait := g.patience(s)
 	w, stay := admit.NewWant(g.deadline, wait), wait
 	if g.request.Aim() > 0 {
 		stay = max(0, g.deadline-now-clock.Millis(gate.Service()))
-		w = w.WithRank(g.request.Priority(), g.entered+g.request.Aim(), stay).WithClass(g.request.Class())
+		w = w.WithRank(g.request.Priority(), aim, stay).WithClass(g.request.Class())
 	}
-	t := gate.Enter(now, w, admit.NewLimits(g.owner.slots(s), s.Queue(), wait))
+	t := gate.Enter(now, w, admit.NewLimits(slots, s.Queue(), wait))
 	select {
 	case o := <-t.Ready():
-		return g.granted(o)
+		return granted(o)
 	default:
 	}
 	g.owner.meter.Event("waiting", 1)
@@ -119,15 +130,15 @@
 	defer timer.Stop()
 	select {
 	case o := <-t.Ready():
-		return g.granted(o)
+		return granted(o)
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	g.slotted = gate.Cancel(t)
+	held := gate.Cancel(t)
 	if ctx.Err() != nil || g.owner.clock.Now() >= g.deadline {
-		return call.Refuse(result.Expired), false
+		return call.Refuse(result.Expired), held
 	}
-	return call.NewFailure(result.NewRefused(result.Overloaded, wait)), false
+	return call.NewFailure(result.NewRefused(result.Overloaded, wait)), held
 }
 
 // patience returns how long the request may wait for a slot: as the service says, and if an
@@ -162,10 +173,10 @@
 	}
 }
 
-func (g *guard) granted(o admit.Grant) (call.Failure, bool) {
+// granted returns the failure that a grant is, if any, and whether a slot is held.
+func granted(o admit.Grant) (call.Failure, bool) {
 	switch o := o.(type) {
 	case admit.Admitted:
-		g.slotted = true
 		return call.Failure{}, true
 	case admit.Refused:
 		return call.NewFailure(result.NewRefused(o.Reason(), o.After())), false
--- a/verbenad/command/owner/owner.go
+++ b/verbenad/command/owner/owner.go
@@ -49,6 +49,7 @@
 	name     atomic.Pointer[string]
 	flight   *flight.Flight
 	gate     *admit.Gate
+	lane     lane
 	closed   atomic.Bool
 	attempts atomic.Uint64
 	meter    *meter.Meter
@@ -83,6 +84,7 @@
 		clock:   clock.New(),
 		flight:  flight.New(),
 		gate:    newGate(),
+		lane:    lane{gate: newGate()},
 		meter:   meter.Of("owner"),
 		hot:     heavy.New(HotCounters),
 		cells:   map[int]uint64{},
@@ -111,9 +113,13 @@
 
 // WithOrder sets who of the waiting requests goes first.
 func WithOrder(x admit.Order) Option {
-	return func(o *Owner) { o.gate = newGate(admit.WithOrder(x)) }
+	return func(o *Owner) { o.gate, o.lane.gate = newGate(admit.WithOrder(x)), newGate(admit.WithOrder(x)) }
 }
 
+// WithLink sets the rate in Mbit/s of the instance's link, 0 if it is not known. Bodies that
+// other daemons have are let in so that they do not fill it.
+func WithLink(rate float64) Option { return func(o *Owner) { o.lane.width = width(rate) } }
+
 func newGate(opts ...admit.Option) *admit.Gate {
 	return admit.New(admit.NewLimits(rules.DefaultSlots, rules.DefaultQueue, rules.DefaultQueueWait), opts...)
 }
--- a/verbenad/state/sets/options.go
+++ b/verbenad/state/sets/options.go
@@ -61,6 +61,9 @@
 // WithRetries sets the retry budget of the fleet.
 func WithRetries(r Retries) Option { return func(s *Settings) { s.retries = r } }
 
+// WithLink sets the rate of the instance's link in Mbit/s, 0 if it is not known.
+func WithLink(rate float64) Option { return func(s *Settings) { s.link = rate } }
+
 // WithOpen says that the network between the processes is trusted.
 func WithOpen() Option { return func(s *Settings) { s.open = true } }
 
--- a/verbenad/state/sets/sets.go
+++ b/verbenad/state/sets/sets.go
@@ -24,6 +24,7 @@
 	beside     Beside
 	terms      Terms
 	retries    Retries
+	link       float64
 	open       bool
 	lasting    bool
 	level      Level
@@ -86,6 +87,9 @@
 // Retries returns the retry budget of the fleet; it is not set if its window is 0.
 func (s Settings) Retries() Retries { return s.retries }
 
+// Link returns the rate of the instance's link in Mbit/s, 0 if it is not known.
+func (s Settings) Link() float64 { return s.link }
+
 // Open reports whether the network between the processes is trusted, so that they need no
 // secret.
 func (s Settings) Open() bool { return s.open }
