Prefer the target beside the daemon for large bodies

Cause: an upload that a daemon takes beside a target of the service crossed the network to another one all the same; links of 5.8 Mbit/s are 98% used by bodies.

Change: for a body over 8 KiB the target beside goes first, as the own zone does for others, unless it is clearly busier.

Test: first fails before (asked away).

--- a/core/query/route/route.go
+++ b/core/query/route/route.go
@@ -2,6 +2,8 @@
 package route
 
 import (
+	"slices"
+
 	"verbenabank/core/state/result"
 	"verbenabank/core/state/rules"
 	"verbenabank/core/state/table"
@@ -75,6 +77,15 @@
 // them.
 func (p Pooled) Near(zone string) []table.Member { return p.pool.byZone[zone] }
 
+// Candidate returns the candidate with the incarnation, if there is one.
+func (p Pooled) Candidate(i table.Incarnation) (table.Member, bool) {
+	at := slices.IndexFunc(p.pool.all, func(m table.Member) bool { return m.Incarnation() == i })
+	if at < 0 {
+		return table.Member{}, false
+	}
+	return p.pool.all[at], true
+}
+
 // Refuse means that nobody can serve the request at present.
 type Refuse struct{ reason result.Reason }
 
--- a/verbenad/command/relay/peers.go
+++ b/verbenad/command/relay/peers.go
@@ -17,7 +17,6 @@
 // peers knows the targets of pooled services by what their answers showed.
 type peers struct {
 	clock *clock.Clock
-	zone  string
 
 	mu       sync.Mutex
 	services map[string]*service
@@ -29,12 +28,13 @@
 	candidates []table.Member
 }
 
-func newPeers(c *clock.Clock, zone string) *peers {
-	return &peers{clock: c, zone: zone, services: map[string]*service{}}
+func newPeers(c *clock.Clock) *peers {
+	return &peers{clock: c, services: map[string]*service{}}
 }
 
-// choose returns a candidate, one that was not tried if possible.
-func (p *peers) choose(d route.Pooled, tried map[table.Incarnation]bool) (table.Member, bool) {
+// choose returns a candidate, one of near if they are as good, and one that was not tried if
+// possible.
+func (p *peers) choose(d route.Pooled, near []table.Member, tried map[table.Incarnation]bool) (table.Member, bool) {
 	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -45,7 +45,7 @@
 		}
 		return k.View(m, d.Service().WarmUp(), now)
 	}
-	near, all := d.Near(p.zone), d.Candidates()
+	all := d.Candidates()
 	if m, ok := choose.Pick(near, all, view, rand.IntN); ok {
 		return m, true
 	}
--- a/verbenad/command/relay/relay.go
+++ b/verbenad/command/relay/relay.go
@@ -83,7 +83,7 @@
 	for _, o := range opts {
 		o(r)
 	}
-	r.peers = newPeers(r.clock, r.zone)
+	r.peers = newPeers(r.clock)
 	r.index.Store(route.NewIndex(r.cell.Load().Table()))
 	return r
 }
--- /dev/null
+++ b/verbenad/command/relay/relay_test.go
@@ -0,0 +1,94 @@
+package relay_test
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"verbenabank/core/clock"
+	"verbenabank/core/query/retry"
+	"verbenabank/core/query/route"
+	"verbenabank/core/state/call"
+	"verbenabank/core/state/result"
+	"verbenabank/core/state/rules"
+	"verbenabank/core/state/snap"
+	"verbenabank/core/state/table"
+	"verbenabank/verbenad/command/relay"
+)
+
+const service = "intake"
+
+// asked counts who was asked, and answers as told.
+type asked struct {
+	here, away int
+	reply      func() call.Reply
+}
+
+func (a *asked) Serve(context.Context, call.Request) call.Reply {
+	a.here++
+	return a.reply()
+}
+
+func (a *asked) Send(context.Context, string, call.Request) call.Reply {
+	a.away++
+	return a.reply()
+}
+
+// newRelay returns a relay at member 1 of four in one availability zone.
+func newRelay(a *asked) (*relay.Relay, rules.Service) {
+	c, cell, s := clock.New(), snap.NewCell(), rules.NewService(service)
+	changes := []table.Change{table.NewRulesSet(rules.New(1, "", s))}
+	for i := range table.Incarnation(4) {
+		changes = append(changes, table.NewMemberSet(table.NewMember(i+1, "i", "z", "a", service, table.Serving{})))
+	}
+	cell.Publish(snap.New(table.Empty().With(1, changes...), 1, c.Now()+60_000, c.Now()+60_000))
+	return relay.New(relay.WithClock(c), relay.WithCell(cell), relay.WithLocal(a), relay.WithRemote(a),
+		relay.WithRetry(retry.Routed{}), relay.WithZone("z")), s
+}
+
+func upload(r *relay.Relay, s rules.Service, bytes int) relay.Served {
+	body := relay.NewBody(strings.NewReader(strings.Repeat("x", bytes)), int64(bytes), 1<<20, func() {})
+	deadline := clock.New().Now() + 5000
+	return r.Run(context.Background(), relay.NewDemand(s, route.Direct(service, ""), deadline, relay.WithBody(body)))
+}
+
+func answer() call.Reply {
+	return call.NewAnswer(200, nil, io.NopCloser(strings.NewReader("")), 0)
+}
+
+func TestLargeBodiesStayWithTheTargetBeside(t *testing.T) {
+	is := is.New(t)
+	a := &asked{reply: answer}
+	r, s := newRelay(a)
+	for range 40 {
+		served, ok := upload(r, s, 60<<10).Reply().(call.Answer)
+		is.True(ok)
+		is.NoErr(served.Body().Close())
+	}
+	is.Equal(a.away, 0)
+	for range 40 {
+		served, ok := upload(r, s, 100).Reply().(call.Answer)
+		is.True(ok)
+		is.NoErr(served.Body().Close())
+	}
+	is.True(a.away > 0)
+}
+
+func TestLargeBodyGoesElsewhereIfTheTargetBesideIsFull(t *testing.T) {
+	is := is.New(t)
+	a := &asked{}
+	a.reply = func() call.Reply {
+		if a.away == 0 {
+			return call.Refuse(result.Overloaded)
+		}
+		return answer()
+	}
+	r, s := newRelay(a)
+	_, ok := upload(r, s, 60<<10).Reply().(call.Answer)
+	is.True(ok)
+	is.Equal(a.here, 1)
+	is.Equal(a.away, 1)
+}
--- a/verbenad/command/relay/task.go
+++ b/verbenad/command/relay/task.go
@@ -101,7 +101,7 @@
 	if t.tried == nil {
 		t.tried = map[table.Incarnation]bool{}
 	}
-	m, ok := t.relay.peers.choose(d, t.tried)
+	m, ok := t.relay.peers.choose(d, t.near(s, d), t.tried)
 	if !ok {
 		return call.Refuse(result.NoTarget)
 	}
@@ -111,6 +111,20 @@
 	return done(reply)
 }
 
+// bulkyBytes is the size of a body above which the network matters more than the target.
+const bulkyBytes = 8 << 10
+
+// near returns the candidates to prefer: those of the own availability zone, and for a large body the
+// one beside this daemon, which it reaches without the network.
+func (t *task) near(s *snap.Snap, d route.Pooled) []table.Member {
+	if b := t.demand.body; b != nil && (b.length < 0 || b.length > bulkyBytes) {
+		if own, ok := d.Candidate(s.Self()); ok {
+			return []table.Member{own}
+		}
+	}
+	return d.Near(t.relay.zone)
+}
+
 // request makes the request of one attempt.
 func (t *task) request(opts ...call.Option) call.Request {
 	d := t.demand
