Tell fronts why a queue refused, and replay the walks of the operations page

Answers of a server that failed had no line at all, and what became of a daemon on the way had to be looked for by hand.

Change: a refusal brings the length of the queue that decided it, and the front's line has it; answers from 500 up have a line; verbena story adds calls of the request and what became of the daemons on its way within 2 s; gauges of retries left and of the role in the control group.

--- a/core/command/admit/admit.go
+++ b/core/command/admit/admit.go
@@ -308,6 +308,13 @@
 	return g.service * clock.Millis(ahead+1) / clock.Millis(max(1, g.limits.slots)) / 1000
 }
 
+// Crowd returns how much there is to do.
+func (g *Gate) Crowd() result.Crowd {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return result.NewCrowd(g.busy, len(g.waiting), g.service/1000)
+}
+
 // Busy returns how many slots are held.
 func (g *Gate) Busy() int {
 	g.mu.Lock()
--- a/core/command/budget/budget.go
+++ b/core/command/budget/budget.go
@@ -69,6 +69,13 @@
 	return true
 }
 
+// Left returns how many retries may be made at once.
+func (b *Budget) Left() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.balance / cost
+}
+
 // most returns the greatest balance. Half of the allowance may be saved up and the other
 // half flows in during a window, so no window sees more than the whole.
 func (b *Budget) most(sharers int) float64 {
--- a/core/state/result/result.go
+++ b/core/state/result/result.go
@@ -21,8 +21,30 @@
 	reason Reason
 	after  clock.Millis
 	sent   bool
+	crowd  Crowd
 }
 
+// Crowd is how much a target had to do when it was asked.
+type Crowd struct {
+	running int
+	waiting int
+	mean    clock.Millis
+}
+
+// NewCrowd returns a target with requests that run and that wait, and the mean time of one.
+func NewCrowd(running, waiting int, mean clock.Millis) Crowd {
+	return Crowd{running: running, waiting: waiting, mean: mean}
+}
+
+// Running returns how many requests ran.
+func (c Crowd) Running() int { return c.running }
+
+// Waiting returns how many requests waited.
+func (c Crowd) Waiting() int { return c.waiting }
+
+// Mean returns the mean time of a request.
+func (c Crowd) Mean() clock.Millis { return c.mean }
+
 // NewRefused returns the outcome with its reason and how long the caller should
 // wait before it tries again, 0 if trying again is of no use.
 func NewRefused(reason Reason, after clock.Millis) Refused {
@@ -41,6 +63,15 @@
 	return r
 }
 
+// WithCrowd returns the refusal that a crowd at the target led to.
+func (r Refused) WithCrowd(c Crowd) Refused {
+	r.crowd = c
+	return r
+}
+
+// Crowd returns how much the target had to do, the zero value if that decided nothing.
+func (r Refused) Crowd() Crowd { return r.crowd }
+
 // Sent reports whether a target was sent the request, which it did not run.
 func (r Refused) Sent() bool { return r.sent }
 
--- a/core/wire/parts/parts.go
+++ b/core/wire/parts/parts.go
@@ -83,6 +83,7 @@
 	switch o := o.(type) {
 	case result.Refused:
 		f.NotRun, f.Reason, f.RetryAfterMs, f.Sent = true, string(o.Reason()), int64(o.After()), o.Sent()
+		f.Running, f.Waiting, f.MeanMs = uint32(o.Crowd().Running()), uint32(o.Crowd().Waiting()), int64(o.Crowd().Mean())
 	case result.Unknown:
 		f.Reason = string(o.Reason())
 	case result.Answered:
@@ -94,7 +95,8 @@
 // Outcome returns the outcome that a failure tells.
 func Outcome(f *wirepb.Failure) result.Outcome {
 	if f.GetNotRun() {
-		o := result.NewRefused(result.Reason(f.GetReason()), clock.Millis(f.GetRetryAfterMs()))
+		o := result.NewRefused(result.Reason(f.GetReason()), clock.Millis(f.GetRetryAfterMs())).
+			WithCrowd(result.NewCrowd(int(f.GetRunning()), int(f.GetWaiting()), clock.Millis(f.GetMeanMs())))
 		if f.GetSent() {
 			return o.WithSent()
 		}
--- a/verbena/query/local/story.go
+++ b/verbena/query/local/story.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -12,6 +13,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"verbenabank/verbena/query/show"
 )
@@ -30,9 +32,62 @@
 // keysOf finds the keys in the subject of a change of the fleet, such as "keys s/10-20".
 var keysOf = regexp.MustCompile(`^keys [^/]+/(\d+)-(\d+)$`)
 
-// StoryOf tells what the logs of many processes say of one request, in time order.
+// around is how far from the lines of a request those of the daemons on its way are told.
+const around = 2 * time.Second
+
+// states are the beginnings of lines about the state of a daemon rather than one request.
+var states = []string{"serve:", "link:", "pulse:", "probe:", "keeper:", "ctrl: own", "ctrl: target"}
+
+// StoryOf tells what the logs of many processes say of one request and of the calls that its
+// target made for it, whose ids begin with its own and a dot, in time order: and what became of
+// the daemons on its way at that time.
 func StoryOf(request string, files []string) (show.Report, error) {
-	return story(files, func(e event) bool { return e.Fields["request"] == request })
+	files, clean, err := spooled(files)
+	if err != nil {
+		return show.Report{}, err
+	}
+	defer clean()
+	way, begin, end := map[string]bool{}, "", ""
+	_, _, err = gather(files, func(e event) bool {
+		if !of(e, request) {
+			return false
+		}
+		way[e.Instance] = true
+		if by, ok := e.Fields["by"].(string); ok {
+			way[by] = true
+		}
+		if begin == "" || e.Time < begin {
+			begin = e.Time
+		}
+		end = max(end, e.Time)
+		return true
+	})
+	if err != nil {
+		return show.Report{}, err
+	}
+	begin, end = shifted(begin, -around), shifted(end, around)
+	return story(files, func(e event) bool {
+		state := slices.ContainsFunc(states, func(s string) bool { return strings.HasPrefix(e.Message, s) })
+		return of(e, request) || (state && way[e.Instance] && begin <= e.Time && e.Time <= end)
+	})
+}
+
+// of reports whether a line is about the request or a call for it.
+func of(e event, request string) bool {
+	id, _ := e.Fields["request"].(string)
+	return id == request || strings.HasPrefix(id, request+".")
+}
+
+// layout is how the processes write instants.
+const layout = "2006-01-02T15:04:05.000Z07:00"
+
+// shifted returns an instant moved by a span, "" if it is none.
+func shifted(instant string, by time.Duration) string {
+	t, err := time.Parse(layout, instant)
+	if err != nil {
+		return ""
+	}
+	return t.Add(by).Format(layout)
 }
 
 // StoryOfKey tells what the logs say of a key that is a number: who held it, and the
@@ -57,16 +112,47 @@
 	return ok && too && first <= float64(key) && float64(key) <= last
 }
 
-func story(files []string, fits func(event) bool) (show.Report, error) {
+// spooled returns the files with a copy in place of standard input, which can be read but once,
+// and what removes the copy.
+func spooled(files []string) ([]string, func(), error) {
+	at := slices.Index(files, stdin)
+	if at < 0 {
+		return files, func() {}, nil
+	}
+	f, err := os.CreateTemp("", "verbena-story-*")
+	if err != nil {
+		return nil, nil, err
+	}
+	clean := func() { _ = os.Remove(f.Name()) }
+	_, err = io.Copy(f, os.Stdin)
+	if err = errors.Join(err, f.Close()); err != nil {
+		clean()
+		return nil, nil, err
+	}
+	files = slices.Clone(files)
+	files[at] = f.Name()
+	return files, clean, nil
+}
+
+// gather returns the lines of all files that fit, and how many cannot be read.
+func gather(files []string, fits func(event) bool) ([]event, int, error) {
 	var list []event
 	unread := 0
 	for _, f := range files {
 		found, bad, err := events(f, fits)
 		if err != nil {
-			return show.Report{}, err
+			return nil, 0, err
 		}
 		list, unread = append(list, found...), unread+bad
 	}
+	return list, unread, nil
+}
+
+func story(files []string, fits func(event) bool) (show.Report, error) {
+	list, unread, err := gather(files, fits)
+	if err != nil {
+		return show.Report{}, err
+	}
 	slices.SortStableFunc(list, func(a, b event) int { return cmp.Compare(a.Time, b.Time) })
 	var text strings.Builder
 	for _, e := range list {
@@ -83,11 +169,13 @@
 	return show.NewReport(status, list, text.String()), nil
 }
 
-// events reads the lines of a file that fit, and counts those that cannot be read. "-" is
-// standard input.
+// stdin stands for standard input among files.
+const stdin = "-"
+
+// events reads the lines of a file that fit, and counts those that cannot be read.
 func events(file string, fits func(event) bool) ([]event, int, error) {
 	var in io.Reader = os.Stdin
-	if file != "-" {
+	if file != stdin {
 		f, err := os.Open(file)
 		if err != nil {
 			return nil, 0, err
--- a/verbena/query/local/story_test.go
+++ b/verbena/query/local/story_test.go
@@ -52,9 +52,10 @@
 	r, err := local.StoryOf("abc", files(t))
 	is.NoErr(err)
 	lines := strings.Split(text(t, r), "\n")
-	is.True(strings.Contains(lines[0], "owner:") && strings.Contains(lines[0], "waiting=9"))
-	is.True(strings.Contains(lines[1], "front:") && strings.Contains(lines[1], "asked=2"))
-	is.True(strings.HasPrefix(lines[2], "1 lines"))
+	is.True(strings.Contains(lines[0], "keeper:")) // of a daemon on its way, 1 s before
+	is.True(strings.Contains(lines[1], "owner:") && strings.Contains(lines[1], "waiting=9"))
+	is.True(strings.Contains(lines[2], "front:") && strings.Contains(lines[2], "asked=2"))
+	is.True(strings.HasPrefix(lines[3], "1 lines"))
 }
 
 func TestStoryOfAKeyHasItsOwnersAndRequests(t *testing.T) {
@@ -68,6 +69,32 @@
 	is.True(!strings.Contains(text(t, r), "epoch 8"))
 }
 
+// walks are the requests that OPERATIONS.md explains, with logs of the day on which they failed.
+var walks = []string{"f42c79bf6f494f74", "b0e728ebe7edc649", "9c14c80e45718d5c"}
+
+// TestWalksOfThePageCanBeWalked tells the stories of OPERATIONS.md from the lines of that day, and
+// wants each line that the page shows.
+func TestWalksOfThePageCanBeWalked(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range walks {
+		r, err := local.StoryOf(id, []string{"testdata/walks.log"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, shown, ok := strings.Cut(string(page), "$ verbena story --request "+id+" -- logs/*\n")
+		shown, _, closed := strings.Cut(shown, "```")
+		if !ok || !closed {
+			t.Fatalf("the page does not tell the story of %s", id)
+		}
+		if told := text(t, r); strings.TrimSpace(told) != strings.TrimSpace(shown) {
+			t.Fatalf("story of %s:\n%s\nthe page has:\n%s", id, told, shown)
+		}
+	}
+}
+
 func TestStoryOfNothingIsAProblem(t *testing.T) {
 	r, err := local.StoryOf("xyz", files(t))
 	is.New(t).NoErr(err)
--- a/verbenad/adapt/front/exchange.go
+++ b/verbenad/adapt/front/exchange.go
@@ -102,7 +102,7 @@
 	f.meter.Begin()
 	o := x.run()
 	f.meter.End(o, f.clock.Now()-x.began)
-	f.story.Tell(o, x.facts)
+	f.story.Tell(o, func() logrus.Fields { return x.facts(o) })
 	if x.body != nil && !x.body.Finish(x.interrupt) && !x.cut {
 		x.conn.end(true)
 	}
@@ -110,11 +110,15 @@
 
 // facts are what the log tells of the request: what decided its end, and the version of the
 // table that it was routed by.
-func (x *exchange) facts() logrus.Fields {
-	return logrus.Fields{
+func (x *exchange) facts(o result.Outcome) logrus.Fields {
+	f := logrus.Fields{
 		"request": x.ask.id, "route": x.route, "service": x.service, "key": x.number, "asked": x.asked, "by": x.by,
 		"table": x.version, "took_ms": int64(x.conn.front.clock.Now() - x.began),
 	}
+	if r, ok := o.(result.Refused); ok && r.Crowd() != (result.Crowd{}) {
+		f["busy"], f["waiting"], f["mean_ms"] = r.Crowd().Running(), r.Crowd().Waiting(), int64(r.Crowd().Mean())
+	}
+	return f
 }
 
 func (x *exchange) interrupt() { _ = x.conn.net.SetReadDeadline(time.Unix(1, 0)) }
--- a/verbenad/command/meter/meter.go
+++ b/verbenad/command/meter/meter.go
@@ -77,6 +77,12 @@
 // Event counts an event, or changes a level, by n.
 func (m *Meter) Event(name string, n int64) { m.events.Add(name, n) }
 
+// Level publishes a value that is read when it is asked for, such as what is left of the retries
+// of a service.
+func (m *Meter) Level(name, service string, read func() float64) {
+	metrics.GetOrCreateGauge(fmt.Sprintf("verbenad_%s{part=%q,service=%q}", name, m.part, service), read)
+}
+
 // Wait counts how long in milliseconds a request was in one phase of its way, such as the
 // queue for the target or the target itself.
 func (m *Meter) Wait(phase string, span clock.Millis) {
--- a/verbenad/command/owner/guard.go
+++ b/verbenad/command/owner/guard.go
@@ -121,7 +121,7 @@
 	t := gate.Enter(now, w, admit.NewLimits(slots, s.Queue(), wait))
 	select {
 	case o := <-t.Ready():
-		return granted(o)
+		return granted(o, gate)
 	default:
 	}
 	g.owner.meter.Event("waiting", 1)
@@ -130,7 +130,7 @@
 	defer timer.Stop()
 	select {
 	case o := <-t.Ready():
-		return granted(o)
+		return granted(o, gate)
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -138,7 +138,7 @@
 	if ctx.Err() != nil || g.owner.clock.Now() >= g.deadline {
 		return call.Refuse(result.Expired), held
 	}
-	return call.NewFailure(result.NewRefused(result.Overloaded, wait)), held
+	return call.NewFailure(result.NewRefused(result.Overloaded, wait).WithCrowd(gate.Crowd())), held
 }
 
 // patience returns how long the request may wait for a slot: as the service says, and if an
@@ -174,12 +174,12 @@
 }
 
 // granted returns the failure that a grant is, if any, and whether a slot is held.
-func granted(o admit.Grant) (call.Failure, bool) {
+func granted(o admit.Grant, gate *admit.Gate) (call.Failure, bool) {
 	switch o := o.(type) {
 	case admit.Admitted:
 		return call.Failure{}, true
 	case admit.Refused:
-		return call.NewFailure(result.NewRefused(o.Reason(), o.After())), false
+		return call.NewFailure(result.NewRefused(o.Reason(), o.After()).WithCrowd(gate.Crowd())), false
 	}
 	return call.Refuse(result.Overloaded), false
 }
--- a/verbenad/command/relay/relay.go
+++ b/verbenad/command/relay/relay.go
@@ -110,6 +110,10 @@
 	if b, ok := r.budgets.Load(service); ok {
 		return b.(*budget.Budget)
 	}
-	b, _ := r.budgets.LoadOrStore(service, budget.New(r.terms...))
-	return b.(*budget.Budget)
+	made, known := r.budgets.LoadOrStore(service, budget.New(r.terms...))
+	b := made.(*budget.Budget)
+	if !known {
+		r.meter.Level("retries_left", service, b.Left)
+	}
+	return b
 }
--- a/verbenad/command/serve/metric.go
+++ b/verbenad/command/serve/metric.go
@@ -8,7 +8,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"verbenabank/core/command/raft"
 	"verbenabank/core/state/table"
+	"verbenabank/verbenad/state/view"
 )
 
 // shown is the daemon whose gauges the process publishes.
@@ -31,6 +33,7 @@
 		"verbenad.control_term":      func(d *Daemon) int64 { s, _ := d.loop.View().Status(); return int64(s.Term()) },
 		"verbenad.control_commit":    func(d *Daemon) int64 { s, _ := d.loop.View().Status(); return int64(s.Commit()) },
 		"verbenad.control_members":   func(d *Daemon) int64 { s, _ := d.loop.View().Status(); return int64(s.Members().Voters()) },
+		"verbenad.control_role":      func(d *Daemon) int64 { return role(d.loop.View()) },
 		"verbenad.members":           func(d *Daemon) int64 { return int64(len(d.cell.Load().Table().Members())) },
 		"verbenad.keys_held":         func(d *Daemon) int64 { return int64(d.cell.Load().Held()) },
 		"verbenad.heap_bytes":        func(*Daemon) int64 { var m runtime.MemStats; runtime.ReadMemStats(&m); return int64(m.HeapAlloc) },
@@ -43,6 +46,36 @@
 	}
 }
 
+// Roles of a control replica as numbers.
+const (
+	noReplica = iota
+	blank
+	learner
+	follower
+	candidate
+	leading
+)
+
+func role(v *view.View) int64 {
+	s, ok := v.Status()
+	if !ok {
+		return noReplica
+	}
+	switch s.Role().(type) {
+	case raft.Blank:
+		return blank
+	case raft.Learner:
+		return learner
+	case raft.Follower:
+		return follower
+	case raft.PreCandidate, raft.Candidate:
+		return candidate
+	case raft.Elected, raft.Leader:
+		return leading
+	}
+	return noReplica
+}
+
 // owned counts the shards that this daemon owns.
 func owned(d *Daemon) int { return len(epochs(d)) }
 
--- /dev/null
+++ b/verbenad/command/start/fields_test.go
@@ -0,0 +1,100 @@
+package start
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// root is the root of the repository.
+const root = "../../.."
+
+// logged returns the names of all fields that the sources of a folder give to log lines.
+func logged(t *testing.T, folder string, names map[string]bool) {
+	t.Helper()
+	text := func(e ast.Expr) {
+		if l, ok := e.(*ast.BasicLit); ok && l.Kind == token.STRING {
+			name, _ := strconv.Unquote(l.Value)
+			names[name] = true
+		}
+	}
+	err := filepath.WalkDir(filepath.Join(root, folder), func(path string, d fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		f, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+		if err != nil {
+			return err
+		}
+		ast.Inspect(f, func(n ast.Node) bool {
+			switch n := n.(type) {
+			case *ast.CallExpr:
+				if s, ok := n.Fun.(*ast.SelectorExpr); ok && s.Sel.Name == "WithField" {
+					text(n.Args[0])
+				}
+			case *ast.CompositeLit:
+				if s, ok := n.Type.(*ast.SelectorExpr); ok && s.Sel.Name == "Fields" {
+					for _, e := range n.Elts {
+						text(e.(*ast.KeyValueExpr).Key)
+					}
+				}
+			case *ast.AssignStmt: // a field that is added to those of a line
+				for _, e := range n.Lhs {
+					if x, ok := e.(*ast.IndexExpr); ok {
+						text(x.Index)
+					}
+				}
+			}
+			return true
+		})
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestFieldsOfLogLinesAreDocumented holds the tables of OPERATIONS.md to the sources.
+func TestFieldsOfLogLinesAreDocumented(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join(root, "docs", "OPERATIONS.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, logs, _ := strings.Cut(string(page), "\n### Fields\n")
+	logs, _, _ = strings.Cut(logs, "\n### Reasons\n")
+	documented := map[string]bool{}
+	row := regexp.MustCompile("(?m)^\\| ((?:`[a-z_]+`(?:, )?)+) \\|[^|]*\\|[^|]*\\|$")
+	for _, m := range row.FindAllStringSubmatch(logs, -1) {
+		for name := range strings.SplitSeq(m[1], ", ") {
+			documented[strings.Trim(name, "`")] = true
+		}
+	}
+	used := map[string]bool{"error": true} // by WithError
+	for _, folder := range []string{"verbenad", "platform"} {
+		logged(t, folder, used)
+	}
+	var missing, unused []string
+	for name := range used {
+		if !documented[name] {
+			missing = append(missing, name)
+		}
+	}
+	for name := range documented {
+		if !used[name] {
+			unused = append(unused, name)
+		}
+	}
+	slices.Sort(missing)
+	slices.Sort(unused)
+	if len(missing)+len(unused) > 0 {
+		t.Fatalf("not in OPERATIONS.md: %v; in no source: %v", missing, unused)
+	}
+}
--- a/verbenad/command/story/story.go
+++ b/verbenad/command/story/story.go
@@ -3,6 +3,7 @@
 package story
 
 import (
+	"strconv"
 	"sync"
 
 	"github.com/sirupsen/logrus"
@@ -30,12 +31,18 @@
 	return &Story{clock: c, log: log, part: part, counts: map[string]int{}}
 }
 
-// Tell writes how a request ended at this part, unless a target answered it.
+// failed is the least HTTP status of an answer by which the target says that it failed.
+const failed = 500
+
+// Tell writes how a request ended at this part, unless a target answered it well.
 func (s *Story) Tell(o result.Outcome, fields func() logrus.Fields) {
-	kind, reason := "", result.Reason("")
+	kind, reason, text := "", result.Reason(""), ": request has no answer"
 	switch o := o.(type) {
 	case result.Answered:
-		return
+		if o.Status() < failed {
+			return
+		}
+		kind, reason, text = "answered", result.Reason(strconv.Itoa(o.Status())), ": the target answered that it failed"
 	case result.Refused:
 		kind, reason = "refused", o.Reason()
 	case result.Unknown:
@@ -46,7 +53,7 @@
 	}
 	f := fields()
 	f["outcome"], f["reason"] = kind, string(reason)
-	s.log.WithFields(f).Info(s.part + ": request has no answer")
+	s.log.WithFields(f).Info(s.part + text)
 }
 
 // admit reports whether a line of the kind is written now, and sums up those of the last
@@ -57,7 +64,7 @@
 	if second := s.clock.Now() / clock.Second; second != s.second {
 		for k, n := range s.counts {
 			if n > linesEach {
-				s.log.WithField("kind", k).WithField("more", n-linesEach).Info(s.part + ": more requests had no answer in that second")
+				s.log.WithField("kind", k).WithField("more", n-linesEach).Info(s.part + ": more requests ended so in that second")
 			}
 		}
 		s.second = second
