Keep a stopping daemon with its target while its callers go elsewhere

Ruled out: the time of the release itself (at most 0.11 s).

Change: with a grace time the daemon leaves half-way to the part of the grace that is kept for callers, 1.75 s of 6 s, so that it is done when its callers are.

--- a/verbenad/command/serve/run.go
+++ b/verbenad/command/serve/run.go
@@ -99,7 +99,8 @@
 	begun := time.Now()
 	d.part().Info("serve: planned stop begins")
 	d.leaving.Store(true)
-	d.leaveGroup()
+	pause(begun.Add(d.staySpan()))
+	d.leaveGroup(begun)
 	if d.front != nil {
 		return d.stopFront(begun)
 	}
@@ -114,12 +115,23 @@
 	return err
 }
 
-// leaveGroup hands over what the daemon owns and leads. A daemon without a port for callers
-// is no member and owns nothing.
-func (d *Daemon) leaveGroup() {
+// staySpan returns how long the daemon goes on with its target after it was told to stop: its
+// callers need a while to go elsewhere anyway, and the target is missed by the others. It is half of the
+// time that the grace leaves for the target.
+func (d *Daemon) staySpan() time.Duration {
+	g := d.settings.Load().Terms().Grace()
+	if d.front == nil || g == 0 {
+		return 0
+	}
+	return min(noticeSpan, max(0, g.Duration()-graceLeft)/2)
+}
+
+// leaveGroup hands over what the daemon owns and leads, after a stop that began at an instant. A
+// daemon without a port for callers is no member and owns nothing.
+func (d *Daemon) leaveGroup(begun time.Time) {
 	within := leaveWithin
 	if g := d.settings.Load().Terms().Grace(); g > 0 {
-		within = min(within, max(0, g.Duration()-graceLeft))
+		within = min(within, max(0, time.Until(begun.Add(g.Duration()-graceLeft))))
 	}
 	if d.callersPort != nil {
 		d.post(agent.StopAsked{})
