--- a/core/command/eject/eject.go
+++ b/core/command/eject/eject.go
@@ -32,12 +32,15 @@
 	smoothing = 0.2
 )
 
-// Sample is how one attempt went: Good, Late, Bad or Busy.
+// Sample is how one attempt went: Good, Faulty, Late, Bad or Busy.
 type Sample interface{ sample() }
 
 // Good attempts were answered.
 type Good struct{ span clock.Millis }
 
+// Faulty attempts were answered by the target that it failed.
+type Faulty struct{}
+
 // NewGood returns the sample of an attempt that was answered after the span.
 func NewGood(span clock.Millis) Good { return Good{span: span} }
 
@@ -56,10 +59,11 @@
 // NewBusy returns the sample of an attempt that was turned away for the span.
 func NewBusy(after clock.Millis) Busy { return Busy{after: after} }
 
-func (Good) sample() {}
-func (Late) sample() {}
-func (Bad) sample()  {}
-func (Busy) sample() {}
+func (Good) sample()   {}
+func (Faulty) sample() {}
+func (Late) sample()   {}
+func (Bad) sample()    {}
+func (Busy) sample()   {}
 
 // standing is where a target stands: active, away or probed.
 type standing interface{ standing() }
@@ -81,6 +85,7 @@
 	rest     clock.Millis
 	inFlight int
 	latency  float64
+	faults   float64 // share of the answers by which the target said that it failed
 	samples  int
 	failures int
 	times    int
@@ -131,6 +136,9 @@
 	switch s := s.(type) {
 	case Good:
 		p.answered(float64(s.span))
+	case Faulty:
+		p.failures = 0
+		p.faults += smoothing * (1 - p.faults)
 	case Late:
 		t.late(p, float64(s.span), now)
 	case Bad:
@@ -146,6 +154,7 @@
 
 func (p *peer) answered(span float64) {
 	p.failures = 0
+	p.faults -= smoothing * p.faults
 	p.samples++
 	if p.samples == 1 {
 		p.latency = span
@@ -211,7 +220,17 @@
 	case table.Leaving:
 		share = 0
 	}
-	return choose.NewView(p.inFlight, p.latency, share)
+	return choose.NewView(p.inFlight, p.cost(), share)
+}
+
+// mostFaults is the share of failures beyond which a target is not told from worse ones.
+const mostFaults = 0.8
+
+// cost returns the expected time in milliseconds of a request at the target. One that fails counts
+// for more than the time that it took, since few of its failures can be made good.
+func (p *peer) cost() float64 {
+	good := 1 - min(p.faults, mostFaults)
+	return p.latency / good / good
 }
 
 // advance ends the time away and the probing.
--- a/core/command/eject/eject_test.go
+++ b/core/command/eject/eject_test.go
@@ -55,23 +55,47 @@
 	is.Equal(k.View(members[0], 0, now+eject.Return/2+2*eject.Away-1).Share(), 0.0) // longer than before
 }
 
-func TestSlowTargetIsLeftAndLoadGoesElsewhere(t *testing.T) {
-	is := is.New(t)
+// spread sends a request a millisecond to four targets, each of which notes how it went, and returns how
+// many each got.
+func spread(t *testing.T, until clock.Millis, sample func(i table.Incarnation, now clock.Millis, draw func(n int) int) eject.Sample) map[table.Incarnation]int {
+	t.Helper()
 	members := fleet(4)
 	k := eject.New()
 	k.Keep(members, 0)
 	random := rand.New(rand.NewPCG(1, 2))
 	taken := map[table.Incarnation]int{}
-	for now := clock.Millis(0); now < 3000; now++ {
+	for now := clock.Millis(0); now < until; now++ {
 		view := func(m table.Member) choose.View { return k.View(m, 0, now) }
 		m, ok := choose.Pick(members, members, view, random.IntN)
-		is.True(ok)
-		taken[m.Incarnation()]++
-		span := clock.Millis(5)
-		if m.Incarnation() == 1 && now > 500 {
-			span = 400
+		if !ok {
+			t.Fatalf("no target is chosen at %d", now)
 		}
-		k.Note(m.Incarnation(), eject.NewGood(span), now)
+		taken[m.Incarnation()]++
+		k.Note(m.Incarnation(), sample(m.Incarnation(), now, random.IntN), now)
 	}
-	is.True(taken[1] < 300) // of 3000, 125 of them before it became slow
+	return taken
+}
+
+func TestSlowTargetIsLeftAndLoadGoesElsewhere(t *testing.T) {
+	taken := spread(t, 3000, func(i table.Incarnation, now clock.Millis, _ func(n int) int) eject.Sample {
+		if i == 1 && now > 500 {
+			return eject.NewGood(400)
+		}
+		return eject.NewGood(5)
+	})
+	is.New(t).True(taken[1] < 300) // of 3000, 125 of them before it became slow
+}
+
+// TestTargetThatFailsFastDrawsNoMoreWork is a target whose health check is good while it answers
+// half of its requests with 500 at once: by its latency alone it looks the best.
+func TestTargetThatFailsFastDrawsNoMoreWork(t *testing.T) {
+	is := is.New(t)
+	taken := spread(t, 4000, func(i table.Incarnation, _ clock.Millis, draw func(n int) int) eject.Sample {
+		if i == 1 && draw(2) == 0 {
+			return eject.Faulty{}
+		}
+		return eject.NewGood(20)
+	})
+	is.True(taken[1] < 4000/4/2) // less than half of an equal part
+	is.True(taken[1] > 0)        // and enough to see that it is well again
 }
--- a/verbenad/command/owner/lane_test.go
+++ b/verbenad/command/owner/lane_test.go
@@ -64,39 +64,43 @@
 	}
 }
 
+// pair serves two requests on a slow link. The body of the first one stays open until it is closed.
+func pair(t *testing.T) (s *sender, begun chan struct{}, first io.Closer, ends [2]<-chan string) {
+	t.Helper()
+	s, serve := distant(slowLink)
+	begun = make(chan struct{}, 2)
+	source, sink := io.Pipe()
+	ends[0] = serve(&reader{Reader: source, begun: begun})
+	if !begins(begun, time.Second) {
+		t.Fatal("the first body is not read")
+	}
+	ends[1] = serve(&reader{Reader: strings.NewReader("photo"), begun: begun})
+	return s, begun, sink, ends
+}
+
 // TestBodiesCrossASlowLinkOneByOne is the case of intake on scale-2 of tb-appraisal-grown: nine
 // bodies at once filled its link for 0.75 s, and calls with 0.6 s waited behind them.
 func TestBodiesCrossASlowLinkOneByOne(t *testing.T) {
 	is := is.New(t)
-	s, serve := distant(slowLink)
-	begun := make(chan struct{}, 2)
-	source, sink := io.Pipe()
-	first := serve(&reader{Reader: source, begun: begun})
-	is.True(begins(begun, time.Second))
-	second := serve(&reader{Reader: strings.NewReader("photo"), begun: begun})
+	s, begun, first, ends := pair(t)
 	is.True(!begins(begun, 50*time.Millisecond))
 	is.Equal(s.count.Load(), int64(0)) // no slot is taken while the body is on its way
-	_ = sink.Close()
+	is.NoErr(first.Close())
 	is.True(begins(begun, time.Second))
 	s.proceed <- struct{}{}
 	s.proceed <- struct{}{}
-	is.Equal(<-first, "answered")
-	is.Equal(<-second, "answered")
+	is.Equal(<-ends[0], "answered")
+	is.Equal(<-ends[1], "answered")
 }
 
 func TestBodyThatStandsStillLetsOthersPass(t *testing.T) {
 	is := is.New(t)
-	s, serve := distant(slowLink)
-	begun := make(chan struct{}, 2)
-	source, sink := io.Pipe()
-	first := serve(&reader{Reader: source, begun: begun})
-	is.True(begins(begun, time.Second))
-	second := serve(&reader{Reader: strings.NewReader("photo"), begun: begun})
+	s, _, first, ends := pair(t)
 	s.proceed <- struct{}{}
-	is.Equal(<-second, "answered")
-	_ = sink.Close()
+	is.Equal(<-ends[1], "answered")
+	is.NoErr(first.Close())
 	s.proceed <- struct{}{}
-	is.Equal(<-first, "answered")
+	is.Equal(<-ends[0], "answered")
 }
 
 func TestBodiesCrossAWideLinkTogether(t *testing.T) {
--- a/verbenad/command/relay/peers.go
+++ b/verbenad/command/relay/peers.go
@@ -82,7 +82,7 @@
 		span := p.clock.Now() - began
 		switch reply := reply.(type) {
 		case call.Answer:
-			v.note(eject.NewGood(span))
+			v.note(sampleOfAnswer(reply, span))
 			return call.NewAnswer(reply.Status(), reply.Fields(), &visited{ReadCloser: reply.Body(), visit: v}, reply.Length())
 		case call.Failure:
 			v.note(sampleOf(reply.Outcome(), span))
@@ -92,6 +92,17 @@
 	}
 }
 
+// failed is the least HTTP status of an answer by which a target says that it failed.
+const failed = 500
+
+// sampleOfAnswer returns what an answer says of the target.
+func sampleOfAnswer(a call.Answer, span clock.Millis) eject.Sample {
+	if a.Status() >= failed {
+		return eject.Faulty{}
+	}
+	return eject.NewGood(span)
+}
+
 // sampleOf returns what a failure says of the target, nil if nothing.
 func sampleOf(o result.Outcome, span clock.Millis) eject.Sample {
 	switch o := o.(type) {
