--- a/verbenad/command/start/fields_test.go
+++ b/verbenad/command/start/fields_test.go
@@ -26,7 +26,7 @@
 			names[name] = true
 		}
 	}
-	err := filepath.WalkDir(filepath.Join(root, folder), func(path string, d fs.DirEntry, err error) error {
+	err := filepath.WalkDir(filepath.Join(root, folder), func(path string, _ fs.DirEntry, err error) error {
 		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 			return err
 		}
