Give up a session on which a join gets no answer

A silent session is noticed by renewals, and only members renew, so the daemon stayed not ready to the end.

Change: a join that sees no sign of the leader for 1 s, at least twice the patience of renewals, ends the session.

--- a/core/command/agent/agent.go
+++ b/core/command/agent/agent.go
@@ -35,6 +35,7 @@
 	self      table.Incarnation
 	joined    bool
 	nextRenew clock.Millis
+	asking    clock.Millis // since when a join is open without a sign of the leader, 0 if none is
 	report    load.Report
 	handing   map[order.Release]handover
 
--- a/core/command/agent/session.go
+++ b/core/command/agent/session.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"verbenabank/core/clock"
 	"verbenabank/core/state/load"
 	"verbenabank/core/state/table"
 )
@@ -8,6 +9,7 @@
 // connect greets the leader: a member renews, others join.
 func (a *Agent) connect() {
 	a.connected = true
+	a.asking = 0
 	a.holder.Lose()
 	if !a.joined {
 		a.join()
@@ -19,10 +21,26 @@
 	}
 }
 
+// The leader may give no sign after this daemon asked to join for joinPatience times the patience
+// of renewals, and for joinLeast milliseconds at least: a join is committed first.
+const (
+	joinPatience = 2
+	joinLeast    = 1 * clock.Second
+)
+
+// join asks to be a member. A session on which nothing comes back may be silent for good.
 func (a *Agent) join() {
 	if _, ok := a.leave.(staying); !ok || !a.connected {
 		return
 	}
+	switch {
+	case a.asking == 0:
+		a.asking = a.now
+	case a.now.Sub(a.asking) >= max(joinLeast, joinPatience*a.terms.Patience()):
+		a.connected = false
+		a.emit(Reconnect{})
+		return
+	}
 	m := table.NewMember(a.self, a.instance, a.zone, a.address, a.target.service, table.Warming{}).WithBorn(a.target.born)
 	a.emit(SendJoin{member: m, group: a.group})
 	a.nextRenew = a.now.Add(a.terms.Every())
@@ -82,6 +100,7 @@
 // updated brings the table forward. A gap between versions means that a message
 // is missing, so the session starts again with the whole table.
 func (a *Agent) updated(e Updated) {
+	a.asking = 0
 	base := a.table
 	if e.full {
 		base = table.Empty()
