Keep one copy of what a failed answer is

No change of behavior: the status from which a target says that it failed stood in the choice of targets and in the log of requests. Comments of admission and of the stop say what the code does.

--- a/core/command/admit/order.go
+++ b/core/command/admit/order.go
@@ -17,8 +17,8 @@
 // that they hold a slot: calls that others wait for take little, and are worth their turn late
 // too. Those of one class go by how soon they are worth most, and those that cannot make that
 // instant any more after those that can. Each otherTurn-th turn goes to a lower priority, so that
-// none starves. While the queue stands, a late request with enough others before it is refused
-// at once rather than held.
+// none starves. While the queue stands, newcomers must not have to wait for long, and a late request
+// with enough others before it is refused at once rather than held.
 type Earliest struct{}
 
 func (Adaptive) order() {}
--- a/core/state/result/result.go
+++ b/core/state/result/result.go
@@ -16,6 +16,12 @@
 // Status returns the target's HTTP status.
 func (a Answered) Status() int { return a.status }
 
+// failedStatus is the least HTTP status by which a target says that it failed.
+const failedStatus = 500
+
+// Failed reports whether the target answered that it failed.
+func (a Answered) Failed() bool { return a.status >= failedStatus }
+
 // Refused requests surely did not run.
 type Refused struct {
 	reason Reason
--- a/verbenad/command/relay/peers.go
+++ b/verbenad/command/relay/peers.go
@@ -92,12 +92,9 @@
 	}
 }
 
-// failed is the least HTTP status of an answer by which a target says that it failed.
-const failed = 500
-
 // sampleOfAnswer returns what an answer says of the target.
 func sampleOfAnswer(a call.Answer, span clock.Millis) eject.Sample {
-	if a.Status() >= failed {
+	if result.NewAnswered(a.Status()).Failed() {
 		return eject.Faulty{}
 	}
 	return eject.NewGood(span)
--- a/verbenad/command/serve/run.go
+++ b/verbenad/command/serve/run.go
@@ -29,7 +29,6 @@
 	handoverWait = 300 * time.Millisecond
 )
 
-// adminBodyBytes is the largest body that the admin server takes.
 const (
 	// noticeSpan is how long callers may take to see that the daemon is not ready, and
 	// partSpan how long they are then asked to end their connections.
@@ -41,6 +40,7 @@
 	graceLast = 700 * time.Millisecond
 )
 
+// adminBodyBytes is the largest body that the admin server takes.
 const adminBodyBytes = 8 << 20
 
 // Run serves until ctx ends, then stops gracefully: the daemon hands over what it
--- a/verbenad/command/story/story.go
+++ b/verbenad/command/story/story.go
@@ -31,15 +31,12 @@
 	return &Story{clock: c, log: log, part: part, counts: map[string]int{}}
 }
 
-// failed is the least HTTP status of an answer by which the target says that it failed.
-const failed = 500
-
 // Tell writes how a request ended at this part, unless a target answered it well.
 func (s *Story) Tell(o result.Outcome, fields func() logrus.Fields) {
 	kind, reason, text := "", result.Reason(""), ": request has no answer"
 	switch o := o.(type) {
 	case result.Answered:
-		if o.Status() < failed {
+		if !o.Failed() {
 			return
 		}
 		kind, reason, text = "answered", result.Reason(strconv.Itoa(o.Status())), ": the target answered that it failed"
