--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 
 # The soak of the platform's daemons, one seed unless SOAK_SEED and SOAK_RUNS say otherwise.
 platform-soak:
-	go test -count=1 -timeout 1h -v -parallel 3 -run TestSoak $(SOAK)
+	go test -count=1 -timeout 1h -v -parallel 3 $(SOAK)
 
 race:
 	go test -race -count=1 -timeout 600s -p 4 $(PACKAGES)
