Read logs of a story once, and keep one copy of two figures

Found on reading the change again. verbena story read all files twice, and copied standard input to a temporary file for that; lines about daemons are few, so one reading keeps them and drops those that are not on the way. The lane had its own copy of the window of a stream between daemons; serve hands it in. The line of a request at its owner took three looks at the gate under a lock each; it takes the one that refusals take, and Gate.Busy goes (its test compares the same count by Crowd).

No change of behavior: the three walks of OPERATIONS.md and standard input give the same bytes as before; tests of the changed packages pass.

--- a/core/command/admit/admit.go
+++ b/core/command/admit/admit.go
@@ -315,13 +315,6 @@
 	return result.NewCrowd(g.busy, len(g.waiting), g.service/1000)
 }
 
-// Busy returns how many slots are held.
-func (g *Gate) Busy() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.busy
-}
-
 // Waiting returns how many requests wait.
 func (g *Gate) Waiting() int {
 	g.mu.Lock()
--- a/core/command/admit/admit_test.go
+++ b/core/command/admit/admit_test.go
@@ -49,8 +49,8 @@
 				waiting = waiting[1:]
 			}
 			look()
-			if len(inside) != g.Busy() || len(waiting) != g.Waiting() || g.Busy() > slots || g.Waiting() > queue {
-				t.Fatalf("busy %d of %d, waiting %d of %d", g.Busy(), len(inside), g.Waiting(), len(waiting))
+			if len(inside) != g.Crowd().Running() || len(waiting) != g.Waiting() || g.Crowd().Running() > slots || g.Waiting() > queue {
+				t.Fatalf("busy %d of %d, waiting %d of %d", g.Crowd().Running(), len(inside), g.Waiting(), len(waiting))
 			}
 		}
 		for len(inside) > 0 {
--- a/verbena/query/local/story.go
+++ b/verbena/query/local/story.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"cmp"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -42,15 +41,14 @@
 // target made for it, whose ids begin with its own and a dot, in time order: and what became of
 // the daemons on its way at that time.
 func StoryOf(request string, files []string) (show.Report, error) {
-	files, clean, err := spooled(files)
+	list, unread, err := gather(files, func(e event) bool { return of(e, request) || tells(e) })
 	if err != nil {
 		return show.Report{}, err
 	}
-	defer clean()
 	way, begin, end := map[string]bool{}, "", ""
-	_, _, err = gather(files, func(e event) bool {
+	for _, e := range list {
 		if !of(e, request) {
-			return false
+			continue
 		}
 		way[e.Instance] = true
 		if by, ok := e.Fields["by"].(string); ok {
@@ -60,16 +58,17 @@
 			begin = e.Time
 		}
 		end = max(end, e.Time)
-		return true
-	})
-	if err != nil {
-		return show.Report{}, err
 	}
 	begin, end = shifted(begin, -around), shifted(end, around)
-	return story(files, func(e event) bool {
-		state := slices.ContainsFunc(states, func(s string) bool { return strings.HasPrefix(e.Message, s) })
-		return of(e, request) || (state && way[e.Instance] && begin <= e.Time && e.Time <= end)
+	list = slices.DeleteFunc(list, func(e event) bool {
+		return !of(e, request) && (!way[e.Instance] || e.Time < begin || e.Time > end)
 	})
+	return story(list, unread), nil
+}
+
+// tells reports whether a line is about the state of a daemon.
+func tells(e event) bool {
+	return slices.ContainsFunc(states, func(s string) bool { return strings.HasPrefix(e.Message, s) })
 }
 
 // of reports whether a line is about the request or a call for it.
@@ -93,7 +92,11 @@
 // StoryOfKey tells what the logs say of a key that is a number: who held it, and the
 // requests for it that had no answer.
 func StoryOfKey(key uint32, files []string) (show.Report, error) {
-	return story(files, func(e event) bool { return concerns(e, uint64(key)) })
+	list, unread, err := gather(files, func(e event) bool { return concerns(e, uint64(key)) })
+	if err != nil {
+		return show.Report{}, err
+	}
+	return story(list, unread), nil
 }
 
 func concerns(e event, key uint64) bool {
@@ -112,28 +115,6 @@
 	return ok && too && first <= float64(key) && float64(key) <= last
 }
 
-// spooled returns the files with a copy in place of standard input, which can be read but once,
-// and what removes the copy.
-func spooled(files []string) ([]string, func(), error) {
-	at := slices.Index(files, stdin)
-	if at < 0 {
-		return files, func() {}, nil
-	}
-	f, err := os.CreateTemp("", "verbena-story-*")
-	if err != nil {
-		return nil, nil, err
-	}
-	clean := func() { _ = os.Remove(f.Name()) }
-	_, err = io.Copy(f, os.Stdin)
-	if err = errors.Join(err, f.Close()); err != nil {
-		clean()
-		return nil, nil, err
-	}
-	files = slices.Clone(files)
-	files[at] = f.Name()
-	return files, clean, nil
-}
-
 // gather returns the lines of all files that fit, and how many cannot be read.
 func gather(files []string, fits func(event) bool) ([]event, int, error) {
 	var list []event
@@ -148,11 +129,8 @@
 	return list, unread, nil
 }
 
-func story(files []string, fits func(event) bool) (show.Report, error) {
-	list, unread, err := gather(files, fits)
-	if err != nil {
-		return show.Report{}, err
-	}
+// story tells lines in time order, and how many could not be read.
+func story(list []event, unread int) show.Report {
 	slices.SortStableFunc(list, func(a, b event) int { return cmp.Compare(a.Time, b.Time) })
 	var text strings.Builder
 	for _, e := range list {
@@ -166,16 +144,14 @@
 		status = show.Problem
 		text.WriteString("no line is about that; was it answered, or was the line summed up or dropped?\n")
 	}
-	return show.NewReport(status, list, text.String()), nil
+	return show.NewReport(status, list, text.String())
 }
 
-// stdin stands for standard input among files.
-const stdin = "-"
-
-// events reads the lines of a file that fit, and counts those that cannot be read.
+// events reads the lines of a file that fit, and counts those that cannot be read. "-" is
+// standard input.
 func events(file string, fits func(event) bool) ([]event, int, error) {
 	var in io.Reader = os.Stdin
-	if file != stdin {
+	if file != "-" {
 		f, err := os.Open(file)
 		if err != nil {
 			return nil, 0, err
--- a/verbenad/command/owner/guard.go
+++ b/verbenad/command/owner/guard.go
@@ -256,12 +256,12 @@
 
 // facts are what the log tells of the request: what decided its end here.
 func (g *guard) facts() logrus.Fields {
-	now, s := g.owner.clock.Now(), g.owner.cell.Load()
+	now, s, crowd := g.owner.clock.Now(), g.owner.cell.Load(), g.owner.gate.Crowd()
 	return logrus.Fields{
 		"request": g.request.ID(), "service": g.request.Service(), "key": g.request.Key(), "route": g.request.Class(),
 		"epoch": uint64(g.pass.epoch), "table": s.Table().Version(), "lease_left_ms": int64(max(0, s.LeaseEnd()-now)),
-		"sent": g.sent > 0, "waiting": g.owner.gate.Waiting(), "busy": g.owner.gate.Busy(),
-		"mean_ms": int64(g.owner.gate.Service()), "deadline_left_ms": int64(g.deadline - now), "took_ms": int64(now - g.entered),
+		"sent": g.sent > 0, "waiting": crowd.Waiting(), "busy": crowd.Running(),
+		"mean_ms": int64(crowd.Mean()), "deadline_left_ms": int64(g.deadline - now), "took_ms": int64(now - g.entered),
 	}
 }
 
--- a/verbenad/command/owner/lane.go
+++ b/verbenad/command/owner/lane.go
@@ -17,8 +17,6 @@
 const (
 	// laneDelay bounds in milliseconds how long small messages wait on the link behind bodies.
 	laneDelay = 100 * clock.Millisecond
-	// streamBytes is what one body has on its way at most.
-	streamBytes = 64 << 10
 	// wideLane is how many bodies at once a link must carry to need no lane.
 	wideLane = 16
 	// laneBytes is how much of a body is read before the request asks for a slot.
@@ -38,10 +36,10 @@
 }
 
 // width returns how many bodies at once a link of the rate in Mbit/s carries without holding up
-// others, 0 if that does not matter.
-func width(rate float64) int {
+// others, 0 if that does not matter. Each has so many bytes on its way at most.
+func width(rate float64, ahead int) int {
 	const bits, mega = 8, 1e6
-	w := int(rate * mega / bits * float64(laneDelay) / float64(clock.Second) / streamBytes)
+	w := int(rate * mega / bits * float64(laneDelay) / float64(clock.Second) / float64(ahead))
 	if rate <= 0 || w >= wideLane {
 		return 0
 	}
--- a/verbenad/command/owner/owner.go
+++ b/verbenad/command/owner/owner.go
@@ -116,9 +116,12 @@
 	return func(o *Owner) { o.gate, o.lane.gate = newGate(admit.WithOrder(x)), newGate(admit.WithOrder(x)) }
 }
 
-// WithLink sets the rate in Mbit/s of the instance's link, 0 if it is not known. Bodies that
-// other daemons have are let in so that they do not fill it.
-func WithLink(rate float64) Option { return func(o *Owner) { o.lane.width = width(rate) } }
+// WithLink sets the rate in Mbit/s of the instance's link, 0 if it is not known, and how many bytes
+// of a body another daemon sends ahead. Bodies that others have are let in so that they do not fill
+// the link.
+func WithLink(rate float64, ahead int) Option {
+	return func(o *Owner) { o.lane.width = width(rate, ahead) }
+}
 
 func newGate(opts ...admit.Option) *admit.Gate {
 	return admit.New(admit.NewLimits(rules.DefaultSlots, rules.DefaultQueue, rules.DefaultQueueWait), opts...)
--- a/verbenad/command/serve/traffic.go
+++ b/verbenad/command/serve/traffic.go
@@ -28,7 +28,7 @@
 	d.buildWatch()
 	options := []owner.Option{
 		owner.WithClock(d.clock), owner.WithCell(d.cell), owner.WithTarget(d.sidecar), owner.WithExtender(x),
-		owner.WithLog(d.part()), owner.WithLink(d.settings.Load().Link()),
+		owner.WithLog(d.part()), owner.WithLink(d.settings.Load().Link(), hop.WindowBytes),
 	}
 	if d.speech != nil {
 		options = append(options, owner.WithDialect(d.speech), owner.WithOrder(admit.Earliest{}))
