Do not take a target that only fails for the fastest one

Cause, found on reading the change again: answers from 500 up leave the latency of a target as it is, so one that never answered well has latency 0, and 0 times any factor is the lowest cost: it drew nearly all picks. Besides, its share of failures fell only by good answers, which it could not give without work.

Change: failures add the least latency of an outlier to the cost before the factor, and their share fades over the span in which an ejected target comes back.

--- a/core/command/eject/eject.go
+++ b/core/command/eject/eject.go
@@ -85,7 +85,8 @@
 	rest     clock.Millis
 	inFlight int
 	latency  float64
-	faults   float64 // share of the answers by which the target said that it failed
+	faults   float64 // share of the answers by which the target said that it failed, at faulted
+	faulted  clock.Millis
 	samples  int
 	failures int
 	times    int
@@ -138,7 +139,9 @@
 		p.answered(float64(s.span))
 	case Faulty:
 		p.failures = 0
+		p.faults = p.faulty(now)
 		p.faults += smoothing * (1 - p.faults)
+		p.faulted = now
 	case Late:
 		t.late(p, float64(s.span), now)
 	case Bad:
@@ -220,17 +223,25 @@
 	case table.Leaving:
 		share = 0
 	}
-	return choose.NewView(p.inFlight, p.cost(), share)
+	return choose.NewView(p.inFlight, p.cost(now), share)
 }
 
 // mostFaults is the share of failures beyond which a target is not told from worse ones.
 const mostFaults = 0.8
 
+// faulty returns the share of failures as it counts at now: it fades, since a target that gets no
+// work can show no better.
+func (p *peer) faulty(now clock.Millis) float64 {
+	return p.faults * max(0, 1-float64(now-p.faulted)/float64(Return))
+}
+
 // cost returns the expected time in milliseconds of a request at the target. One that fails counts
-// for more than the time that it took, since few of its failures can be made good.
-func (p *peer) cost() float64 {
-	good := 1 - min(p.faults, mostFaults)
-	return p.latency / good / good
+// for more than the time that it took, since few of its failures can be made good, and for some time
+// even if it never answered well.
+func (p *peer) cost(now clock.Millis) float64 {
+	faults := min(p.faulty(now), mostFaults)
+	good := 1 - faults
+	return (p.latency + faults*OutlierFloor) / good / good
 }
 
 // advance ends the time away and the probing.
--- a/core/command/eject/eject_test.go
+++ b/core/command/eject/eject_test.go
@@ -99,3 +99,32 @@
 	is.True(taken[1] < 4000/4/2) // less than half of an equal part
 	is.True(taken[1] > 0)        // and enough to see that it is well again
 }
+
+// TestTargetThatFailsFromTheStartDrawsNoMoreWork is one that never answered well, so that nothing is
+// known of how long it takes.
+func TestTargetThatFailsFromTheStartDrawsNoMoreWork(t *testing.T) {
+	is := is.New(t)
+	taken := spread(t, 4000, func(i table.Incarnation, _ clock.Millis, _ func(n int) int) eject.Sample {
+		if i == 1 {
+			return eject.Faulty{}
+		}
+		return eject.NewGood(200)
+	})
+	is.True(taken[1] < 4000/4/2)
+}
+
+func TestTargetThatIsWellAgainGetsWork(t *testing.T) {
+	is := is.New(t)
+	const healed = 2000
+	late := 0
+	spread(t, healed+2*eject.Return, func(i table.Incarnation, now clock.Millis, _ func(n int) int) eject.Sample {
+		if i == 1 && now < healed {
+			return eject.Faulty{}
+		}
+		if i == 1 && now > healed+eject.Return {
+			late++
+		}
+		return eject.NewGood(200)
+	})
+	is.True(late > int(eject.Return)/4/2) // half of an equal part at least
+}
