Log signals, the steps of a planned stop and the end of a process

Cause: no line told which signal came, how far a stop had come, or that a process ended and why, so an end by signal looked like a crash.

Change: `start: process begins`, `asked to stop`, `process ends` with the exit code, and a line for each step of a stop with its time and what is in flight. A SIGHUP during a stop still has its default action; it is told on standard error first.

--- a/verbenad/command/serve/run.go
+++ b/verbenad/command/serve/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gofiber/fiber/v3"
+	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 
 	"verbenabank/core/command/agent"
@@ -97,10 +98,11 @@
 
 func (d *Daemon) stop() error {
 	begun := time.Now()
-	d.part().Info("serve: planned stop begins")
+	d.part().WithField("grace_ms", d.settings.Load().Terms().Grace()).Info("serve: planned stop begins")
 	d.leaving.Store(true)
 	pause(begun.Add(d.staySpan()))
 	d.leaveGroup(begun)
+	d.step(begun).Info("serve: nothing is owned any more")
 	if d.front != nil {
 		return d.stopFront(begun)
 	}
@@ -111,10 +113,19 @@
 		err = d.entry.Shutdown(ctx)
 	}
 	d.stopServers()
-	d.part().Info("serve: planned stop is done")
+	d.step(begun).Info("serve: planned stop is done")
 	return err
 }
 
+// step returns a log entry that tells how far a stop has come that began at an instant.
+func (d *Daemon) step(begun time.Time) *logrus.Entry {
+	e := d.part().WithField("took_ms", time.Since(begun).Milliseconds()).WithField("in_flight", d.owner.Flight().Total())
+	if d.front != nil {
+		e = e.WithField("busy_callers", d.front.Busy())
+	}
+	return e
+}
+
 // staySpan returns how long the daemon goes on with its target after it was told to stop: its
 // callers need a while to go elsewhere anyway, and the target is missed by the others. It is half of the
 // time that the grace leaves for the target.
@@ -151,8 +162,10 @@
 // then ends their connections one by one.
 func (d *Daemon) stopFront(begun time.Time) error {
 	pause(begun.Add(noticeSpan))
+	d.step(begun).Info("serve: callers are asked to go elsewhere")
 	d.front.Leave()
 	pause(begun.Add(noticeSpan + partSpan))
+	d.step(begun).Info("serve: no callers are taken on any more")
 	_ = d.callersPort.Close()
 	end := begun.Add(callersWithin)
 	if g := d.settings.Load().Terms().Grace(); g > 0 {
@@ -161,8 +174,9 @@
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	d.front.Shutdown(ctx)
+	d.step(begun).Info("serve: callers are gone")
 	d.stopServers()
-	d.part().Info("serve: planned stop is done")
+	d.step(begun).Info("serve: planned stop is done")
 	return nil
 }
 
--- a/verbenad/command/start/start.go
+++ b/verbenad/command/start/start.go
@@ -47,11 +47,15 @@
 	}
 	lines, flush := logs.New(out)
 	defer flush()
-	if err := run(path, settings, logger(settings, lines), append(build(settings), serve.WithDropped(lines.Dropped))); err != nil {
+	log := logger(settings, lines)
+	log.WithField("process", os.Getpid()).Info("start: process begins")
+	code := 0
+	if err := run(path, settings, log, append(build(settings), serve.WithDropped(lines.Dropped))); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return ExitFailed
+		code = ExitFailed
 	}
-	return 0
+	log.WithField("process", os.Getpid()).WithField("code", code).Info("start: process ends")
+	return code
 }
 
 func run(path string, s sets.Settings, log *logrus.Logger, options []serve.Option) error {
@@ -70,7 +74,6 @@
 func watch(ctx context.Context, path string, d *serve.Daemon, log *logrus.Logger) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	t := time.NewTicker(reloadEvery)
 	defer t.Stop()
 	last, err := os.ReadFile(path)
@@ -80,6 +83,14 @@
 	for {
 		select {
 		case <-ctx.Done():
+			log.Info("start: asked to stop")
+			signal.Notify(hup, syscall.SIGHUP)
+			go func() {
+				<-hup
+				fmt.Fprintln(os.Stderr, "start: asked to reload the settings while the process stops: SIGHUP has its default action, which ends it")
+				signal.Reset(syscall.SIGHUP)
+				_ = syscall.Kill(os.Getpid(), syscall.SIGHUP)
+			}()
 			return
 		case <-hup:
 			log.Info("start: asked to reload the settings")
