Keep signal handlers from the start of a process to its end

Cause: the goroutine that watched for SIGHUP returned at SIGTERM and gave the signal its default action back, which ends the process. A reload within the 2.7 to 4 s of a planned stop cut all that was in flight. The same held before that goroutine ran: a SIGHUP while the process starts ended it.

Change: package sigs installs the handlers as the first act of the program and never removes them. The goroutine that follows signals and the settings file ends after the daemon has stopped, so a reload during a stop is taken over.

Why it works: no span of the process is left, from its first act to its exit, in which one of the three signals has its default action.

--- /dev/null
+++ b/verbenad/command/start/process_test.go
@@ -0,0 +1,126 @@
+package start
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenabank/verbenad/command/serve"
+	"verbenabank/verbenad/state/sets"
+)
+
+// asProgram makes the test binary run as the daemon.
+const asProgram = "VERBENA_TEST_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		os.Exit(Run("verbenad", os.Stderr, func(sets.Settings) []serve.Option { return nil }))
+	}
+	os.Exit(m.Run())
+}
+
+// program is the daemon as a process of its own.
+type program struct {
+	t     *testing.T
+	path  string
+	cmd   *exec.Cmd
+	lines chan string
+}
+
+// begin starts a daemon that is the only control replica of its group.
+func begin(t *testing.T) *program {
+	t.Helper()
+	i := is.New(t)
+	folder := t.TempDir()
+	peers, admin, callers := free(t), free(t), free(t)
+	p := &program{t: t, path: filepath.Join(folder, "settings.jsonc"), lines: make(chan string, 1000)}
+	text := fmt.Sprintf(`{"instance": "one", "zone": "z", "replicas": [%q], "open_network": true,
+		"listen": {"callers": %q, "peers": %q, "admin": %q}, "control": {"data_folder": "data", "form": true},
+		"log": {"level": "info", "format": "text"}}`, peers, callers, peers, admin)
+	i.NoErr(os.WriteFile(p.path, []byte(text), 0o600))
+	p.cmd = exec.Command(os.Args[0], "--settings", p.path)
+	p.cmd.Env = append(os.Environ(), asProgram+"=1")
+	out, err := p.cmd.StderrPipe()
+	i.NoErr(err)
+	i.NoErr(p.cmd.Start())
+	t.Cleanup(func() { _ = p.cmd.Process.Kill() })
+	go func() {
+		defer close(p.lines)
+		for s := bufio.NewScanner(out); s.Scan(); {
+			p.lines <- s.Text()
+		}
+	}()
+	return p
+}
+
+// free returns an address that nobody listens on.
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// await waits for a line that has the text.
+func (p *program) await(text string) {
+	p.t.Helper()
+	late := time.After(20 * time.Second)
+	for {
+		select {
+		case l, ok := <-p.lines:
+			if !ok {
+				p.t.Fatalf("the process ended before %q", text)
+			}
+			if strings.Contains(l, text) {
+				return
+			}
+		case <-late:
+			p.t.Fatalf("no line has %q", text)
+		}
+	}
+}
+
+// signal sends a signal, unless the process has ended.
+func (p *program) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// end returns how the process ended, and signals it until then.
+func (p *program) end(s syscall.Signal) error {
+	for range p.lines {
+		p.signal(s)
+	}
+	return p.cmd.Wait()
+}
+
+// TestReloadEndsTheProcess guards against a SIGHUP that ends a process which starts or stops.
+func TestReloadEndsTheProcess(t *testing.T) {
+	t.Parallel()
+	i := is.New(t)
+	p := begin(t)
+	p.await("process begins")
+	p.signal(syscall.SIGHUP)
+	p.await("daemon is up")
+	p.signal(syscall.SIGHUP)
+	p.await("asked to reload")
+	p.signal(syscall.SIGTERM)
+	i.NoErr(p.end(syscall.SIGHUP)) // a planned stop
+}
+
+// TestSecondStopEndsTheProcess guards against a second SIGTERM that cuts a planned stop short.
+func TestSecondStopEndsTheProcess(t *testing.T) {
+	t.Parallel()
+	i := is.New(t)
+	p := begin(t)
+	p.await("process begins")
+	p.signal(syscall.SIGTERM)
+	i.NoErr(p.end(syscall.SIGTERM)) // a planned stop
+}
--- a/verbenad/command/start/start.go
+++ b/verbenad/command/start/start.go
@@ -7,15 +7,15 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/integrii/flaggy"
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 
 	"verbenabank/verbenad/adapt/jsonc"
 	"verbenabank/verbenad/adapt/logs"
+	"verbenabank/verbenad/adapt/sigs"
 	"verbenabank/verbenad/command/serve"
 	"verbenabank/verbenad/state/sets"
 )
@@ -31,6 +31,7 @@
 
 // Run runs the program until it is told to stop, and returns its exit code. Logs go to out.
 func Run(name string, out io.Writer, build func(sets.Settings) []serve.Option) int {
+	signals := sigs.New()
 	path, check := "verbenad.jsonc", false
 	flaggy.SetName(name)
 	flaggy.SetDescription("the daemon of verbenabank")
@@ -50,7 +51,7 @@
 	log := logger(settings, lines)
 	log.WithField("process", os.Getpid()).Info("start: process begins")
 	code := 0
-	if err := run(path, settings, log, append(build(settings), serve.WithDropped(lines.Dropped))); err != nil {
+	if err := run(path, signals, settings, log, append(build(settings), serve.WithDropped(lines.Dropped))); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		code = ExitFailed
 	}
@@ -58,22 +59,25 @@
 	return code
 }
 
-func run(path string, s sets.Settings, log *logrus.Logger, options []serve.Option) error {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
+func run(path string, signals *sigs.Signals, s sets.Settings, log *logrus.Logger, options []serve.Option) error {
 	d, clean, err := serve.New(s, log, options...)
 	if err != nil {
 		return err
 	}
 	defer clean()
-	go watch(ctx, path, d, log)
-	return d.Run(ctx)
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	life, end := context.WithCancel(context.Background())
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer end()
+	group.Go(func() { follow(life, path, signals, stop, d, log) })
+	return d.Run(running)
 }
 
-// watch reloads the settings when the file changed, at SIGHUP at once.
-func watch(ctx context.Context, path string, d *serve.Daemon, log *logrus.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
+// follow stops the daemon and reloads its settings as signals ask, until life ends. Settings are
+// also reloaded when the file changed, while the daemon stops too.
+func follow(life context.Context, path string, signals *sigs.Signals, stop func(), d *serve.Daemon, log *logrus.Logger) {
 	t := time.NewTicker(reloadEvery)
 	defer t.Stop()
 	last, err := os.ReadFile(path)
@@ -82,17 +86,13 @@
 	}
 	for {
 		select {
-		case <-ctx.Done():
-			log.Info("start: asked to stop")
-			signal.Notify(hup, syscall.SIGHUP)
-			go func() {
-				<-hup
-				fmt.Fprintln(os.Stderr, "start: asked to reload the settings while the process stops: SIGHUP has its default action, which ends it")
-				signal.Reset(syscall.SIGHUP)
-				_ = syscall.Kill(os.Getpid(), syscall.SIGHUP)
-			}()
+		case <-life.Done():
 			return
-		case <-hup:
+		case s := <-signals.Stops():
+			log.WithField("signal", s.String()).Info("start: asked to stop")
+			stop()
+			continue
+		case <-signals.Reloads():
 			log.Info("start: asked to reload the settings")
 		case <-t.C:
 		}
