Compare settings with those that the process was started with

Operators saw: settings that were written while a daemon started had no effect until the file changed once more.

Cause: the file was read once for the start and again, later, as what changes are compared with; a change in between looked like the settings in force. A reload read it twice as well.

Change: the content that was loaded is what the next look compares with, and a reload parses the content that it compared.

--- a/verbenad/adapt/jsonc/jsonc.go
+++ b/verbenad/adapt/jsonc/jsonc.go
@@ -21,11 +21,25 @@
 // Load returns the settings in the file at path. Relative paths in it are
 // relative to its folder. An *Error has every fault of the file.
 func Load(path string) (sets.Settings, error) {
-	data, err := os.ReadFile(path)
+	content, err := Read(path)
 	if err != nil {
-		return sets.Settings{}, &Error{op: OpLoad, kind: KindUnreadable, cause: merry.Wrap(err)}
+		return sets.Settings{}, err
 	}
-	object, faults := jtree.Parse(path, data)
+	return Parse(path, content)
+}
+
+// Read returns the content of the file at path.
+func Read(path string) ([]byte, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &Error{op: OpLoad, kind: KindUnreadable, cause: merry.Wrap(err)}
+	}
+	return content, nil
+}
+
+// Parse returns the settings in the content of the file at path.
+func Parse(path string, content []byte) (sets.Settings, error) {
+	object, faults := jtree.Parse(path, content)
 	if len(faults) > 0 {
 		return sets.Settings{}, &Error{op: OpLoad, kind: KindInvalid, faults: faults}
 	}
--- a/verbenad/command/start/process_test.go
+++ b/verbenad/command/start/process_test.go
@@ -18,48 +18,72 @@
 	"verbenabank/verbenad/state/sets"
 )
 
-// asProgram makes the test binary run as the daemon.
-const asProgram = "VERBENA_TEST_PROGRAM"
+// asProgram makes the test binary run as the daemon. Its value is the path of a file that is
+// moved to lateTo once the settings are loaded, if it exists.
+const (
+	asProgram = "VERBENA_TEST_PROGRAM"
+	lateTo    = "VERBENA_TEST_LATE"
+)
 
 func TestMain(m *testing.M) {
-	if os.Getenv(asProgram) != "" {
-		os.Exit(Run("verbenad", os.Stderr, func(sets.Settings) []serve.Option { return nil }))
+	late, ok := os.LookupEnv(asProgram)
+	if !ok {
+		os.Exit(m.Run())
 	}
-	os.Exit(m.Run())
+	os.Exit(Run("verbenad", os.Stderr, func(sets.Settings) []serve.Option {
+		_ = os.Rename(late, os.Getenv(lateTo))
+		return nil
+	}))
 }
 
 // program is the daemon as a process of its own.
 type program struct {
 	t     *testing.T
-	path  string
+	path  string // of the settings
+	late  string // of settings that are put in place once those of path are loaded
 	cmd   *exec.Cmd
 	lines chan string
 }
 
 // begin starts a daemon that is the only control replica of its group.
 func begin(t *testing.T) *program {
+	p := prepare(t)
+	p.start()
+	return p
+}
+
+// prepare writes the settings of a daemon.
+func prepare(t *testing.T) *program {
 	t.Helper()
 	i := is.New(t)
 	folder := t.TempDir()
 	peers, admin, callers := free(t), free(t), free(t)
-	p := &program{t: t, path: filepath.Join(folder, "settings.jsonc"), lines: make(chan string, 1000)}
+	p := &program{
+		t: t, path: filepath.Join(folder, "settings.jsonc"), late: filepath.Join(folder, "late.jsonc"),
+		lines: make(chan string, 1000),
+	}
 	text := fmt.Sprintf(`{"instance": "one", "zone": "z", "replicas": [%q], "open_network": true,
 		"listen": {"callers": %q, "peers": %q, "admin": %q}, "control": {"data_folder": "data", "form": true},
 		"log": {"level": "info", "format": "text"}}`, peers, callers, peers, admin)
 	i.NoErr(os.WriteFile(p.path, []byte(text), 0o600))
+	return p
+}
+
+func (p *program) start() {
+	p.t.Helper()
+	i := is.New(p.t)
 	p.cmd = exec.Command(os.Args[0], "--settings", p.path)
-	p.cmd.Env = append(os.Environ(), asProgram+"=1")
+	p.cmd.Env = append(os.Environ(), asProgram+"="+p.late, lateTo+"="+p.path)
 	out, err := p.cmd.StderrPipe()
 	i.NoErr(err)
 	i.NoErr(p.cmd.Start())
-	t.Cleanup(func() { _ = p.cmd.Process.Kill() })
+	p.t.Cleanup(func() { _ = p.cmd.Process.Kill() })
 	go func() {
 		defer close(p.lines)
 		for s := bufio.NewScanner(out); s.Scan(); {
 			p.lines <- s.Text()
 		}
 	}()
-	return p
 }
 
 // free returns an address that nobody listens on.
@@ -124,3 +148,18 @@
 	p.signal(syscall.SIGTERM)
 	i.NoErr(p.end(syscall.SIGTERM)) // a planned stop
 }
+
+// TestSettingsChangedDuringTheStartAreMissed guards against settings that are written after the
+// process has read them and before it looks for changes.
+func TestSettingsChangedDuringTheStartAreMissed(t *testing.T) {
+	t.Parallel()
+	i := is.New(t)
+	p := prepare(t)
+	text, err := os.ReadFile(p.path)
+	i.NoErr(err)
+	i.NoErr(os.WriteFile(p.late, append(text, '\n'), 0o600))
+	p.start()
+	p.await("settings reloaded")
+	p.signal(syscall.SIGTERM)
+	i.NoErr(p.end(syscall.SIGTERM)) // a planned stop
+}
--- a/verbenad/command/start/start.go
+++ b/verbenad/command/start/start.go
@@ -38,7 +38,12 @@
 	flaggy.String(&path, "s", "settings", "path of the settings file")
 	flaggy.Bool(&check, "c", "check", "check the settings and exit")
 	flaggy.Parse()
-	settings, err := jsonc.Load(path)
+	content, err := jsonc.Read(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ExitSettings
+	}
+	settings, err := jsonc.Parse(path, content)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return ExitSettings
@@ -48,72 +53,83 @@
 	}
 	lines, flush := logs.New(out)
 	defer flush()
-	log := logger(settings, lines)
-	log.WithField("process", os.Getpid()).Info("start: process begins")
+	p := &process{path: path, content: content, signals: signals, log: logger(settings, lines)}
+	p.log.WithField("process", os.Getpid()).Info("start: process begins")
 	code := 0
-	if err := run(path, signals, settings, log, append(build(settings), serve.WithDropped(lines.Dropped))); err != nil {
+	if err := p.run(settings, append(build(settings), serve.WithDropped(lines.Dropped))); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		code = ExitFailed
 	}
-	log.WithField("process", os.Getpid()).WithField("code", code).Info("start: process ends")
+	p.log.WithField("process", os.Getpid()).WithField("code", code).Info("start: process ends")
 	return code
 }
 
-func run(path string, signals *sigs.Signals, s sets.Settings, log *logrus.Logger, options []serve.Option) error {
-	d, clean, err := serve.New(s, log, options...)
+// process is a running daemon with what may change it from outside.
+type process struct {
+	path    string // of the settings file
+	content []byte // of the settings file when it was last looked at
+	signals *sigs.Signals
+	log     *logrus.Logger
+	daemon  *serve.Daemon
+}
+
+func (p *process) run(s sets.Settings, options []serve.Option) error {
+	d, clean, err := serve.New(s, p.log, options...)
 	if err != nil {
 		return err
 	}
 	defer clean()
+	p.daemon = d
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	life, end := context.WithCancel(context.Background())
 	var group conc.WaitGroup
 	defer group.Wait()
 	defer end()
-	group.Go(func() { follow(life, path, signals, stop, d, log) })
+	group.Go(func() { p.follow(life, stop) })
 	return d.Run(running)
 }
 
 // follow stops the daemon and reloads its settings as signals ask, until life ends. Settings are
 // also reloaded when the file changed, while the daemon stops too.
-func follow(life context.Context, path string, signals *sigs.Signals, stop func(), d *serve.Daemon, log *logrus.Logger) {
+func (p *process) follow(life context.Context, stop func()) {
 	t := time.NewTicker(reloadEvery)
 	defer t.Stop()
-	last, err := os.ReadFile(path)
-	if err != nil {
-		log.WithError(err).Warn("start: the settings file cannot be read")
-	}
 	for {
 		select {
 		case <-life.Done():
 			return
-		case s := <-signals.Stops():
-			log.WithField("signal", s.String()).Info("start: asked to stop")
+		case s := <-p.signals.Stops():
+			p.log.WithField("signal", s.String()).Info("start: asked to stop")
 			stop()
-			continue
-		case <-signals.Reloads():
-			log.Info("start: asked to reload the settings")
+		case <-p.signals.Reloads():
+			p.log.Info("start: asked to reload the settings")
+			p.reload()
 		case <-t.C:
+			p.reload()
 		}
-		text, err := os.ReadFile(path)
-		if err != nil {
-			log.WithError(err).Warn("start: the settings file cannot be read, the last ones stay in force")
-			continue
-		}
-		if bytes.Equal(text, last) {
-			continue
-		}
-		last = text
-		s, err := jsonc.Load(path)
-		if err != nil {
-			log.WithError(err).Error("start: the settings are not valid, the last ones stay in force")
-			continue
-		}
-		d.Reload(s)
 	}
 }
 
+// reload takes over the settings of the file if its content changed.
+func (p *process) reload() {
+	content, err := jsonc.Read(p.path)
+	if err != nil {
+		p.log.WithError(err).Warn("start: the settings file cannot be read, the last ones stay in force")
+		return
+	}
+	if bytes.Equal(content, p.content) {
+		return
+	}
+	p.content = content
+	s, err := jsonc.Parse(p.path, content)
+	if err != nil {
+		p.log.WithError(err).Error("start: the settings are not valid, the last ones stay in force")
+		return
+	}
+	p.daemon.Reload(s)
+}
+
 func logger(s sets.Settings, out io.Writer) *logrus.Logger {
 	l := logrus.New()
 	l.SetOutput(out)
