Let a daemon outlive the reader of its log

Found by looking for its cause elsewhere: a signal whose default action ends the process. When what reads the log of a daemon goes away, the next line raises SIGPIPE, and the process ends without a word, with all requests in flight.

Cause: a Go program ends by SIGPIPE on a write to standard output or error unless the signal is handled. Log lines are dropped and counted if they cannot be written, but the writer never got to see the error.

Change: SIGPIPE is ignored for the whole life of the process, so the write fails instead.

--- a/verbenad/adapt/sigs/sigs.go
+++ b/verbenad/adapt/sigs/sigs.go
@@ -20,6 +20,7 @@
 	s := &Signals{stops: make(chan os.Signal, 1), reloads: make(chan os.Signal, 1)}
 	signal.Notify(s.stops, os.Interrupt, syscall.SIGTERM)
 	signal.Notify(s.reloads, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE) // a log without a reader is an error of its writer only
 	return s
 }
 
--- a/verbenad/command/start/process_test.go
+++ b/verbenad/command/start/process_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -42,6 +43,7 @@
 	path  string // of the settings
 	late  string // of settings that are put in place once those of path are loaded
 	cmd   *exec.Cmd
+	out   io.Closer // the reading end of what the process prints
 	lines chan string
 }
 
@@ -77,6 +79,7 @@
 	out, err := p.cmd.StderrPipe()
 	i.NoErr(err)
 	i.NoErr(p.cmd.Start())
+	p.out = out
 	p.t.Cleanup(func() { _ = p.cmd.Process.Kill() })
 	go func() {
 		defer close(p.lines)
@@ -163,3 +166,19 @@
 	p.signal(syscall.SIGTERM)
 	i.NoErr(p.end(syscall.SIGTERM)) // a planned stop
 }
+
+// TestClosedLogEndsTheProcess guards against a reader of the log that goes away and takes the
+// daemon with it.
+func TestClosedLogEndsTheProcess(t *testing.T) {
+	t.Parallel()
+	i := is.New(t)
+	p := begin(t)
+	p.await("daemon is up")
+	i.NoErr(p.out.Close())
+	for range 3 {
+		p.signal(syscall.SIGHUP) // has a line
+		time.Sleep(50 * time.Millisecond)
+	}
+	p.signal(syscall.SIGTERM)
+	i.NoErr(p.end(syscall.SIGTERM)) // a planned stop
+}
