Let a hangup stop vload's processes as a termination does

Operators saw: a stand-in target, and a fleet started by vload with all its daemons, ended at once when their terminal was closed, with requests in flight.

Cause: vload handled SIGINT and SIGTERM only; SIGHUP had its default action.

Change: SIGHUP begins the planned stop.

--- a/vload/main.go
+++ b/vload/main.go
@@ -20,7 +20,7 @@
 	flaggy.DefaultParser.DisableShowVersionWithVersion()
 	serve, run, supervise := newServe(), newRun(), newSupervise()
 	flaggy.Parse()
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	defer stop()
 	var err error
 	switch {
--- a/vload/proof/leave_test.go
+++ b/vload/proof/leave_test.go
@@ -109,6 +109,20 @@
 	f.nothingAfterLeave(victim)
 }
 
+// TestHangupEndsATarget guards against a stand-in target that a closed terminal ends at once.
+func TestHangupEndsATarget(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 89, 4)
+	victim := f.hosts[3]
+	f.leave(func() {
+		_ = victim.target.Signal(syscall.SIGHUP)
+		if err := victim.target.Wait(); err != nil {
+			t.Errorf("the target ended with %v", err)
+		}
+	})
+	f.nothingAfterLeave(victim)
+}
+
 func TestPlannedStopOfADaemon(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 75, 4)
