Bound what is read of an answer that was given up

Seen: a target that sends bytes without end had the daemon read them for the whole second that it may take to end a request, also when the answer was known to be broken after 16 KiB.

Cause: settle copied from the connection until its deadline, without a bound in bytes.

Evidence: TestBytesWithoutEndEndWithTheirRequest plays a raw target with sixteen kinds of endless bytes (head line, fields, blank lines, zero bytes, no HTTP, bodies of each framing, chunk sizes, extensions, what follows a chunk, a field of the trailer), dripping and at full speed. It failed in the 12 cases of full speed that are no body and are settled: in 0.1 s the target got rid of 172 to 394 MiB. All else held before: no kind counts as whole or as not run, 16 KiB end a head, the deadline ends all others, slot and connection are given back, memory grew by 0.4 MiB at most.

Change: after 8 MiB the connection is closed and the target counts as one that may still run the request. The same cases now end after 13 MiB at most, with what stands in the buffers of the sockets.

--- /dev/null
+++ b/verbenad/adapt/flood/target_test.go
@@ -0,0 +1,92 @@
+package flood
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenabank/core/state/call"
+	"verbenabank/core/state/result"
+	"verbenabank/verbenad/adapt/target"
+)
+
+// drain reads a reply to its end and returns its outcome as text.
+func drain(r call.Reply) string {
+	var o result.Outcome
+	switch r := r.(type) {
+	case call.Answer:
+		defer func() { _ = r.Body().Close() }()
+		if _, err := io.Copy(io.Discard, r.Body()); err != nil {
+			return "unknown " + string(call.ReasonOf(err))
+		}
+		return "answered"
+	case call.Failure:
+		o = r.Outcome()
+	}
+	switch o := o.(type) {
+	case result.Refused:
+		return "refused " + string(o.Reason())
+	case result.Unknown:
+		return "unknown " + string(o.Reason())
+	case result.Answered:
+	}
+	return ""
+}
+
+func TestBytesWithoutEndEndWithTheirRequest(t *testing.T) {
+	for name, k := range kinds {
+		t.Run(name+" drips", func(t *testing.T) {
+			f := &flood{text: k.text, piece: k.piece, pause: 2 * time.Millisecond}
+			endure(t, f, floodSettle, dripWait)
+		})
+		for _, settle := range []time.Duration{0, floodSettle} {
+			t.Run(fmt.Sprint(name, " at full speed, settled in ", settle), func(t *testing.T) {
+				is := is.New(t)
+				f := &flood{text: k.text, piece: k.piece}
+				if k.body {
+					endure(t, f, settle, dripWait)
+					return
+				}
+				endure(t, f, settle, fastWait)
+				is.True(f.sent.Load() < floodBytes)
+			})
+		}
+	}
+}
+
+// endure sends one request to the flood and checks how it ends.
+func endure(t *testing.T, f *flood, settle, wait time.Duration) {
+	is := is.New(t)
+	f.start(t)
+	x, stop := target.New(target.WithSettle(settle))
+	defer stop()
+	x.Point(f.address)
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	given := make(chan struct{}, 2)
+	memory, began := peak(), time.Now()
+	o := drain(x.Send(ctx, call.NewWork(
+		func() (call.Request, result.Reason) { return call.NewRequest("s", "GET", "/"), "" },
+		func() { given <- struct{}{} })))
+	took := time.Since(began)
+	is.True(strings.HasPrefix(o, "unknown "))      // never whole, never surely not run
+	is.True(took < min(wait, dripWait)+floodSlack) // also before a deadline that is far away
+	select {
+	case <-given:
+	case <-time.After(settle + floodSlack):
+		t.Fatal("the slot is not given back")
+	}
+	select {
+	case <-f.closed:
+	case <-time.After(floodSlack):
+		t.Fatal("the connection is not closed")
+	}
+	grown := memory()
+	t.Logf("%s, %v, %d KiB sent, memory grew by %d KiB", o, took, f.sent.Load()>>10, grown>>10)
+	is.True(grown < floodMemory)
+}
--- a/verbenad/adapt/target/target.go
+++ b/verbenad/adapt/target/target.go
@@ -34,6 +34,8 @@
 	// bufferBytes is the size of the buffers of a connection; the head of an answer
 	// must fit one.
 	bufferBytes = 16 << 10
+	// settleBytes is how much may still come of an answer that was given up.
+	settleBytes = 8 << 20
 )
 
 // Target is the target beside the daemon. It is safe for concurrent use.
@@ -164,7 +166,7 @@
 
 // settle asks the target to end a request, by closing the sending half, and waits until it
 // closes the connection: then it does not work on the request any more. After the
-// longest time for that the connection is closed in any case.
+// longest time for that, or after many bytes, the connection is closed in any case.
 func (t *Target) settle(c *conn, w call.Work) {
 	half, ok := c.Conn.(interface{ CloseWrite() error })
 	if !ok || t.settling <= 0 {
@@ -175,9 +177,9 @@
 	_ = c.SetDeadline(time.Now().Add(t.settling))
 	_ = half.CloseWrite()
 	t.group.Go(func() {
-		_, err := io.Copy(io.Discard, c.Conn)
+		_, err := io.CopyN(io.Discard, c.Conn, settleBytes)
 		c.close()
-		if errors.Is(err, os.ErrDeadlineExceeded) {
+		if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
 			w.Abandoned()
 			return
 		}
