End a request whose target sends interim answers without end

Seen: a target that sends 1xx answers over and over at full speed was read until the deadline of the request, which was then told as timed-out, though no answer could be expected.

Cause: the loop over interim answers had no end but the context.

Evidence: the new case "interim answers" of TestBytesWithoutEndEndWithTheirRequest failed at full speed, settled or not: the request took its whole 10 s.

Change: after 1000 heads of interim answers the exchange ends, as unknown. The same cases take 2 ms now; the dripping case ended at its deadline of 150 ms before and does still.

--- a/verbenad/adapt/flood/flood_test.go
+++ b/verbenad/adapt/flood/flood_test.go
@@ -111,6 +111,7 @@
 	"blank lines":     {"", "\r\n", false},
 	"header field":    {"HTTP/1.1 200 OK\r\nName: ", "v", false},
 	"header fields":   {"HTTP/1.1 200 OK\r\n", "Name: value\r\n", false},
+	"interim answers": {"", "HTTP/1.1 103 Early Hints\r\n\r\n", false},
 	"no HTTP":         {"", "festoon ", false},
 	"lines":           {"", "festoon\r\n", false},
 	"zero bytes":      {"", "\x00", false},
--- a/verbenad/adapt/target/exchange.go
+++ b/verbenad/adapt/target/exchange.go
@@ -58,9 +58,9 @@
 	}
 	var h fasthttp.ResponseHeader
 	h.SetNoDefaultContentType(true)
-	for {
+	for range 1 + interimHeads {
 		if err := h.Read(x.conn.reader); err != nil {
-			return x.fail(result.Unreachable, result.Interrupted)
+			break
 		}
 		if h.StatusCode() >= fasthttp.StatusOK {
 			x.unbound()
@@ -68,8 +68,12 @@
 		}
 		h.Reset()
 	}
+	return x.fail(result.Unreachable, result.Interrupted)
 }
 
+// interimHeads is how many heads of interim answers (1xx) may come before the answer.
+const interimHeads = 1000
+
 // send sends the head with a small body, or begins to send a large one beside the
 // reading of the answer, since a target may answer before it took all.
 func (x *exchange) send() error {
