End an answer whose trailer has no end

Seen: fields of a trailer without end, at full speed, were read and thrown away until the deadline of the request. The caller got the cut then, not before.

Cause: skipTrailer bounds one line by the buffer, but not their number.

Evidence: the new case "trailer" of TestBytesWithoutEndEndWithTheirRequest failed at full speed, settled or not: the request took its whole 10 s.

--- a/verbenad/adapt/flood/flood_test.go
+++ b/verbenad/adapt/flood/flood_test.go
@@ -122,6 +122,7 @@
 	"chunk size":      {endlessPart, "0", false},
 	"chunk extension": {endlessPart + "5;name=", "v", false},
 	"extensions":      {endlessPart, "1;name=value;name=value;name=value\r\nb\r\n", false},
+	"trailer":         {endlessPart + "0\r\n", "Name: value\r\n", false},
 	"trailer field":   {endlessPart + "0\r\nName: ", "v", false},
 	"after chunk":     {endlessPart + "5\r\nbody ", "v", false},
 }
--- a/verbenad/adapt/target/answer.go
+++ b/verbenad/adapt/target/answer.go
@@ -89,10 +89,12 @@
 	return n, err
 }
 
-// skipTrailer reads what follows the last chunk. It returns io.EOF if it is whole.
+// skipTrailer reads what follows the last chunk. It returns io.EOF if it is whole and no
+// larger than the head of an answer may be.
 func skipTrailer(r *bufio.Reader) error {
-	for {
+	for left := bufferBytes; left > 0; {
 		line, err := r.ReadSlice('\n')
+		left -= len(line)
 		if err == io.EOF {
 			return io.ErrUnexpectedEOF
 		}
@@ -103,6 +105,7 @@
 			return io.EOF
 		}
 	}
+	return bufio.ErrBufferFull
 }
 
 // end closes the exchange: the connection is kept only if both bodies were whole.
