Count an order as open whose answer has no end

Seen: a target answers a grant or a release with 200 and a body that never ends, at full speed. The daemon took that for done after 4 KiB; a body that breaks off or stands still counted as unknown already.

Cause: the keeper read 4 KiB of the body and did not ask whether that was the end of it.

Evidence: TestOrdersAnsweredWithoutEndMayTakeEffect gives a grant to 18 kinds of endless bytes, dripping and at full speed, and a release to one. It failed at full speed for the bodies of all four framings: done in place of unanswered. The others passed before: unanswered after 0.7 s (a release: 2.5 s) or sooner.

Change: a body of more than 64 KiB makes the order unanswered, so the keys are given to nobody before its time is over. The connection is closed as before.

--- a/verbenad/adapt/flood/target_test.go
+++ b/verbenad/adapt/flood/target_test.go
@@ -41,6 +41,7 @@
 func TestBytesWithoutEndEndWithTheirRequest(t *testing.T) {
 	for name, k := range kinds {
 		t.Run(name+" drips", func(t *testing.T) {
+			t.Parallel()
 			f := &flood{text: k.text, piece: k.piece, pause: 2 * time.Millisecond}
 			endure(t, f, floodSettle, dripWait)
 		})
--- a/verbenad/adapt/keeper/keeper.go
+++ b/verbenad/adapt/keeper/keeper.go
@@ -25,7 +25,8 @@
 	releaseWithin = 2500 * time.Millisecond
 	idleConns     = 4
 	idleTime      = 8 * time.Second
-	answerBytes   = 4 << 10
+	// answerBytes is the size in bytes up to which the body of an answer counts as whole.
+	answerBytes = 64 << 10
 )
 
 // Message is an order as the target is sent it.
@@ -151,8 +152,12 @@
 		return hold.Unanswered{}, err
 	}
 	defer func() { _ = a.Body.Close() }()
-	if _, err := io.CopyN(io.Discard, a.Body, answerBytes); err != nil && err != io.EOF {
+	switch _, err := io.CopyN(io.Discard, a.Body, answerBytes+1); err {
+	case io.EOF:
+		return k.dialect.Result(a.StatusCode, a.Header.Get), nil
+	case nil:
+		return hold.Unanswered{}, &Error{op: "read answer to " + m.path, kind: Endless}
+	default:
 		return hold.Unanswered{}, err
 	}
-	return k.dialect.Result(a.StatusCode, a.Header.Get), nil
 }
