Bound the head of an answer to an order about keys

Seen: a target that answers an order with a head without end cost the daemon up to 45 MiB of memory and 0.3 s of processor time for each order, and renewals come several at a time.

Cause: the HTTP client of the keeper took heads of up to 10 MiB, which is its default.

Evidence: with the check on memory, TestOrdersAnsweredWithoutEndMayTakeEffect failed for the head line, one field, fields, bytes that are no HTTP and zero bytes, all at full speed: memory grew by 20 to 45 MiB in place of 4 MiB at most.

Change: the head may have 16 KiB, as for other answers of targets. Memory grows by 0.4 MiB at most now.

--- a/verbenad/adapt/keeper/keeper.go
+++ b/verbenad/adapt/keeper/keeper.go
@@ -25,6 +25,8 @@
 	releaseWithin = 2500 * time.Millisecond
 	idleConns     = 4
 	idleTime      = 8 * time.Second
+	// headBytes is the size in bytes of the largest head of an answer.
+	headBytes = 16 << 10
 	// answerBytes is the size in bytes up to which the body of an answer counts as whole.
 	answerBytes = 64 << 10
 )
@@ -73,7 +75,9 @@
 
 // New returns a keeper without a target, and its clean-up function.
 func New(opts ...Option) (*Keeper, func()) {
-	t := &http.Transport{MaxIdleConnsPerHost: idleConns, IdleConnTimeout: idleTime, DisableCompression: true}
+	t := &http.Transport{
+		MaxIdleConnsPerHost: idleConns, IdleConnTimeout: idleTime, DisableCompression: true, MaxResponseHeaderBytes: headBytes,
+	}
 	k := &Keeper{
 		client: &http.Client{Transport: t}, log: logrus.NewEntry(logrus.StandardLogger()), refused: func() {},
 	}
