Bound the answer to an extension of a lease

Seen: a target that answers PUT /verbena/lease with "Content-Length:" ends the daemon: "fatal error: runtime: out of memory". Bodies without a length took as much memory as came in 0.15 s.

Cause: the client of the extender put no limit on the body, and fasthttp sets aside memory for the announced length.

Evidence: TestExtensionAnsweredWithoutEndIsNotTaken tells 18 kinds of endless bytes of a later lease, dripping and at full speed. The cases "body of length" and "one chunk" ended the test process, dripping too; at full speed "chunks" took 28 MiB and "until close" 96 MiB. The others passed before.

Change: a body has 64 KiB at most, a longer one fails the call. All 36 cases end within 0.16 s and 0.2 MiB.

--- a/verbenad/adapt/extend/extend.go
+++ b/verbenad/adapt/extend/extend.go
@@ -19,6 +19,8 @@
 	Path = "/verbena/lease"
 	// DefaultTimeout bounds one call. It is shorter than the time between two renewals.
 	DefaultTimeout = 150 * time.Millisecond
+	// answerBytes is the size in bytes of the largest body of an answer.
+	answerBytes = 64 << 10
 )
 
 // Extender sends extensions to one target at a time. It is safe for concurrent use.
@@ -47,6 +49,7 @@
 		MaxConnsPerHost:           1,
 		MaxConnWaitTimeout:        e.timeout,
 		MaxIdemponentCallAttempts: 1,
+		MaxResponseBodySize:       answerBytes,
 		NoDefaultUserAgentHeader:  true,
 	}
 	return e, func() { e.Point("") }
--- a/verbenad/adapt/flood/flood_test.go
+++ b/verbenad/adapt/flood/flood_test.go
@@ -71,6 +71,16 @@
 	}
 }
 
+// awaitClose waits until a connection is closed by the daemon.
+func (f *flood) awaitClose(t *testing.T) {
+	t.Helper()
+	select {
+	case <-f.closed:
+	case <-time.After(floodSlack):
+		t.Fatal("the connection is not closed")
+	}
+}
+
 // peak returns the growth in bytes of the memory in use from now on until stop.
 func peak() (stop func() uint64) {
 	var m runtime.MemStats
--- a/verbenad/adapt/flood/keeper_test.go
+++ b/verbenad/adapt/flood/keeper_test.go
@@ -67,11 +67,7 @@
 		t.Fatal("the order does not end")
 	}
 	took := time.Since(began)
-	select {
-	case <-f.closed:
-	case <-time.After(floodSlack):
-		t.Fatal("the connection is not closed")
-	}
+	f.awaitClose(t)
 	grown := memory()
 	t.Logf("%T, %v, %d KiB sent, memory grew by %d KiB", r, took, f.sent.Load()>>10, grown>>10)
 	is.Equal(r, hold.Result(hold.Unanswered{}))
--- a/verbenad/adapt/flood/target_test.go
+++ b/verbenad/adapt/flood/target_test.go
@@ -82,11 +82,7 @@
 	case <-time.After(settle + floodSlack):
 		t.Fatal("the slot is not given back")
 	}
-	select {
-	case <-f.closed:
-	case <-time.After(floodSlack):
-		t.Fatal("the connection is not closed")
-	}
+	f.awaitClose(t)
 	grown := memory()
 	t.Logf("%s, %v, %d KiB sent, memory grew by %d KiB", o, took, f.sent.Load()>>10, grown>>10)
 	is.True(grown < floodMemory)
