Bound the head of an answer to a probe

Seen: a target that answers probes with a head without end cost the daemon up to 61 MiB of memory, ten times a second until it counted as frozen.

Cause: the HTTP client of the probe took heads of up to 10 MiB, which is its default.

Change: the head may have 16 KiB.

--- /dev/null
+++ b/verbenad/adapt/flood/probe_test.go
@@ -0,0 +1,56 @@
+package flood
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenabank/core/command/agent"
+	"verbenabank/verbenad/adapt/probe"
+)
+
+// muteWait is more than it takes to find that a target is frozen, and less than it
+// takes twice.
+const muteWait = 1200 * time.Millisecond
+
+// TestProbeAnsweredWithoutEnd wants heads without end to be no sign of life, and answers with a head
+// to be one, whatever their bodies are.
+func TestProbeAnsweredWithoutEnd(t *testing.T) {
+	for name, k := range kinds {
+		headed := strings.Contains(k.text, "\r\n\r\n")
+		t.Run(name+" drips", func(t *testing.T) {
+			t.Parallel()
+			health(t, &flood{text: k.text, piece: k.piece, pause: 2 * time.Millisecond}, headed)
+		})
+		if headed && name != "body of length" {
+			continue // read no further than their heads
+		}
+		t.Run(name+" at full speed", func(t *testing.T) {
+			health(t, &flood{text: k.text, piece: k.piece}, headed)
+		})
+	}
+}
+
+// health probes the flood and checks whether it counts as lost.
+func health(t *testing.T, f *flood, alive bool) {
+	is := is.New(t)
+	f.start(t)
+	lost := make(chan agent.Event, 1)
+	p, stop := probe.New(probe.WithPost(func(e agent.Event) { lost <- e }))
+	defer stop()
+	memory, began := peak(), time.Now()
+	p.Watch(f.address)
+	select {
+	case <-lost:
+		is.True(!alive)
+	case <-time.After(muteWait):
+		is.True(alive)
+	}
+	took := time.Since(began)
+	f.awaitClose(t)
+	grown := memory()
+	t.Logf("alive: %v, %v, %d KiB sent, memory grew by %d KiB", alive, took, f.sent.Load()>>10, grown>>10)
+	is.True(grown < floodMemory)
+}
--- a/verbenad/adapt/probe/probe.go
+++ b/verbenad/adapt/probe/probe.go
@@ -17,7 +17,7 @@
 	"verbenabank/core/command/agent"
 )
 
-// Spans of the probe.
+// Bounds of the probe.
 const (
 	every    = 100 * time.Millisecond
 	patience = 200 * time.Millisecond
@@ -26,6 +26,8 @@
 	muteAfter = 700 * clock.Millisecond
 	// refusals is how many refused connections in a row make a target dead.
 	refusals = 2
+	// headBytes is the size in bytes of the largest head of an answer.
+	headBytes = 16 << 10
 )
 
 // Probe watches one target at a time. Its methods are for one goroutine, but for
@@ -61,7 +63,7 @@
 		answered: func() clock.Millis { return 0 },
 		post:     func(agent.Event) {},
 		log:      logrus.NewEntry(logrus.StandardLogger()),
-		client:   &http.Client{Timeout: patience, Transport: &http.Transport{MaxIdleConns: 1}},
+		client:   &http.Client{Timeout: patience, Transport: &http.Transport{MaxIdleConns: 1, MaxResponseHeaderBytes: headBytes}},
 		stop:     func() {},
 	}
 	for _, o := range opts {
