--- a/verbenad/adapt/keeper/keeper.go
+++ b/verbenad/adapt/keeper/keeper.go
@@ -25,7 +25,10 @@
 	releaseWithin = 2500 * time.Millisecond
 	idleConns     = 4
 	idleTime      = 8 * time.Second
-	answerBytes   = 4 << 10
+	// headBytes is the size in bytes of the largest head of an answer.
+	headBytes = 16 << 10
+	// answerBytes is the size in bytes up to which the body of an answer counts as whole.
+	answerBytes = 64 << 10
 )
 
 // Message is an order as the target is sent it.
@@ -72,7 +75,9 @@
 
 // New returns a keeper without a target, and its clean-up function.
 func New(opts ...Option) (*Keeper, func()) {
-	t := &http.Transport{MaxIdleConnsPerHost: idleConns, IdleConnTimeout: idleTime, DisableCompression: true}
+	t := &http.Transport{
+		MaxIdleConnsPerHost: idleConns, IdleConnTimeout: idleTime, DisableCompression: true, MaxResponseHeaderBytes: headBytes,
+	}
 	k := &Keeper{
 		client: &http.Client{Transport: t}, log: logrus.NewEntry(logrus.StandardLogger()), refused: func() {},
 	}
@@ -151,8 +156,12 @@
 		return hold.Unanswered{}, err
 	}
 	defer func() { _ = a.Body.Close() }()
-	if _, err := io.CopyN(io.Discard, a.Body, answerBytes); err != nil && err != io.EOF {
+	switch _, err := io.CopyN(io.Discard, a.Body, answerBytes+1); err {
+	case io.EOF:
+		return k.dialect.Result(a.StatusCode, a.Header.Get), nil
+	case nil:
+		return hold.Unanswered{}, &Error{op: "read answer to " + m.path, kind: Endless}
+	default:
 		return hold.Unanswered{}, err
 	}
-	return k.dialect.Result(a.StatusCode, a.Header.Get), nil
 }
