Do not break off an early answer that is streamed

A caller that uploaded a body to a target which answered before it had read all of it, with an answer in chunks or of more than 64 KiB, saw its connection reset in the middle of the answer.

Cause: before the head of the answer is written, the front gives up what is left of the body. It does so with a read deadline in the past, and the reader of the body took the failed read for a caller that had left: it ended the context of the connection, and with it the exchange with the target.

Change: a read that its deadline ended says nothing of the caller and does not end the context. A body that takes too long still ends its own request, whose attempt fails with the fault of the body.

TestEarlyStreamedAnswerOutlivesTheBodyThatIsLeft failed before (connection reset by peer, 50 ms into the request) and passes now.

--- a/verbenad/adapt/front/exchange.go
+++ b/verbenad/adapt/front/exchange.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
+	"os"
 	"strings"
 	"time"
 
@@ -90,7 +92,7 @@
 	}
 	b.asked = true
 	n, err := b.source.Read(p)
-	if err != nil && err != io.EOF {
+	if err != nil && err != io.EOF && !errors.Is(err, os.ErrDeadlineExceeded) {
 		b.exchange.conn.cancel()
 	}
 	return n, err
--- /dev/null
+++ b/verbenad/adapt/front/kept_test.go
@@ -0,0 +1,43 @@
+package front_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenabank/core/state/call"
+	"verbenabank/core/state/result"
+)
+
+// TestEarlyStreamedAnswerOutlivesTheBodyThatIsLeft guards against answers that were broken off:
+// giving up what was left of the body ended all requests of the connection.
+func TestEarlyStreamedAnswerOutlivesTheBodyThatIsLeft(t *testing.T) {
+	is := is.New(t)
+	source, target := io.Pipe()
+	_, address := start(t, 5000, func(ctx context.Context, r call.Request) call.Reply {
+		_, _ = io.ReadFull(r.Body(), make([]byte, len("begin")))
+		go func() { _, _ = io.Copy(io.Discard, r.Body()) }()
+		time.Sleep(50 * time.Millisecond) // the rest of the body is awaited
+		context.AfterFunc(ctx, func() { _ = target.CloseWithError(call.NewError("read", result.Cancelled)) })
+		return call.NewAnswer(200, nil, source, -1)
+	})
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, "POST /p/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\nbegin")
+	is.NoErr(err)
+	go func() {
+		_, _ = target.Write(make([]byte, 20<<10))
+		time.Sleep(100 * time.Millisecond)
+		_, _ = target.Write(make([]byte, 20<<10))
+		_ = target.Close()
+	}()
+	a, err := http.ReadResponse(r, nil)
+	is.NoErr(err)
+	defer func() { _ = a.Body.Close() }()
+	content, err := io.ReadAll(a.Body)
+	is.NoErr(err)
+	is.Equal(len(content), 40<<10)
+}
