Answer requests before one whose head stands still

A caller with requests under way that began to send another one, and did not finish its head within the time for heads, lost the answers of all of them: its connection was closed, and their exchanges with targets were ended.

Cause: the reader of the connection took the end of that time for a caller that had left, and ended the context of the connection.

Change: the end of that time only ends the reading. What is under way is answered, the last answer says that the connection ends, and what came of the head is read off so that the answer arrives.

TestSlowHeadBehindARequestDoesNotEndIt failed before (unexpected EOF after 0.10 s) and passes now.

--- a/verbenad/adapt/front/conn.go
+++ b/verbenad/adapt/front/conn.go
@@ -75,7 +75,10 @@
 	case err == nil:
 	case isSmall(err):
 		return c.start(x, result.HeadTooLarge)
-	case errors.Is(err, io.EOF), errors.Is(err, os.ErrDeadlineExceeded), isNet(err):
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.end(c.ahead.Load() > 0)
+		return false
+	case errors.Is(err, io.EOF), isNet(err):
 		c.cancel()
 		return false
 	default:
--- a/verbenad/adapt/front/front_test.go
+++ b/verbenad/adapt/front/front_test.go
@@ -57,9 +57,16 @@
 
 // start runs a front whose requests go to the target, and returns it with its address.
 func start(t *testing.T, timeout clock.Millis, serve func(ctx context.Context, r call.Request) call.Reply) (*front.Front, string) {
+	t.Helper()
+	return startWithin(t, timeout, rules.DefaultHeadWait, serve)
+}
+
+// startWithin is start with how long the head of a request may take.
+func startWithin(t *testing.T, timeout, head clock.Millis, serve func(ctx context.Context, r call.Request) call.Reply) (*front.Front, string) {
 	t.Helper()
 	cell := snap.NewCell()
-	r := rules.New(1, "", rules.NewService("s")).WithRoutes(rules.NewRoute("r", "h", "/p/",
+	limits := rules.NewLimits(rules.DefaultHeadBytes, rules.DefaultBodyBytes, head, rules.DefaultIdleWait)
+	r := rules.New(1, "", rules.NewService("s")).WithLimits(limits).WithRoutes(rules.NewRoute("r", "h", "/p/",
 		rules.WithSafety(rules.Repeatable{}), rules.WithTimes(timeout, timeout), rules.WithParts(rules.NewPart("s", 1))))
 	x := table.Empty().With(1, table.NewRulesSet(r), table.NewMemberSet(table.NewMember(7, "i", "z", "a", "s", table.Serving{})))
 	cell.Publish(snap.New(x, 7, 1<<60, 1<<60))
--- a/verbenad/adapt/front/kept_test.go
+++ b/verbenad/adapt/front/kept_test.go
@@ -41,3 +41,28 @@
 	is.NoErr(err)
 	is.Equal(len(content), 40<<10)
 }
+
+// TestSlowHeadBehindARequestDoesNotEndIt guards against requests that lost their answers since the
+// head of the next one stood still.
+func TestSlowHeadBehindARequestDoesNotEndIt(t *testing.T) {
+	is := is.New(t)
+	begun := make(chan struct{})
+	_, address := startWithin(t, 5000, 100, func(ctx context.Context, _ call.Request) call.Reply {
+		close(begun)
+		select {
+		case <-ctx.Done():
+			return call.Unknown(result.Cancelled)
+		case <-time.After(300 * time.Millisecond):
+			return answer("whole", 5)
+		}
+	})
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, ask("/p/1"))
+	is.NoErr(err)
+	<-begun
+	_, err = io.WriteString(c, "GET /p/2 HTTP/1.1\r\nHo")
+	is.NoErr(err)
+	status, text := read(t, r)
+	is.Equal(status, 200)
+	is.Equal(text, "whole")
+}
