End connections whose answers began before a stop

A caller that was sent a long or chunked answer while its daemon was asked to stop kept its connection after it. Requests that it sent there were taken on until the end of the grace time and then cut at their targets; the stop itself waited for the connection to the end.

Cause: whether a connection ends is said in the head of the last answer. A head that was written before the daemon left did not say so, the connection was not idle when idle ones were ended, and nothing looked at it again.

Change: once a front shuts down, a connection ends as soon as nothing is under way on it: after its last answer, and when its reader comes to wait for the next request.

TestStreamBegunBeforeTheStopEndsItsConnection failed before (the connection was open 1 s after the answer) and passes now.

--- a/verbenad/adapt/front/conn.go
+++ b/verbenad/adapt/front/conn.go
@@ -98,6 +98,7 @@
 	}
 	for {
 		c.mu.Lock()
+		c.ending = c.ending || c.left()
 		c.waiting = true
 		ending := c.ending
 		if !ending {
@@ -176,6 +177,7 @@
 		f()
 		close(x.done)
 		c.ahead.Add(-1)
+		c.rest()
 		<-c.room
 	}()
 }
@@ -198,6 +200,16 @@
 	}
 }
 
+// rest ends the connection after an answer that did not say so, if the daemon stops meanwhile.
+func (c *conn) rest() {
+	if c.front.stopping.Load() {
+		c.endIfIdle()
+	}
+}
+
+// left reports whether the daemon stops and no request is under way. The lock must be held.
+func (c *conn) left() bool { return c.front.stopping.Load() && c.ahead.Load() == 0 }
+
 // endIfIdle ends the connection if no request is under way.
 func (c *conn) endIfIdle() {
 	c.mu.Lock()
--- a/verbenad/adapt/front/front.go
+++ b/verbenad/adapt/front/front.go
@@ -69,17 +69,18 @@
 
 // Front takes requests of callers. It is safe for concurrent use.
 type Front struct {
-	clock   *clock.Clock
-	relay   *relay.Relay
-	dialect Dialect
-	meter   *meter.Meter
-	log     *logrus.Entry
-	origin  func() string
-	group   conc.WaitGroup
-	leaving atomic.Bool
-	story   *story.Story
-	ending  context.Context // ends when requests under way get no more time
-	end     context.CancelFunc
+	clock    *clock.Clock
+	relay    *relay.Relay
+	dialect  Dialect
+	meter    *meter.Meter
+	log      *logrus.Entry
+	origin   func() string
+	group    conc.WaitGroup
+	leaving  atomic.Bool
+	stopping atomic.Bool // connections end as soon as nothing is under way
+	story    *story.Story
+	ending   context.Context // ends when requests under way get no more time
+	end      context.CancelFunc
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -173,6 +174,7 @@
 // under way then are answered that they have no answer of a target.
 func (f *Front) Shutdown(ctx context.Context) {
 	f.Leave()
+	f.stopping.Store(true)
 	f.mu.Lock()
 	for c := range f.conns {
 		c.endIfIdle()
--- /dev/null
+++ b/verbenad/adapt/front/leave_test.go
@@ -0,0 +1,63 @@
+package front_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenabank/core/state/call"
+	"verbenabank/verbenad/adapt/front"
+)
+
+// stopping calls Shutdown with an end of the grace that is far away, and returns what tells that
+// it is over.
+func stopping(t *testing.T, f *front.Front) <-chan struct{} {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	t.Cleanup(cancel)
+	done := make(chan struct{})
+	go func() {
+		f.Shutdown(ctx)
+		close(done)
+	}()
+	time.Sleep(50 * time.Millisecond) // connections were asked to end
+	return done
+}
+
+// TestStreamBegunBeforeTheStopEndsItsConnection guards against requests that were taken on until
+// the end of the grace, and then cut at their targets: the head of the answer before did not say
+// that the connection ends, and nothing ended it later.
+func TestStreamBegunBeforeTheStopEndsItsConnection(t *testing.T) {
+	is := is.New(t)
+	source, target := io.Pipe()
+	var asked atomic.Int32
+	f, address := start(t, 5000, func(context.Context, call.Request) call.Reply {
+		asked.Add(1)
+		return call.NewAnswer(200, nil, source, -1)
+	})
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, ask("/p/1"))
+	is.NoErr(err)
+	go func() { _, _ = target.Write(make([]byte, 20<<10)) }()
+	a, err := http.ReadResponse(r, nil)
+	is.NoErr(err)
+	defer func() { _ = a.Body.Close() }()
+	done := stopping(t, f)
+	go func() {
+		_, _ = target.Write(make([]byte, 20<<10))
+		_ = target.Close()
+	}()
+	content, err := io.ReadAll(a.Body)
+	is.NoErr(err)
+	is.Equal(len(content), 40<<10)
+	_ = c.SetReadDeadline(time.Now().Add(time.Second))
+	_, err = r.ReadByte()
+	is.Equal(err, io.EOF)
+	<-done
+	is.Equal(asked.Load(), int32(1))
+}
