Take nothing on behind a request while a daemon stops

Cause: an answer ends its connection only if no request was taken on behind it. A caller that always has a request on its way kept the connection so until the end of the grace time, which then cut its last requests.

Change: once a front shuts down, a request that was sent behind another one under way is not taken on. The answer before it says that the connection ends, so its caller sends it again elsewhere. A request that crosses the begin of the stop on a connection with nothing under way is still taken and answered.

TestNothingIsTakenOnBehindRequestsOfAStop failed before (the second request was passed on) and passes now.

--- a/verbenad/adapt/front/conn.go
+++ b/verbenad/adapt/front/conn.go
@@ -125,10 +125,12 @@
 }
 
 // take puts a request behind those before it. One that was read after the connection began
-// to end counts as not read: its caller sends it again.
+// to end counts as not read: its caller sends it again. So does one behind another when the daemon
+// stops: it might not be answered within the grace time.
 func (c *conn) take(x *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.ending = c.ending || (c.front.stopping.Load() && c.behind())
 	if c.ending {
 		return false
 	}
@@ -136,6 +138,16 @@
 	return true
 }
 
+// behind reports whether the last response is still to be written. The lock must be held.
+func (c *conn) behind() bool {
+	select {
+	case <-c.turn:
+		return false
+	default:
+		return true
+	}
+}
+
 // ends reports whether the response to x is the last one, which it is to be if wanted. One
 // with requests behind it is not: they are under way and get their answers.
 func (c *conn) ends(x *exchange, wanted bool) bool {
--- a/verbenad/adapt/front/leave_test.go
+++ b/verbenad/adapt/front/leave_test.go
@@ -61,3 +61,32 @@
 	<-done
 	is.Equal(asked.Load(), int32(1))
 }
+
+// TestNothingIsTakenOnBehindRequestsOfAStop guards against requests that were sent behind another
+// one long after the stop began, and were at their targets when the grace ended.
+func TestNothingIsTakenOnBehindRequestsOfAStop(t *testing.T) {
+	is := is.New(t)
+	proceed := make(chan struct{})
+	asked := make(chan string, 2)
+	f, address := start(t, 5000, func(_ context.Context, r call.Request) call.Reply {
+		asked <- r.URI()
+		<-proceed
+		return answer(r.URI(), 4)
+	})
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, ask("/p/1"))
+	is.NoErr(err)
+	is.Equal(<-asked, "/p/1")
+	done := stopping(t, f)
+	_, err = io.WriteString(c, ask("/p/2"))
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond)
+	close(proceed)
+	status, text := read(t, r)
+	is.Equal(status, 200)
+	is.Equal(text, "/p/1")
+	_, err = r.ReadByte()
+	is.True(err != nil) // the end of the connection
+	<-done
+	is.Equal(len(asked), 0)
+}
