End callers' connections while a stop still waits for its target

Cause: the steps of a stop ran one after the other. Only once the daemon had left, which waits until its target has nothing to do or 2.5 s of the grace time are left, callers were asked to go elsewhere and their port was closed. What was taken on by then could outlast the grace time.

Change: leaving and the end of callers' connections run side by side. The port closes 2.6 s after the SIGTERM whatever the target does, so a request has half of the grace time of 6 s at least.

--- a/verbenad/command/serve/run.go
+++ b/verbenad/command/serve/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 	"google.golang.org/grpc"
 
 	"verbenabank/core/command/agent"
@@ -100,23 +101,32 @@
 	begun := time.Now()
 	d.part().WithField("grace_ms", d.settings.Load().Terms().Grace()).Info("serve: planned stop begins")
 	d.leaving.Store(true)
-	pause(begun.Add(d.staySpan()))
-	d.leaveGroup(begun)
-	d.step(begun).Info("serve: nothing is owned any more")
+	var group conc.WaitGroup
+	group.Go(func() {
+		pause(begun.Add(d.staySpan()))
+		d.leaveGroup(begun)
+		d.step(begun).Info("serve: nothing is owned any more")
+	})
 	if d.front != nil {
-		return d.stopFront(begun)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), callersWithin)
-	defer cancel()
-	var err error
-	if d.entry != nil {
-		err = d.entry.Shutdown(ctx)
+		d.stopFront(begun)
 	}
+	group.Wait()
+	err := d.stopEntry()
 	d.stopServers()
 	d.step(begun).Info("serve: planned stop is done")
 	return err
 }
 
+// stopEntry ends the connections of callers of the daemon's own protocol.
+func (d *Daemon) stopEntry() error {
+	if d.entry == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callersWithin)
+	defer cancel()
+	return d.entry.Shutdown(ctx)
+}
+
 // step returns a log entry that tells how far a stop has come that began at an instant.
 func (d *Daemon) step(begun time.Time) *logrus.Entry {
 	e := d.part().WithField("took_ms", time.Since(begun).Milliseconds()).WithField("in_flight", d.owner.Flight().Total())
@@ -159,8 +169,9 @@
 }
 
 // stopFront goes on serving callers until they have seen that the daemon is not ready, and
-// then ends their connections one by one.
-func (d *Daemon) stopFront(begun time.Time) error {
+// then ends their connections one by one. It does not wait until the daemon has left: a request that
+// is taken on late may outlast the grace time.
+func (d *Daemon) stopFront(begun time.Time) {
 	pause(begun.Add(noticeSpan))
 	d.step(begun).Info("serve: callers are asked to go elsewhere")
 	d.front.Leave()
@@ -175,9 +186,6 @@
 	defer cancel()
 	d.front.Shutdown(ctx)
 	d.step(begun).Info("serve: callers are gone")
-	d.stopServers()
-	d.step(begun).Info("serve: planned stop is done")
-	return nil
 }
 
 func pause(until time.Time) {
