Let a stopping daemon answer other daemons until its grace time ends

A caller of another daemon got 502 for a request at which the target beside a stopping daemon was at work: 4.0 s after the SIGTERM, with a grace time of 6 s. Where its own daemon was stopped or configured at that time too, as in overlapping rolling stops, that request counts as lost.

Cause: leaving ends 2.5 s before the grace time does, at work or not, and once the daemon's own callers were answered, peersWithin cut what others had on their way to its target 0.5 s later.

Change: before it closes the port of peers the daemon waits until nothing is in flight to its target, for as long as its own callers get. peersWithin bounds only what is left of answers then.

--- a/verbenad/command/serve/run.go
+++ b/verbenad/command/serve/run.go
@@ -25,8 +25,9 @@
 	leaveWithin = 60 * time.Second
 	// callersWithin bounds the answers to callers that are still connected.
 	callersWithin = 10 * time.Second
-	// peersWithin bounds the answers to other daemons.
+	// peersWithin bounds what is on its way to other daemons, and adminWithin what operators asked.
 	peersWithin = 500 * time.Millisecond
+	adminWithin = time.Second
 	// handoverWait gives a leader time to hand over before the ports close.
 	handoverWait = 300 * time.Millisecond
 )
@@ -112,6 +113,7 @@
 	}
 	group.Wait()
 	err := d.stopEntry()
+	d.awaitTarget(d.lastAnswer(begun))
 	d.stopServers()
 	d.step(begun).Info("serve: planned stop is done")
 	return err
@@ -178,16 +180,31 @@
 	pause(begun.Add(noticeSpan + partSpan))
 	d.step(begun).Info("serve: no callers are taken on any more")
 	_ = d.callersPort.Close()
-	end := begun.Add(callersWithin)
-	if g := d.settings.Load().Terms().Grace(); g > 0 {
-		end = begun.Add(g.Duration() - graceLast)
-	}
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	ctx, cancel := context.WithDeadline(context.Background(), d.lastAnswer(begun))
 	defer cancel()
 	d.front.Shutdown(ctx)
 	d.step(begun).Info("serve: callers are gone")
 }
 
+// lastAnswer returns until when requests are answered after a stop that began at an instant.
+func (d *Daemon) lastAnswer(begun time.Time) time.Time {
+	if g := d.settings.Load().Terms().Grace(); g > 0 {
+		return begun.Add(g.Duration() - graceLast)
+	}
+	return begun.Add(callersWithin)
+}
+
+// awaitTarget waits until the target has answered what other daemons sent it, but not after an instant.
+func (d *Daemon) awaitTarget(end time.Time) {
+	empty := make(chan struct{})
+	d.owner.Flight().Empty(func() { close(empty) })
+	select {
+	case <-empty:
+	case <-time.After(time.Until(end)):
+		d.part().WithField("in_flight", d.owner.Flight().Total()).Warn("serve: the target is still at work for other daemons")
+	}
+}
+
 func pause(until time.Time) {
 	if left := time.Until(until); left > 0 {
 		time.Sleep(left)
@@ -206,10 +223,10 @@
 	d.part().WithField("replicas", replicas).WithField("was", old.Replicas()).Info("serve: settings reloaded")
 }
 
-// stopServers closes the remaining ports. Requests of other daemons are answered;
-// the streams of replicas have no end of their own and are cut.
+// stopServers closes the remaining ports. Answers to other daemons are on their way at most; the
+// streams of replicas have no end of their own and are cut.
 func (d *Daemon) stopServers() {
-	_ = d.admin.ShutdownWithTimeout(time.Second)
+	_ = d.admin.ShutdownWithTimeout(adminWithin)
 	cut := time.AfterFunc(peersWithin, d.peers.Stop)
 	defer cut.Stop()
 	d.peers.GracefulStop()
