Let the last answer of a connection arrive when more was sent behind it

A caller that sends requests ahead got only a part of a long answer, and then a reset, from a daemon that was asked to stop.

Cause: the daemon closed the connection after the answer that said it was the last one, with further requests of the caller unread in it. The system then resets the connection and drops what was not sent.

Change: such a connection is closed like one with a body left unread: its sending half first, then all of it once its caller has closed it too, or after 0.5 s (0.1 s at the end of the grace time). Connections that end while nothing was said on them are closed at once, as before.

--- a/verbenad/adapt/front/conn.go
+++ b/verbenad/adapt/front/conn.go
@@ -19,10 +19,12 @@
 )
 
 const (
-	// lingerSpan and lingerBytes bound how much of an unread body is read and thrown away
-	// before a connection is closed, so that the response arrives.
+	// lingerSpan and lingerBytes bound how much of what is not answered is read and thrown away
+	// before a connection is closed, so that the responses arrive.
 	lingerSpan  = 500 * time.Millisecond
 	lingerBytes = 16 << 20
+	// lastLinger is lingerSpan at the end of a planned stop.
+	lastLinger = 100 * time.Millisecond
 )
 
 // conn is a connection of a caller. One goroutine reads it; each request has one of its
@@ -42,7 +44,7 @@
 	waiting bool          // for the first byte of a request
 	ending  bool          // no request is read any more
 	broken  bool          // the last response is not whole
-	unread  bool          // a body is left in the connection
+	unread  bool          // something may be left in the connection that is not answered
 }
 
 func newConn(f *Front, n net.Conn) *conn {
@@ -132,6 +134,7 @@
 	defer c.mu.Unlock()
 	c.ending = c.ending || (c.front.stopping.Load() && c.behind())
 	if c.ending {
+		c.unread = true
 		return false
 	}
 	x.before, c.turn = c.turn, x.done
@@ -207,6 +210,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ending, c.broken = true, c.broken || broken
+	c.unread = c.unread || c.front.leaving.Load()
 	if c.waiting {
 		_ = c.net.SetReadDeadline(time.Unix(1, 0))
 	}
@@ -241,12 +245,20 @@
 		_ = t.SetLinger(0)
 	case ok && c.unread:
 		_ = t.CloseWrite()
-		_ = t.SetReadDeadline(time.Now().Add(lingerSpan))
+		_ = t.SetReadDeadline(time.Now().Add(c.linger()))
 		_, _ = io.CopyN(io.Discard, t, lingerBytes)
 	}
 	_ = c.net.Close()
 }
 
+// linger returns how long the connection may wait for its caller to close it.
+func (c *conn) linger() time.Duration {
+	if c.front.ending.Err() != nil {
+		return lastLinger
+	}
+	return lingerSpan
+}
+
 // bodyReader returns the reader of the body that a head announces, nil without one.
 func (c *conn) bodyReader(h *fasthttp.RequestHeader) (io.Reader, int64) {
 	switch length := int64(h.ContentLength()); {
--- a/verbenad/adapt/front/leave_test.go
+++ b/verbenad/adapt/front/leave_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -90,3 +91,29 @@
 	<-done
 	is.Equal(len(asked), 0)
 }
+
+// TestAnswerArrivesThoughMoreWasSentBehindIt guards against answers that were cut by the reset of a
+// connection that was closed with unread bytes.
+func TestAnswerArrivesThoughMoreWasSentBehindIt(t *testing.T) {
+	is := is.New(t)
+	const size = 1 << 20
+	f, address := start(t, 5000, func(context.Context, call.Request) call.Reply {
+		return answer(strings.Repeat("x", size), size)
+	})
+	c, r := dial(t, address)
+	f.Leave()
+	_, err := io.WriteString(c, ask("/p/1"))
+	is.NoErr(err)
+	a, err := http.ReadResponse(r, nil)
+	is.NoErr(err)
+	defer func() { _ = a.Body.Close() }()
+	for range 3 {
+		if _, err := io.WriteString(c, ask("/p/2")); err != nil {
+			break // the connection is closed
+		}
+		time.Sleep(30 * time.Millisecond)
+	}
+	content, err := io.ReadAll(a.Body)
+	is.NoErr(err)
+	is.Equal(len(content), size)
+}
