Answer a request that is read as its idle connection ends

Cause: idle connections are told to end 2.6 s after the SIGTERM. A connection counted as idle until its reader had run again after the first byte came, which takes long on a machine that has little of a processor. The reader then found the connection ended and dropped what it had read. A connection whose reader came to wait for its first request after that instant was closed without a look at what had come.

Change: a connection that was ended because it was idle takes what is read at that instant and says with the answer that it ends. One that has just come to wait waits for 50 ms. A connection whose caller was told that it ends takes nothing more, as before.

TestRequestReadAsItsConnectionEndsIsAnswered failed before (the connection was closed without an answer) and passes now.

--- a/verbenad/adapt/front/conn.go
+++ b/verbenad/adapt/front/conn.go
@@ -25,6 +25,8 @@
 	lingerBytes = 16 << 20
 	// lastLinger is lingerSpan at the end of a planned stop.
 	lastLinger = 100 * time.Millisecond
+	// lastWait is how long a connection without requests is kept while the daemon stops.
+	lastWait = 50 * time.Millisecond
 )
 
 // conn is a connection of a caller. One goroutine reads it; each request has one of its
@@ -43,6 +45,7 @@
 	turn    chan struct{} // closed when the last response is written
 	waiting bool          // for the first byte of a request
 	ending  bool          // no request is read any more
+	unsaid  bool          // it ends since it is idle, its caller was not told
 	broken  bool          // the last response is not whole
 	unread  bool          // something may be left in the connection that is not answered
 }
@@ -100,11 +103,10 @@
 	}
 	for {
 		c.mu.Lock()
-		c.ending = c.ending || c.left()
 		c.waiting = true
 		ending := c.ending
 		if !ending {
-			_ = c.net.SetReadDeadline(time.Now().Add(limits.IdleWait().Duration()))
+			_ = c.net.SetReadDeadline(time.Now().Add(c.patience(limits)))
 		}
 		c.mu.Unlock()
 		if ending && c.ahead.Load() == 0 {
@@ -113,6 +115,9 @@
 		_, err := c.reader.Peek(1)
 		c.mu.Lock()
 		c.waiting = false
+		if err == nil && c.unsaid {
+			c.ending, c.unsaid = false, false
+		}
 		c.mu.Unlock()
 		switch {
 		case err == nil:
@@ -223,14 +228,21 @@
 	}
 }
 
-// left reports whether the daemon stops and no request is under way. The lock must be held.
-func (c *conn) left() bool { return c.front.stopping.Load() && c.ahead.Load() == 0 }
+// patience returns how long the next request is waited for. The lock must be held.
+func (c *conn) patience(limits rules.Limits) time.Duration {
+	if c.front.stopping.Load() && c.ahead.Load() == 0 {
+		return lastWait
+	}
+	return limits.IdleWait().Duration()
+}
 
-// endIfIdle ends the connection if no request is under way.
+// endIfIdle ends the connection if no request is under way. One that is read at this instant is
+// still answered: its caller was told nothing.
 func (c *conn) endIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.waiting && c.ahead.Load() == 0 {
+		c.unsaid = c.unsaid || !c.ending
 		c.ending = true
 		_ = c.net.SetReadDeadline(time.Unix(1, 0))
 	}
--- a/verbenad/adapt/front/leave_test.go
+++ b/verbenad/adapt/front/leave_test.go
@@ -1,9 +1,13 @@
 package front_test
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -117,3 +121,76 @@
 	is.NoErr(err)
 	is.Equal(len(content), size)
 }
+
+// late is a connection whose request is read just after the connection was told to end.
+type late struct {
+	net.Conn
+	request  []byte
+	awaited  chan struct{} // closed when a request is awaited
+	ended    chan struct{} // has an element each time the connection is told to end
+	response chan []byte
+}
+
+func (l *late) Read(p []byte) (int, error) {
+	if len(l.request) == 0 {
+		<-l.ended
+		return 0, os.ErrDeadlineExceeded
+	}
+	close(l.awaited)
+	<-l.ended
+	n := copy(p, l.request)
+	l.request = l.request[n:]
+	return n, nil
+}
+
+func (l *late) Write(p []byte) (int, error) {
+	l.response <- append([]byte(nil), p...)
+	return len(p), nil
+}
+
+func (l *late) SetReadDeadline(end time.Time) error {
+	if end.Before(time.Now()) {
+		l.ended <- struct{}{}
+	}
+	return nil
+}
+
+func (*late) SetWriteDeadline(time.Time) error { return nil }
+
+func (l *late) Close() error {
+	close(l.response)
+	return nil
+}
+
+// one is a listener that gives one connection.
+type one struct{ conn chan net.Conn }
+
+func (o one) Accept() (net.Conn, error) {
+	c, ok := <-o.conn
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+func (one) Close() error   { return nil }
+func (one) Addr() net.Addr { return nil }
+
+// TestRequestReadAsItsConnectionEndsIsAnswered guards against requests that were read whole and got
+// neither an answer nor a refusal, since idle connections were ended at the same instant.
+func TestRequestReadAsItsConnectionEndsIsAnswered(t *testing.T) {
+	is := is.New(t)
+	f, _ := start(t, 5000, func(context.Context, call.Request) call.Reply { return answer("whole", 5) })
+	l := &late{request: []byte(ask("/p/1")), awaited: make(chan struct{}), ended: make(chan struct{}, 4), response: make(chan []byte, 4)}
+	conns := make(chan net.Conn, 1)
+	conns <- l
+	go func() { _ = f.Serve(one{conns}) }()
+	defer close(conns)
+	<-l.awaited
+	<-stopping(t, f)
+	a, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(<-l.response)), nil)
+	is.NoErr(err)
+	is.Equal(a.StatusCode, 200)
+	is.True(a.Close)
+	_ = a.Body.Close()
+}
