Divide a short grace time among the steps of a stop

A daemon with a grace time of 1.5 s still took on connections when that was over, and ended after 2.6 s: what ends processes at the end of their grace time would have cut all of its requests without an answer.

Cause: the span in which callers see that the daemon is not ready, and the one in which they are asked to end their connections, were 2.6 s together, whatever the grace time was; and leaving was given no time at all below 2.5 s.

Change: below these spans the grace time is divided: a third of it for leaving at least, half of it for answers at least, two thirds of that until callers are asked to go. From a grace time of 4.5 s on nothing changes.

TestStopKeepsWithinAShortGraceTime failed before (the stop took 2.6 s with a grace time of 1.5 s) and passes now.

--- a/verbenad/command/serve/run.go
+++ b/verbenad/command/serve/run.go
@@ -41,6 +41,13 @@
 	// graceLast what is kept for the end of the process.
 	graceLeft = 2500 * time.Millisecond
 	graceLast = 700 * time.Millisecond
+	// leaveShare, answerShare, noticeShare and partShare divide a grace time that is shorter than these
+	// spans: what leaving gets of it at least, and answers; what callers get of the time for answers
+	// to see that the daemon is not ready; and what they get of the rest to end their connections.
+	leaveShare  = 3
+	answerShare = 2
+	noticeShare = 2
+	partShare   = 4
 )
 
 // adminBodyBytes is the largest body that the admin server takes.
@@ -154,7 +161,7 @@
 func (d *Daemon) leaveGroup(begun time.Time) {
 	within := leaveWithin
 	if g := d.settings.Load().Terms().Grace(); g > 0 {
-		within = min(within, max(0, time.Until(begun.Add(g.Duration()-graceLeft))))
+		within = min(within, time.Until(begun.Add(max(g.Duration()-graceLeft, g.Duration()/leaveShare))))
 	}
 	if d.callersPort != nil {
 		d.post(agent.StopAsked{})
@@ -174,13 +181,15 @@
 // then ends their connections one by one. It does not wait until the daemon has left: a request that
 // is taken on late may outlast the grace time.
 func (d *Daemon) stopFront(begun time.Time) {
-	pause(begun.Add(noticeSpan))
+	end := d.lastAnswer(begun)
+	notice := min(noticeSpan, end.Sub(begun)*noticeShare/(noticeShare+1))
+	pause(begun.Add(notice))
 	d.step(begun).Info("serve: callers are asked to go elsewhere")
 	d.front.Leave()
-	pause(begun.Add(noticeSpan + partSpan))
+	pause(begun.Add(notice + min(partSpan, (end.Sub(begun)-notice)/partShare)))
 	d.step(begun).Info("serve: no callers are taken on any more")
 	_ = d.callersPort.Close()
-	ctx, cancel := context.WithDeadline(context.Background(), d.lastAnswer(begun))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	d.front.Shutdown(ctx)
 	d.step(begun).Info("serve: callers are gone")
@@ -189,7 +198,7 @@
 // lastAnswer returns until when requests are answered after a stop that began at an instant.
 func (d *Daemon) lastAnswer(begun time.Time) time.Time {
 	if g := d.settings.Load().Terms().Grace(); g > 0 {
-		return begun.Add(g.Duration() - graceLast)
+		return begun.Add(max(g.Duration()-graceLast, g.Duration()/answerShare))
 	}
 	return begun.Add(callersWithin)
 }
