--- a/verbenad/adapt/front/conn.go
+++ b/verbenad/adapt/front/conn.go
@@ -19,10 +19,14 @@
 )
 
 const (
-	// lingerSpan and lingerBytes bound how much of an unread body is read and thrown away
-	// before a connection is closed, so that the response arrives.
+	// lingerSpan and lingerBytes bound how much of what is not answered is read and thrown away
+	// before a connection is closed, so that the responses arrive.
 	lingerSpan  = 500 * time.Millisecond
 	lingerBytes = 16 << 20
+	// lastLinger is lingerSpan at the end of a planned stop.
+	lastLinger = 100 * time.Millisecond
+	// lastWait is how long a connection without requests is kept while the daemon stops.
+	lastWait = 50 * time.Millisecond
 )
 
 // conn is a connection of a caller. One goroutine reads it; each request has one of its
@@ -41,8 +45,9 @@
 	turn    chan struct{} // closed when the last response is written
 	waiting bool          // for the first byte of a request
 	ending  bool          // no request is read any more
+	unsaid  bool          // it ends since it is idle, its caller was not told
 	broken  bool          // the last response is not whole
-	unread  bool          // a body is left in the connection
+	unread  bool          // something may be left in the connection that is not answered
 }
 
 func newConn(f *Front, n net.Conn) *conn {
@@ -75,7 +80,10 @@
 	case err == nil:
 	case isSmall(err):
 		return c.start(x, result.HeadTooLarge)
-	case errors.Is(err, io.EOF), errors.Is(err, os.ErrDeadlineExceeded), isNet(err):
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.end(c.ahead.Load() > 0)
+		return false
+	case errors.Is(err, io.EOF), isNet(err):
 		c.cancel()
 		return false
 	default:
@@ -98,7 +106,7 @@
 		c.waiting = true
 		ending := c.ending
 		if !ending {
-			_ = c.net.SetReadDeadline(time.Now().Add(limits.IdleWait().Duration()))
+			_ = c.net.SetReadDeadline(time.Now().Add(c.patience(limits)))
 		}
 		c.mu.Unlock()
 		if ending && c.ahead.Load() == 0 {
@@ -107,6 +115,9 @@
 		_, err := c.reader.Peek(1)
 		c.mu.Lock()
 		c.waiting = false
+		if err == nil && c.unsaid {
+			c.ending, c.unsaid = false, false
+		}
 		c.mu.Unlock()
 		switch {
 		case err == nil:
@@ -121,17 +132,30 @@
 }
 
 // take puts a request behind those before it. One that was read after the connection began
-// to end counts as not read: its caller sends it again.
+// to end counts as not read: its caller sends it again. So does one behind another when the daemon
+// stops: it might not be answered within the grace time.
 func (c *conn) take(x *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.ending = c.ending || (c.front.stopping.Load() && c.behind())
 	if c.ending {
+		c.unread = true
 		return false
 	}
 	x.before, c.turn = c.turn, x.done
 	return true
 }
 
+// behind reports whether the last response is still to be written. The lock must be held.
+func (c *conn) behind() bool {
+	select {
+	case <-c.turn:
+		return false
+	default:
+		return true
+	}
+}
+
 // ends reports whether the response to x is the last one, which it is to be if wanted. One
 // with requests behind it is not: they are under way and get their answers.
 func (c *conn) ends(x *exchange, wanted bool) bool {
@@ -173,6 +197,7 @@
 		f()
 		close(x.done)
 		c.ahead.Add(-1)
+		c.rest()
 		<-c.room
 	}()
 }
@@ -190,16 +215,34 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ending, c.broken = true, c.broken || broken
+	c.unread = c.unread || c.front.leaving.Load()
 	if c.waiting {
 		_ = c.net.SetReadDeadline(time.Unix(1, 0))
 	}
 }
 
-// endIfIdle ends the connection if no request is under way.
+// rest ends the connection after an answer that did not say so, if the daemon stops meanwhile.
+func (c *conn) rest() {
+	if c.front.stopping.Load() {
+		c.endIfIdle()
+	}
+}
+
+// patience returns how long the next request is waited for. The lock must be held.
+func (c *conn) patience(limits rules.Limits) time.Duration {
+	if c.front.stopping.Load() && c.ahead.Load() == 0 {
+		return lastWait
+	}
+	return limits.IdleWait().Duration()
+}
+
+// endIfIdle ends the connection if no request is under way. One that is read at this instant is
+// still answered: its caller was told nothing.
 func (c *conn) endIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.waiting && c.ahead.Load() == 0 {
+		c.unsaid = c.unsaid || !c.ending
 		c.ending = true
 		_ = c.net.SetReadDeadline(time.Unix(1, 0))
 	}
@@ -214,12 +257,20 @@
 		_ = t.SetLinger(0)
 	case ok && c.unread:
 		_ = t.CloseWrite()
-		_ = t.SetReadDeadline(time.Now().Add(lingerSpan))
+		_ = t.SetReadDeadline(time.Now().Add(c.linger()))
 		_, _ = io.CopyN(io.Discard, t, lingerBytes)
 	}
 	_ = c.net.Close()
 }
 
+// linger returns how long the connection may wait for its caller to close it.
+func (c *conn) linger() time.Duration {
+	if c.front.ending.Err() != nil {
+		return lastLinger
+	}
+	return lingerSpan
+}
+
 // bodyReader returns the reader of the body that a head announces, nil without one.
 func (c *conn) bodyReader(h *fasthttp.RequestHeader) (io.Reader, int64) {
 	switch length := int64(h.ContentLength()); {
--- /dev/null
+++ b/verbenad/adapt/front/leave_test.go
@@ -0,0 +1,196 @@
+package front_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"verbenabank/core/state/call"
+	"verbenabank/verbenad/adapt/front"
+)
+
+// stopping calls Shutdown with an end of the grace that is far away, and returns what tells that
+// it is over.
+func stopping(t *testing.T, f *front.Front) <-chan struct{} {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	t.Cleanup(cancel)
+	done := make(chan struct{})
+	go func() {
+		f.Shutdown(ctx)
+		close(done)
+	}()
+	time.Sleep(50 * time.Millisecond) // connections were asked to end
+	return done
+}
+
+// TestStreamBegunBeforeTheStopEndsItsConnection guards against requests that were taken on until
+// the end of the grace, and then cut at their targets: the head of the answer before did not say
+// that the connection ends, and nothing ended it later.
+func TestStreamBegunBeforeTheStopEndsItsConnection(t *testing.T) {
+	is := is.New(t)
+	source, target := io.Pipe()
+	var asked atomic.Int32
+	f, address := start(t, 5000, func(context.Context, call.Request) call.Reply {
+		asked.Add(1)
+		return call.NewAnswer(200, nil, source, -1)
+	})
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, ask("/p/1"))
+	is.NoErr(err)
+	go func() { _, _ = target.Write(make([]byte, 20<<10)) }()
+	a, err := http.ReadResponse(r, nil)
+	is.NoErr(err)
+	defer func() { _ = a.Body.Close() }()
+	done := stopping(t, f)
+	go func() {
+		_, _ = target.Write(make([]byte, 20<<10))
+		_ = target.Close()
+	}()
+	content, err := io.ReadAll(a.Body)
+	is.NoErr(err)
+	is.Equal(len(content), 40<<10)
+	_ = c.SetReadDeadline(time.Now().Add(time.Second))
+	_, err = r.ReadByte()
+	is.Equal(err, io.EOF)
+	<-done
+	is.Equal(asked.Load(), int32(1))
+}
+
+// TestNothingIsTakenOnBehindRequestsOfAStop guards against requests that were sent behind another
+// one long after the stop began, and were at their targets when the grace ended.
+func TestNothingIsTakenOnBehindRequestsOfAStop(t *testing.T) {
+	is := is.New(t)
+	proceed := make(chan struct{})
+	asked := make(chan string, 2)
+	f, address := start(t, 5000, func(_ context.Context, r call.Request) call.Reply {
+		asked <- r.URI()
+		<-proceed
+		return answer(r.URI(), 4)
+	})
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, ask("/p/1"))
+	is.NoErr(err)
+	is.Equal(<-asked, "/p/1")
+	done := stopping(t, f)
+	_, err = io.WriteString(c, ask("/p/2"))
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond)
+	close(proceed)
+	status, text := read(t, r)
+	is.Equal(status, 200)
+	is.Equal(text, "/p/1")
+	_, err = r.ReadByte()
+	is.True(err != nil) // the end of the connection
+	<-done
+	is.Equal(len(asked), 0)
+}
+
+// TestAnswerArrivesThoughMoreWasSentBehindIt guards against answers that were cut by the reset of a
+// connection that was closed with unread bytes.
+func TestAnswerArrivesThoughMoreWasSentBehindIt(t *testing.T) {
+	is := is.New(t)
+	const size = 1 << 20
+	f, address := start(t, 5000, func(context.Context, call.Request) call.Reply {
+		return answer(strings.Repeat("x", size), size)
+	})
+	c, r := dial(t, address)
+	f.Leave()
+	_, err := io.WriteString(c, ask("/p/1"))
+	is.NoErr(err)
+	a, err := http.ReadResponse(r, nil)
+	is.NoErr(err)
+	defer func() { _ = a.Body.Close() }()
+	for range 3 {
+		if _, err := io.WriteString(c, ask("/p/2")); err != nil {
+			break // the connection is closed
+		}
+		time.Sleep(30 * time.Millisecond)
+	}
+	content, err := io.ReadAll(a.Body)
+	is.NoErr(err)
+	is.Equal(len(content), size)
+}
+
+// late is a connection whose request is read just after the connection was told to end.
+type late struct {
+	net.Conn
+	request  []byte
+	awaited  chan struct{} // closed when a request is awaited
+	ended    chan struct{} // has an element each time the connection is told to end
+	response chan []byte
+}
+
+func (l *late) Read(p []byte) (int, error) {
+	if len(l.request) == 0 {
+		<-l.ended
+		return 0, os.ErrDeadlineExceeded
+	}
+	close(l.awaited)
+	<-l.ended
+	n := copy(p, l.request)
+	l.request = l.request[n:]
+	return n, nil
+}
+
+func (l *late) Write(p []byte) (int, error) {
+	l.response <- append([]byte(nil), p...)
+	return len(p), nil
+}
+
+func (l *late) SetReadDeadline(end time.Time) error {
+	if end.Before(time.Now()) {
+		l.ended <- struct{}{}
+	}
+	return nil
+}
+
+func (*late) SetWriteDeadline(time.Time) error { return nil }
+
+func (l *late) Close() error {
+	close(l.response)
+	return nil
+}
+
+// one is a listener that gives one connection.
+type one struct{ conn chan net.Conn }
+
+func (o one) Accept() (net.Conn, error) {
+	c, ok := <-o.conn
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+func (one) Close() error   { return nil }
+func (one) Addr() net.Addr { return nil }
+
+// TestRequestReadAsItsConnectionEndsIsAnswered guards against requests that were read whole and got
+// neither an answer nor a refusal, since idle connections were ended at the same instant.
+func TestRequestReadAsItsConnectionEndsIsAnswered(t *testing.T) {
+	is := is.New(t)
+	f, _ := start(t, 5000, func(context.Context, call.Request) call.Reply { return answer("whole", 5) })
+	l := &late{request: []byte(ask("/p/1")), awaited: make(chan struct{}), ended: make(chan struct{}, 4), response: make(chan []byte, 4)}
+	conns := make(chan net.Conn, 1)
+	conns <- l
+	go func() { _ = f.Serve(one{conns}) }()
+	defer close(conns)
+	<-l.awaited
+	<-stopping(t, f)
+	a, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(<-l.response)), nil)
+	is.NoErr(err)
+	is.Equal(a.StatusCode, 200)
+	is.True(a.Close)
+	_ = a.Body.Close()
+}
--- a/verbenad/command/serve/run.go
+++ b/verbenad/command/serve/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 	"google.golang.org/grpc"
 
 	"verbenabank/core/command/agent"
@@ -24,8 +25,9 @@
 	leaveWithin = 60 * time.Second
 	// callersWithin bounds the answers to callers that are still connected.
 	callersWithin = 10 * time.Second
-	// peersWithin bounds the answers to other daemons.
+	// peersWithin bounds what is on its way to other daemons, and adminWithin what operators asked.
 	peersWithin = 500 * time.Millisecond
+	adminWithin = time.Second
 	// handoverWait gives a leader time to hand over before the ports close.
 	handoverWait = 300 * time.Millisecond
 )
@@ -39,6 +41,13 @@
 	// graceLast what is kept for the end of the process.
 	graceLeft = 2500 * time.Millisecond
 	graceLast = 700 * time.Millisecond
+	// leaveShare, answerShare, noticeShare and partShare divide a grace time that is shorter than these
+	// spans: what leaving gets of it at least, and answers; what callers get of the time for answers
+	// to see that the daemon is not ready; and what they get of the rest to end their connections.
+	leaveShare  = 3
+	answerShare = 2
+	noticeShare = 2
+	partShare   = 4
 )
 
 // adminBodyBytes is the largest body that the admin server takes.
@@ -100,23 +109,33 @@
 	begun := time.Now()
 	d.part().WithField("grace_ms", d.settings.Load().Terms().Grace()).Info("serve: planned stop begins")
 	d.leaving.Store(true)
-	pause(begun.Add(d.staySpan()))
-	d.leaveGroup(begun)
-	d.step(begun).Info("serve: nothing is owned any more")
+	var group conc.WaitGroup
+	group.Go(func() {
+		pause(begun.Add(d.staySpan()))
+		d.leaveGroup(begun)
+		d.step(begun).Info("serve: nothing is owned any more")
+	})
 	if d.front != nil {
-		return d.stopFront(begun)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), callersWithin)
-	defer cancel()
-	var err error
-	if d.entry != nil {
-		err = d.entry.Shutdown(ctx)
+		d.stopFront(begun)
 	}
+	group.Wait()
+	err := d.stopEntry()
+	d.awaitTarget(d.lastAnswer(begun))
 	d.stopServers()
 	d.step(begun).Info("serve: planned stop is done")
 	return err
 }
 
+// stopEntry ends the connections of callers of the daemon's own protocol.
+func (d *Daemon) stopEntry() error {
+	if d.entry == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callersWithin)
+	defer cancel()
+	return d.entry.Shutdown(ctx)
+}
+
 // step returns a log entry that tells how far a stop has come that began at an instant.
 func (d *Daemon) step(begun time.Time) *logrus.Entry {
 	e := d.part().WithField("took_ms", time.Since(begun).Milliseconds()).WithField("in_flight", d.owner.Flight().Total())
@@ -142,7 +161,7 @@
 func (d *Daemon) leaveGroup(begun time.Time) {
 	within := leaveWithin
 	if g := d.settings.Load().Terms().Grace(); g > 0 {
-		within = min(within, max(0, time.Until(begun.Add(g.Duration()-graceLeft))))
+		within = min(within, time.Until(begun.Add(max(g.Duration()-graceLeft, g.Duration()/leaveShare))))
 	}
 	if d.callersPort != nil {
 		d.post(agent.StopAsked{})
@@ -159,25 +178,40 @@
 }
 
 // stopFront goes on serving callers until they have seen that the daemon is not ready, and
-// then ends their connections one by one.
-func (d *Daemon) stopFront(begun time.Time) error {
-	pause(begun.Add(noticeSpan))
+// then ends their connections one by one. It does not wait until the daemon has left: a request that
+// is taken on late may outlast the grace time.
+func (d *Daemon) stopFront(begun time.Time) {
+	end := d.lastAnswer(begun)
+	notice := min(noticeSpan, end.Sub(begun)*noticeShare/(noticeShare+1))
+	pause(begun.Add(notice))
 	d.step(begun).Info("serve: callers are asked to go elsewhere")
 	d.front.Leave()
-	pause(begun.Add(noticeSpan + partSpan))
+	pause(begun.Add(notice + min(partSpan, (end.Sub(begun)-notice)/partShare)))
 	d.step(begun).Info("serve: no callers are taken on any more")
 	_ = d.callersPort.Close()
-	end := begun.Add(callersWithin)
-	if g := d.settings.Load().Terms().Grace(); g > 0 {
-		end = begun.Add(g.Duration() - graceLast)
-	}
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	d.front.Shutdown(ctx)
 	d.step(begun).Info("serve: callers are gone")
-	d.stopServers()
-	d.step(begun).Info("serve: planned stop is done")
-	return nil
+}
+
+// lastAnswer returns until when requests are answered after a stop that began at an instant.
+func (d *Daemon) lastAnswer(begun time.Time) time.Time {
+	if g := d.settings.Load().Terms().Grace(); g > 0 {
+		return begun.Add(max(g.Duration()-graceLast, g.Duration()/answerShare))
+	}
+	return begun.Add(callersWithin)
+}
+
+// awaitTarget waits until the target has answered what other daemons sent it, but not after an instant.
+func (d *Daemon) awaitTarget(end time.Time) {
+	empty := make(chan struct{})
+	d.owner.Flight().Empty(func() { close(empty) })
+	select {
+	case <-empty:
+	case <-time.After(time.Until(end)):
+		d.part().WithField("in_flight", d.owner.Flight().Total()).Warn("serve: the target is still at work for other daemons")
+	}
 }
 
 func pause(until time.Time) {
@@ -198,10 +232,10 @@
 	d.part().WithField("replicas", replicas).WithField("was", old.Replicas()).Info("serve: settings reloaded")
 }
 
-// stopServers closes the remaining ports. Requests of other daemons are answered;
-// the streams of replicas have no end of their own and are cut.
+// stopServers closes the remaining ports. Answers to other daemons are on their way at most; the
+// streams of replicas have no end of their own and are cut.
 func (d *Daemon) stopServers() {
-	_ = d.admin.ShutdownWithTimeout(time.Second)
+	_ = d.admin.ShutdownWithTimeout(adminWithin)
 	cut := time.AfterFunc(peersWithin, d.peers.Stop)
 	defer cut.Stop()
 	d.peers.GracefulStop()
