Begin the deadline of the flood tests when the request has arrived

Seen: TestBytesWithoutEndEndWithTheirRequest failed once beside other work (load 39): an outcome was not unknown.

Cause: the deadline of 150 ms began before the connection to the stand-in target. Under load it passed before that was there; the request was then refused as unreachable, which is true.

Change: the deadline begins once the stand-in has read the request, so that every case is about endless bytes. What is checked stays the same, and its time is counted from there.

--- a/verbenad/adapt/flood/flood_test.go
+++ b/verbenad/adapt/flood/flood_test.go
@@ -30,6 +30,7 @@
 
 	address string
 	sent    atomic.Int64  // bytes
+	asked   chan struct{} // gets one element for each request
 	closed  chan struct{} // gets one element for each connection that was closed
 }
 
@@ -39,7 +40,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	f.address, f.closed = l.Addr().String(), make(chan struct{}, 100)
+	f.address, f.asked, f.closed = l.Addr().String(), make(chan struct{}, 100), make(chan struct{}, 100)
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -56,6 +57,7 @@
 	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 		return
 	}
+	f.asked <- struct{}{}
 	piece := []byte(f.piece)
 	if f.pause == 0 {
 		piece = bytes.Repeat(piece, 1+floodPiece/len(piece))
--- a/verbenad/adapt/flood/target_test.go
+++ b/verbenad/adapt/flood/target_test.go
@@ -60,22 +60,40 @@
 	}
 }
 
-// endure sends one request to the flood and checks how it ends.
+// expiring ends as by a deadline when its parent is cancelled.
+type expiring struct{ context.Context }
+
+// Err implements context.Context.
+func (e expiring) Err() error {
+	if e.Context.Err() == nil {
+		return nil
+	}
+	return context.DeadlineExceeded
+}
+
+// endure sends one request to the flood, with a deadline some time after it arrived there, and
+// checks how it ends.
 func endure(t *testing.T, f *flood, settle, wait time.Duration) {
 	is := is.New(t)
 	f.start(t)
 	x, stop := target.New(target.WithSettle(settle))
 	defer stop()
 	x.Point(f.address)
-	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	arrived := make(chan time.Time, 1)
+	go func() {
+		<-f.asked
+		arrived <- time.Now()
+		time.AfterFunc(wait, cancel)
+	}()
 	given := make(chan struct{}, 2)
-	memory, began := peak(), time.Now()
-	o := drain(x.Send(ctx, call.NewWork(
+	memory := peak()
+	o := drain(x.Send(expiring{ctx}, call.NewWork(
 		func() (call.Request, result.Reason) { return call.NewRequest("s", "GET", "/"), "" },
 		func() { given <- struct{}{} })))
-	took := time.Since(began)
-	is.True(strings.HasPrefix(o, "unknown "))      // never whole, never surely not run
+	is.True(strings.HasPrefix(o, "unknown ")) // never whole, never surely not run
+	took := time.Since(<-arrived)
 	is.True(took < min(wait, dripWait)+floodSlack) // also before a deadline that is far away
 	select {
 	case <-given:
