Pass a refusal on at once, whatever its body is

Seen: a target says with the head of its answer that it did not run a request, and the body behind that head drips or stands still. The request was held until its deadline, or until 4 KiB had come, and only then refused, with no time left to run elsewhere; the slot was taken as long.

Cause: the guard reads the body of a refusal, so that the connection can be kept, and bounded that in bytes only.

Evidence: TestRefusalWithoutEndIsPassedOnAtOnce failed for all bodies that drip but one: 8.5 to 10 s of a deadline of 10 s. It passed before at full speed and for bytes behind a chunk that are no chunk.

Change: what is left of a refusal after 20 ms is given up with its connection. The same cases take 22 ms at most.

--- a/verbenad/command/owner/guard.go
+++ b/verbenad/command/owner/guard.go
@@ -42,8 +42,12 @@
 	leastPatience = 50 * clock.Millisecond
 )
 
-// refusalBytes of a refusal's body are read, so that the connection can be kept.
-const refusalBytes = 4 << 10
+// refusalBytes and refusalSpan bound what is read of a refusal's body, so that the connection can
+// be kept.
+const (
+	refusalBytes = 4 << 10
+	refusalSpan  = 20 * time.Millisecond
+)
 
 // guard takes one request past the checks and to the target.
 type guard struct {
@@ -188,7 +192,9 @@
 func (g *guard) judge(a call.Answer) call.Reply {
 	switch j := g.owner.dialect.Judge(a, g.request, g.known()).(type) {
 	case Declined:
+		late := time.AfterFunc(refusalSpan, g.cancel)
 		_, _ = io.CopyN(io.Discard, a.Body(), refusalBytes)
+		late.Stop()
 		_ = a.Body().Close()
 		return call.NewFailure(result.NewRefused(j.reason, j.after).WithSent())
 	case Foreign:
