Let no reload hold up a planned stop

A daemon whose settings file cannot be read to its end, as on a file system that hangs, did not begin its stop at SIGTERM, so it was killed at the end of its grace with all that was in flight.

Cause: since the handlers moved to package sigs, one goroutine took both signals, and read the file in between. At the end the process also waited for that goroutine. A panic in a reload was kept by conc until then, and no signal was heard any more.

Change: SIGTERM has a goroutine of its own, and nothing waits for the one that reads the settings.

--- a/verbenad/command/start/process_test.go
+++ b/verbenad/command/start/process_test.go
@@ -182,3 +182,20 @@
 	p.signal(syscall.SIGTERM)
 	i.NoErr(p.end(syscall.SIGTERM)) // a planned stop
 }
+
+// TestReloadHoldsUpTheStop guards against settings that cannot be read to their end, as on a
+// file system that hangs, and keep a planned stop from beginning.
+func TestReloadHoldsUpTheStop(t *testing.T) {
+	t.Parallel()
+	i := is.New(t)
+	p := begin(t)
+	p.await("daemon is up")
+	fifo := p.path + ".fifo"
+	i.NoErr(syscall.Mkfifo(fifo, 0o600))
+	i.NoErr(os.Rename(fifo, p.path))
+	p.signal(syscall.SIGHUP)
+	p.await("asked to reload")
+	p.signal(syscall.SIGTERM)
+	p.await("planned stop is done")
+	i.NoErr(p.end(syscall.SIGTERM)) // a planned stop
+}
--- a/verbenad/command/start/start.go
+++ b/verbenad/command/start/start.go
@@ -11,7 +11,6 @@
 
 	"github.com/integrii/flaggy"
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
 
 	"verbenabank/verbenad/adapt/jsonc"
 	"verbenabank/verbenad/adapt/logs"
@@ -83,18 +82,14 @@
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	life, end := context.WithCancel(context.Background())
-	var group conc.WaitGroup
-	defer group.Wait()
 	defer end()
-	group.Go(func() { p.follow(life, stop) })
+	go p.obey(life, stop)
+	go p.follow(life)
 	return d.Run(running)
 }
 
-// follow stops the daemon and reloads its settings as signals ask, until life ends. Settings are
-// also reloaded when the file changed, while the daemon stops too.
-func (p *process) follow(life context.Context, stop func()) {
-	t := time.NewTicker(reloadEvery)
-	defer t.Stop()
+// obey stops the daemon as signals ask, until life ends.
+func (p *process) obey(life context.Context, stop func()) {
 	for {
 		select {
 		case <-life.Done():
@@ -102,6 +97,19 @@
 		case s := <-p.signals.Stops():
 			p.log.WithField("signal", s.String()).Info("start: asked to stop")
 			stop()
+		}
+	}
+}
+
+// follow reloads the settings as signals ask and when their file changed, until life ends, while
+// the daemon stops too. It may wait for the file for any time, so nothing waits for it.
+func (p *process) follow(life context.Context) {
+	t := time.NewTicker(reloadEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-life.Done():
+			return
 		case <-p.signals.Reloads():
 			p.log.Info("start: asked to reload the settings")
 			p.reload()
