Start the deadline of a flooded request when it is sent

Seen: TestBytesWithoutEndEndWithTheirRequest failed in 1 of 3 runs with the race detector at a load of 40, "chunks at full speed" after 0.7 s: the outcome was none of a request that may have run.

Cause, on reading: the test took the deadline before it collected garbage, which can take longer than 0.5 s there, so the request had expired before it was sent. The failure did not show in 8 more runs at that load, nor in 4 at once on one processor; the outcome was not printed.

Change: the deadline begins after the collection, and a failure prints the outcome.

--- a/verbenad/adapt/flood/target_test.go
+++ b/verbenad/adapt/flood/target_test.go
@@ -67,15 +67,17 @@
 	x, stop := target.New(target.WithSettle(settle))
 	defer stop()
 	x.Point(f.address)
-	ctx, cancel := context.WithTimeout(context.Background(), wait)
-	defer cancel()
 	given := make(chan struct{}, 2)
 	memory, began := peak(), time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
 	o := drain(x.Send(ctx, call.NewWork(
 		func() (call.Request, result.Reason) { return call.NewRequest("s", "GET", "/"), "" },
 		func() { given <- struct{}{} })))
 	took := time.Since(began)
-	is.True(strings.HasPrefix(o, "unknown "))      // never whole, never surely not run
+	if !strings.HasPrefix(o, "unknown ") {
+		t.Fatalf("%s after %v: it is not whole, and it may have run", o, took)
+	}
 	is.True(took < min(wait, dripWait)+floodSlack) // also before a deadline that is far away
 	select {
 	case <-given:
