Close idle connections that no request would get

Seen: a target sends bytes behind a whole answer, without end. No request got them, but the connection was closed only when the next request looked at it. Without one it stayed open, with both buffers full, and so did connections whose idle time was over, which also count at the target.

Cause: whether an idle connection can be used was asked only when a request took it.

Evidence: TestConnectionWithBytesBehindAnAnswerIsClosedWithoutARequest failed in all six cases: open after 3 s. TestBytesBehindAnAnswerReachNoRequest passed before: five requests get five answers, each on a connection of its own.

Change: while there are idle connections they are looked at once a second with the check that a request makes. The six connections are closed after 1.01 s. No connection is closed that a request could have used.

--- a/verbenad/adapt/target/target.go
+++ b/verbenad/adapt/target/target.go
@@ -14,6 +14,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -36,6 +37,8 @@
 	bufferBytes = 16 << 10
 	// settleBytes is how much may still come of an answer that was given up.
 	settleBytes = 8 << 20
+	// sweepEvery is how often idle connections are looked at.
+	sweepEvery = 1 * time.Second
 )
 
 // Target is the target beside the daemon. It is safe for concurrent use.
@@ -47,9 +50,10 @@
 	refused     func()
 	group       conc.WaitGroup
 
-	mu      sync.Mutex
-	address string
-	idle    []*conn
+	mu       sync.Mutex
+	address  string
+	idle     []*conn
+	sweeping bool // a sweep is due
 }
 
 // Option sets one property of a Target.
@@ -197,4 +201,30 @@
 		return
 	}
 	t.idle = append(t.idle, c)
+	t.sweepLater()
+}
+
+// sweepLater makes sure that a sweep is due while there are idle connections. The lock must
+// be held.
+func (t *Target) sweepLater() {
+	if !t.sweeping && len(t.idle) > 0 {
+		t.sweeping = true
+		time.AfterFunc(sweepEvery, t.sweep)
+	}
+}
+
+// sweep closes the idle connections that no request would get: those whose time is over and
+// those with bytes that nobody asked for.
+func (t *Target) sweep() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.idle = slices.DeleteFunc(t.idle, func(c *conn) bool {
+		if c.usable(min(t.idleTimeout, c.keep)) {
+			return false
+		}
+		c.close()
+		return true
+	})
+	t.sweeping = false
+	t.sweepLater()
 }
