Give up connections to the peers port that bring nothing

A connection to the peers port that sends nothing, as of a process that stands still, kept a planned stop from its end for up to 120 s; the process is killed at the end of its grace before that.

Cause: gRPC waits at a stop, a forced one too, for connections that are being set up, and gives them 120 s unless told otherwise.

Change: they have 1 s.

--- a/verbenad/command/serve/serve.go
+++ b/verbenad/command/serve/serve.go
@@ -175,8 +175,12 @@
 	return nil
 }
 
+// greetWithin bounds how long a connection of another process may take to be set up. A stop
+// waits for those that are not.
+const greetWithin = time.Second
+
 func (d *Daemon) buildServers() error {
-	d.peers = grpc.NewServer(append(d.trust.ServerOptions(), grpc.InitialWindowSize(hop.WindowBytes))...)
+	d.peers = grpc.NewServer(append(d.trust.ServerOptions(), grpc.InitialWindowSize(hop.WindowBytes), grpc.ConnectionTimeout(greetWithin))...)
 	link.NewServer(d.loop, d.codec, d.part()).Register(d.peers)
 	wirepb.RegisterHopServer(d.peers, hop.NewServer(d.owner))
 	d.admin = fiber.New(fiber.Config{AppName: "verbenad", BodyLimit: adminBodyBytes})
--- a/verbenad/command/start/process_test.go
+++ b/verbenad/command/start/process_test.go
@@ -41,6 +41,7 @@
 type program struct {
 	t     *testing.T
 	path  string // of the settings
+	peers string // address
 	late  string // of settings that are put in place once those of path are loaded
 	cmd   *exec.Cmd
 	out   io.Closer // the reading end of what the process prints
@@ -62,7 +63,7 @@
 	peers, admin, callers := free(t), free(t), free(t)
 	p := &program{
 		t: t, path: filepath.Join(folder, "settings.jsonc"), late: filepath.Join(folder, "late.jsonc"),
-		lines: make(chan string, 1000),
+		peers: peers, lines: make(chan string, 1000),
 	}
 	text := fmt.Sprintf(`{"instance": "one", "zone": "z", "replicas": [%q], "open_network": true,
 		"listen": {"callers": %q, "peers": %q, "admin": %q}, "control": {"data_folder": "data", "form": true},
@@ -199,3 +200,19 @@
 	p.await("planned stop is done")
 	i.NoErr(p.end(syscall.SIGTERM)) // a planned stop
 }
+
+// TestSilentPeerHoldsUpTheStop guards against a connection to the peers port that brings nothing
+// and keeps a planned stop from its end.
+func TestSilentPeerHoldsUpTheStop(t *testing.T) {
+	t.Parallel()
+	i := is.New(t)
+	p := begin(t)
+	p.await("daemon is up")
+	c, err := net.Dial("tcp", p.peers)
+	i.NoErr(err)
+	defer func() { _ = c.Close() }()
+	time.Sleep(100 * time.Millisecond)
+	p.signal(syscall.SIGTERM)
+	p.await("planned stop is done")
+	i.NoErr(p.end(syscall.SIGTERM)) // a planned stop
+}
