Wait for connections that are being taken on when a front shuts down

A stop could end the process while a caller whose connection had just been taken on waited for its answer.

Cause: Shutdown waited for the connections that were known. One that had left the queue of the port, and whose goroutine had not begun, was not: with no other connection open the stop went on to its end at once. The race detector showed the same place: the group of connections was added to while it was waited for.

Change: taking on connections is part of what Shutdown waits for, and Shutdown closes the ports itself, so it is complete when it returns.

TestShutdownWaitsForAConnectionThatIsBeingTakenOn failed before (Shutdown returned before the request had run) and passes now.

--- a/verbenad/adapt/front/front.go
+++ b/verbenad/adapt/front/front.go
@@ -82,8 +82,9 @@
 	ending   context.Context // ends when requests under way get no more time
 	end      context.CancelFunc
 
-	mu    sync.Mutex
-	conns map[*conn]struct{}
+	mu        sync.Mutex
+	listeners []net.Listener
+	conns     map[*conn]struct{}
 }
 
 // Option sets one property of a Front.
@@ -118,8 +119,29 @@
 	return f
 }
 
-// Serve takes connections until the listener is closed.
+// Serve takes connections until the listener is closed, which Shutdown does.
 func (f *Front) Serve(l net.Listener) error {
+	ended := make(chan error, 1)
+	if !f.serving(l, func() { ended <- f.accept(l) }) {
+		_ = l.Close()
+		return net.ErrClosed
+	}
+	return <-ended
+}
+
+// serving runs accept as something that Shutdown waits for. It reports false after Shutdown.
+func (f *Front) serving(l net.Listener, accept func()) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stopping.Load() {
+		return false
+	}
+	f.listeners = append(f.listeners, l)
+	f.group.Go(accept)
+	return true
+}
+
+func (f *Front) accept(l net.Listener) error {
 	for {
 		n, err := l.Accept()
 		if err != nil {
@@ -170,12 +192,15 @@
 // answerWithin is how long requests that get no more time may take to be told so.
 const answerWithin = 250 * time.Millisecond
 
-// Shutdown ends idle connections and waits for the others until ctx ends. Requests that are
-// under way then are answered that they have no answer of a target.
+// Shutdown takes no more connections, ends idle ones and waits for the others until ctx ends.
+// Requests that are under way then are answered that they have no answer of a target.
 func (f *Front) Shutdown(ctx context.Context) {
 	f.Leave()
-	f.stopping.Store(true)
 	f.mu.Lock()
+	f.stopping.Store(true)
+	for _, l := range f.listeners {
+		_ = l.Close()
+	}
 	for c := range f.conns {
 		c.endIfIdle()
 	}
--- a/verbenad/adapt/front/leave_test.go
+++ b/verbenad/adapt/front/leave_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -162,19 +163,40 @@
 	return nil
 }
 
-// one is a listener that gives one connection.
-type one struct{ conn chan net.Conn }
+// brief is a listener that gives one connection: at once, or while it is being closed.
+type brief struct {
+	conns  chan net.Conn
+	late   bool
+	once   sync.Once
+	closed chan struct{}
+}
+
+func newBrief(c net.Conn, late bool) *brief {
+	b := &brief{conns: make(chan net.Conn, 1), late: late, closed: make(chan struct{})}
+	b.conns <- c
+	return b
+}
 
-func (o one) Accept() (net.Conn, error) {
-	c, ok := <-o.conn
-	if !ok {
+func (b *brief) Accept() (net.Conn, error) {
+	if b.late {
+		<-b.closed
+		time.Sleep(20 * time.Millisecond)
+	}
+	select {
+	case c := <-b.conns:
+		return c, nil
+	default:
+		<-b.closed
 		return nil, net.ErrClosed
 	}
-	return c, nil
 }
 
-func (one) Close() error   { return nil }
-func (one) Addr() net.Addr { return nil }
+func (b *brief) Close() error {
+	b.once.Do(func() { close(b.closed) })
+	return nil
+}
+
+func (*brief) Addr() net.Addr { return nil }
 
 // TestRequestReadAsItsConnectionEndsIsAnswered guards against requests that were read whole and got
 // neither an answer nor a refusal, since idle connections were ended at the same instant.
@@ -182,10 +204,9 @@
 	is := is.New(t)
 	f, _ := start(t, 5000, func(context.Context, call.Request) call.Reply { return answer("whole", 5) })
 	l := &late{request: []byte(ask("/p/1")), awaited: make(chan struct{}), ended: make(chan struct{}, 4), response: make(chan []byte, 4)}
-	conns := make(chan net.Conn, 1)
-	conns <- l
-	go func() { _ = f.Serve(one{conns}) }()
-	defer close(conns)
+	b := newBrief(l, false)
+	defer func() { _ = b.Close() }()
+	go func() { _ = f.Serve(b) }()
 	<-l.awaited
 	<-stopping(t, f)
 	a, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(<-l.response)), nil)
@@ -194,3 +215,81 @@
 	is.True(a.Close)
 	_ = a.Body.Close()
 }
+
+// TestShutdownWaitsForAConnectionThatIsBeingTakenOn guards against requests that were cut by the end
+// of the process: their connection was not known yet when the last one had ended.
+func TestShutdownWaitsForAConnectionThatIsBeingTakenOn(t *testing.T) {
+	is := is.New(t)
+	var served atomic.Bool
+	f, _ := start(t, 5000, func(context.Context, call.Request) call.Reply {
+		time.Sleep(50 * time.Millisecond)
+		served.Store(true)
+		return answer("whole", 5)
+	})
+	ours, theirs := net.Pipe()
+	b := newBrief(theirs, true)
+	go func() { _ = f.Serve(b) }()
+	time.Sleep(20 * time.Millisecond)
+	go func() {
+		_, _ = io.WriteString(ours, ask("/p/1"))
+		_, _ = io.Copy(io.Discard, ours)
+	}()
+	_ = b.Close()
+	<-stopping(t, f)
+	is.True(served.Load())
+}
+
+// TestRequestsThatCrossTheStopAreAnsweredOrNotPassedOn sends requests on kept connections just as
+// these are ended.
+func TestRequestsThatCrossTheStopAreAnsweredOrNotPassedOn(t *testing.T) {
+	var passed sync.Map
+	f, address := start(t, 5000, func(_ context.Context, r call.Request) call.Reply {
+		passed.Store(r.URI(), true)
+		time.Sleep(5 * time.Millisecond)
+		return answer(r.URI(), int64(len(r.URI())))
+	})
+	var group sync.WaitGroup
+	var lost, answered, crossed atomic.Int32
+	for n := range 200 {
+		group.Go(func() {
+			c, err := net.Dial("tcp", address)
+			if err != nil {
+				return // too late
+			}
+			defer func() { _ = c.Close() }()
+			r := bufio.NewReader(c)
+			for m := range 40 {
+				path := "/p/" + strings.Repeat("x", n+1) + "/" + strings.Repeat("y", m+1)
+				if _, err := io.WriteString(c, ask(path)); err != nil {
+					return
+				}
+				a, err := http.ReadResponse(r, nil)
+				if _, ok := passed.Load(path); err != nil && ok {
+					lost.Add(1)
+				}
+				if err != nil {
+					crossed.Add(1)
+					return
+				}
+				_, err = io.ReadAll(a.Body)
+				_ = a.Body.Close()
+				if err != nil {
+					lost.Add(1)
+					return
+				}
+				answered.Add(1)
+				if a.Close {
+					return
+				}
+				time.Sleep(time.Duration(n%7) * time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(60 * time.Millisecond)
+	<-stopping(t, f)
+	group.Wait()
+	t.Logf("%d answered, %d crossed the end of their connection", answered.Load(), crossed.Load())
+	if lost.Load() > 0 {
+		t.Fatalf("%d requests were passed on and got no answer", lost.Load())
+	}
+}
