Take on a request whose answer before has left when a stop begins

A caller that had its answer, which did not say that the connection ends, and sent its next request just as its daemon shut down, could see that request read and the connection closed.

Cause: a request counts as under way until its goroutine has run on after writing the answer, which is later than the caller has it on a machine short of processor time.

Change: a request is behind another one only until the last bytes of that one's answer are handed to the connection.

TestRequestAfterAnAnswerOfAStopIsTakenOn failed before (unexpected EOF) and passes now.

--- a/verbenad/adapt/front/conn.go
+++ b/verbenad/adapt/front/conn.go
@@ -43,6 +43,7 @@
 
 	mu      sync.Mutex
 	turn    chan struct{} // closed when the last response is written
+	last    *exchange     // the one of that response, nil before the first
 	waiting bool          // for the first byte of a request
 	ending  bool          // no request is read any more
 	unsaid  bool          // it ends since it is idle, its caller was not told
@@ -142,19 +143,12 @@
 		c.unread = true
 		return false
 	}
-	x.before, c.turn = c.turn, x.done
+	x.before, c.turn, c.last = c.turn, x.done, x
 	return true
 }
 
-// behind reports whether the last response is still to be written. The lock must be held.
-func (c *conn) behind() bool {
-	select {
-	case <-c.turn:
-		return false
-	default:
-		return true
-	}
-}
+// behind reports whether the caller cannot have the last response yet. The lock must be held.
+func (c *conn) behind() bool { return c.last != nil && !c.last.sent.Load() }
 
 // ends reports whether the response to x is the last one, which it is to be if wanted. One
 // with requests behind it is not: they are under way and get their answers.
--- a/verbenad/adapt/front/exchange.go
+++ b/verbenad/adapt/front/exchange.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -30,7 +31,8 @@
 	began  clock.Millis
 	ask    Ask
 	body   *relay.Body
-	cut    bool // the body was not read whole
+	cut    bool        // the body was not read whole
+	sent   atomic.Bool // the caller may have the whole response
 
 	// What the log tells of the request.
 	route   string
--- a/verbenad/adapt/front/leave_test.go
+++ b/verbenad/adapt/front/leave_test.go
@@ -239,6 +239,36 @@
 	is.True(served.Load())
 }
 
+// slow is a connection whose writer goes on a while after its bytes have left.
+type slow struct{ net.Conn }
+
+func (s slow) Write(p []byte) (int, error) {
+	n, err := s.Conn.Write(p)
+	time.Sleep(200 * time.Millisecond)
+	return n, err
+}
+
+// TestRequestAfterAnAnswerOfAStopIsTakenOn guards against requests that were read and dropped: the
+// answer before had arrived, and did not say that the connection ends, but counted as under way.
+func TestRequestAfterAnAnswerOfAStopIsTakenOn(t *testing.T) {
+	is := is.New(t)
+	f, _ := start(t, 5000, func(context.Context, call.Request) call.Reply { return answer("whole", 5) })
+	ours, theirs := net.Pipe()
+	b := newBrief(slow{theirs}, false)
+	go func() { _ = f.Serve(b) }()
+	r := bufio.NewReader(ours)
+	_, err := io.WriteString(ours, ask("/p/1"))
+	is.NoErr(err)
+	status, _ := read(t, r)
+	is.Equal(status, 200)
+	done := stopping(t, f)
+	_, err = io.WriteString(ours, ask("/p/2"))
+	is.NoErr(err)
+	status, _ = read(t, r)
+	is.Equal(status, 200)
+	<-done
+}
+
 // TestRequestsThatCrossTheStopAreAnsweredOrNotPassedOn sends requests on kept connections just as
 // these are ended.
 func TestRequestsThatCrossTheStopAreAnsweredOrNotPassedOn(t *testing.T) {
--- a/verbenad/adapt/front/respond.go
+++ b/verbenad/adapt/front/respond.go
@@ -119,6 +119,7 @@
 			return x.broken(call.ReasonOf(err))
 		}
 	}
+	x.sent.Store(true)
 	if !w.end() {
 		return x.broken(result.Cancelled)
 	}
@@ -189,6 +190,7 @@
 
 // write sends a whole response.
 func (x *exchange) write(b *bytes.Buffer, last bool) {
+	x.sent.Store(true)
 	if _, err := x.conn.net.Write(b.Bytes()); err != nil {
 		x.conn.stop(true)
 		x.conn.cancel()
