--- a/verbenad/adapt/flood/flood_test.go
+++ b/verbenad/adapt/flood/flood_test.go
@@ -30,6 +30,7 @@
 
 	address string
 	sent    atomic.Int64  // bytes
+	open    atomic.Int64  // connections with a request
 	closed  chan struct{} // gets one element for each connection that was closed
 }
 
@@ -56,6 +57,7 @@
 	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 		return
 	}
+	f.open.Add(1)
 	piece := []byte(f.piece)
 	if f.pause == 0 {
 		piece = bytes.Repeat(piece, 1+floodPiece/len(piece))
@@ -64,6 +66,7 @@
 		n, err := c.Write(text)
 		f.sent.Add(int64(n))
 		if err != nil {
+			f.open.Add(-1)
 			f.closed <- struct{}{}
 			return
 		}
@@ -111,6 +114,9 @@
 	endlessPart = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
 
+// speeds are the pauses between two pieces.
+var speeds = map[string]time.Duration{"drips": 2 * time.Millisecond, "at full speed": 0}
+
 // kinds are bytes without end. Those that are no body are to end an exchange after a bounded
 // number of them, the others at its deadline.
 var kinds = map[string]struct {
