Judge a target of a pooled service by whole answers

Seen: of a fleet with a server that answers with a quick head and a body that never ends or breaks off, this server got more than its share, and each such request lasted until its deadline: 124 of 400 requests went to one of four such targets.

Cause: a relay noted an answer as good at its head. That set back the count of failures in a row, so that the break that followed never made five of them, and the latency of the head alone made the target look the fastest.

Evidence: TestTargetWhoseAnswersAreNeverWholeIsLeft failed with 124 of 400 requests.

Change: what a head says is noted at the end of the body, with the time of the head as before; a body that is not whole is noted as a failure alone.

--- a/verbenad/command/relay/peers.go
+++ b/verbenad/command/relay/peers.go
@@ -82,8 +82,8 @@
 		span := p.clock.Now() - began
 		switch reply := reply.(type) {
 		case call.Answer:
-			v.note(sampleOfAnswer(reply, span))
-			return call.NewAnswer(reply.Status(), reply.Fields(), &visited{ReadCloser: reply.Body(), visit: v}, reply.Length())
+			b := &visited{ReadCloser: reply.Body(), visit: v, whole: sampleOfAnswer(reply, span)}
+			return call.NewAnswer(reply.Status(), reply.Fields(), b, reply.Length())
 		case call.Failure:
 			v.note(sampleOf(reply.Outcome(), span))
 			v.end()
@@ -92,7 +92,7 @@
 	}
 }
 
-// sampleOfAnswer returns what an answer says of the target.
+// sampleOfAnswer returns what a whole answer says of the target, whose head came after the span.
 func sampleOfAnswer(a call.Answer, span clock.Millis) eject.Sample {
 	if result.NewAnswered(a.Status()).Failed() {
 		return eject.Faulty{}
@@ -154,12 +154,18 @@
 type visited struct {
 	io.ReadCloser
 	visit *visit
+	whole eject.Sample // to be noted at the end of the body
 }
 
-// Read notes an answer that is not whole.
+// Read notes how the answer ended: a head alone says nothing of the target.
 func (b *visited) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err != nil && err != io.EOF {
+	switch err {
+	case nil:
+	case io.EOF:
+		b.visit.note(b.whole)
+		b.whole = nil
+	default:
 		span := b.visit.peers.clock.Now() - b.visit.began
 		b.visit.note(sampleOf(result.NewUnknown(call.ReasonOf(err)), span))
 	}
--- a/verbenad/command/relay/relay_test.go
+++ b/verbenad/command/relay/relay_test.go
@@ -38,15 +38,16 @@
 }
 
 // newRelay returns a relay at member 1 of four in one availability zone.
-func newRelay(a *asked) (*relay.Relay, rules.Service) {
+func newRelay(a *asked, opts ...relay.Option) (*relay.Relay, rules.Service) {
 	c, cell, s := clock.New(), snap.NewCell(), rules.NewService(service)
 	changes := []table.Change{table.NewRulesSet(rules.New(1, "", s))}
 	for i := range table.Incarnation(4) {
 		changes = append(changes, table.NewMemberSet(table.NewMember(i+1, "i", "z", "a", service, table.Serving{})))
 	}
 	cell.Publish(snap.New(table.Empty().With(1, changes...), 1, c.Now()+60_000, c.Now()+60_000))
-	return relay.New(relay.WithClock(c), relay.WithCell(cell), relay.WithLocal(a), relay.WithRemote(a),
-		relay.WithRetry(retry.Routed{}), relay.WithZone("z")), s
+	opts = append([]relay.Option{relay.WithClock(c), relay.WithCell(cell), relay.WithLocal(a), relay.WithRemote(a),
+		relay.WithRetry(retry.Routed{}), relay.WithZone("z")}, opts...)
+	return relay.New(opts...), s
 }
 
 func upload(r *relay.Relay, s rules.Service, bytes int) relay.Served {
@@ -92,3 +93,34 @@
 	is.Equal(a.here, 1)
 	is.Equal(a.away, 1)
 }
+
+// torn is the body of an answer that is not whole.
+type torn struct{}
+
+func (torn) Read([]byte) (int, error) { return 0, call.NewError("read", result.Truncated) }
+
+func (torn) Close() error { return nil }
+
+// beside answers with a head and a body that is not whole, others with whole answers.
+type beside struct{ asked }
+
+func (b *beside) Serve(context.Context, call.Request) call.Reply {
+	b.here++
+	return call.NewAnswer(200, nil, torn{}, -1)
+}
+
+func TestTargetWhoseAnswersAreNeverWholeIsLeft(t *testing.T) {
+	is := is.New(t)
+	b := &beside{asked{reply: answer}}
+	r, s := newRelay(&b.asked, relay.WithLocal(b))
+	const requests = 400
+	for range requests {
+		deadline := clock.New().Now() + 5000
+		served, ok := r.Run(context.Background(), relay.NewDemand(s, route.Direct(service, ""), deadline)).Reply().(call.Answer)
+		is.True(ok)
+		_, _ = io.Copy(io.Discard, served.Body())
+		is.NoErr(served.Body().Close())
+	}
+	t.Logf("%d of %d requests", b.here, requests)
+	is.True(b.here < requests/20)
+}
