--- a/verbenad/adapt/flood/flood_test.go
+++ b/verbenad/adapt/flood/flood_test.go
@@ -84,6 +84,17 @@
 	}
 }
 
+// awaitRequests waits until the target has so many requests, and their answers have begun.
+func (f *flood) awaitRequests(t *testing.T, count int64) {
+	t.Helper()
+	for end := time.Now().Add(floodSlack); f.open.Load() < count; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the requests do not reach the target")
+		}
+	}
+	time.Sleep(arrival)
+}
+
 // peak returns the growth in bytes of the memory in use from now on until stop.
 func peak() (stop func() uint64) {
 	var m runtime.MemStats
--- a/verbenad/adapt/flood/path_test.go
+++ b/verbenad/adapt/flood/path_test.go
@@ -56,6 +56,7 @@
 	owner   *owner.Owner
 	front   *front.Front
 	server  *grpc.Server
+	hops    *hop.Client
 	peers   string
 	address string
 }
@@ -112,7 +113,8 @@
 	t.Cleanup(stop)
 	d.Point(address)
 	m.owner = owner.New(owner.WithCell(m.cell), owner.WithTarget(d))
-	hops, stopHops := hop.New()
+	var stopHops func()
+	m.hops, stopHops = hop.New()
 	t.Cleanup(stopHops)
 	peers, err := net.Listen("tcp", "127.0.0.1:0")
 	must(t, err)
@@ -122,7 +124,7 @@
 	t.Cleanup(m.server.Stop)
 	m.peers = peers.Addr().String()
 	m.front = front.New(front.WithDialect(words{}), front.WithRelay(relay.New(relay.WithCell(m.cell), relay.WithLocal(m.owner),
-		relay.WithRemote(hops), relay.WithRetry(retry.Routed{}))))
+		relay.WithRemote(m.hops), relay.WithRetry(retry.Routed{}))))
 	callers, err := net.Listen("tcp", "127.0.0.1:0")
 	must(t, err)
 	go func() { _ = m.front.Serve(callers) }()
@@ -245,12 +247,7 @@
 		c, _ := m.send(t, flooded)
 		callers = append(callers, c)
 	}
-	for end := time.Now().Add(floodSlack); f.open.Load() < 2; time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("the requests do not reach the target")
-		}
-	}
-	time.Sleep(arrival)
+	f.awaitRequests(t, int64(len(callers)))
 	return first, second, callers
 }
 
