--- a/verbenad/adapt/flood/flood_test.go
+++ b/verbenad/adapt/flood/flood_test.go
@@ -30,7 +30,8 @@
 
 	address string
 	sent    atomic.Int64  // bytes
-	asked   chan struct{} // gets one element for each request
+	asked   chan struct{} // gets an element for the first requests
+	open    atomic.Int64  // connections with a request
 	closed  chan struct{} // gets one element for each connection that was closed
 }
 
@@ -57,7 +58,11 @@
 	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 		return
 	}
-	f.asked <- struct{}{}
+	f.open.Add(1)
+	select {
+	case f.asked <- struct{}{}:
+	default:
+	}
 	piece := []byte(f.piece)
 	if f.pause == 0 {
 		piece = bytes.Repeat(piece, 1+floodPiece/len(piece))
@@ -66,6 +71,7 @@
 		n, err := c.Write(text)
 		f.sent.Add(int64(n))
 		if err != nil {
+			f.open.Add(-1)
 			f.closed <- struct{}{}
 			return
 		}
@@ -83,6 +89,17 @@
 	}
 }
 
+// awaitRequests waits until the target has so many requests, and their answers have begun.
+func (f *flood) awaitRequests(t *testing.T, count int64) {
+	t.Helper()
+	for end := time.Now().Add(floodSlack); f.open.Load() < count; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the requests do not reach the target")
+		}
+	}
+	time.Sleep(arrival)
+}
+
 // peak returns the growth in bytes of the memory in use from now on until stop.
 func peak() (stop func() uint64) {
 	var m runtime.MemStats
@@ -113,6 +130,9 @@
 	endlessPart = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
 
+// speeds are the pauses between two pieces.
+var speeds = map[string]time.Duration{"drips": 2 * time.Millisecond, "at full speed": 0}
+
 // kinds are bytes without end. Those that are no body are to end an exchange after a bounded
 // number of them, the others at its deadline.
 var kinds = map[string]struct {
