End a connection whose reader waits only after the last answer

A caller whose answer broke off saw its connection open for 10 s more, and after an answer that says that the connection ends it stayed open until the caller closed it, up to 10 minutes after an upload. A stop waits for such connections until its grace time ends.

Cause: the answer that ends a connection wakes a reader that waits for the next request. One that came to wait a moment later, between the answer and the end of its goroutine, was not woken, and found that a request was still under way: it waited with the time for the head or the body that was read before.

Change: the end of a request looks again, and wakes a reader that waits on a connection that is to end.

TestBrokenAnswerNeverLooksWhole took 10 s in 1 of 8 runs under -race. TestConnectionEndsAtOnceAfterItsLastAnswer failed before (4 of 4 runs, on one of the first connections) and passes now.

--- a/verbenad/adapt/front/conn.go
+++ b/verbenad/adapt/front/conn.go
@@ -215,9 +215,13 @@
 	}
 }
 
-// rest ends the connection after an answer that did not say so, if the daemon stops meanwhile.
+// rest ends the connection if that was the last answer, or if the daemon stops meanwhile. Its reader may
+// have come to wait after the answer was written.
 func (c *conn) rest() {
-	if c.front.stopping.Load() {
+	c.mu.Lock()
+	ending := c.ending
+	c.mu.Unlock()
+	if ending || c.front.stopping.Load() {
 		c.endIfIdle()
 	}
 }
--- a/verbenad/adapt/front/kept_test.go
+++ b/verbenad/adapt/front/kept_test.go
@@ -66,3 +66,23 @@
 	is.Equal(status, 200)
 	is.Equal(text, "whole")
 }
+
+// TestConnectionEndsAtOnceAfterItsLastAnswer guards against connections that stayed open for the
+// time of a head: their last answer was written before the next request was waited for.
+func TestConnectionEndsAtOnceAfterItsLastAnswer(t *testing.T) {
+	f, address := start(t, 5000, func(_ context.Context, r call.Request) call.Reply {
+		_, _ = io.ReadAll(r.Body())
+		return call.NewAnswer(200, nil, &breaking{}, 5)
+	})
+	f.Leave()
+	for range 500 {
+		c, r := dial(t, address)
+		_, _ = io.WriteString(c, "POST /p/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello")
+		_, _ = read(t, r)
+		_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+		if _, err := r.ReadByte(); err != io.EOF {
+			t.Fatalf("the connection is open 2 s after its last answer: %v", err)
+		}
+		_ = c.Close()
+	}
+}
