Keep the line to a daemon that left until its last answers are here

A caller got 502 for a request that the target of another daemon had answered, at the instant at which the others learnt that this daemon had left.

Cause: a daemon tells the leader that it is gone once nothing is in flight to its target. That word went round to the other daemons while its last answers were on their way, or waited for a processor, and made them close their connections to it.

Change: connections to members that are gone take no new requests and are closed 1 s later. One to a daemon whose process ended closes by itself at once, as before.

TestLastAnswerOfAPeerThatLeftArrives failed before (no answer, the request was interrupted) and passes now.

--- a/verbenad/adapt/hop/hop.go
+++ b/verbenad/adapt/hop/hop.go
@@ -24,6 +24,9 @@
 	WindowBytes = 64 << 10
 	// DefaultConnectTimeout bounds the making of a connection.
 	DefaultConnectTimeout = 500 * time.Millisecond
+	// partSpan is how long the connection to a member that is gone is kept: its last answers may still be
+	// on their way when the others know that it is gone.
+	partSpan = 1 * time.Second
 	// chunkBytes is the size of the largest part of a body. With its head the part fits
 	// a pooled buffer of gRPC of 32 KiB; the next size is 1 MiB.
 	chunkBytes = 32<<10 - 64
@@ -34,9 +37,10 @@
 	dialOptions    []grpc.DialOption
 	connectTimeout time.Duration
 
-	mu     sync.Mutex
-	closed bool
-	conns  map[string]*grpc.ClientConn
+	mu      sync.Mutex
+	closed  bool
+	conns   map[string]*grpc.ClientConn
+	parting map[*grpc.ClientConn]struct{} // to be closed soon
 }
 
 // Option sets one property of a Client.
@@ -55,7 +59,7 @@
 // New returns a client without connections. The clean-up function closes them all
 // and so ends requests on their way.
 func New(opts ...Option) (*Client, func()) {
-	c := &Client{connectTimeout: DefaultConnectTimeout, conns: map[string]*grpc.ClientConn{}}
+	c := &Client{connectTimeout: DefaultConnectTimeout, conns: map[string]*grpc.ClientConn{}, parting: map[*grpc.ClientConn]struct{}{}}
 	for _, o := range opts {
 		o(c)
 	}
@@ -70,21 +74,37 @@
 		_ = n.Close()
 	}
 	clear(c.conns)
+	for n := range c.parting {
+		_ = n.Close()
+	}
+	clear(c.parting)
 }
 
-// Keep closes connections to all addresses but those listed, so that there is at
-// most one for each member. Requests on their way to the others are interrupted.
+// Keep parts with connections to all addresses but those listed, so that there is at
+// most one for each member. Nothing more is sent on the others, and requests that have no whole
+// answer soon are interrupted.
 func (c *Client) Keep(addresses map[string]bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for a, n := range c.conns {
 		if !addresses[a] {
-			_ = n.Close()
 			delete(c.conns, a)
+			c.parting[n] = struct{}{}
+			time.AfterFunc(partSpan, func() { c.part(n) })
 		}
 	}
 }
 
+// part closes a connection, if it is not closed yet.
+func (c *Client) part(n *grpc.ClientConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.parting[n]; ok {
+		delete(c.parting, n)
+		_ = n.Close()
+	}
+}
+
 // conn returns the connection to address, which is made in the background.
 func (c *Client) conn(address string) (*grpc.ClientConn, bool) {
 	c.mu.Lock()
--- a/verbenad/adapt/hop/hop_test.go
+++ b/verbenad/adapt/hop/hop_test.go
@@ -126,3 +126,35 @@
 		}
 	}
 }
+
+// lingering answers, but only after others know that its daemon is gone.
+type lingering struct {
+	taken   chan struct{}
+	proceed chan struct{}
+}
+
+func (l lingering) Serve(context.Context, call.Request) call.Reply {
+	l.taken <- struct{}{}
+	<-l.proceed
+	return call.NewAnswer(200, nil, io.NopCloser(bytes.NewReader([]byte("last"))), 4)
+}
+
+// TestLastAnswerOfAPeerThatLeftArrives guards against 502 for requests that the target of a stopping
+// daemon had answered: the word that the daemon is gone overtook its answers.
+func TestLastAnswerOfAPeerThatLeftArrives(t *testing.T) {
+	is := is.New(t)
+	l := lingering{taken: make(chan struct{}, 1), proceed: make(chan struct{})}
+	address, _ := peer(t, l)
+	c, stop := hop.New()
+	defer stop()
+	done := make(chan call.Reply)
+	go func() { done <- c.Send(context.Background(), address, call.NewRequest("s", "POST", "/")) }()
+	<-l.taken
+	c.Keep(map[string]bool{})
+	close(l.proceed)
+	a, ok := (<-done).(call.Answer)
+	is.True(ok)
+	content, err := io.ReadAll(a.Body())
+	is.NoErr(err)
+	is.Equal(string(content), "last")
+}
