Let the last answer of the own protocol arrive when more was sent behind it

A caller of the daemon's own protocol that sends requests ahead got only a part of a long answer, and then a reset, from a daemon that was asked to stop.

Cause: the connection was closed after the answer with further requests unread in it, which resets it.

Change: once the entry shuts down, the connection of each request that ends is closed like one with a body left unread: its sending half first, and all of it when the caller closes, or after 0.5 s.

--- a/verbenad/command/entry/conn.go
+++ b/verbenad/command/entry/conn.go
@@ -69,19 +69,19 @@
 }
 
 const (
-	// lingerSpan and lingerBytes bound what is read of a body that nobody wants.
+	// lingerSpan and lingerBytes bound what is read of a body, or of further requests, that nobody wants.
 	lingerSpan  = 500 * time.Millisecond
 	lingerBytes = 16 << 20
 )
 
-// leave says that a part of the request will stay unread.
+// leave says that a part of the request, or what was sent behind it, will stay unread.
 func (c *conn) leave() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unread = true
 }
 
-// Close closes the connection. If the caller may still be sending a body, it is read for a
+// Close closes the connection. If the caller may still be sending something, it is read for a
 // while first: closing at once would reset the connection, and the caller would lose the
 // response.
 func (c *conn) Close() error {
--- a/verbenad/command/entry/entry.go
+++ b/verbenad/command/entry/entry.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/sourcegraph/conc"
@@ -32,6 +33,7 @@
 	meter    *meter.Meter
 	app      *fiber.App
 	watches  conc.WaitGroup
+	leaving  atomic.Bool
 }
 
 // Option sets one property of an Entry.
@@ -80,4 +82,7 @@
 
 // Shutdown takes no new connections and returns when all requests are answered, or
 // with an error when ctx ends first.
-func (e *Entry) Shutdown(ctx context.Context) error { return e.app.ShutdownWithContext(ctx) }
+func (e *Entry) Shutdown(ctx context.Context) error {
+	e.leaving.Store(true)
+	return e.app.ShutdownWithContext(ctx)
+}
--- a/verbenad/command/entry/fleet_test.go
+++ b/verbenad/command/entry/fleet_test.go
@@ -29,6 +29,7 @@
 	peers  string
 	url    string
 	self   table.Incarnation
+	stop   func(ctx context.Context) error // of the entry
 }
 
 func listen(t testing.TB) net.Listener {
@@ -60,7 +61,7 @@
 	e := entry.New(append([]entry.Option{entry.WithCell(d.cell), entry.WithLocal(d.owner), entry.WithRemote(client),
 		entry.WithInstance("instance", "zone")}, opts...)...)
 	callers := listen(t)
-	d.url = "http://" + callers.Addr().String()
+	d.url, d.stop = "http://"+callers.Addr().String(), e.Shutdown
 	go func() { _ = e.Serve(callers) }()
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
--- a/verbenad/command/entry/handle.go
+++ b/verbenad/command/entry/handle.go
@@ -63,6 +63,9 @@
 	began := e.clock.Now()
 	o := t.run()
 	e.meter.End(o, e.clock.Now()-began)
+	if e.leaving.Load() {
+		t.leaveUnread()
+	}
 	return nil
 }
 
