Let a replica vote whose promotion is not committed yet

Seen: power was lost at all control machines while the successor of a lost one was about to become a voter; afterwards the group had no leader for good, and acknowledged configurations could not be read (LOST, with one disk lost of one that the group bears).

Cause: the entry that promotes the successor was on the leader's disk only. By this log the quorum is three of four, of which one is gone for good; the third vote is that of the successor, which refused it, since it knew of no committed entry that made it a voter. The others cannot win either, since the leader's log is longer than theirs. Nobody can be elected, whatever the time.

Change: a replica votes once it has an entry of the group, or was told that it is a voter; the candidate counts votes by the newest members in its own log, as in the dissertation (4.1) and in model/log.pml, whose rule has no such guard either. A replica stands for election if the committed or the newest members have it as a voter. Safe, since memberships that follow each other differ by one, so their quorums meet, and a replica without an entry of the group still does not vote.

--- a/core/command/raft/election.go
+++ b/core/command/raft/election.go
@@ -86,7 +86,7 @@
 }
 
 func (n *Node) onPreVoteRequest(m peer.Message, r peer.PreVoteRequest) {
-	if !n.promoted() {
+	if !n.mayVote() {
 		return
 	}
 	granted := m.Term() > n.term && !n.hears() && n.upToDate(r.LastIndex(), r.LastTerm())
@@ -108,7 +108,7 @@
 }
 
 func (n *Node) onVoteRequest(m peer.Message, r peer.VoteRequest) {
-	if !n.promoted() || (n.hears() && !r.Transfer() && m.Term() > n.term) {
+	if !n.mayVote() || (n.hears() && !r.Transfer() && m.Term() > n.term) {
 		return
 	}
 	if m.Term() > n.term {
--- a/core/command/raft/open_test.go
+++ b/core/command/raft/open_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"verbenabank/core/clock"
+	"verbenabank/core/state/peer"
 )
 
 const (
@@ -128,6 +129,38 @@
 	}
 }
 
+// TestPowerIsLostWhileAReplacementIsPromoted loses power when only the leader's disk has the entry
+// that makes the successor of a lost machine a voter. (Seed 1231 of TestBlackoutSoak.)
+func TestPowerIsLostWhileAReplacementIsPromoted(t *testing.T) {
+	w := openWorld(t)
+	l := w.leader()
+	lost := w.hosts[(l.number+1)%3]
+	lost.wipe()
+	lost.gone = true
+	w.dropped = func(from, _ int, m peer.Message) bool {
+		r, ok := m.Body().(peer.AppendRequest)
+		return ok && from == l.number && slices.ContainsFunc(r.Entries(), func(e peer.Entry) bool {
+			c, ok := e.Payload().(peer.Change)
+			return ok && c.Members().Voters() == 4
+		})
+	}
+	w.join("127.0.0.9:1", l.address)
+	promoted := func() bool {
+		entries := l.disk.Entries()
+		c, ok := entries[len(entries)-1].Payload().(peer.Change)
+		return ok && c.Members().Voters() == 4
+	}
+	for k := 0; k < 2000 && !promoted(); k++ {
+		run(t, w, 1)
+	}
+	if !promoted() {
+		t.Fatal("the successor is not promoted")
+	}
+	w.dropped = nil
+	w.powerOff()
+	w.wantsAll(t)
+}
+
 // TestDiskIsLostAfterAPlannedReplacement loses one more disk, and all power, soon after a machine
 // left whose successor had caught up.
 func TestDiskIsLostAfterAPlannedReplacement(t *testing.T) {
--- a/core/command/raft/raft.go
+++ b/core/command/raft/raft.go
@@ -149,13 +149,14 @@
 	return false
 }
 
-// promoted reports whether a committed entry makes this replica a voter.
-func (n *Node) promoted() bool { return n.vouched || n.settled.Votes(n.id) }
-
-// mayLead reports whether this replica may stand for election.
-func (n *Node) mayLead() bool {
-	return n.settled.Votes(n.id) || (n.vouched && n.members.Votes(n.id))
-}
+// mayVote reports whether this replica may vote: it has an entry of the group, or knows that a
+// committed entry made it a voter. Whether its vote counts depends on the members in the
+// candidate's log, of which the own one may know nothing yet.
+func (n *Node) mayVote() bool { return n.vouched || !n.free() }
+
+// mayLead reports whether this replica may stand for election: it is a voter by the members at
+// the commit index or by the newest ones.
+func (n *Node) mayLead() bool { return n.settled.Votes(n.id) || n.members.Votes(n.id) }
 
 // addressOf returns where a replica is reached, "" if that is not known.
 func (n *Node) addressOf(id peer.ID) string {
