Test which replicas vote and whose votes count

Two tests of one node now want no vote of a replica without an entry of the group, a vote of a learner that has one, and no leader by votes of others than voters.

Measured: each fails if its guard is removed (entry before vote, votes of members only) and passes as it is.

--- a/core/command/raft/step_test.go
+++ b/core/command/raft/step_test.go
@@ -242,3 +242,44 @@
 		b.Fatalf("confirmed %d of %d", s.confirms, token)
 	}
 }
+
+// voted reports whether a replica that has the entries, of which none is known to be committed,
+// votes for another one.
+func voted(entries ...peer.Entry) bool {
+	n := New(WithAddress("d"), WithSeeds("a"), WithStored(peer.NewStored(peer.NewHard(4, 9, 1, 0, 0), peer.Snapshot{}, entries)))
+	n.Step(clock.Second, Started{})
+	route := peer.NewRoute(9, 1, "a", 4)
+	effects := n.Step(2*clock.Second, NewReceived(peer.NewMessage(route, 2, peer.NewVoteRequest(9, 1, false))))
+	for _, f := range effects {
+		if p, ok := f.(Persist); ok && p.Batch().Hard().Vote() == 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// TestVotesNeedAnEntryOfTheGroup wants no vote of a replica that may still enter another group, and
+// that of a learner which does not know yet that it was promoted.
+func TestVotesNeedAnEntryOfTheGroup(t *testing.T) {
+	members := peer.NewMembers(peer.NewReplica(1, "a", peer.Voter{}), peer.NewReplica(4, "d", peer.Learner{}))
+	if voted() {
+		t.Error("a replica without an entry votes")
+	}
+	if !voted(peer.NewEntry(1, 1, peer.NewChange(members))) {
+		t.Error("a learner does not vote")
+	}
+}
+
+// TestVotesOfOthersThanVotersDoNotCount gives a candidate the votes of a learner and of a stranger.
+func TestVotesOfOthersThanVotersDoNotCount(t *testing.T) {
+	n := newSingle().node
+	n.Step(clock.Second+ElectionMax, Ticked{})
+	n.campaign(false)
+	n.countVote(1)
+	for _, id := range []peer.ID{4, 5} {
+		n.countVote(id)
+	}
+	if n.leads() {
+		t.Error("leads by votes of others than voters")
+	}
+}
