Lose power and disks at the end of each random run of the replicated log

Each run of TestThreeReplicasUnderFaults, TestFiveReplicasUnderFaults and TestSoak now ends with the loss of disks that the group bears by Status.Whole, while all other hosts lose power at the same instant; the healed group must be whole and serve.

--- a/core/command/raft/random_test.go
+++ b/core/command/raft/random_test.go
@@ -50,10 +50,24 @@
 		}
 		w.inject(f)
 	}
+	if b == (breakage{}) {
+		w.blackout()
+	}
 	w.heal()
 	return w.recover()
 }
 
+// blackout loses disks that the group bears to lose, while all other hosts lose power.
+func (w *world) blackout() {
+	for _, k := range w.random.Perm(len(w.hosts)) {
+		if h := w.hosts[k]; w.random.IntN(2) == 0 && w.bears(h) {
+			h.wipe()
+		} else {
+			h.crash()
+		}
+	}
+}
+
 // recover wants a healed world to be whole soon, and to serve.
 func (w *world) recover() error {
 	if err := w.run(clock.Second); err != nil {
