--- a/core/command/raft/open_test.go
+++ b/core/command/raft/open_test.go
@@ -130,7 +130,7 @@
 }
 
 // TestPowerIsLostWhileAReplacementIsPromoted loses power when only the leader's disk has the entry
-// that makes the successor of a lost machine a voter. (Seed 1231 of TestBlackoutSoak.)
+// that makes the successor of a lost machine a voter.
 func TestPowerIsLostWhileAReplacementIsPromoted(t *testing.T) {
 	w := openWorld(t)
 	l := w.leader()
