--- a/core/command/raft/open_test.go
+++ b/core/command/raft/open_test.go
@@ -5,6 +5,15 @@
 	"testing"
 
 	"verbenabank/core/clock"
+	"verbenabank/core/state/peer"
+)
+
+const (
+	// catchUp is for how long a disk counts as lost after its host, or the one that takes its
+	// place, is back and nothing else is disturbed.
+	catchUp = 4 * clock.Second
+	// parting is for how long a host that left after its successor had caught up counts as lost.
+	parting = 1500 * clock.Millisecond
 )
 
 // openWorld has a group of three that replicas may join unlisted.
@@ -101,3 +110,69 @@
 		t.Fatalf("voters: %v", got)
 	}
 }
+
+// powerOff crashes all hosts at once. They come back some 300 ms later.
+func (w *world) powerOff() {
+	for _, h := range w.hosts {
+		h.crash()
+		h.down = w.now + 300
+	}
+}
+
+// wantsAll wants a leader that has all that was committed before.
+func (w *world) wantsAll(t *testing.T) {
+	t.Helper()
+	top := w.check.top
+	run(t, w, 10*clock.Second)
+	if l := w.leader(); l == nil || l.index < top {
+		t.Fatalf("no leader with the %d entries that were committed", top)
+	}
+}
+
+// TestPowerIsLostWhileAReplacementIsPromoted loses power when only the leader's disk has the entry
+// that makes the successor of a lost machine a voter.
+func TestPowerIsLostWhileAReplacementIsPromoted(t *testing.T) {
+	w := openWorld(t)
+	l := w.leader()
+	lost := w.hosts[(l.number+1)%3]
+	lost.wipe()
+	lost.gone = true
+	w.dropped = func(from, _ int, m peer.Message) bool {
+		r, ok := m.Body().(peer.AppendRequest)
+		return ok && from == l.number && slices.ContainsFunc(r.Entries(), func(e peer.Entry) bool {
+			c, ok := e.Payload().(peer.Change)
+			return ok && c.Members().Voters() == 4
+		})
+	}
+	w.join("127.0.0.9:1", l.address)
+	promoted := func() bool {
+		entries := l.disk.Entries()
+		c, ok := entries[len(entries)-1].Payload().(peer.Change)
+		return ok && c.Members().Voters() == 4
+	}
+	for k := 0; k < 2000 && !promoted(); k++ {
+		run(t, w, 1)
+	}
+	if !promoted() {
+		t.Fatal("the successor is not promoted")
+	}
+	w.dropped = nil
+	w.powerOff()
+	w.wantsAll(t)
+}
+
+// TestDiskIsLostAfterAPlannedReplacement loses one more disk, and all power, soon after a machine
+// left whose successor had caught up.
+func TestDiskIsLostAfterAPlannedReplacement(t *testing.T) {
+	for left := range 3 {
+		w := openWorld(t)
+		w.join("127.0.0.9:1", w.hosts[0].address)
+		run(t, w, catchUp)
+		w.hosts[left].wipe()
+		w.hosts[left].gone = true
+		run(t, w, parting)
+		w.hosts[(left+1)%3].wipe()
+		w.powerOff()
+		w.wantsAll(t)
+	}
+}
--- a/core/command/raft/raft.go
+++ b/core/command/raft/raft.go
@@ -27,7 +27,7 @@
 	HelloEvery   = 200 * clock.Millisecond
 	roundSpacing = 5 * clock.Millisecond // least span between two rounds that were asked for
 	helloFresh   = 2 * clock.Second      // how long an answer to Hello counts
-	silentAfter  = 4 * clock.Second      // how long a member may be silent before it may be removed
+	silentAfter  = clock.Second          // how long a member may be silent before it may be removed
 
 	maxInFlight    = 8       // requests with entries, per follower
 	maxUncommitted = 1 << 14 // entries, beyond which offers are dropped
@@ -149,13 +149,14 @@
 	return false
 }
 
-// promoted reports whether a committed entry makes this replica a voter.
-func (n *Node) promoted() bool { return n.vouched || n.settled.Votes(n.id) }
+// mayVote reports whether this replica may vote: it has an entry of the group, or knows that a
+// committed entry made it a voter. Whether its vote counts depends on the members in the
+// candidate's log, of which the own one may know nothing yet.
+func (n *Node) mayVote() bool { return n.vouched || !n.free() }
 
-// mayLead reports whether this replica may stand for election.
-func (n *Node) mayLead() bool {
-	return n.settled.Votes(n.id) || (n.vouched && n.members.Votes(n.id))
-}
+// mayLead reports whether this replica may stand for election: it is a voter by the members at
+// the commit index or by the newest ones.
+func (n *Node) mayLead() bool { return n.settled.Votes(n.id) || n.members.Votes(n.id) }
 
 // addressOf returns where a replica is reached, "" if that is not known.
 func (n *Node) addressOf(id peer.ID) string {
