Wait while connections cannot be accepted instead of ending

Callers saw: a daemon that reached its limit of open files ended at once with exit status 1, and whole requests on kept connections got no answer.

Cause: the fronts return any error of accept: the own front and gRPC's at once for some, fasthttp's for all but timeouts. Run then ends the process without a stop.

Change: the listener of package sock, which all four ports use, waits 50 ms after errors that pass (EMFILE, ENFILE, ENOBUFS, ENOMEM, ECONNABORTED, ETIMEDOUT and the network's own that accept(2) tells to try again) and goes on. It logs a line a second at most and counts in verbenad.accepts_failed. Closing it ends the wait.

--- a/verbenad/adapt/sock/sock.go
+++ b/verbenad/adapt/sock/sock.go
@@ -3,7 +3,6 @@
 package sock
 
 import (
-	"context"
 	"net"
 	"syscall"
 	"time"
@@ -39,9 +38,3 @@
 func Dialer(local net.Addr) *net.Dialer {
 	return &net.Dialer{LocalAddr: local, KeepAliveConfig: watch, Control: control}
 }
-
-// Listen listens on a TCP address ("ip:port").
-func Listen(address string) (net.Listener, error) {
-	l := net.ListenConfig{KeepAliveConfig: watch, Control: control}
-	return l.Listen(context.Background(), "tcp", address)
-}
--- a/verbenad/command/serve/serve.go
+++ b/verbenad/command/serve/serve.go
@@ -128,7 +128,7 @@
 		if p.address == "" {
 			continue
 		}
-		l, err := sock.Listen(p.address)
+		l, err := sock.Listen(p.address, sock.WithLog(d.part()))
 		if err != nil {
 			return &Error{op: "listen on " + p.address, kind: PortTaken, cause: err}
 		}
--- a/vload/adapt/proc/proc.go
+++ b/vload/adapt/proc/proc.go
@@ -38,6 +38,9 @@
 	return &Process{command: command, log: file}, nil
 }
 
+// ID returns the number of the process.
+func (p *Process) ID() int { return p.command.Process.Pid }
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(s syscall.Signal) error {
 	if err := p.command.Process.Signal(s); err != nil {
