Bound how long a call to the daemon itself may take

Seen: a server beside a daemon whose beat drips without end, in its head or its body, was read for as long as it sent. Each such call keeps a connection with its buffers, and a planned stop waits a second for them.

Cause: the servers of the admin and the ready port had no limit in time.

Evidence: TestBeatsThatNeverEndAreCut failed for a head, a body with a length and one in chunks: each was read for the 15 s of the test.

Change: a call must have arrived after 5 s, and a connection without one is closed after 2 minutes.

--- a/verbenad/command/serve/serve.go
+++ b/verbenad/command/serve/serve.go
@@ -36,6 +36,13 @@
 	"verbenabank/verbenad/state/sets"
 )
 
+const (
+	// callWithin bounds how long a call to the daemon itself may take to arrive, and idleWithin how
+	// long its connection is kept without one.
+	callWithin = 5 * time.Second
+	idleWithin = 2 * time.Minute
+)
+
 // Daemon is one process of the system.
 type Daemon struct {
 	settings atomic.Pointer[sets.Settings]
@@ -179,7 +186,9 @@
 	d.peers = grpc.NewServer(append(d.trust.ServerOptions(), grpc.InitialWindowSize(hop.WindowBytes))...)
 	link.NewServer(d.loop, d.codec, d.part()).Register(d.peers)
 	wirepb.RegisterHopServer(d.peers, hop.NewServer(d.owner))
-	d.admin = fiber.New(fiber.Config{AppName: "verbenad", BodyLimit: adminBodyBytes})
+	d.admin = fiber.New(fiber.Config{
+		AppName: "verbenad", BodyLimit: adminBodyBytes, ReadTimeout: callWithin, IdleTimeout: idleWithin,
+	})
 	n := notice.New(d.post, notice.WithBeat(d.sidecar.Heard),
 		notice.WithTake(func(e agent.Event, done func()) { d.loop.Post(ctrl.NewLocal(e).Then(done)) }))
 	d.waiter.notice = n
@@ -188,7 +197,7 @@
 	a := admin.New(admin.WithInstance(s.Instance(), s.Zone()), admin.WithLeaving(d.leaving.Load),
 		admin.WithState(d.clock, d.cell, d.loop.View), admin.WithAudit(d.audit))
 	a.Register(d.admin)
-	d.ready = fiber.New(fiber.Config{AppName: "verbenad"})
+	d.ready = fiber.New(fiber.Config{AppName: "verbenad", ReadTimeout: callWithin, IdleTimeout: idleWithin})
 	a.RegisterReady(d.ready)
 	if d.register != nil {
 		d.register(d.admin, d)
