--- a/verbenad/adapt/flood/path_test.go
+++ b/verbenad/adapt/flood/path_test.go
@@ -68,6 +68,8 @@
 	routeWait = 300
 	longWait  = 60_000
 	slots     = 4
+	// uploadBytes is more than the buffers on the way hold, since the target reads no bodies.
+	uploadBytes = 16 << 20
 	// pathMemory is what clients, daemons and the sound target may take together.
 	pathMemory = 24 << 20
 )
@@ -140,12 +142,21 @@
 
 // send sends a request for the service on a connection of its own.
 func (m *member) send(t *testing.T, service string) (net.Conn, *bufio.Reader) {
+	return m.upload(t, service, 0)
+}
+
+// content is the longest body.
+var content = make([]byte, uploadBytes)
+
+// upload sends a request with a body of so many bytes, as far as it is read.
+func (m *member) upload(t *testing.T, service string, size int) (net.Conn, *bufio.Reader) {
 	t.Helper()
 	c, err := net.Dial("tcp", m.address)
 	must(t, err)
 	t.Cleanup(func() { _ = c.Close() })
-	_, err = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: %s\r\nId: 1\r\nContent-Length: 0\r\n\r\n", service)
+	_, err = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: %s\r\nId: 1\r\nContent-Length: %d\r\n\r\n", service, size)
 	must(t, err)
+	go func() { _, _ = c.Write(content[:size]) }()
 	return c, bufio.NewReader(c)
 }
 
@@ -175,7 +186,8 @@
 }
 
 // TestCallersOfATargetWithoutEnd asks the daemon beside the target and another one for answers
-// that never end, more of them than the target has slots, and for others meanwhile.
+// that never end, more of them than the target has slots and some with long bodies, and for others
+// meanwhile.
 func TestCallersOfATargetWithoutEnd(t *testing.T) {
 	for name, k := range kinds {
 		for speed, pause := range speeds {
@@ -189,8 +201,8 @@
 				go func() { served <- serving(t, first, second, done) }()
 				var group sync.WaitGroup
 				for _, m := range []*member{first, second} {
-					for range slots + 1 {
-						group.Go(func() { cut(t, m) })
+					for n := range slots + 1 {
+						group.Go(func() { cut(t, m, n%2*uploadBytes) })
 					}
 				}
 				group.Wait()
@@ -207,10 +219,10 @@
 	}
 }
 
-// cut asks for an answer without end and wants it not to look whole.
-func cut(t *testing.T, m *member) {
+// cut asks with a body of so many bytes for an answer without end, and wants it not to look whole.
+func cut(t *testing.T, m *member, size int) {
 	began := time.Now()
-	status, length, err := receive(m.send(t, flooded))
+	status, length, err := receive(m.upload(t, flooded, size))
 	if err == nil && status != http.StatusBadGateway && status != http.StatusServiceUnavailable {
 		t.Errorf("status %d with %d bytes looks whole", status, length)
 	}
