Give a refusal's body 0.1 s

Cause, on reading: a daemon with a sixth of a processor is held back for most of 0.1 s at a time by its quota. After 20 ms it would then give connections up whose refusals are there already, and new ones cost the target a slot.

Change: the rest of a refusal has 0.1 s. TestRefusalWithoutEndIsPassedOnAtOnce still passes.

--- a/verbenad/command/owner/guard.go
+++ b/verbenad/command/owner/guard.go
@@ -46,7 +46,7 @@
 // be kept.
 const (
 	refusalBytes = 4 << 10
-	refusalSpan  = 20 * time.Millisecond
+	refusalSpan  = 100 * time.Millisecond
 )
 
 // guard takes one request past the checks and to the target.
