--- a/verbenad/command/serve/run.go
+++ b/verbenad/command/serve/run.go
@@ -14,6 +14,7 @@
 
 	"verbenabank/core/command/agent"
 	"verbenabank/core/state/fleet"
+	"verbenabank/verbenad/command/crash"
 	"verbenabank/verbenad/command/ctrl"
 	"verbenabank/verbenad/state/sets"
 )
@@ -28,6 +29,8 @@
 	// peersWithin bounds what is on its way to other daemons, and adminWithin what operators asked.
 	peersWithin = 500 * time.Millisecond
 	adminWithin = time.Second
+	// serversLeast is what both get at least.
+	serversLeast = 250 * time.Millisecond
 	// handoverWait gives a leader time to hand over before the ports close.
 	handoverWait = 300 * time.Millisecond
 )
@@ -54,8 +57,8 @@
 const adminBodyBytes = 8 << 20
 
 // Run serves until ctx ends, then stops gracefully: the daemon hands over what it
-// owns, finishes what is in flight, and closes its ports last. It returns an error
-// if the process had to end by itself.
+// owns, finishes what is in flight, and closes its ports last. It stops in the same way,
+// and returns an error, if a part of it ended by itself.
 func (d *Daemon) Run(ctx context.Context) error {
 	ended := make(chan error, 5)
 	d.start(ended)
@@ -67,33 +70,51 @@
 	case <-ctx.Done():
 		return d.stop()
 	case err := <-d.waiter.failed:
-		return err
+		return d.stopAfter(err)
 	case err := <-ended:
-		return &Error{op: "run", kind: Ended, cause: err}
+		return d.stopAfter(&Error{op: "run", kind: Ended, cause: err})
 	}
 }
 
+// stopAfter stops after a part of the daemon ended, and returns why it did: requests in flight need
+// the other parts only.
+func (d *Daemon) stopAfter(err error) error {
+	d.part().WithError(err).Error("serve: a part of the daemon ended")
+	return errors.Join(err, d.stop())
+}
+
 // start runs the control goroutine and the servers.
 func (d *Daemon) start(ended chan error) {
 	d.group.Go(func() { _ = d.loop.Run(d.life) })
-	d.group.Go(func() { measure(d.life, d.owner, d.loop) })
-	d.group.Go(func() { d.owner.Watch(d.life) })
-	d.group.Go(func() { d.owner.Prolong(d.life) })
-	d.group.Go(func() { d.hops.Follow(d.life, d.cell) })
-	d.group.Go(func() { d.report(ended, d.peers.Serve(d.peersPort)) })
+	d.run(ended, "measure", func() error { measure(d.life, d.owner, d.loop); return nil })
+	d.run(ended, "watch leases", func() error { d.owner.Watch(d.life); return nil })
+	d.run(ended, "prolong leases", func() error { d.owner.Prolong(d.life); return nil })
+	d.run(ended, "follow daemons", func() error { d.hops.Follow(d.life, d.cell); return nil })
+	d.run(ended, "serve daemons", func() error { return d.peers.Serve(d.peersPort) })
 	switch {
 	case d.entry != nil:
-		d.group.Go(func() { d.report(ended, d.entry.Serve(d.callersPort)) })
+		d.run(ended, "serve callers", func() error { return d.entry.Serve(d.callersPort) })
 	case d.front != nil:
-		d.group.Go(func() { d.report(ended, d.front.Serve(d.callersPort)) })
+		d.run(ended, "serve callers", func() error { return d.front.Serve(d.callersPort) })
 	}
 	if d.readyPort != nil {
-		d.group.Go(func() {
-			d.report(ended, d.ready.Listener(d.readyPort, fiber.ListenConfig{DisableStartupMessage: true}))
+		d.run(ended, "serve readiness", func() error {
+			return d.ready.Listener(d.readyPort, fiber.ListenConfig{DisableStartupMessage: true})
 		})
 	}
+	d.run(ended, "serve operators", func() error {
+		return d.admin.Listener(d.adminPort, fiber.ListenConfig{DisableStartupMessage: true})
+	})
+}
+
+// run runs a part of the daemon. A panic in it counts as its end.
+func (d *Daemon) run(ended chan error, part string, f func() error) {
 	d.group.Go(func() {
-		d.report(ended, d.admin.Listener(d.adminPort, fiber.ListenConfig{DisableStartupMessage: true}))
+		var err error
+		if p := crash.Catch(d.part(), part, func() { err = f() }); p != nil {
+			err = p
+		}
+		d.report(ended, err)
 	})
 }
 
@@ -102,30 +123,58 @@
 	if err == nil || errors.Is(err, grpc.ErrServerStopped) || errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) {
 		return
 	}
-	ended <- err
+	select {
+	case ended <- err:
+	default: // the daemon stops for another one
+	}
+}
+
+// halt is a planned stop that goes on. Settings that change meanwhile do not change it.
+type halt struct {
+	begun time.Time
+	grace time.Duration // 0 if the stop is not bounded
 }
 
 func (d *Daemon) stop() error {
-	begun := time.Now()
-	d.part().WithField("grace_ms", d.settings.Load().Terms().Grace()).Info("serve: planned stop begins")
+	h := halt{begun: time.Now(), grace: d.settings.Load().Terms().Grace().Duration()}
+	d.part().WithField("grace_ms", h.grace.Milliseconds()).Info("serve: planned stop begins")
 	d.leaving.Store(true)
-	var group conc.WaitGroup
-	group.Go(func() {
-		pause(begun.Add(d.staySpan()))
-		d.leaveGroup(begun)
-		d.step(begun).Info("serve: nothing is owned any more")
+	left, gone := make(chan struct{}), make(chan struct{})
+	go d.step(h, left, "nothing is owned any more", func() {
+		pause(h.begun.Add(d.staySpan(h)))
+		d.leaveGroup(h)
 	})
-	if d.front != nil {
-		d.stopFront(begun)
-	}
-	group.Wait()
+	go d.step(h, gone, "callers are gone", func() { d.stopFront(h) })
+	<-left
+	h.await(gone)
 	err := d.stopEntry()
-	d.awaitTarget(d.lastAnswer(begun))
-	d.stopServers()
-	d.step(begun).Info("serve: planned stop is done")
+	d.awaitTarget(h.lastAnswer())
+	d.stopServers(h)
+	<-gone
+	d.told(h).Info("serve: planned stop is done")
 	return err
 }
 
+// step does a part of a planned stop, and closes done after it.
+func (d *Daemon) step(h halt, done chan struct{}, what string, f func()) {
+	defer close(done)
+	if crash.Catch(d.part(), "stop", f) == nil {
+		d.told(h).Info("serve: " + what)
+	}
+}
+
+// await waits for a part of the stop while requests are answered.
+func (h halt) await(done chan struct{}) {
+	if h.grace == 0 {
+		<-done
+		return
+	}
+	select {
+	case <-done:
+	case <-time.After(time.Until(h.lastAnswer())):
+	}
+}
+
 // stopEntry ends the connections of callers of the daemon's own protocol.
 func (d *Daemon) stopEntry() error {
 	if d.entry == nil {
@@ -136,9 +185,9 @@
 	return d.entry.Shutdown(ctx)
 }
 
-// step returns a log entry that tells how far a stop has come that began at an instant.
-func (d *Daemon) step(begun time.Time) *logrus.Entry {
-	e := d.part().WithField("took_ms", time.Since(begun).Milliseconds()).WithField("in_flight", d.owner.Flight().Total())
+// told returns a log entry that tells how far a stop has come.
+func (d *Daemon) told(h halt) *logrus.Entry {
+	e := d.part().WithField("took_ms", time.Since(h.begun).Milliseconds()).WithField("in_flight", d.owner.Flight().Total())
 	if d.front != nil {
 		e = e.WithField("busy_callers", d.front.Busy())
 	}
@@ -148,25 +197,26 @@
 // staySpan returns how long the daemon goes on with its target after it was told to stop: its
 // callers need a while to go elsewhere anyway, and the target is missed by the others. It is half of the
 // time that the grace leaves for the target.
-func (d *Daemon) staySpan() time.Duration {
-	g := d.settings.Load().Terms().Grace()
-	if d.front == nil || g == 0 {
+func (d *Daemon) staySpan(h halt) time.Duration {
+	if d.front == nil || h.grace == 0 {
 		return 0
 	}
-	return min(noticeSpan, max(0, g.Duration()-graceLeft)/2)
+	return min(noticeSpan, max(0, h.grace-graceLeft)/2)
 }
 
-// leaveGroup hands over what the daemon owns and leads, after a stop that began at an instant. A
-// daemon without a port for callers is no member and owns nothing.
-func (d *Daemon) leaveGroup(begun time.Time) {
+// leaveGroup hands over what the daemon owns and leads. A daemon without a port for callers is no member and owns nothing.
+func (d *Daemon) leaveGroup(h halt) {
 	within := leaveWithin
-	if g := d.settings.Load().Terms().Grace(); g > 0 {
-		within = min(within, time.Until(begun.Add(max(g.Duration()-graceLeft, g.Duration()/leaveShare))))
+	if h.grace > 0 {
+		within = min(within, time.Until(h.begun.Add(max(h.grace-graceLeft, h.grace/leaveShare))))
 	}
 	if d.callersPort != nil {
 		d.post(agent.StopAsked{})
 		select {
 		case <-d.waiter.stopped:
+		case <-d.loop.Ended():
+			d.part().Warn("serve: nobody can hand over what the daemon owns, it lapses")
+			return
 		case <-time.After(within):
 			d.part().Warn("serve: leaving took too long")
 		}
@@ -180,27 +230,37 @@
 // stopFront goes on serving callers until they have seen that the daemon is not ready, and
 // then ends their connections one by one. It does not wait until the daemon has left: a request that
 // is taken on late may outlast the grace time.
-func (d *Daemon) stopFront(begun time.Time) {
-	end := d.lastAnswer(begun)
-	notice := min(noticeSpan, end.Sub(begun)*noticeShare/(noticeShare+1))
-	pause(begun.Add(notice))
-	d.step(begun).Info("serve: callers are asked to go elsewhere")
+func (d *Daemon) stopFront(h halt) {
+	if d.front == nil {
+		return
+	}
+	end := h.lastAnswer()
+	notice := min(noticeSpan, end.Sub(h.begun)*noticeShare/(noticeShare+1))
+	pause(h.begun.Add(notice))
+	d.told(h).Info("serve: callers are asked to go elsewhere")
 	d.front.Leave()
-	pause(begun.Add(notice + min(partSpan, (end.Sub(begun)-notice)/partShare)))
-	d.step(begun).Info("serve: no callers are taken on any more")
+	pause(h.begun.Add(notice + min(partSpan, (end.Sub(h.begun)-notice)/partShare)))
+	d.told(h).Info("serve: no callers are taken on any more")
 	_ = d.callersPort.Close()
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	d.front.Shutdown(ctx)
-	d.step(begun).Info("serve: callers are gone")
 }
 
-// lastAnswer returns until when requests are answered after a stop that began at an instant.
-func (d *Daemon) lastAnswer(begun time.Time) time.Time {
-	if g := d.settings.Load().Terms().Grace(); g > 0 {
-		return begun.Add(max(g.Duration()-graceLast, g.Duration()/answerShare))
+// lastAnswer returns until when requests are answered.
+func (h halt) lastAnswer() time.Time {
+	if h.grace > 0 {
+		return h.begun.Add(max(h.grace-graceLast, h.grace/answerShare))
 	}
-	return begun.Add(callersWithin)
+	return h.begun.Add(callersWithin)
+}
+
+// within bounds a span of the servers' end: they get as much time after the last answer as callers do.
+func (h halt) within(span time.Duration) time.Duration {
+	if h.grace == 0 {
+		return span
+	}
+	return min(span, max(serversLeast, time.Until(h.lastAnswer())))
 }
 
 // awaitTarget waits until the target has answered what other daemons sent it, but not after an instant.
@@ -234,9 +294,11 @@
 
 // stopServers closes the remaining ports. Answers to other daemons are on their way at most; the
 // streams of replicas have no end of their own and are cut.
-func (d *Daemon) stopServers() {
-	_ = d.admin.ShutdownWithTimeout(adminWithin)
-	cut := time.AfterFunc(peersWithin, d.peers.Stop)
+func (d *Daemon) stopServers(h halt) {
+	var group conc.WaitGroup
+	defer group.Wait()
+	group.Go(func() { _ = d.admin.ShutdownWithTimeout(h.within(adminWithin)) })
+	cut := time.AfterFunc(h.within(peersWithin), d.peers.Stop)
 	defer cut.Stop()
 	d.peers.GracefulStop()
 }
