Answer what is in flight after a part of the daemon ended

Callers saw: when a server of a daemon or its disk failed, the process ended at once; all its requests in flight got no answer, whether or not they needed the part that failed.

Cause: Run returned the error without a stop.

Leaving ends at once when the control goroutine has ended: nobody can hand over then. Keyed requests are still checked against the end of the last lease, and nothing renews it. A control goroutine that ends sends the daemons of its sessions elsewhere at once, as the end of the process did.

--- a/verbenad/command/ctrl/ctrl.go
+++ b/verbenad/command/ctrl/ctrl.go
@@ -131,10 +131,22 @@
 			l.react(e)
 		}
 	}
+	l.abandon()
 	l.waiter.Failed(l.failed)
 	return l.failed
 }
 
+// abandon sends all daemons elsewhere, since nothing answers them here any more.
+func (l *Loop) abandon() {
+	for s, o := range l.outlets {
+		o.Redirect("")
+		delete(l.outlets, s)
+	}
+}
+
+// Ended returns a channel that is closed once Run has returned.
+func (l *Loop) Ended() <-chan struct{} { return l.done }
+
 func (l *Loop) wake() clock.Millis {
 	wake := l.agent.Wake()
 	if l.node != nil {
--- a/verbenad/command/serve/run.go
+++ b/verbenad/command/serve/run.go
@@ -54,8 +54,8 @@
 const adminBodyBytes = 8 << 20
 
 // Run serves until ctx ends, then stops gracefully: the daemon hands over what it
-// owns, finishes what is in flight, and closes its ports last. It returns an error
-// if the process had to end by itself.
+// owns, finishes what is in flight, and closes its ports last. It stops in the same way,
+// and returns an error, if a part of it ended by itself.
 func (d *Daemon) Run(ctx context.Context) error {
 	ended := make(chan error, 5)
 	d.start(ended)
@@ -67,12 +67,19 @@
 	case <-ctx.Done():
 		return d.stop()
 	case err := <-d.waiter.failed:
-		return err
+		return d.stopAfter(err)
 	case err := <-ended:
-		return &Error{op: "run", kind: Ended, cause: err}
+		return d.stopAfter(&Error{op: "run", kind: Ended, cause: err})
 	}
 }
 
+// stopAfter stops after a part of the daemon ended, and returns why it did: requests in flight need
+// the other parts only.
+func (d *Daemon) stopAfter(err error) error {
+	d.part().WithError(err).Error("serve: a part of the daemon ended")
+	return errors.Join(err, d.stop())
+}
+
 // start runs the control goroutine and the servers.
 func (d *Daemon) start(ended chan error) {
 	d.group.Go(func() { _ = d.loop.Run(d.life) })
@@ -167,6 +174,9 @@
 		d.post(agent.StopAsked{})
 		select {
 		case <-d.waiter.stopped:
+		case <-d.loop.Ended():
+			d.part().Warn("serve: nobody can hand over what the daemon owns, it lapses")
+			return
 		case <-time.After(within):
 			d.part().Warn("serve: leaving took too long")
 		}
