Stop as planned at once when a part of a daemon panics

Callers saw: after a panic in the control goroutine, or in one that ends requests whose lease lapsed, a daemon went on without it. Nothing was logged; the panic came up again at the very end of the process and ended its stop.

Cause: conc keeps a panic until somebody waits for the group, which is at the end here.

One of the control goroutine counts as its failure; one of another part of the daemon (measuring, leases, connections to daemons, servers) as the end of that part.

Measured: TestDaemonAnswersAfterAPartOfItEnded/the_control_goroutine failed before: the daemon did not end within 2.5 s of the panic, and the test ran into its time limit of 50 s. It passes with -race.

--- a/verbenad/command/ctrl/ctrl.go
+++ b/verbenad/command/ctrl/ctrl.go
@@ -22,6 +22,7 @@
 	"verbenabank/core/state/peer"
 	"verbenabank/core/state/snap"
 	"verbenabank/core/wire/codec"
+	"verbenabank/verbenad/command/crash"
 	"verbenabank/verbenad/state/view"
 )
 
@@ -106,6 +107,19 @@
 // Run carries out events until ctx ends or the state cannot be trusted any more.
 func (l *Loop) Run(ctx context.Context) error {
 	defer close(l.done)
+	if err := crash.Catch(l.log, "control", func() { l.serve(ctx) }); err != nil {
+		l.fail("run", Panicked, err)
+	}
+	if l.failed == nil {
+		return nil
+	}
+	_ = crash.Catch(l.log, "abandon", l.abandon)
+	l.waiter.Failed(l.failed)
+	return l.failed
+}
+
+// serve carries out events until ctx ends or something failed.
+func (l *Loop) serve(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	if l.node != nil {
@@ -122,7 +136,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case <-timer.C:
 			l.tick()
 		case e := <-l.urgent:
@@ -131,9 +145,6 @@
 			l.react(e)
 		}
 	}
-	l.abandon()
-	l.waiter.Failed(l.failed)
-	return l.failed
 }
 
 // abandon sends all daemons elsewhere, since nothing answers them here any more.
--- a/verbenad/command/ctrl/errors.go
+++ b/verbenad/command/ctrl/errors.go
@@ -9,6 +9,7 @@
 const (
 	Storage   Kind = "the storage failed; the replica stops before it says anything that is not durable"
 	Invariant Kind = "an invariant does not hold; the process stops rather than serve"
+	Panicked  Kind = "the state may be half changed; the process stops rather than go on with it"
 	BadEntry  Kind = "an entry of the log cannot be read; all replicas must run the same release"
 )
 
--- a/verbenad/command/serve/ended_test.go
+++ b/verbenad/command/serve/ended_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus/hooks/test"
 
+	"verbenabank/core/command/agent"
 	"verbenabank/verbenad/adapt/jsonc"
 	"verbenabank/verbenad/command/ctrl"
 )
@@ -72,6 +73,9 @@
 func TestDaemonAnswersAfterAPartOfItEnded(t *testing.T) {
 	for name, end := range map[string]func(d *Daemon, m *mortal){
 		"a server": func(_ *Daemon, m *mortal) { close(m.cut) },
+		"the control goroutine": func(d *Daemon, _ *mortal) {
+			d.loop.Post(ctrl.NewLocal(agent.Ticked{}).Then(func() { panic(errCut) }))
+		},
 		"the disk": func(d *Daemon, _ *mortal) { d.loop.Post(ctrl.NewDiskFailed(errCut)) },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/verbenad/command/serve/run.go
+++ b/verbenad/command/serve/run.go
@@ -14,6 +14,7 @@
 
 	"verbenabank/core/command/agent"
 	"verbenabank/core/state/fleet"
+	"verbenabank/verbenad/command/crash"
 	"verbenabank/verbenad/command/ctrl"
 	"verbenabank/verbenad/state/sets"
 )
@@ -83,24 +84,35 @@
 // start runs the control goroutine and the servers.
 func (d *Daemon) start(ended chan error) {
 	d.group.Go(func() { _ = d.loop.Run(d.life) })
-	d.group.Go(func() { measure(d.life, d.owner, d.loop) })
-	d.group.Go(func() { d.owner.Watch(d.life) })
-	d.group.Go(func() { d.owner.Prolong(d.life) })
-	d.group.Go(func() { d.hops.Follow(d.life, d.cell) })
-	d.group.Go(func() { d.report(ended, d.peers.Serve(d.peersPort)) })
+	d.run(ended, "measure", func() error { measure(d.life, d.owner, d.loop); return nil })
+	d.run(ended, "watch leases", func() error { d.owner.Watch(d.life); return nil })
+	d.run(ended, "prolong leases", func() error { d.owner.Prolong(d.life); return nil })
+	d.run(ended, "follow daemons", func() error { d.hops.Follow(d.life, d.cell); return nil })
+	d.run(ended, "serve daemons", func() error { return d.peers.Serve(d.peersPort) })
 	switch {
 	case d.entry != nil:
-		d.group.Go(func() { d.report(ended, d.entry.Serve(d.callersPort)) })
+		d.run(ended, "serve callers", func() error { return d.entry.Serve(d.callersPort) })
 	case d.front != nil:
-		d.group.Go(func() { d.report(ended, d.front.Serve(d.callersPort)) })
+		d.run(ended, "serve callers", func() error { return d.front.Serve(d.callersPort) })
 	}
 	if d.readyPort != nil {
-		d.group.Go(func() {
-			d.report(ended, d.ready.Listener(d.readyPort, fiber.ListenConfig{DisableStartupMessage: true}))
+		d.run(ended, "serve readiness", func() error {
+			return d.ready.Listener(d.readyPort, fiber.ListenConfig{DisableStartupMessage: true})
 		})
 	}
+	d.run(ended, "serve operators", func() error {
+		return d.admin.Listener(d.adminPort, fiber.ListenConfig{DisableStartupMessage: true})
+	})
+}
+
+// run runs a part of the daemon. A panic in it counts as its end.
+func (d *Daemon) run(ended chan error, part string, f func() error) {
 	d.group.Go(func() {
-		d.report(ended, d.admin.Listener(d.adminPort, fiber.ListenConfig{DisableStartupMessage: true}))
+		var err error
+		if p := crash.Catch(d.part(), part, func() { err = f() }); p != nil {
+			err = p
+		}
+		d.report(ended, err)
 	})
 }
 
@@ -109,7 +121,10 @@
 	if err == nil || errors.Is(err, grpc.ErrServerStopped) || errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) {
 		return
 	}
-	ended <- err
+	select {
+	case ended <- err:
+	default: // the daemon stops for another one
+	}
 }
 
 func (d *Daemon) stop() error {
