End only its connection when a request panics

Callers saw: a panic while one request was served ended the whole process with all requests in flight. A panic while a connection was read was kept: the connection was never closed, and Shutdown panicked in the middle of a planned stop.

Cause: requests run in goroutines that catch nothing; conc keeps the panic of a connection until its group is waited for, by Shutdown.

Change: both are caught, logged with their stack and counted. The caller of the request is told that it may have run (502 on the platform), or its connection is reset if a part of the answer had left; requests under way on the same connection get their answers, and then it ends. A panic while connections are taken on ends the front, which the daemon stops for.

--- a/verbenad/adapt/front/conn.go
+++ b/verbenad/adapt/front/conn.go
@@ -61,13 +61,20 @@
 
 func (c *conn) serve() {
 	defer c.front.drop(c)
-	for c.next() {
+	if c.front.catch("read a connection", c.read) {
+		c.end(true)
 	}
 	c.group.Wait()
 	c.cancel()
 	c.close()
 }
 
+// read reads requests until none is to follow.
+func (c *conn) read() {
+	for c.next() {
+	}
+}
+
 // next reads a request and starts it. It reports false at the end of the connection.
 func (c *conn) next() bool {
 	limits := c.front.relay.Limits()
@@ -188,7 +195,10 @@
 	c.group.Add(1)
 	go func() {
 		defer c.group.Done()
-		f()
+		if c.front.catch("serve a request", f) {
+			c.stop(true)
+			c.cancel()
+		}
 		close(x.done)
 		c.ahead.Add(-1)
 		c.rest()
--- a/verbenad/adapt/front/exchange.go
+++ b/verbenad/adapt/front/exchange.go
@@ -31,6 +31,7 @@
 	began  clock.Millis
 	ask    Ask
 	body   *relay.Body
+	begun  bool        // some of the response may be written
 	cut    bool        // the body was not read whole
 	sent   atomic.Bool // the caller may have the whole response
 
@@ -104,7 +105,10 @@
 func (x *exchange) serve() {
 	f := x.conn.front
 	f.meter.Begin()
-	o := x.run()
+	var o result.Outcome
+	if f.catch("serve a request", func() { o = x.run() }) {
+		o = x.spoilt()
+	}
 	f.meter.End(o, f.clock.Now()-x.began)
 	f.story.Tell(o, func() logrus.Fields { return x.facts(o) })
 	if x.body != nil && !x.body.Finish(x.interrupt) && !x.cut {
@@ -112,6 +116,15 @@
 	}
 }
 
+// spoilt ends a request whose serving panicked: the target may have run it.
+func (x *exchange) spoilt() result.Outcome {
+	if x.begun {
+		return x.broken(result.Interrupted)
+	}
+	x.conn.end(true)
+	return x.fail(result.NewUnknown(result.Interrupted))
+}
+
 // facts are what the log tells of the request: what decided its end, and the version of the
 // table that it was routed by.
 func (x *exchange) facts(o result.Outcome) logrus.Fields {
--- a/verbenad/adapt/front/front.go
+++ b/verbenad/adapt/front/front.go
@@ -19,6 +19,7 @@
 	"verbenabank/core/clock"
 	"verbenabank/core/state/call"
 	"verbenabank/core/state/result"
+	"verbenabank/verbenad/command/crash"
 	"verbenabank/verbenad/command/meter"
 	"verbenabank/verbenad/command/relay"
 	"verbenabank/verbenad/command/story"
@@ -141,7 +142,15 @@
 	return true
 }
 
-func (f *Front) accept(l net.Listener) error {
+// accept takes connections until the listener fails.
+func (f *Front) accept(l net.Listener) (err error) {
+	if p := crash.Catch(f.log, "take connections", func() { err = f.take(l) }); p != nil {
+		return p
+	}
+	return err
+}
+
+func (f *Front) take(l net.Listener) error {
 	for {
 		n, err := l.Accept()
 		if err != nil {
@@ -176,6 +185,9 @@
 // Leave asks callers to go elsewhere: each connection ends with its next response.
 func (f *Front) Leave() { f.leaving.Store(true) }
 
+// catch runs what serves a connection or a request, and reports whether it panicked.
+func (f *Front) catch(op string, serve func()) bool { return crash.Catch(f.log, op, serve) != nil }
+
 // Busy returns how many connections have requests under way.
 func (f *Front) Busy() int {
 	f.mu.Lock()
--- a/verbenad/adapt/front/front_test.go
+++ b/verbenad/adapt/front/front_test.go
@@ -29,7 +29,15 @@
 // words is a dialect with short names.
 type words struct{}
 
-func (words) Ask(h *fasthttp.RequestHeader) front.Ask { return front.NewAsk(string(h.Peek("Id")), 0) }
+// faulty is the id of a request that makes the reading of its connection panic.
+const faulty = "faulty"
+
+func (words) Ask(h *fasthttp.RequestHeader) front.Ask {
+	if string(h.Peek("Id")) == faulty {
+		panic(faulty)
+	}
+	return front.NewAsk(string(h.Peek("Id")), 0)
+}
 
 func (words) Forward(fields []call.Field, _ string) []call.Field { return fields }
 
--- a/verbenad/adapt/front/respond.go
+++ b/verbenad/adapt/front/respond.go
@@ -165,6 +165,7 @@
 
 // endHead writes how the body is framed and whether the connection ends after it.
 func (x *exchange) endHead(b *bytes.Buffer, length int64) (last bool) {
+	x.begun = true
 	last = x.conn.ends(x, x.abandonsBody() || x.head.ConnectionClose() || x.conn.front.leaving.Load())
 	if length >= 0 {
 		field(b, fasthttp.HeaderContentLength, strconv.FormatInt(length, 10))
