Let vload go on after a hangup that it was started to ignore

Operators saw: `nohup vload ...` stopped when its terminal was closed.

Cause: since vload handles SIGHUP always, which undoes what nohup set.

Change: SIGHUP stops vload only where it was not ignored at the start. TestHangupEndsATarget still guards the other case.

--- a/vload/main.go
+++ b/vload/main.go
@@ -20,7 +20,7 @@
 	flaggy.DefaultParser.DisableShowVersionWithVersion()
 	serve, run, supervise := newServe(), newRun(), newSupervise()
 	flaggy.Parse()
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(context.Background(), stops()...)
 	defer stop()
 	var err error
 	switch {
@@ -39,3 +39,12 @@
 		os.Exit(1)
 	}
 }
+
+// stops returns the signals that stop the program. One that was started with nohup outlives its terminal.
+func stops() []os.Signal {
+	list := []os.Signal{os.Interrupt, syscall.SIGTERM}
+	if !signal.Ignored(syscall.SIGHUP) {
+		list = append(list, syscall.SIGHUP)
+	}
+	return list
+}
