Stop within the grace time that was set when the stop began

Callers of other daemons saw 502 for requests that the target beside a stopping daemon was at work on, when the grace time in the settings was lowered after the stop had begun.

Cause: each step of a stop read the grace time of the settings anew.

Change: a stop takes it once and hands it to its steps. Settings that change meanwhile are for the next one. A step that panics is logged and the stop goes on.

--- a/verbenad/command/serve/run.go
+++ b/verbenad/command/serve/run.go
@@ -9,7 +9,6 @@
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
 	"google.golang.org/grpc"
 
 	"verbenabank/core/command/agent"
@@ -127,27 +126,39 @@
 	}
 }
 
+// halt is a planned stop that goes on. Settings that change meanwhile do not change it.
+type halt struct {
+	begun time.Time
+	grace time.Duration // 0 if the stop is not bounded
+}
+
 func (d *Daemon) stop() error {
-	begun := time.Now()
-	d.part().WithField("grace_ms", d.settings.Load().Terms().Grace()).Info("serve: planned stop begins")
+	h := halt{begun: time.Now(), grace: d.settings.Load().Terms().Grace().Duration()}
+	d.part().WithField("grace_ms", h.grace.Milliseconds()).Info("serve: planned stop begins")
 	d.leaving.Store(true)
-	var group conc.WaitGroup
-	group.Go(func() {
-		pause(begun.Add(d.staySpan()))
-		d.leaveGroup(begun)
-		d.step(begun).Info("serve: nothing is owned any more")
+	left, gone := make(chan struct{}), make(chan struct{})
+	go d.step(h, left, "nothing is owned any more", func() {
+		pause(h.begun.Add(d.staySpan(h)))
+		d.leaveGroup(h)
 	})
-	if d.front != nil {
-		d.stopFront(begun)
-	}
-	group.Wait()
+	go d.step(h, gone, "callers are gone", func() { d.stopFront(h) })
+	<-left
+	<-gone
 	err := d.stopEntry()
-	d.awaitTarget(d.lastAnswer(begun))
+	d.awaitTarget(h.lastAnswer())
 	d.stopServers()
-	d.step(begun).Info("serve: planned stop is done")
+	d.told(h).Info("serve: planned stop is done")
 	return err
 }
 
+// step does a part of a planned stop, and closes done after it.
+func (d *Daemon) step(h halt, done chan struct{}, what string, f func()) {
+	defer close(done)
+	if crash.Catch(d.part(), "stop", f) == nil {
+		d.told(h).Info("serve: " + what)
+	}
+}
+
 // stopEntry ends the connections of callers of the daemon's own protocol.
 func (d *Daemon) stopEntry() error {
 	if d.entry == nil {
@@ -158,9 +169,9 @@
 	return d.entry.Shutdown(ctx)
 }
 
-// step returns a log entry that tells how far a stop has come that began at an instant.
-func (d *Daemon) step(begun time.Time) *logrus.Entry {
-	e := d.part().WithField("took_ms", time.Since(begun).Milliseconds()).WithField("in_flight", d.owner.Flight().Total())
+// told returns a log entry that tells how far a stop has come.
+func (d *Daemon) told(h halt) *logrus.Entry {
+	e := d.part().WithField("took_ms", time.Since(h.begun).Milliseconds()).WithField("in_flight", d.owner.Flight().Total())
 	if d.front != nil {
 		e = e.WithField("busy_callers", d.front.Busy())
 	}
@@ -170,20 +181,18 @@
 // staySpan returns how long the daemon goes on with its target after it was told to stop: its
 // callers need a while to go elsewhere anyway, and the target is missed by the others. It is half of the
 // time that the grace leaves for the target.
-func (d *Daemon) staySpan() time.Duration {
-	g := d.settings.Load().Terms().Grace()
-	if d.front == nil || g == 0 {
+func (d *Daemon) staySpan(h halt) time.Duration {
+	if d.front == nil || h.grace == 0 {
 		return 0
 	}
-	return min(noticeSpan, max(0, g.Duration()-graceLeft)/2)
+	return min(noticeSpan, max(0, h.grace-graceLeft)/2)
 }
 
-// leaveGroup hands over what the daemon owns and leads, after a stop that began at an instant. A
-// daemon without a port for callers is no member and owns nothing.
-func (d *Daemon) leaveGroup(begun time.Time) {
+// leaveGroup hands over what the daemon owns and leads. A daemon without a port for callers is no member and owns nothing.
+func (d *Daemon) leaveGroup(h halt) {
 	within := leaveWithin
-	if g := d.settings.Load().Terms().Grace(); g > 0 {
-		within = min(within, time.Until(begun.Add(max(g.Duration()-graceLeft, g.Duration()/leaveShare))))
+	if h.grace > 0 {
+		within = min(within, time.Until(h.begun.Add(max(h.grace-graceLeft, h.grace/leaveShare))))
 	}
 	if d.callersPort != nil {
 		d.post(agent.StopAsked{})
@@ -205,27 +214,29 @@
 // stopFront goes on serving callers until they have seen that the daemon is not ready, and
 // then ends their connections one by one. It does not wait until the daemon has left: a request that
 // is taken on late may outlast the grace time.
-func (d *Daemon) stopFront(begun time.Time) {
-	end := d.lastAnswer(begun)
-	notice := min(noticeSpan, end.Sub(begun)*noticeShare/(noticeShare+1))
-	pause(begun.Add(notice))
-	d.step(begun).Info("serve: callers are asked to go elsewhere")
+func (d *Daemon) stopFront(h halt) {
+	if d.front == nil {
+		return
+	}
+	end := h.lastAnswer()
+	notice := min(noticeSpan, end.Sub(h.begun)*noticeShare/(noticeShare+1))
+	pause(h.begun.Add(notice))
+	d.told(h).Info("serve: callers are asked to go elsewhere")
 	d.front.Leave()
-	pause(begun.Add(notice + min(partSpan, (end.Sub(begun)-notice)/partShare)))
-	d.step(begun).Info("serve: no callers are taken on any more")
+	pause(h.begun.Add(notice + min(partSpan, (end.Sub(h.begun)-notice)/partShare)))
+	d.told(h).Info("serve: no callers are taken on any more")
 	_ = d.callersPort.Close()
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	d.front.Shutdown(ctx)
-	d.step(begun).Info("serve: callers are gone")
 }
 
-// lastAnswer returns until when requests are answered after a stop that began at an instant.
-func (d *Daemon) lastAnswer(begun time.Time) time.Time {
-	if g := d.settings.Load().Terms().Grace(); g > 0 {
-		return begun.Add(max(g.Duration()-graceLast, g.Duration()/answerShare))
+// lastAnswer returns until when requests are answered.
+func (h halt) lastAnswer() time.Time {
+	if h.grace > 0 {
+		return h.begun.Add(max(h.grace-graceLast, h.grace/answerShare))
 	}
-	return begun.Add(callersWithin)
+	return h.begun.Add(callersWithin)
 }
 
 // awaitTarget waits until the target has answered what other daemons sent it, but not after an instant.
