End within the grace time beside slow requests of all ports

Operators saw: a process that had not ended 4.1 s after its SIGTERM with a grace time of 4 s, and was killed by the platform.

Cause: callers, the admin server and the server for other daemons were ended one after the other: callers until 0.35 s before the end, then up to 1 s for a slow request of an operator, then up to 0.5 s for the others, then the log.

Change: from the instant of the last answer (0.7 s before the end) the three end side by side. The servers get 0.25 s then at most, as callers' last answers do; before that instant they get what they had. With 0.1 s for the last callers to close and 0.3 s for the log that is 0.65 s.

--- a/verbenad/command/serve/run.go
+++ b/verbenad/command/serve/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 	"google.golang.org/grpc"
 
 	"verbenabank/core/command/agent"
@@ -28,6 +29,8 @@
 	// peersWithin bounds what is on its way to other daemons, and adminWithin what operators asked.
 	peersWithin = 500 * time.Millisecond
 	adminWithin = time.Second
+	// serversLeast is what both get at least.
+	serversLeast = 250 * time.Millisecond
 	// handoverWait gives a leader time to hand over before the ports close.
 	handoverWait = 300 * time.Millisecond
 )
@@ -143,10 +146,11 @@
 	})
 	go d.step(h, gone, "callers are gone", func() { d.stopFront(h) })
 	<-left
-	<-gone
+	h.await(gone)
 	err := d.stopEntry()
 	d.awaitTarget(h.lastAnswer())
-	d.stopServers()
+	d.stopServers(h)
+	<-gone
 	d.told(h).Info("serve: planned stop is done")
 	return err
 }
@@ -159,6 +163,18 @@
 	}
 }
 
+// await waits for a part of the stop while requests are answered.
+func (h halt) await(done chan struct{}) {
+	if h.grace == 0 {
+		<-done
+		return
+	}
+	select {
+	case <-done:
+	case <-time.After(time.Until(h.lastAnswer())):
+	}
+}
+
 // stopEntry ends the connections of callers of the daemon's own protocol.
 func (d *Daemon) stopEntry() error {
 	if d.entry == nil {
@@ -239,6 +255,14 @@
 	return h.begun.Add(callersWithin)
 }
 
+// within bounds a span of the servers' end: they get as much time after the last answer as callers do.
+func (h halt) within(span time.Duration) time.Duration {
+	if h.grace == 0 {
+		return span
+	}
+	return min(span, max(serversLeast, time.Until(h.lastAnswer())))
+}
+
 // awaitTarget waits until the target has answered what other daemons sent it, but not after an instant.
 func (d *Daemon) awaitTarget(end time.Time) {
 	empty := make(chan struct{})
@@ -270,9 +294,11 @@
 
 // stopServers closes the remaining ports. Answers to other daemons are on their way at most; the
 // streams of replicas have no end of their own and are cut.
-func (d *Daemon) stopServers() {
-	_ = d.admin.ShutdownWithTimeout(adminWithin)
-	cut := time.AfterFunc(peersWithin, d.peers.Stop)
+func (d *Daemon) stopServers(h halt) {
+	var group conc.WaitGroup
+	defer group.Wait()
+	group.Go(func() { _ = d.admin.ShutdownWithTimeout(h.within(adminWithin)) })
+	cut := time.AfterFunc(h.within(peersWithin), d.peers.Stop)
 	defer cut.Stop()
 	d.peers.GracefulStop()
 }
