Give back slot and place of a request whose serving panics

Callers saw: a panic while the request of another daemon, or one at the own protocol's port, was sent to the target ended the process. Once such panics are caught further out, the request would have kept its slot and its place in the count of requests in flight for good, and a stop would have waited for it.

Cause: only the sender gives back what a request holds once it is passed on, and a sender that panics never does.

Change: the owner catches the panic, answers that the request may have run, and treats it like one that was abandoned: its slot is free, and it counts as in flight until the lease that the target was told has lapsed. What is given back is given back once.

Measured: TestPanicOfARequestFreesItsPlace ended the test process before; with the panic only caught, 1 request stayed in flight. It passes 3 of 3 times with -race.

--- a/verbenad/command/crash/crash.go
+++ b/verbenad/command/crash/crash.go
@@ -40,7 +40,8 @@
 // Error returns the operation and the value of the panic.
 func (e *Error) Error() string { return fmt.Sprintf("crash: %s: %s: %v", e.op, Panicked, e.value) }
 
-// Catch calls f, which does op. It returns the panic that ended it as an *Error, nil without one.
+// Catch calls f, which does op. It returns the panic that ended it as an *Error, nil without one. A nil log
+// is the standard one.
 func Catch(log *logrus.Entry, op string, f func()) (err error) {
 	defer func() {
 		v := recover()
@@ -49,6 +50,9 @@
 		}
 		err = &Error{op: op, value: v}
 		panics.Add(1)
+		if log == nil {
+			log = logrus.NewEntry(logrus.StandardLogger())
+		}
 		log.WithError(err).WithField("stack", string(debug.Stack())).Error("crash: a goroutine panicked")
 	}()
 	f()
--- a/verbenad/command/owner/guard.go
+++ b/verbenad/command/owner/guard.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -59,6 +60,7 @@
 	pass     admission
 	slotted  bool
 	passed   bool
+	freed    sync.Once // the slot and the place of a request that was passed on
 	sent     clock.Millis
 	id       string
 	told     clock.Millis // the end of the lease that the target was told last
@@ -82,7 +84,7 @@
 	g.pass = pass
 	g.passed = true
 	g.owner.meter.Wait("queue", g.owner.clock.Now()-g.entered)
-	switch reply := g.owner.target.Send(g.enlist(ctx), call.NewWork(g.prepare, g.ended, call.WithAbandoned(g.abandoned))).(type) {
+	switch reply := g.owner.target.Send(g.enlist(ctx), call.NewWork(g.prepare, g.free(g.ended), call.WithAbandoned(g.free(g.abandoned)))).(type) {
 	case call.Answer:
 		return g.judge(reply)
 	case call.Failure:
@@ -91,6 +93,10 @@
 	return call.Unknown(result.Interrupted)
 }
 
+// free returns a function that gives back the slot and the place of the request in a way, unless they
+// are given back already.
+func (g *guard) free(way func()) func() { return func() { g.freed.Do(way) } }
+
 // prepare checks again, just before the request goes to the target.
 func (g *guard) prepare() (call.Request, result.Reason) {
 	pass, reason := g.owner.check(g.request)
--- a/verbenad/command/owner/owner.go
+++ b/verbenad/command/owner/owner.go
@@ -20,6 +20,7 @@
 	"verbenabank/core/state/rules"
 	"verbenabank/core/state/snap"
 	"verbenabank/core/state/table"
+	"verbenabank/verbenad/command/crash"
 	"verbenabank/verbenad/command/flight"
 	"verbenabank/verbenad/command/meter"
 	"verbenabank/verbenad/command/story"
@@ -180,7 +181,11 @@
 	g := &guard{owner: o, request: r, deadline: o.deadline(ctx), entered: o.clock.Now()}
 	g.leave = o.flight.Enter(r.Service(), r.Shard())
 	o.meter.Begin()
-	switch reply := g.serve(ctx).(type) {
+	var reply call.Reply = call.Unknown(result.Interrupted)
+	if crash.Catch(o.log, "serve a request", func() { reply = g.serve(ctx) }) != nil && g.passed {
+		g.free(g.abandoned)() // the target may run it
+	}
+	switch reply := reply.(type) {
 	case call.Answer:
 		b := &guarded{guard: g, status: reply.Status(), body: reply.Body()}
 		return call.NewAnswer(reply.Status(), reply.Fields(), b, reply.Length())
