End only their request when handlers of the admin and peers ports panic

Operators and other daemons saw: a panic while one of their requests was served ended the whole process with all requests of callers.

Cause: neither fiber nor gRPC catches panics of handlers.

Change: both catch, log and count them: the admin port answers 500, calls and streams of other processes end with an internal error, which a daemon takes for "may have run".

Measured: TestPanicOfAnOperatorsRequestEndsItOnly ended the test process before (`panic: cut`) and passes with -race. The two gRPC interceptors have no test of their own.

--- a/verbenad/command/serve/ended_test.go
+++ b/verbenad/command/serve/ended_test.go
@@ -5,11 +5,13 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"path/filepath"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/gofiber/fiber/v3"
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus/hooks/test"
 
@@ -53,7 +55,7 @@
 }
 
 // newDaemon returns a daemon that is the only control replica of its group.
-func newDaemon(t *testing.T) *Daemon {
+func newDaemon(t *testing.T, opts ...Option) *Daemon {
 	t.Helper()
 	i := is.New(t)
 	peers := free(t)
@@ -62,12 +64,32 @@
 		"control": {"data_folder": "data", "form": true}, "grace_ms": 4000}`, peers, free(t), peers, free(t)))
 	i.NoErr(err)
 	log, _ := test.NewNullLogger()
-	d, clean, err := New(s, log)
+	d, clean, err := New(s, log, opts...)
 	i.NoErr(err)
 	t.Cleanup(clean)
 	return d
 }
 
+// TestPanicOfAnOperatorsRequestEndsItOnly guards against a process that ends with the fault of one request at
+// its admin port.
+func TestPanicOfAnOperatorsRequestEndsItOnly(t *testing.T) {
+	i := is.New(t)
+	d := newDaemon(t, WithAdmin(func(r fiber.Router, _ Door) {
+		r.Get("/bad", func(fiber.Ctx) error { panic(errCut) })
+	}))
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(ctx) }()
+	for path, status := range map[string]int{"/bad": http.StatusInternalServerError, "/health": http.StatusOK} {
+		a, err := http.Get("http://" + d.adminPort.Addr().String() + path)
+		i.NoErr(err)
+		i.Equal(a.StatusCode, status)
+		_ = a.Body.Close()
+	}
+	cancel()
+	i.NoErr(<-ended)
+}
+
 // TestDaemonAnswersAfterAPartOfItEnded guards against requests in flight that were cut since another
 // part of the daemon had ended.
 func TestDaemonAnswersAfterAPartOfItEnded(t *testing.T) {
--- a/verbenad/command/serve/serve.go
+++ b/verbenad/command/serve/serve.go
@@ -187,12 +187,14 @@
 const greetWithin = time.Second
 
 func (d *Daemon) buildServers() error {
-	d.peers = grpc.NewServer(append(d.trust.ServerOptions(), grpc.InitialWindowSize(hop.WindowBytes), grpc.ConnectionTimeout(greetWithin))...)
+	d.peers = grpc.NewServer(append(d.trust.ServerOptions(), grpc.InitialWindowSize(hop.WindowBytes), grpc.ConnectionTimeout(greetWithin),
+		grpc.ChainUnaryInterceptor(d.catchCall), grpc.ChainStreamInterceptor(d.catchStream))...)
 	link.NewServer(d.loop, d.codec, d.part()).Register(d.peers)
 	wirepb.RegisterHopServer(d.peers, hop.NewServer(d.owner))
 	d.admin = fiber.New(fiber.Config{
 		AppName: "verbenad", BodyLimit: adminBodyBytes, ReadTimeout: callWithin, IdleTimeout: idleWithin,
 	})
+	d.admin.Use(d.catchAdmin)
 	n := notice.New(d.post, notice.WithBeat(d.sidecar.Heard),
 		notice.WithTake(func(e agent.Event, done func()) { d.loop.Post(ctrl.NewLocal(e).Then(done)) }))
 	d.waiter.notice = n
