Count a panic of the storage as its failure

Operators saw nothing: after a panic in the storage goroutine of a replica nothing was durable any more, the replica went on without its disk, and the end of the process panicked.

Cause: conc keeps the panic until the clean-up of the storage.

Change: it is caught, logged with its stack, counted, and handed on as the failure of the disk, for which the daemon stops as planned.

Measured: TestPanicOfTheStorageIsFatal failed before (nobody was told within 5 s, then `panic: faulty` in the clean-up) and passes 2 of 2 times with -race.

--- a/verbenad/adapt/disk/disk.go
+++ b/verbenad/adapt/disk/disk.go
@@ -26,6 +26,7 @@
 
 	"verbenabank/core/clock"
 	"verbenabank/core/state/peer"
+	"verbenabank/verbenad/command/crash"
 )
 
 // Disk is the storage of one replica. Append is safe for concurrent use.
@@ -67,7 +68,11 @@
 		return nil, nil, err
 	}
 	var group conc.WaitGroup
-	group.Go(d.serve)
+	group.Go(func() {
+		if err := crash.Catch(nil, "store", d.serve); err != nil {
+			d.fatal(err)
+		}
+	})
 	return d, func() {
 		close(d.stop)
 		group.Wait()
