End only its connection when a request of the own protocol panics

Callers saw: a panic while one request was served ended the whole process with all requests in flight.

Cause: fasthttp does not catch panics of its handlers.

Change: the entry catches, logs and counts it, answers 502 `unknown` and ends the connection.

--- a/verbenad/command/entry/handle.go
+++ b/verbenad/command/entry/handle.go
@@ -14,6 +14,7 @@
 	"verbenabank/core/state/result"
 	"verbenabank/core/state/rules"
 	"verbenabank/verbenad/adapt/head"
+	"verbenabank/verbenad/command/crash"
 	"verbenabank/verbenad/command/relay"
 )
 
@@ -61,7 +62,10 @@
 	defer t.close()
 	e.meter.Begin()
 	began := e.clock.Now()
-	o := t.run()
+	var o result.Outcome
+	if crash.Catch(nil, "serve a request", func() { o = t.run() }) != nil {
+		o = t.spoilt()
+	}
 	e.meter.End(o, e.clock.Now()-began)
 	if e.leaving.Load() {
 		t.leaveUnread()
@@ -69,6 +73,13 @@
 	return nil
 }
 
+// spoilt answers a request whose serving panicked, and ends its connection: the target may have run it.
+func (t *task) spoilt() result.Outcome {
+	t.http.Response.Reset()
+	t.http.SetConnectionClose()
+	return t.fail(result.NewUnknown(result.Interrupted))
+}
+
 // newTask reads the head of a request.
 func (e *Entry) newTask(c *fasthttp.RequestCtx) *task {
 	t := &task{entry: e, http: c, id: rand.Text(), cancel: func() {}}
