Keep no more than the last sixth of a short grace time for the end of the process

Callers saw: 502 for a request at which a server was at work, 3.30 s after the SIGTERM of a daemon with a grace time of 4 s (LOST, found by the soak with overlapping signals).

Cause: 700 ms were kept for the end of the process whatever the grace time. Below 4.2 s that is more than the last sixth, in which alone a request may be given up.

Change: it is the last sixth of the grace time, 700 ms at most.

--- a/verbenad/command/serve/run.go
+++ b/verbenad/command/serve/run.go
@@ -41,14 +41,14 @@
 	noticeSpan = 2200 * time.Millisecond
 	partSpan   = 400 * time.Millisecond
 	// graceLeft is the part of the grace time that is kept for callers' requests, and
-	// graceLast what is kept for the end of the process.
+	// graceLast what is kept for the end of the process: of a short grace time, the last sixth.
 	graceLeft = 2500 * time.Millisecond
 	graceLast = 700 * time.Millisecond
-	// leaveShare, answerShare, noticeShare and partShare divide a grace time that is shorter than these
-	// spans: what leaving gets of it at least, and answers; what callers get of the time for answers
-	// to see that the daemon is not ready; and what they get of the rest to end their connections.
+	lastShare = 6
+	// leaveShare, noticeShare and partShare divide a grace time that is shorter than these spans: what
+	// leaving gets of it at least; what callers get of the time for answers to see that the daemon
+	// is not ready; and what they get of the rest to end their connections.
 	leaveShare  = 3
-	answerShare = 2
 	noticeShare = 2
 	partShare   = 4
 )
@@ -250,7 +250,7 @@
 // lastAnswer returns until when requests are answered.
 func (h halt) lastAnswer() time.Time {
 	if h.grace > 0 {
-		return h.begun.Add(max(h.grace-graceLast, h.grace/answerShare))
+		return h.begun.Add(h.grace - min(graceLast, h.grace/lastShare))
 	}
 	return h.begun.Add(callersWithin)
 }
