Let a target that closed its port finish its requests

Cause: when a connection to the target is refused twice, the daemon took it for dead and ended all exchanges with it. A closed port proves only that the target takes nothing more.

Change: such a target is shut, not dead. Nothing more is sent to it, what is under way goes on, and the daemon gives up the target once nothing is in flight. The connections of a process that ended are reset by its system, so that takes no longer than before. A new start of a target still counts as the death of the one before.

TestShutTargetFinishesWhatItHas is the decision alone. The model of the control group does not play targets that are shut.

--- a/core/command/agent/agent_test.go
+++ b/core/command/agent/agent_test.go
@@ -176,6 +176,20 @@
 	b.is.True(gone)
 }
 
+// TestShutTargetFinishesWhatItHas guards against requests that were cut at a target which had closed
+// its port and was still at work.
+func TestShutTargetFinishesWhatItHas(t *testing.T) {
+	b := newBench(t)
+	b.member()
+	b.step(NewTargetLost(Shut{}))
+	b.is.True(!b.owns())
+	_, cut := find[DropTarget](b)
+	b.is.True(!cut)
+	b.step(AllDrained{})
+	_, gone := find[SendGone](b)
+	b.is.True(gone)
+}
+
 func TestMovingShardIsReleasedOnlyAfterItIsClosedAndDrained(t *testing.T) {
 	b := newBench(t)
 	b.member()
--- a/core/command/agent/effect.go
+++ b/core/command/agent/effect.go
@@ -10,7 +10,7 @@
 )
 
 // Effect is what an agent asks for: Publish, SendJoin, SendRenew, SendLeave,
-// SendGone, AwaitQuiet, WatchShard, WatchAll, UseTarget, DropTarget, Reconnect, Freed,
+// SendGone, AwaitQuiet, WatchShard, WatchAll, UseTarget, ShutTarget, DropTarget, Reconnect, Freed,
 // Violated or Stopped. Effects are carried out in their order.
 type Effect interface{ effect() }
 
@@ -149,6 +149,9 @@
 // Order returns the order.
 func (e Command) Order() hold.Order { return e.order }
 
+// ShutTarget sends nothing more to the target. What is under way goes on.
+type ShutTarget struct{}
+
 // DropTarget closes all connections to the target.
 type DropTarget struct{}
 
@@ -177,6 +180,7 @@
 func (WatchShard) effect() {}
 func (WatchAll) effect()   {}
 func (UseTarget) effect()  {}
+func (ShutTarget) effect() {}
 func (DropTarget) effect() {}
 func (Reconnect) effect()  {}
 func (Freed) effect()      {}
--- a/core/command/agent/event.go
+++ b/core/command/agent/event.go
@@ -61,16 +61,21 @@
 // TargetLost says that the target is gone or answers no more.
 type TargetLost struct{ loss Loss }
 
-// Loss is how a target was lost: Dead or Mute.
+// Loss is how a target was lost: Dead, Shut or Mute.
 type Loss interface{ loss() }
 
-// Dead targets run nothing: no process listens at their address.
+// Dead targets run nothing.
 type Dead struct{}
 
+// Shut targets take no connections: no process listens at their address. One may still be at work
+// on what it has.
+type Shut struct{}
+
 // Mute targets do not answer and may go on later.
 type Mute struct{}
 
 func (Dead) loss() {}
+func (Shut) loss() {}
 func (Mute) loss() {}
 
 // NewTargetLost returns the loss of the target.
--- a/core/command/agent/target.go
+++ b/core/command/agent/target.go
@@ -35,7 +35,7 @@
 }
 
 // targetLost gives up what the daemon owns. A dead target runs nothing, so all is
-// given back once traffic noticed; a mute one may go on under the lease that it
+// given back once traffic noticed; a shut one first finishes what it has; a mute one may go on under the lease that it
 // was told, so the lease must lapse first.
 func (a *Agent) targetLost(e TargetLost) {
 	if a.target.service == "" || a.parted() {
@@ -46,6 +46,10 @@
 		a.emit(DropTarget{})
 		a.dropBook()
 		a.drain(a.afterLoss())
+	case Shut:
+		a.emit(ShutTarget{})
+		a.dropBook()
+		a.drain(a.afterLoss())
 	case Mute:
 		a.loseMute()
 	}
--- a/core/command/leader/daemon_test.go
+++ b/core/command/leader/daemon_test.go
@@ -123,7 +123,7 @@
 		d.world.after(d.world.span(300), func() { d.awake(d.announce) })
 	case agent.Violated:
 		d.world.fail("%s: %s", d.name, f.Problem())
-	case agent.UseTarget, agent.Stopped:
+	case agent.UseTarget, agent.ShutTarget, agent.Stopped:
 	}
 }
 
--- a/verbenad/adapt/link/uplink.go
+++ b/verbenad/adapt/link/uplink.go
@@ -82,7 +82,7 @@
 		return codec.EncodeLeave(e)
 	case agent.SendGone:
 		return codec.EncodeGone(e)
-	case agent.Publish, agent.AwaitQuiet, agent.WatchShard, agent.WatchAll, agent.UseTarget, agent.DropTarget,
+	case agent.Publish, agent.AwaitQuiet, agent.WatchShard, agent.WatchAll, agent.UseTarget, agent.ShutTarget, agent.DropTarget,
 		agent.Reconnect, agent.Freed, agent.Violated, agent.Stopped, agent.Command:
 	}
 	return nil
--- a/verbenad/adapt/pulse/pulse.go
+++ b/verbenad/adapt/pulse/pulse.go
@@ -117,7 +117,7 @@
 	return agent.Mute{}
 }
 
-// verify dials once more: only a port without a listener proves that the target is gone.
+// verify dials once more: only a port without a listener proves that the target takes nothing more.
 func (p *Pulse) verify(ctx context.Context, address string) agent.Loss {
 	d := net.Dialer{Timeout: verifyWithin}
 	c, err := d.DialContext(ctx, "tcp", address)
@@ -129,5 +129,5 @@
 		return nil
 	}
 	p.log.WithField("address", address).Warn("pulse: nobody listens at the address of the target, it counts as gone")
-	return agent.Dead{}
+	return agent.Shut{}
 }
--- a/verbenad/command/ctrl/local.go
+++ b/verbenad/command/ctrl/local.go
@@ -38,6 +38,8 @@
 	case agent.Command:
 		id := f.Order().ID()
 		l.target.Command(f.Order(), func(r hold.Result) { l.Post(NewLocal(agent.NewOrderEnded(id, r))) })
+	case agent.ShutTarget:
+		l.target.Shut()
 	case agent.DropTarget:
 		l.target.Drop()
 	case agent.Reconnect:
--- a/verbenad/command/ctrl/ports.go
+++ b/verbenad/command/ctrl/ports.go
@@ -40,6 +40,7 @@
 // Target is the traffic side of the target beside the daemon.
 type Target interface {
 	Use(t agent.UseTarget)
+	Shut()
 	Drop()
 	// Command gives the target an order about keys and calls done once with its result.
 	Command(o hold.Order, done func(hold.Result))
--- a/verbenad/command/serve/target.go
+++ b/verbenad/command/serve/target.go
@@ -66,13 +66,18 @@
 	b.watch.Watch(t.Address())
 }
 
-// Drop ends all exchanges with the target.
-func (b *sidecar) Drop() {
+// Shut begins no more exchanges with the target.
+func (b *sidecar) Shut() {
 	b.using = agent.UseTarget{}
 	b.watch.Drop()
 	b.target.Point("")
 	b.extender.Point("")
 	b.keeper.Point("")
+}
+
+// Drop ends all exchanges with the target.
+func (b *sidecar) Drop() {
+	b.Shut()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.cancel()
