--- a/vscale/command/stand/idle.go
+++ b/vscale/command/stand/idle.go
@@ -13,6 +13,9 @@
 // Use takes a target that is never asked.
 func (idle) Use(agent.UseTarget) {}
 
+// Shut has nothing to shut.
+func (idle) Shut() {}
+
 // Drop closes nothing.
 func (idle) Drop() {}
 
