Keep the ledger of a test of vload out of the source folder

The test of a hangup under nohup wrote its ledger into the folder of its package, and it was committed with it. It runs in a temporary folder now.

--- a/vload/main_test.go
+++ b/vload/main_test.go
@@ -33,12 +33,13 @@
 	i.NoErr(err)
 	address := l.Addr().String()
 	i.NoErr(l.Close())
-	path := filepath.Join(t.TempDir(), "target.jsonc")
+	folder := t.TempDir()
+	path := filepath.Join(folder, "target.jsonc")
 	i.NoErr(os.WriteFile(path, fmt.Appendf(nil, `{"instance": "one", "service": "s", "listen": %q, "admin": "127.0.0.1:1",
 		"ledger": "ledger.jsonl", "slots": 2, "backlog": 2, "connections": 10, "connect_ms": 1, "drain_ms": 100, "fencing": "commit",
 		"spread": "fixed", "service_ms": {"GET": 3}}`, address), 0o600))
 	c := exec.Command("nohup", os.Args[0], "target", path)
-	c.Env = append(os.Environ(), asProgram+"=1")
+	c.Dir, c.Env = folder, append(os.Environ(), asProgram+"=1")
 	i.NoErr(c.Start())
 	ended := make(chan error, 1)
 	go func() { ended <- c.Wait() }()
