Give the daemons of the start tests addresses of their own

Seen: TestReloadHoldsUpTheStop failed once beside other work: the process ended before it was up. Cause: a port that was free a moment ago was taken meanwhile, by another test or an outgoing connection. Change: fixed ports on an address of the process and the daemon. What the tests check is the same.

--- a/verbenad/command/start/process_test.go
+++ b/verbenad/command/start/process_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -60,7 +61,8 @@
 	t.Helper()
 	i := is.New(t)
 	folder := t.TempDir()
-	peers, admin, callers := free(t), free(t), free(t)
+	at := ip()
+	peers, admin, callers := at+":8090", at+":8070", at+":8080"
 	p := &program{
 		t: t, path: filepath.Join(folder, "settings.jsonc"), late: filepath.Join(folder, "late.jsonc"),
 		peers: peers, lines: make(chan string, 1000),
@@ -90,13 +92,17 @@
 	}()
 }
 
-// free returns an address that nobody listens on.
-func free(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+// networks is how many networks, from 127.100 on, daemons of one test process may have.
+const networks = 25
+
+// programs counts the daemons of this test process.
+var programs atomic.Int32
+
+// ip returns a loopback address that no other daemon of this or another test process has. Ports are
+// fixed, since one that was free a moment ago may be taken by an outgoing connection.
+func ip() string {
+	n, id := programs.Add(1), os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 100+n%networks, id>>8&0xff, max(1, id&0xff))
 }
 
 // await waits for a line that has the text.
