Say once what a panic, a lost target and an idle connection come to

Change: crash.Call returns the error of a function or its panic; giveBack takes the effect that parts from the target; endIdle is for the holder of the lock; the front alone closes its port. Behavior is the same.

--- a/core/command/agent/target.go
+++ b/core/command/agent/target.go
@@ -35,26 +35,30 @@
 }
 
 // targetLost gives up what the daemon owns. A dead target runs nothing, so all is
-// given back once traffic noticed; a shut one first finishes what it has; a mute one may go on under the lease that it
-// was told, so the lease must lapse first.
+// given back once traffic noticed; a shut one first finishes what it has; a mute one may go on
+// under the lease that it was told, so the lease must lapse first.
 func (a *Agent) targetLost(e TargetLost) {
 	if a.target.service == "" || a.parted() {
 		return
 	}
 	switch e.loss.(type) {
 	case Dead:
-		a.emit(DropTarget{})
-		a.dropBook()
-		a.drain(a.afterLoss())
+		a.giveBack(DropTarget{})
 	case Shut:
-		a.emit(ShutTarget{})
-		a.dropBook()
-		a.drain(a.afterLoss())
+		a.giveBack(ShutTarget{})
 	case Mute:
 		a.loseMute()
 	}
 }
 
+// giveBack parts from a target that runs nothing more, or begins nothing more, and gives back what
+// the daemon owns once nothing is in flight.
+func (a *Agent) giveBack(parting Effect) {
+	a.emit(parting)
+	a.dropBook()
+	a.drain(a.afterLoss())
+}
+
 // afterLoss keeps the purpose of an exit that was under way.
 func (a *Agent) afterLoss() purpose {
 	if l, ok := a.leave.(leaving); ok {
--- a/verbenad/adapt/front/conn.go
+++ b/verbenad/adapt/front/conn.go
@@ -229,10 +229,9 @@
 // have come to wait after the answer was written.
 func (c *conn) rest() {
 	c.mu.Lock()
-	ending := c.ending
-	c.mu.Unlock()
-	if ending || c.front.stopping.Load() {
-		c.endIfIdle()
+	defer c.mu.Unlock()
+	if c.ending || c.front.stopping.Load() {
+		c.endIdle()
 	}
 }
 
@@ -244,11 +243,16 @@
 	return limits.IdleWait().Duration()
 }
 
-// endIfIdle ends the connection if no request is under way. One that is read at this instant is
-// still answered: its caller was told nothing.
+// endIfIdle ends the connection if no request is under way.
 func (c *conn) endIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.endIdle()
+}
+
+// endIdle ends the connection if no request is under way. One that is read at this instant is
+// still answered: its caller was told nothing. The lock must be held.
+func (c *conn) endIdle() {
 	if c.waiting && c.ahead.Load() == 0 {
 		c.unsaid = c.unsaid || !c.ending
 		c.ending = true
--- a/verbenad/adapt/front/front.go
+++ b/verbenad/adapt/front/front.go
@@ -123,7 +123,8 @@
 // Serve takes connections until the listener is closed, which Shutdown does.
 func (f *Front) Serve(l net.Listener) error {
 	ended := make(chan error, 1)
-	if !f.serving(l, func() { ended <- f.accept(l) }) {
+	accept := func() error { return f.accept(l) }
+	if !f.serving(l, func() { ended <- crash.Call(f.log, "take connections", accept) }) {
 		_ = l.Close()
 		return net.ErrClosed
 	}
@@ -143,14 +144,7 @@
 }
 
 // accept takes connections until the listener fails.
-func (f *Front) accept(l net.Listener) (err error) {
-	if p := crash.Catch(f.log, "take connections", func() { err = f.take(l) }); p != nil {
-		return p
-	}
-	return err
-}
-
-func (f *Front) take(l net.Listener) error {
+func (f *Front) accept(l net.Listener) error {
 	for {
 		n, err := l.Accept()
 		if err != nil {
--- a/verbenad/command/crash/crash.go
+++ b/verbenad/command/crash/crash.go
@@ -40,6 +40,15 @@
 // Error returns the operation and the value of the panic.
 func (e *Error) Error() string { return fmt.Sprintf("crash: %s: %s: %v", e.op, Panicked, e.value) }
 
+// Call calls f, which does op. It returns the error of f, or the panic that ended it as Catch does.
+func Call(log *logrus.Entry, op string, f func() error) error {
+	var err error
+	if p := Catch(log, op, func() { err = f() }); p != nil {
+		return p
+	}
+	return err
+}
+
 // Catch calls f, which does op. It returns the panic that ended it as an *Error, nil without one. A nil log
 // is the standard one.
 func Catch(log *logrus.Entry, op string, f func()) (err error) {
--- a/verbenad/command/serve/run.go
+++ b/verbenad/command/serve/run.go
@@ -70,13 +70,7 @@
 
 // run runs a part of the daemon. A panic in it counts as its end.
 func (d *Daemon) run(ended chan error, part string, f func() error) {
-	d.group.Go(func() {
-		var err error
-		if p := crash.Catch(d.part(), part, func() { err = f() }); p != nil {
-			err = p
-		}
-		d.report(ended, err)
-	})
+	d.group.Go(func() { d.report(ended, crash.Call(d.part(), part, f)) })
 }
 
 // report passes on the end of a server that was not asked to end.
--- a/verbenad/command/serve/stop.go
+++ b/verbenad/command/serve/stop.go
@@ -158,7 +158,6 @@
 	d.front.Leave()
 	pause(h.begun.Add(notice + min(partSpan, (end.Sub(h.begun)-notice)/partShare)))
 	d.progress(h).Info("serve: no callers are taken on any more")
-	_ = d.callersPort.Close()
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	d.front.Shutdown(ctx)
