--- a/verbenad/command/start/process_test.go
+++ b/verbenad/command/start/process_test.go
@@ -127,36 +127,43 @@
 // signal sends a signal, unless the process has ended.
 func (p *program) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
-// end returns how the process ended, and signals it until then.
-func (p *program) end(s syscall.Signal) error {
+// wantsStop asks for a planned stop, sends the signal with each line until the process has ended, and
+// wants it to end well.
+func (p *program) wantsStop(s syscall.Signal) {
+	p.t.Helper()
+	p.signal(syscall.SIGTERM)
+	p.wantsEnd(s)
+}
+
+// wantsEnd sends the signal with each line until the process has ended, and wants it to end well.
+func (p *program) wantsEnd(s syscall.Signal) {
+	p.t.Helper()
 	for range p.lines {
 		p.signal(s)
 	}
-	return p.cmd.Wait()
+	if err := p.cmd.Wait(); err != nil {
+		p.t.Fatalf("a process that was asked to stop ended with: %v", err)
+	}
 }
 
 // TestReloadEndsTheProcess guards against a SIGHUP that ends a process which starts or stops.
 func TestReloadEndsTheProcess(t *testing.T) {
 	t.Parallel()
-	i := is.New(t)
 	p := begin(t)
 	p.await("process begins")
 	p.signal(syscall.SIGHUP)
 	p.await("daemon is up")
 	p.signal(syscall.SIGHUP)
 	p.await("asked to reload")
-	p.signal(syscall.SIGTERM)
-	i.NoErr(p.end(syscall.SIGHUP)) // a planned stop
+	p.wantsStop(syscall.SIGHUP)
 }
 
 // TestSecondStopEndsTheProcess guards against a second SIGTERM that cuts a planned stop short.
 func TestSecondStopEndsTheProcess(t *testing.T) {
 	t.Parallel()
-	i := is.New(t)
 	p := begin(t)
 	p.await("process begins")
-	p.signal(syscall.SIGTERM)
-	i.NoErr(p.end(syscall.SIGTERM)) // a planned stop
+	p.wantsStop(syscall.SIGTERM)
 }
 
 // TestSettingsChangedDuringTheStartAreMissed guards against settings that are written after the
@@ -170,8 +177,7 @@
 	i.NoErr(os.WriteFile(p.late, append(text, '\n'), 0o600))
 	p.start()
 	p.await("settings reloaded")
-	p.signal(syscall.SIGTERM)
-	i.NoErr(p.end(syscall.SIGTERM)) // a planned stop
+	p.wantsStop(syscall.SIGTERM)
 }
 
 // TestClosedLogEndsTheProcess guards against a reader of the log that goes away and takes the
@@ -186,8 +192,7 @@
 		p.signal(syscall.SIGHUP) // has a line
 		time.Sleep(50 * time.Millisecond)
 	}
-	p.signal(syscall.SIGTERM)
-	i.NoErr(p.end(syscall.SIGTERM)) // a planned stop
+	p.wantsStop(syscall.SIGTERM)
 }
 
 // TestReloadHoldsUpTheStop guards against settings that cannot be read to their end, as on a
@@ -204,7 +209,7 @@
 	p.await("asked to reload")
 	p.signal(syscall.SIGTERM)
 	p.await("planned stop is done")
-	i.NoErr(p.end(syscall.SIGTERM)) // a planned stop
+	p.wantsEnd(syscall.SIGTERM)
 }
 
 // TestSilentPeerHoldsUpTheStop guards against a connection to the peers port that brings nothing
@@ -220,5 +225,5 @@
 	time.Sleep(100 * time.Millisecond)
 	p.signal(syscall.SIGTERM)
 	p.await("planned stop is done")
-	i.NoErr(p.end(syscall.SIGTERM)) // a planned stop
+	p.wantsEnd(syscall.SIGTERM)
 }
--- a/vload/proof/leave_test.go
+++ b/vload/proof/leave_test.go
@@ -98,26 +98,23 @@
 
 func TestPlannedStopOfATarget(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, 74, 4)
-	victim := f.hosts[3]
-	f.leave(func() {
-		_ = victim.target.Signal(syscall.SIGTERM)
-		if err := victim.target.Wait(); err != nil {
-			t.Errorf("the target ended with %v", err)
-		}
-	})
-	f.nothingAfterLeave(victim)
+	newFleet(t, 74, 4).leaveTarget(syscall.SIGTERM)
 }
 
 // TestHangupEndsATarget guards against a stand-in target that a closed terminal ends at once.
 func TestHangupEndsATarget(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, 89, 4)
+	newFleet(t, 89, 4).leaveTarget(syscall.SIGHUP)
+}
+
+// leaveTarget wants a target to leave gracefully at a signal.
+func (f *fleet) leaveTarget(s syscall.Signal) {
+	f.t.Helper()
 	victim := f.hosts[3]
 	f.leave(func() {
-		_ = victim.target.Signal(syscall.SIGHUP)
+		_ = victim.target.Signal(s)
 		if err := victim.target.Wait(); err != nil {
-			t.Errorf("the target ended with %v", err)
+			f.t.Errorf("the target ended with %v", err)
 		}
 	})
 	f.nothingAfterLeave(victim)
