Grant keys in the answers to heartbeats

Cause: targets of some deployments take no grant calls; they report what they hold in each heartbeat and learn from its answer what they are to hold, so nothing of their service was served. Change: core/command/hold keeps one record of each range for both ways of delivery. An answer lists everything that the target is to hold; keys left out are released, with the token that the next heartbeat reports. A heartbeat waits up to 600 ms for news, so that a move is not held up by the interval of heartbeats. What was offered counts as held until its end, a later heartbeat that shows otherwise, or a word that it was freed. Numbers of the settings may have fractions, and durations may be given in seconds: a retry allowance of 28.67 ended every daemon at its start. Each guard of heartbeat.go that was taken out by hand failed a test.

--- a/core/command/agent/agent.go
+++ b/core/command/agent/agent.go
@@ -11,6 +11,7 @@
 	"verbenabank/core/clock"
 	"verbenabank/core/command/hold"
 	"verbenabank/core/command/lease"
+	"verbenabank/core/state/grant"
 	"verbenabank/core/state/load"
 	"verbenabank/core/state/logcmd"
 	"verbenabank/core/state/rules"
@@ -27,7 +28,8 @@
 	params           lease.Params
 	maxGrantTTL      clock.Millis // maximum TTL of a grant to the target
 	maxDrain         clock.Millis // 0 if only the rules limit the drain
-	rulesNeverExpire bool         // rules stay valid without a lease on them
+	delivery         grant.Delivery
+	rulesNeverExpire bool // rules stay valid without a lease on them
 
 	now          clock.Millis
 	connected    bool
@@ -43,11 +45,13 @@
 
 	target        target
 	nextTarget    target
-	slots         int           // concurrent requests of the target, 0 if the rules decide
-	lastHeard     heardTarget   // sender of the last heartbeat
-	targetAddress string        // "" accepts a target at any address
-	tracker       *hold.Tracker // grants to the target, nil without a target
-	lastCallID    uint64        // of the last call to any target
+	slots         int            // concurrent requests of the target, 0 if the rules decide
+	lastHeard     heardTarget    // sender of the last heartbeat
+	targetAddress string         // "" accepts a target at any address
+	tracker       *hold.Tracker  // grants to the target, nil without a target
+	lastCallID    uint64         // of the last call to any target
+	unanswered    heartbeatState // of the last heartbeat
+	heldRevision  uint64         // of the tracker, when its ranges were published
 	shutdown      shutdownState
 	effects       []Effect
 }
@@ -84,6 +88,9 @@
 // WithMaxHold sets the maximum TTL in milliseconds of a grant that the target accepts.
 func WithMaxHold(limit clock.Millis) Option { return func(a *Agent) { a.maxGrantTTL = limit } }
 
+// WithDelivery sets how grants reach the target; the default is grant.ByCall.
+func WithDelivery(d grant.Delivery) Option { return func(a *Agent) { a.delivery = d } }
+
 // WithMaxDrain limits how long a stopping target still receives new requests, in milliseconds.
 func WithMaxDrain(limit clock.Millis) Option { return func(a *Agent) { a.maxDrain = limit } }
 
@@ -101,6 +108,8 @@
 		table:       table.Empty(),
 		params:      lease.DefaultParams(),
 		maxGrantTTL: DefaultHold,
+		delivery:    grant.ByCall{},
+		unanswered:  answered{},
 		handovers:   map[logcmd.Release]handover{},
 		shutdown:    serving{},
 	}
@@ -118,6 +127,8 @@
 	a.handle(e)
 	a.advanceShutdown()
 	a.sendDueCalls()
+	a.answerHeartbeat()
+	a.publishHeldRanges()
 	return a.effects
 }
 
@@ -167,6 +178,9 @@
 	if a.tracker != nil {
 		next = min(next, a.tracker.NextDue(a.now))
 	}
+	if w, ok := a.unanswered.(waiting); ok {
+		next = min(next, w.deadline)
+	}
 	return next
 }
 
@@ -199,6 +213,9 @@
 	if !a.joined || a.refusesNewRequests() {
 		self = 0
 	}
+	if a.tracker != nil {
+		a.heldRevision = a.tracker.Revision()
+	}
 	rules := a.holder.RulesEnd()
 	if a.rulesNeverExpire && a.table.Rules().Version() > 0 {
 		rules = never
--- /dev/null
+++ b/core/command/agent/answer.go
@@ -0,0 +1,76 @@
+package agent
+
+import (
+	"verbenabank/core/clock"
+	"verbenabank/core/state/grant"
+)
+
+// maxAnswerDelay is how long a heartbeat may wait for news about the target's keys. Its answer can then
+// carry a change at once, instead of the answer to the next heartbeat.
+const maxAnswerDelay = 600 * clock.Millisecond
+
+// heartbeatState is the state of the last heartbeat: answered or waiting.
+type heartbeatState interface{ heartbeatState() }
+
+// answered heartbeats need nothing more.
+type answered struct{}
+
+// waiting heartbeats are answered when there is news about the target's keys, or at the deadline.
+type waiting struct {
+	id       uint64
+	arrived  clock.Millis
+	deadline clock.Millis
+}
+
+func (answered) heartbeatState() {}
+func (waiting) heartbeatState()  {}
+
+// openHeartbeat passes on what the target reported, and decides how long its answer may wait: not at
+// all if the heartbeat is urgent, or if its target gets its grants by calls.
+func (a *Agent) openHeartbeat(h Heartbeat, urgent bool) {
+	a.dismissHeartbeat()
+	if _, ok := a.delivery.(grant.ByHeartbeat); !ok || a.tracker == nil || a.target.name != h.name {
+		a.emit(AnswerHeartbeat{id: h.id, answer: grant.Nothing{}})
+		return
+	}
+	a.tracker.SetLeaseEnd(a.holder.End())
+	a.reportingReleases(func() { a.tracker.HandleReport(h.report, a.now) })
+	w := waiting{id: h.id, arrived: a.now, deadline: a.now.Add(maxAnswerDelay)}
+	if urgent {
+		w.deadline = a.now
+	}
+	a.unanswered = w
+}
+
+// dismissHeartbeat answers a waiting heartbeat that a newer one has overtaken.
+func (a *Agent) dismissHeartbeat() {
+	if w, ok := a.unanswered.(waiting); ok {
+		a.emit(AnswerHeartbeat{id: w.id, answer: grant.Nothing{}})
+		a.unanswered = answered{}
+	}
+}
+
+// answerHeartbeat answers the waiting heartbeat when it is time. A daemon that must not renew, or has no
+// target, says nothing about keys.
+func (a *Agent) answerHeartbeat() {
+	w, ok := a.unanswered.(waiting)
+	if !ok {
+		return
+	}
+	if a.tracker == nil || a.renewalsStopped() {
+		a.dismissHeartbeat()
+		return
+	}
+	if a.now < w.deadline && !a.tracker.HasNews(w.arrived, a.now) {
+		return
+	}
+	a.emit(AnswerHeartbeat{id: w.id, answer: a.tracker.Offer(w.arrived, a.now)})
+	a.unanswered = answered{}
+}
+
+// publishHeldRanges publishes the ranges that the target holds if a heartbeat has changed them.
+func (a *Agent) publishHeldRanges() {
+	if a.tracker != nil && a.tracker.Revision() != a.heldRevision {
+		a.publish()
+	}
+}
--- a/core/command/agent/effect.go
+++ b/core/command/agent/effect.go
@@ -3,6 +3,7 @@
 import (
 	"verbenabank/core/clock"
 	"verbenabank/core/command/hold"
+	"verbenabank/core/state/grant"
 	"verbenabank/core/state/load"
 	"verbenabank/core/state/logcmd"
 	"verbenabank/core/state/snap"
@@ -10,9 +11,9 @@
 )
 
 // Effect is an action that the agent requests: Publish, SendJoin, SendRenew, SendLeave,
-// SendGone, AwaitQuiesced, AwaitShardDrained, AwaitAllDrained, UseTarget, SendCall, DrainTarget,
-// DropTarget, Reconnect, TargetReleased, InvariantViolated or Stopped. Effects are carried out
-// in order.
+// SendGone, AwaitQuiesced, AwaitShardDrained, AwaitAllDrained, UseTarget, SendCall, AnswerHeartbeat,
+// DrainTarget, DropTarget, Reconnect, TargetReleased, InvariantViolated or Stopped. Effects are
+// carried out in order.
 type Effect interface{ effect() }
 
 // Publish hands a new snapshot to the traffic goroutines.
@@ -149,6 +150,18 @@
 // Call returns the call, with the ID that CallEnded must carry.
 func (e SendCall) Call() hold.Call { return e.call }
 
+// AnswerHeartbeat answers a heartbeat of the target.
+type AnswerHeartbeat struct {
+	id     uint64
+	answer grant.Answer
+}
+
+// ID returns the ID of the heartbeat.
+func (e AnswerHeartbeat) ID() uint64 { return e.id }
+
+// Answer returns what the answer says about the target's keys.
+func (e AnswerHeartbeat) Answer() grant.Answer { return e.answer }
+
 // DrainTarget stops sending requests to the target. Requests in flight continue.
 type DrainTarget struct{}
 
@@ -187,3 +200,4 @@
 func (InvariantViolated) effect() {}
 func (Stopped) effect()           {}
 func (SendCall) effect()          {}
+func (AnswerHeartbeat) effect()   {}
--- a/core/command/agent/heartbeat.go
+++ b/core/command/agent/heartbeat.go
@@ -6,14 +6,18 @@
 	"github.com/cespare/xxhash/v2"
 
 	"verbenabank/core/clock"
+	"verbenabank/core/state/grant"
 )
 
 // supersedeAfter is how long a target must be silent before one with an earlier start time
 // replaces it: start times come from the wall clock, which may have been set back.
 const supersedeAfter = 2500 * clock.Millisecond
 
-// Heartbeat is sent by a target periodically, with its address, capacity and life-cycle phase.
+// Heartbeat is sent by a target periodically, with its address, capacity and life-cycle phase. Each one
+// is answered by one AnswerHeartbeat effect, at once or a little later.
 type Heartbeat struct {
+	id        uint64
+	report    grant.Report
 	service   string
 	address   string
 	name      string
@@ -53,6 +57,18 @@
 	return h
 }
 
+// WithReport adds what the target says about its keys.
+func (h Heartbeat) WithReport(r grant.Report) Heartbeat {
+	h.report = r
+	return h
+}
+
+// WithID sets the ID by which the answer is matched.
+func (h Heartbeat) WithID(id uint64) Heartbeat {
+	h.id = id
+	return h
+}
+
 // heardTarget is the target process that sent the last accepted heartbeat.
 type heardTarget struct {
 	name         string
@@ -62,18 +78,28 @@
 	retiring     bool
 }
 
-// heartbeat handles a heartbeat. Reordered heartbeats of the same process, and those of earlier
-// processes, are ignored.
+// heartbeat handles a heartbeat and answers it, at once unless it may learn more by waiting.
 func (a *Agent) heartbeat(h Heartbeat) {
-	if _, ok := h.phase.(Exiting); !ok && !a.fromExpectedTarget(h) {
+	retiring := a.lastHeard.retiring
+	if !a.acceptHeartbeat(h) {
+		a.emit(AnswerHeartbeat{id: h.id, answer: grant.Nothing{}})
 		return
 	}
+	a.openHeartbeat(h, a.lastHeard.retiring != retiring)
+}
+
+// acceptHeartbeat records a heartbeat, and reports whether it is the newest of the local target.
+// Reordered heartbeats of the same process, and those of earlier processes, are ignored.
+func (a *Agent) acceptHeartbeat(h Heartbeat) bool {
+	if _, ok := h.phase.(Exiting); !ok && !a.fromExpectedTarget(h) {
+		return false
+	}
 	same := a.lastHeard.name == h.name && (a.lastHeard.startTime == h.startTime || h.startTime == 0)
 	switch {
 	case same && h.sequence <= a.lastHeard.lastSequence && h.sequence > 0:
-		return
+		return false
 	case !same && !a.supersedes(h):
-		return
+		return false
 	case !same:
 		a.lastHeard = heardTarget{name: h.name, startTime: h.startTime}
 	}
@@ -87,6 +113,7 @@
 	case Retiring, Exiting:
 		a.retireTarget()
 	}
+	return true
 }
 
 // fromExpectedTarget reports whether the heartbeat comes from the local target and not from
--- a/core/command/agent/keys.go
+++ b/core/command/agent/keys.go
@@ -22,7 +22,7 @@
 	}
 	a.tracker = nil
 	if a.target.service != "" {
-		a.tracker = hold.New(min(a.maxGrantTTL, a.params.TTL()), a.lastCallID)
+		a.tracker = hold.New(min(a.maxGrantTTL, a.params.TTL()), a.lastCallID, hold.WithDelivery(a.delivery))
 	}
 }
 
@@ -61,34 +61,38 @@
 	}
 }
 
-// sendDueCalls sends the target the calls that are due, and renews the lease at once when the
-// target has released keys, so that the leader learns of it.
+// sendDueCalls sends the target the calls that are due.
 func (a *Agent) sendDueCalls() {
 	if a.tracker == nil || a.renewalsStopped() {
 		return
 	}
 	a.tracker.SetLeaseEnd(a.holder.End())
+	a.reportingReleases(func() {
+		for _, c := range a.tracker.DueCalls(a.now) {
+			a.emit(SendCall{call: c})
+		}
+	})
+}
+
+// reportingReleases makes a change to the tracker, and renews the lease at once if the target has
+// released keys, so that the leader learns of it.
+func (a *Agent) reportingReleases(change func()) {
 	before := len(a.spanReleases())
-	for _, c := range a.tracker.DueCalls(a.now) {
-		a.emit(SendCall{call: c})
-	}
+	change()
 	if a.joined && len(a.spanReleases()) > before {
 		a.renew()
 	}
 }
 
-// callEnded records the result of a call to the target, and renews the lease at once when it released
-// keys.
+// callEnded records the result of a call to the target.
 func (a *Agent) callEnded(e CallEnded) {
 	if a.tracker == nil {
 		return
 	}
-	before := len(a.spanReleases())
-	a.tracker.HandleResult(e.id, e.result, a.now)
-	a.publish()
-	if a.joined && len(a.spanReleases()) > before {
-		a.renew()
-	}
+	a.reportingReleases(func() {
+		a.tracker.HandleResult(e.id, e.result, a.now)
+		a.publish()
+	})
 }
 
 // spanReleases returns the key spans to report as released.
--- a/core/command/budget/budget.go
+++ b/core/command/budget/budget.go
@@ -22,7 +22,7 @@
 // for concurrent use.
 type Budget struct {
 	mu         sync.Mutex
-	allowance  int // retries of the whole fleet per window in addition to earned ones
+	allowance  float64 // retries of the whole fleet per window in addition to earned ones
 	window     clock.Millis
 	balance    float64
 	refilledAt clock.Millis
@@ -34,7 +34,7 @@
 // WithAllowance sets how many retries all daemons of the fleet together may make in any window,
 // in milliseconds, in addition to those that first attempts earn. The budget starts empty, since
 // an earlier process may have spent it.
-func WithAllowance(retries int, window clock.Millis) Option {
+func WithAllowance(retries float64, window clock.Millis) Option {
 	return func(b *Budget) { b.allowance, b.window, b.balance = retries, window, 0 }
 }
 
@@ -88,7 +88,7 @@
 
 // halfShare returns half of this daemon's share of the allowance, in tokens.
 func (b *Budget) halfShare(daemons int) float64 {
-	return float64(b.allowance) * retryCost / 2 / float64(max(1, daemons))
+	return b.allowance * retryCost / 2 / float64(max(1, daemons))
 }
 
 // refill adds the part of the allowance that is due since the last refill. The first one adds nothing.
--- /dev/null
+++ b/core/command/hold/calls.go
@@ -0,0 +1,152 @@
+package hold
+
+import (
+	"verbenabank/core/clock"
+	"verbenabank/core/state/grant"
+	"verbenabank/core/state/table"
+)
+
+// DueCalls returns the calls to send to the target at now, and counts them as in flight. At most one
+// call per range is in flight. With delivery by heartbeats there are none, and ranges whose grants
+// have ended count as released.
+func (t *Tracker) DueCalls(now clock.Millis) []Call {
+	switch t.delivery.(type) {
+	case grant.ByCall:
+		return t.callsDue(now)
+	case grant.ByHeartbeat:
+		t.expire(now)
+	}
+	return nil
+}
+
+func (t *Tracker) callsDue(now clock.Millis) []Call {
+	var calls []Call
+	for _, p := range t.ranges {
+		if now < p.retryAt || t.hasPending(p) {
+			continue
+		}
+		switch p.state.(type) {
+		case holding:
+			if ttl, ok := t.renewalTTL(p, now); ok {
+				calls = append(calls, t.grant(p, now, ttl))
+			}
+		case releasing:
+			if p.mayHoldUntil <= now {
+				p.state = released{handover: p.handover}
+				continue
+			}
+			if p.heldUntil > 0 || p.unansweredUntil <= now {
+				calls = append(calls, t.release(p, now))
+			}
+		case released:
+		}
+	}
+	return calls
+}
+
+// renewalTTL returns the TTL to grant, and whether the grant is worth a call.
+func (t *Tracker) renewalTTL(p *trackedRange, now clock.Millis) (clock.Millis, bool) {
+	ttl, gain := t.grantLimits(now)
+	return ttl, ttl >= minTTL && now+ttl-p.heldUntil >= gain
+}
+
+// grantLimits returns the longest TTL at now, and by how much a grant must extend the one
+// before.
+func (t *Tracker) grantLimits(now clock.Millis) (ttl, gain clock.Millis) {
+	ttl = min(t.maxTTL, (t.leaseEnd-now-DeliveryMargin)*100/(100+clockDriftPercent))
+	return ttl, max(minTTL, ttl/renewFraction)
+}
+
+func (t *Tracker) grant(p *trackedRange, now, ttl clock.Millis) Call {
+	t.lastID++
+	g := Grant{id: t.lastID, first: p.first, last: p.last, epoch: p.epoch, ttl: ttl, handover: p.handover}
+	p.mayHoldUntil = max(p.mayHoldUntil, latestEnd(now, ttl))
+	t.pending[t.lastID] = pendingCall{call: g, sent: now}
+	return g
+}
+
+func (t *Tracker) release(p *trackedRange, now clock.Millis) Call {
+	t.lastID++
+	r := Release{id: t.lastID, first: p.first, last: p.last, epoch: p.epoch}
+	t.pending[t.lastID] = pendingCall{call: r, sent: now}
+	return r
+}
+
+// latestEnd returns when a grant that arrived at an instant has ended even on the slowest
+// clock that the drift allows.
+func latestEnd(arrived, ttl clock.Millis) clock.Millis {
+	return arrived + ttl + ttl*clockDriftPercent/100 + 1
+}
+
+func (t *Tracker) hasPending(p *trackedRange) bool {
+	for _, c := range t.pending {
+		first, last := c.call.Keys()
+		if first <= p.last && last >= p.first {
+			return true
+		}
+	}
+	return false
+}
+
+// HandleResult updates the ranges of a call with its result. An unknown ID is ignored.
+func (t *Tracker) HandleResult(id uint64, r Result, now clock.Millis) {
+	c, ok := t.pending[id]
+	if !ok {
+		return
+	}
+	delete(t.pending, id)
+	switch o := c.call.(type) {
+	case Grant:
+		t.onGrantResult(o, c.sent, r, now)
+	case Release:
+		t.onReleaseResult(o, r, now)
+	}
+}
+
+// rangesOf returns the tracked ranges within the keys of a call that still have its epoch.
+func (t *Tracker) rangesOf(c Call, e table.Epoch) []*trackedRange {
+	first, last := c.Keys()
+	var list []*trackedRange
+	for _, p := range t.ranges {
+		if p.epoch == e && first <= p.first && p.last <= last {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+func (t *Tracker) onGrantResult(g Grant, sent clock.Millis, r Result, now clock.Millis) {
+	for _, p := range t.rangesOf(g, g.epoch) {
+		switch r.(type) {
+		case Done:
+			p.heldUntil = max(p.heldUntil, sent+g.ttl)
+			p.mayHoldUntil = max(p.mayHoldUntil, latestEnd(now, g.ttl))
+			p.handover = ""
+		case Stale:
+			p.state = laterState(p.state, releasing{})
+		case Unanswered:
+			p.mayHoldUntil = max(p.mayHoldUntil, latestEnd(now, g.ttl))
+			p.unansweredUntil = max(p.unansweredUntil, latestEnd(now, g.ttl))
+			p.retryAt = now + retryDelay
+		case Unreached:
+			p.retryAt = now + retryDelay
+		}
+	}
+}
+
+// onReleaseResult updates the ranges of a release. A grant without an answer may still take
+// effect, so the keys are reported as released only after that grant would have ended.
+func (t *Tracker) onReleaseResult(rel Release, r Result, now clock.Millis) {
+	for _, p := range t.rangesOf(rel, rel.epoch) {
+		p.heldUntil = 0
+		switch r := r.(type) {
+		case Done:
+			p.handover, p.mayHoldUntil = r.handover, p.unansweredUntil
+			if p.mayHoldUntil <= now {
+				p.state = released(r)
+			}
+		case Stale, Unanswered, Unreached:
+			p.retryAt = now + retryDelay
+		}
+	}
+}
--- a/core/wire/jtree/reader.go
+++ b/core/wire/jtree/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -84,14 +85,29 @@
 		r.addTypeFault(name, "a number", n)
 		return fallback
 	}
-	value, err := strconv.ParseInt(number.Literal(), 10, 64)
-	if err != nil || value < lower || value > upper {
+	value, ok := wholeNumber(number.Literal())
+	if !ok || value < lower || value > upper {
 		r.AddFault(name, fmt.Sprintf("must be a whole number from %d to %d, is %s", lower, upper, number.Literal()))
 		return fallback
 	}
 	return value
 }
 
+// wholeNumber parses a number without a fraction, which may be written with one of 0 or an exponent.
+func wholeNumber(literal string) (int64, bool) {
+	if value, err := strconv.ParseInt(literal, 10, 64); err == nil {
+		return value, true
+	}
+	value, err := strconv.ParseFloat(literal, 64)
+	if err != nil || value != math.Trunc(value) || math.Abs(value) > maxExactInt {
+		return 0, false
+	}
+	return int64(value), true
+}
+
+// maxExactInt is the largest integer up to which a float64 holds every integer exactly.
+const maxExactInt = 1 << 53
+
 // Float returns the number called name. One that is not from lower to upper is a fault.
 func (r Reader) Float(name string, lower, upper, fallback float64) float64 {
 	n, ok := r.object.Field(name)
--- a/verbenad/adapt/jsonc/jsonc.go
+++ b/verbenad/adapt/jsonc/jsonc.go
@@ -61,8 +61,8 @@
 }
 
 func (l loader) options() []config.Option {
-	l.RejectUnknown("instance", "zone", "listen", "replicas", "seeds", "secret_file", "open_network", "control", "tls",
-		"configuration_folder", "log", "target", "lease", "hold_ms", "drain_ms", "grace_ms", "retries", "lasting_rules", "link_mbps")
+	l.RejectUnknown(withDurations([]string{"instance", "zone", "listen", "replicas", "seeds", "secret_file", "open_network", "control", "tls",
+		"configuration_folder", "log", "target", "lease", "retries", "lasting_rules", "link_mbps"}, "hold", "drain", "grace")...)
 	opts := []config.Option{config.WithName(l.name("instance"), l.name("zone")), l.authentication(), l.timing(), l.retries(), l.target()}
 	opts = append(opts, config.WithLastingRules(l.Bool("lasting_rules", false)), config.WithLinkMbps(l.Float("link_mbps", 0, maxLinkMbps, 0)))
 	opts = append(opts, l.addresses()...)
--- a/verbenad/adapt/link/uplink.go
+++ b/verbenad/adapt/link/uplink.go
@@ -86,7 +86,7 @@
 	case agent.SendGone:
 		return codec.EncodeGone(e)
 	case agent.Publish, agent.AwaitQuiesced, agent.AwaitShardDrained, agent.AwaitAllDrained, agent.UseTarget, agent.DrainTarget, agent.DropTarget,
-		agent.Reconnect, agent.TargetReleased, agent.InvariantViolated, agent.Stopped, agent.SendCall:
+		agent.Reconnect, agent.TargetReleased, agent.InvariantViolated, agent.Stopped, agent.SendCall, agent.AnswerHeartbeat:
 	}
 	return nil
 }
--- a/verbenad/command/ctrl/ports.go
+++ b/verbenad/command/ctrl/ports.go
@@ -5,6 +5,7 @@
 	"verbenabank/core/command/agent"
 	"verbenabank/core/command/hold"
 	"verbenabank/core/command/leader"
+	"verbenabank/core/state/grant"
 	"verbenabank/core/state/logcmd"
 	"verbenabank/core/state/peer"
 	"verbenabank/core/state/table"
@@ -69,8 +70,10 @@
 	OnAllDrained(notify func())
 }
 
-// LifecycleObserver is notified when the local target may stop and when the process must end.
+// LifecycleObserver is notified of answers to the local target, and of the end of the process.
 type LifecycleObserver interface {
+	// HeartbeatAnswered reports the answer to the heartbeat with the ID.
+	HeartbeatAnswered(id uint64, a grant.Answer)
 	// TargetReleased reports that the withdrawn target has no request in flight and receives no more.
 	TargetReleased()
 	// Stopped reports that a graceful shutdown is complete, so that the process may exit.
--- a/verbenad/command/notice/notice.go
+++ b/verbenad/command/notice/notice.go
@@ -9,11 +9,11 @@
 	"encoding/json"
 	"net/netip"
 	"sync"
-	"time"
 
 	"github.com/gofiber/fiber/v3"
 
 	"verbenabank/core/command/agent"
+	"verbenabank/core/state/grant"
 )
 
 // AnnounceIntervalMs is the interval of announcements in milliseconds, as the target is told.
@@ -25,17 +25,18 @@
 // Receiver passes announcements and heartbeats as events to the control goroutine. It is safe for
 // concurrent use.
 type Receiver struct {
-	post          func(agent.Event)
-	postConfirmed func(agent.Event, func())
-	onHeartbeat   func()
+	post        func(agent.Event)
+	onHeartbeat func()
 
 	mu          sync.Mutex
 	withdrawals []chan struct{} // closed once the target may exit
+	lastID      uint64          // of the last heartbeat
+	unanswered  map[uint64]chan grant.Answer
 }
 
 // New returns a receiver that passes events to post, which may be called from many goroutines.
 func New(post func(agent.Event), opts ...Option) *Receiver {
-	n := &Receiver{post: post, postConfirmed: func(e agent.Event, processed func()) { post(e); processed() }, onHeartbeat: func() {}}
+	n := &Receiver{post: post, onHeartbeat: func() {}, unanswered: map[uint64]chan grant.Answer{}}
 	for _, o := range opts {
 		o(n)
 	}
@@ -45,35 +46,9 @@
 // Option configures a Receiver.
 type Option func(*Receiver)
 
-// WithConfirmedPost sets the function that passes heartbeats to the control goroutine. It must call its
-// second argument once, when the agent has processed the event. By default that is as soon as post
-// returns.
-func WithConfirmedPost(post func(agent.Event, func())) Option {
-	return func(n *Receiver) { n.postConfirmed = post }
-}
-
 // WithOnHeartbeat sets a function that is called on each heartbeat, before the agent gets it.
 func WithOnHeartbeat(f func()) Option { return func(n *Receiver) { n.onHeartbeat = f } }
 
-// confirmTimeout limits how long a heartbeat waits for the agent.
-const confirmTimeout = 500 * time.Millisecond
-
-// Heartbeat passes a heartbeat of the target to the agent. It reports whether the agent processed it
-// within 500 ms; only then may the heartbeat be acknowledged.
-func (n *Receiver) Heartbeat(h agent.Heartbeat) bool {
-	n.onHeartbeat()
-	processed := make(chan struct{})
-	go n.postConfirmed(h, func() { close(processed) })
-	t := time.NewTimer(confirmTimeout)
-	defer t.Stop()
-	select {
-	case <-processed:
-		return true
-	case <-t.C:
-		return false
-	}
-}
-
 // Register adds the endpoints for announcements and their withdrawal to the admin server.
 func (n *Receiver) Register(r fiber.Router) {
 	r.Post("/announce", n.announce)
--- a/verbenad/command/serve/lifecycle.go
+++ b/verbenad/command/serve/lifecycle.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"verbenabank/core/state/grant"
 	"verbenabank/verbenad/command/notice"
 )
 
@@ -19,6 +20,9 @@
 	return &lifecycle{stopped: make(chan struct{}), failed: make(chan error, 1)}
 }
 
+// HeartbeatAnswered passes on the answer to the heartbeat with the ID.
+func (l *lifecycle) HeartbeatAnswered(id uint64, a grant.Answer) { l.notice.Answer(id, a) }
+
 // TargetReleased responds to the target's withdrawal: it has no requests in flight, gets no new ones and may
 // stop.
 func (l *lifecycle) TargetReleased() { l.notice.CompleteWithdrawals() }
--- a/verbenad/command/serve/options.go
+++ b/verbenad/command/serve/options.go
@@ -7,6 +7,7 @@
 
 	"verbenabank/core/command/agent"
 	"verbenabank/core/state/fleet"
+	"verbenabank/core/state/grant"
 	"verbenabank/core/state/logcmd"
 	"verbenabank/core/state/rules"
 	"verbenabank/verbenad/adapt/front"
@@ -43,9 +44,9 @@
 // AdminAPI is the interface of a daemon for handlers of the admin server. Its methods are safe for
 // concurrent use.
 type AdminAPI interface {
-	// Heartbeat passes a heartbeat of the target to the agent, and reports whether the agent has processed it,
-	// so that it may be acknowledged.
-	Heartbeat(h agent.Heartbeat) bool
+	// Heartbeat passes a heartbeat of the target to the agent and waits for its answer, for less than a
+	// second. It reports whether there is one, so that the heartbeat may be acknowledged.
+	Heartbeat(h agent.Heartbeat) (grant.Answer, bool)
 	// Propose proposes a configuration until it is decided or ctx ends.
 	Propose(ctx context.Context, r logcmd.SetRules) (fleet.Verdict, error)
 	// Rules returns the rules in force, confirmed by a quorum after the call began. Version 0 means
@@ -55,9 +56,11 @@
 	Instance() string
 }
 
-// Heartbeat passes a heartbeat of the target to the agent, and reports whether the agent has processed it,
-// so that it may be acknowledged.
-func (d *Daemon) Heartbeat(h agent.Heartbeat) bool { return d.lifecycle.notice.Heartbeat(h) }
+// Heartbeat passes a heartbeat of the target to the agent and waits for its answer, for less than a second.
+// It reports whether there is one, so that the heartbeat may be acknowledged.
+func (d *Daemon) Heartbeat(h agent.Heartbeat) (grant.Answer, bool) {
+	return d.lifecycle.notice.Heartbeat(h)
+}
 
 // Propose proposes a configuration to the control group until it is decided or ctx ends.
 func (d *Daemon) Propose(ctx context.Context, r logcmd.SetRules) (fleet.Verdict, error) {
--- a/verbenad/command/serve/serve.go
+++ b/verbenad/command/serve/serve.go
@@ -196,8 +196,7 @@
 		AppName: "verbenad", BodyLimit: maxAdminBodyBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 	})
 	d.admin.Use(d.recoverAdmin)
-	n := notice.New(d.post, notice.WithOnHeartbeat(d.target.RecordHeartbeat),
-		notice.WithConfirmedPost(func(e agent.Event, done func()) { d.loop.Post(ctrl.NewAgentEvent(e).Then(done)) }))
+	n := notice.New(d.post, notice.WithOnHeartbeat(d.target.RecordHeartbeat))
 	d.lifecycle.notice = n
 	n.Register(d.admin)
 	s := d.settings.Load()
--- a/verbenad/command/serve/traffic.go
+++ b/verbenad/command/serve/traffic.go
@@ -118,7 +118,7 @@
 	s := d.settings.Load()
 	options := []agent.Option{
 		agent.WithInstance(s.Instance(), s.Zone(), s.AdvertisedAddress().String()), agent.WithRandom(rand.Uint64),
-		agent.WithLeaseParams(d.leaseParams()), agent.WithTargetAddress(s.LocalTarget().Address()),
+		agent.WithLeaseParams(d.leaseParams()), agent.WithTargetAddress(s.LocalTarget().Address()), agent.WithDelivery(s.LocalTarget().Delivery()),
 	}
 	if s.Timings().MaxHold() > 0 {
 		options = append(options, agent.WithMaxHold(s.Timings().MaxHold()))
--- a/verbenad/state/config/timings.go
+++ b/verbenad/state/config/timings.go
@@ -1,17 +1,36 @@
 package config
 
-import "verbenabank/core/clock"
+import (
+	"verbenabank/core/clock"
+	"verbenabank/core/state/grant"
+)
 
 // LocalTarget is what the settings tell about the local target, for the time before it announces itself or
 // sends a heartbeat.
 type LocalTarget struct {
-	service string
-	address string
+	service  string
+	address  string
+	delivery grant.Delivery
 }
 
-// NewLocalTarget returns a target of service that listens at address ("ip:port").
+// NewLocalTarget returns a target of service that listens at address ("ip:port") and gets its grants by
+// calls.
 func NewLocalTarget(service, address string) LocalTarget {
-	return LocalTarget{service: service, address: address}
+	return LocalTarget{service: service, address: address, delivery: grant.ByCall{}}
+}
+
+// WithDelivery sets how grants reach the target.
+func (t LocalTarget) WithDelivery(d grant.Delivery) LocalTarget {
+	t.delivery = d
+	return t
+}
+
+// Delivery returns how grants reach the target.
+func (t LocalTarget) Delivery() grant.Delivery {
+	if t.delivery == nil {
+		return grant.ByCall{}
+	}
+	return t.delivery
 }
 
 // Service returns the name of the target's service, "" if it is not set.
@@ -64,13 +83,13 @@
 // RetryBudget is the retry budget that all daemons of the fleet share, for each service.
 type RetryBudget struct {
 	ratio     float64
-	allowance int
+	allowance float64
 	window    clock.Millis
 }
 
 // NewRetryBudget returns a budget of ratio retries per request and, in addition, of allowance retries in any
 // window.
-func NewRetryBudget(ratio float64, allowance int, window clock.Millis) RetryBudget {
+func NewRetryBudget(ratio float64, allowance float64, window clock.Millis) RetryBudget {
 	return RetryBudget{ratio: ratio, allowance: allowance, window: window}
 }
 
@@ -78,7 +97,7 @@
 func (r RetryBudget) Ratio() float64 { return r.ratio }
 
 // Allowance returns how many retries are allowed per window in addition to earned ones.
-func (r RetryBudget) Allowance() int { return r.allowance }
+func (r RetryBudget) Allowance() float64 { return r.allowance }
 
 // Window returns the length of the window in milliseconds, 0 if no budget is set.
 func (r RetryBudget) Window() clock.Millis { return r.window }
--- a/vscale/command/fake/traffic.go
+++ b/vscale/command/fake/traffic.go
@@ -4,6 +4,7 @@
 	"verbenabank/core/clock"
 	"verbenabank/core/command/agent"
 	"verbenabank/core/command/hold"
+	"verbenabank/core/state/grant"
 	"verbenabank/core/state/table"
 )
 
@@ -32,6 +33,9 @@
 // OnAllDrained calls notify at once, since no request is in flight.
 func (noTraffic) OnAllDrained(notify func()) { notify() }
 
+// HeartbeatAnswered does nothing, since no target sends heartbeats.
+func (noTraffic) HeartbeatAnswered(uint64, grant.Answer) {}
+
 // TargetReleased does nothing.
 func (noTraffic) TargetReleased() {}
 
