Serve moving keys until the target is told, and bundle the ranges of a move

Change: ranges stay usable until an answer omits them; an answer with news waits 10 ms for more; heartbeats wait 700 ms for news. Log lines for what is reported and offered.

--- a/core/command/agent/answer.go
+++ b/core/command/agent/answer.go
@@ -7,7 +7,10 @@
 
 // maxAnswerDelay is how long a heartbeat may wait for news about the target's keys. Its answer can then
 // carry a change at once, instead of the answer to the next heartbeat.
-const maxAnswerDelay = 600 * clock.Millisecond
+const maxAnswerDelay = 700 * clock.Millisecond
+
+// newsDelay is how long an answer with news waits for more, such as further ranges of the same move.
+const newsDelay = 10 * clock.Millisecond
 
 // heartbeatState is the state of the last heartbeat: answered or waiting.
 type heartbeatState interface{ heartbeatState() }
@@ -61,7 +64,11 @@
 		a.dismissHeartbeat()
 		return
 	}
-	if a.now < w.deadline && !a.tracker.HasNews(w.arrived, a.now) {
+	if a.now < w.deadline {
+		if w.deadline > a.now+newsDelay && a.tracker.HasNews(w.arrived, a.now) {
+			w.deadline = a.now + newsDelay
+			a.unanswered = w
+		}
 		return
 	}
 	a.emit(AnswerHeartbeat{id: w.id, answer: a.tracker.Offer(w.arrived, a.now)})
--- a/core/command/agent/answer_test.go
+++ b/core/command/agent/answer_test.go
@@ -56,7 +56,12 @@
 	h.update(table.NewSpanSet(orderedService, table.NewSpan(first, last, table.NewOwned(self, e))))
 }
 
+// offered returns the rows of the answer that is given now, or when it has waited for more news.
 func (h *harness) offered() []grant.Row {
+	if len(h.answers()) == 0 {
+		h.now += newsDelay
+		h.step(Ticked{})
+	}
 	list := h.answers()
 	h.is.Equal(len(list), 1)
 	o, ok := list[0].Answer().(grant.Offer)
@@ -79,7 +84,22 @@
 	h.now += 200
 	self, _ := h.agent.Self()
 	h.update(table.NewSpanSet(orderedService, table.NewSpan(0, 99, table.NewMoving(self, 99, 5))))
+	_, served := h.snap.OwnsKey(orderedService, 7, h.now)
+	h.is.True(served) // until the target is told
 	h.is.Equal(len(h.offered()), 0)
+	_, served = h.snap.OwnsKey(orderedService, 7, h.now)
+	h.is.True(!served)
+}
+
+// TestRangesOfOneMoveArriveTogether guards against ranges that wait for the next heartbeat because another one of
+// the same move arrived a moment before.
+func TestRangesOfOneMoveArriveTogether(t *testing.T) {
+	h := newOrderedHarness(t)
+	h.beat(2, Accepting{})
+	h.own(0, 9, 5)
+	h.now += 2
+	h.own(10, 19, 6)
+	h.is.Equal(len(h.offered()), 2)
 }
 
 // TestHeartbeatWithoutNewsIsAnsweredInTime guards against a target that gives up its heartbeat.
@@ -89,6 +109,7 @@
 	h.is.True(h.agent.NextTick() <= h.now+maxAnswerDelay)
 	h.now += maxAnswerDelay
 	h.step(Ticked{})
+	h.is.Equal(len(h.answers()), 1)
 	h.is.Equal(len(h.offered()), 0)
 }
 
--- a/core/command/agent/heartbeat.go
+++ b/core/command/agent/heartbeat.go
@@ -63,6 +63,9 @@
 	return h
 }
 
+// Report returns what the target says about its keys.
+func (h Heartbeat) Report() grant.Report { return h.report }
+
 // WithID sets the ID by which the answer is matched.
 func (h Heartbeat) WithID(id uint64) Heartbeat {
 	h.id = id
--- a/core/command/hold/heartbeat.go
+++ b/core/command/hold/heartbeat.go
@@ -78,11 +78,11 @@
 // released them, an offer that was lost or late may still be applied until the target accepts no
 // answer to that heartbeat any more.
 func (t *Tracker) reportReleasing(p *trackedRange, now clock.Millis) {
-	p.heldUntil = 0
 	if t.report.HoldsAny(p.first, p.last) {
 		p.taken = p.taken || t.report.HoldsAll(p.first, p.last, p.epoch)
 		return
 	}
+	p.heldUntil = 0
 	token, freed := t.report.FreedToken(p.first, p.last)
 	switch {
 	case freed && p.taken:
@@ -165,10 +165,20 @@
 		p.heldUntil = max(p.heldUntil, now+ttl-answerTimeout)
 		p.mayHoldUntil = max(p.mayHoldUntil, latestEnd(arrived, ttl))
 	}
+	t.omitReleasing()
 	t.revision++
 	return grant.NewOffer(rows, ttl)
 }
 
+// omitReleasing records that an answer has left out the ranges that are being released.
+func (t *Tracker) omitReleasing() {
+	for _, p := range t.ranges {
+		if _, ok := p.state.(releasing); ok {
+			p.omitted, p.heldUntil = true, 0
+		}
+	}
+}
+
 // offered returns the ranges of an offer, ordered by key. If there are too many for an answer, those
 // that the target already holds come first.
 func (t *Tracker) offered() []*trackedRange {
--- a/core/command/hold/heartbeat_test.go
+++ b/core/command/hold/heartbeat_test.go
@@ -94,10 +94,11 @@
 	is := is.New(t)
 	tr := newOffered(t)
 	tr.Reconcile([]table.Span{owned(0, 49, 5), moving(50, 99, 5)}, self, 2000)
-	is.Equal(len(tr.HeldRanges()), 1)
+	is.Equal(len(tr.HeldRanges()), 2) // the target serves the keys until it is told
 	is.True(tr.HasNews(2000, 2000))
 	o := offer(t, tr, 2000, 2000)
 	is.Equal(o.Rows(), rows(grant.NewRow(0, 49, 5)))
+	is.Equal(len(tr.HeldRanges()), 1)
 	beat(t, tr, 2100, rows(grant.NewRow(0, 49, 5), grant.NewRow(50, 99, 5))) // still at work
 	is.Equal(len(tr.Releases("s")), 0)
 	beat(t, tr, 2200, rows(grant.NewRow(0, 49, 5)), grant.NewFreedRow(50, 99, "token"))
--- a/core/command/hold/reconcile.go
+++ b/core/command/hold/reconcile.go
@@ -85,6 +85,7 @@
 			p.heldUntil = o.heldUntil
 		}
 		p.taken = o.taken && (covered == 0 || p.taken)
+		p.omitted = p.omitted || o.omitted
 		p.appliesAt, p.refusals = max(p.appliesAt, o.appliesAt), max(p.refusals, o.refusals)
 		covered += int(min(o.last, p.last)-max(o.first, p.first)) + 1
 		p.retryAt = max(p.retryAt, o.retryAt)
--- a/core/command/hold/tracker.go
+++ b/core/command/hold/tracker.go
@@ -71,6 +71,7 @@
 	appliesAt clock.Millis // the target has not applied the first offer before then, 0 once it has
 	offeredAt clock.Millis // when the keys were last offered, 0 if they were not
 	refusals  int          // heartbeats in a row that showed an offer not taken
+	omitted   bool         // an answer has left the keys out
 }
 
 // rangeState is the state of a range: holding, releasing or released.
@@ -169,11 +170,24 @@
 	return due
 }
 
+// usable reports whether the target is certain to run requests for the keys. By heartbeats it does so until
+// an answer leaves them out, also after they began to move.
+func (p *trackedRange) usable() bool {
+	switch p.state.(type) {
+	case holding:
+		return p.heldUntil > 0 && p.appliesAt == 0
+	case releasing:
+		return p.heldUntil > 0 && p.taken && !p.omitted
+	case released:
+	}
+	return false
+}
+
 // HeldRanges returns the ranges that the target is certain to hold, ordered by key.
 func (t *Tracker) HeldRanges() []HeldRange {
 	var list []HeldRange
 	for _, p := range t.ranges {
-		if _, ok := p.state.(holding); ok && p.heldUntil > 0 && p.appliesAt == 0 {
+		if p.usable() {
 			list = append(list, HeldRange{first: p.first, last: p.last, until: p.heldUntil})
 		}
 	}
--- a/core/state/snap/snap.go
+++ b/core/state/snap/snap.go
@@ -97,11 +97,11 @@
 
 // OwnsKey reports whether this daemon may accept new requests for a key of an ordered service
 // at now, and at which epoch. It needs the ownership and a target that holds the key; without
-// the latter only the epoch is returned.
+// the latter only the epoch is returned. A key that is moving away is owned as long as the target
+// holds it.
 func (s *Snapshot) OwnsKey(service string, k table.Key, now clock.Millis) (table.Epoch, bool) {
 	p, _ := s.table.SpanAt(service, k)
-	h, ok := p.Ownership().(table.Owned)
-	if !ok || s.self == 0 || h.Owner() != s.self || now >= s.leaseEnd {
+	if s.self == 0 || owner(p.Ownership()) != s.self || now >= s.leaseEnd {
 		return 0, false
 	}
 	i, _ := slices.BinarySearchFunc(s.heldRanges, k, func(r HeldRange, k table.Key) int {
@@ -111,7 +111,19 @@
 		return 1
 	})
 	held := i < len(s.heldRanges) && s.heldRanges[i].first <= k && now < s.heldRanges[i].until
-	return h.Epoch(), held
+	return p.Ownership().Epoch(), held
+}
+
+// owner returns the member that serves keys with the ownership, 0 if there is none.
+func owner(o table.Ownership) table.Incarnation {
+	switch o := o.(type) {
+	case table.Vacant:
+	case table.Owned:
+		return o.Owner()
+	case table.Moving:
+		return o.From()
+	}
+	return 0
 }
 
 // HeldKeys returns how many keys of its ordered service the local target holds.
--- a/verbenad/command/notice/heartbeat.go
+++ b/verbenad/command/notice/heartbeat.go
@@ -14,6 +14,7 @@
 // the agent has not answered in time; the heartbeat must not be acknowledged then.
 func (n *Receiver) Heartbeat(h agent.Heartbeat) (grant.Answer, bool) {
 	n.onHeartbeat()
+	n.logReport(h.Report())
 	id, answer := n.expectAnswer()
 	defer n.forget(id)
 	go n.post(h.WithID(id))
@@ -21,8 +22,10 @@
 	defer t.Stop()
 	select {
 	case a := <-answer:
+		n.logAnswer(a)
 		return a, true
 	case <-t.C:
+		n.log.Warn("keeper: heartbeat got no answer in time")
 		return grant.Nothing{}, false
 	}
 }
--- /dev/null
+++ b/verbenad/command/notice/keylog.go
@@ -0,0 +1,64 @@
+package notice
+
+import (
+	"fmt"
+	"strings"
+
+	"verbenabank/core/state/grant"
+)
+
+// maxLoggedRows is the number of ranges that a log line lists; it counts the others.
+const maxLoggedRows = 16
+
+// logReport logs what the target says about its keys if it differs from its last heartbeat.
+func (n *Receiver) logReport(r grant.Report) {
+	held := formatRows(r.Held())
+	if was, changed := n.swap(&n.held, held); changed || len(r.Freed()) > 0 {
+		n.log.WithField("held", held).WithField("was", was).WithField("freed", formatFreed(r.Freed())).Info("keeper: target reports other keys")
+	}
+}
+
+// logAnswer logs an offer if it differs from the one before.
+func (n *Receiver) logAnswer(a grant.Answer) {
+	o, ok := a.(grant.Offer)
+	if !ok {
+		return
+	}
+	offered := formatRows(o.Rows())
+	if was, changed := n.swap(&n.offered, offered); changed {
+		n.log.WithField("offered", offered).WithField("was", was).WithField("ttl_ms", int64(o.TTL())).Info("keeper: target is offered other keys")
+	}
+}
+
+// swap replaces a text and returns the previous one, and whether they differ.
+func (n *Receiver) swap(text *string, next string) (previous string, changed bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	previous, *text = *text, next
+	return previous, previous != next
+}
+
+// formatRows formats ranges as "FIRST-LAST@EPOCH", separated by spaces.
+func formatRows(rows []grant.Row) string {
+	texts := make([]string, 0, len(rows))
+	for _, r := range rows {
+		texts = append(texts, fmt.Sprintf("%d-%d@%d", r.First(), r.Last(), r.Epoch()))
+	}
+	return joinRows(texts)
+}
+
+// formatFreed formats ranges as "FIRST-LAST", separated by spaces.
+func formatFreed(rows []grant.FreedRow) string {
+	texts := make([]string, 0, len(rows))
+	for _, r := range rows {
+		texts = append(texts, fmt.Sprintf("%d-%d", r.First(), r.Last()))
+	}
+	return joinRows(texts)
+}
+
+func joinRows(texts []string) string {
+	if len(texts) <= maxLoggedRows {
+		return strings.Join(texts, " ")
+	}
+	return fmt.Sprintf("%s and %d more", strings.Join(texts[:maxLoggedRows], " "), len(texts)-maxLoggedRows)
+}
--- a/verbenad/command/notice/notice.go
+++ b/verbenad/command/notice/notice.go
@@ -11,6 +11,7 @@
 	"sync"
 
 	"github.com/gofiber/fiber/v3"
+	"github.com/sirupsen/logrus"
 
 	"verbenabank/core/command/agent"
 	"verbenabank/core/state/grant"
@@ -27,16 +28,19 @@
 type Receiver struct {
 	post        func(agent.Event)
 	onHeartbeat func()
+	log         *logrus.Entry
 
 	mu          sync.Mutex
 	withdrawals []chan struct{} // closed once the target may exit
 	lastID      uint64          // of the last heartbeat
 	unanswered  map[uint64]chan grant.Answer
+	held        string // by the last heartbeat, as logged
+	offered     string // by the last offer, as logged
 }
 
 // New returns a receiver that passes events to post, which may be called from many goroutines.
 func New(post func(agent.Event), opts ...Option) *Receiver {
-	n := &Receiver{post: post, onHeartbeat: func() {}, unanswered: map[uint64]chan grant.Answer{}}
+	n := &Receiver{post: post, onHeartbeat: func() {}, log: logrus.NewEntry(logrus.StandardLogger()), unanswered: map[uint64]chan grant.Answer{}}
 	for _, o := range opts {
 		o(n)
 	}
@@ -46,6 +50,9 @@
 // Option configures a Receiver.
 type Option func(*Receiver)
 
+// WithLog sets the log, by default the standard logger.
+func WithLog(e *logrus.Entry) Option { return func(n *Receiver) { n.log = e } }
+
 // WithOnHeartbeat sets a function that is called on each heartbeat, before the agent gets it.
 func WithOnHeartbeat(f func()) Option { return func(n *Receiver) { n.onHeartbeat = f } }
 
--- a/verbenad/command/serve/serve.go
+++ b/verbenad/command/serve/serve.go
@@ -196,7 +196,7 @@
 		AppName: "verbenad", BodyLimit: maxAdminBodyBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 	})
 	d.admin.Use(d.recoverAdmin)
-	n := notice.New(d.post, notice.WithOnHeartbeat(d.target.RecordHeartbeat))
+	n := notice.New(d.post, notice.WithOnHeartbeat(d.target.RecordHeartbeat), notice.WithLog(d.logger()))
 	d.lifecycle.notice = n
 	n.Register(d.admin)
 	s := d.settings.Load()
