Let short requests wait for a slot of a target that is full of long ones

A target whose call is refused fails the request that needed it. Change: only work ahead counts towards the wait; shedding counts that work, not requests; the limit in the queue counts the service time of the class.

--- a/core/command/admit/admit.go
+++ b/core/command/admit/admit.go
@@ -167,15 +167,20 @@
 	if lm.limits.queue <= 0 {
 		return false
 	}
-	work := lm.meanServiceTime
+	ahead := clock.Millis(0)
 	for _, w := range lm.waiting {
 		if lm.before(w, t, now) {
-			work += lm.serviceTime(w.class)
+			ahead += lm.serviceTime(w.class)
 		}
 	}
-	wait := work / clock.Millis(max(1, lm.limits.slots)) / 1000
+	slots := clock.Millis(max(1, lm.limits.slots))
+	wait := (lm.meanServiceTime + ahead) / slots / 1000
+	counted := wait
+	if lm.isCostAware() {
+		counted = ahead / slots / 1000
+	}
 	done := now + wait + lm.serviceTime(t.class)/1000
-	return wait <= lm.maxPredictedWait(t, now) && done < t.deadline && !lm.shouldShed(t, done, now)
+	return counted <= lm.maxPredictedWait(t, now) && done < t.deadline && !lm.shouldShed(t, done, now)
 }
 
 func (lm *Limiter) enqueue(t *Ticket, now clock.Millis) {
@@ -220,6 +225,15 @@
 	return lm.serviceTime(class) / 1000
 }
 
+// MaxQueueTime returns how long a request of a class may be queued from now on and still be done by
+// the deadline. It counts the service time of the class: on a target of long requests, short ones
+// can wait longer than those.
+func (lm *Limiter) MaxQueueTime(class string, now, deadline clock.Millis) clock.Millis {
+	lm.mu.Lock()
+	defer lm.mu.Unlock()
+	return max(0, deadline-now-lm.serviceTime(class)/1000)
+}
+
 // Release returns a slot of a request without a class that was held for the given time.
 func (lm *Limiter) Release(now, held clock.Millis) { lm.ReleaseClass("", now, held) }
 
--- a/core/command/admit/order.go
+++ b/core/command/admit/order.go
@@ -19,17 +19,19 @@
 // after those that can, since its cost is multiplied by lateCostFactor. Every
 // lowPriorityInterval-th turn goes to a lower priority, which prevents starvation. While the
 // queue is standing, the wait that new requests may expect is shortened, and a late request with
-// enough others ahead of it is rejected at once instead of being kept waiting.
+// enough work ahead of it is rejected at once instead of being kept waiting. The time until a
+// slot becomes free does not count towards the wait: on a target of long requests it alone may
+// exceed the latency goal of a short one that would be next.
 type CostAware struct{}
 
 func (Adaptive) order()  {}
 func (CostAware) order() {}
 
 const (
-	// shedSlotDivisor: a late request is rejected if at least slots/shedSlotDivisor requests
-	// are ahead of it.
+	// shedSlotDivisor: a late request is rejected if the work ahead of it is that of
+	// slots/shedSlotDivisor mean requests.
 	shedSlotDivisor = 4
-	// minShedAhead is the least number of requests ahead of a late one that gets it rejected.
+	// minShedAhead is the least work ahead of a late request that gets it rejected, in mean requests.
 	minShedAhead = 3
 	// lateCostFactor multiplies the cost of a late request: a late response is worth
 	// 1/lateCostFactor of a timely one.
@@ -132,25 +134,30 @@
 // maxPredictedWait returns the longest wait that a new request may expect. Once the queue is
 // standing, a longer queue serves no more requests and makes all of them later.
 func (lm *Limiter) maxPredictedWait(t *Ticket, now clock.Millis) clock.Millis {
-	if _, ok := lm.order.(CostAware); !ok || len(lm.waiting) == 0 || now-lm.nonEmptySince <= standingThreshold {
+	if !lm.isCostAware() || len(lm.waiting) == 0 || now-lm.nonEmptySince <= standingThreshold {
 		return t.maxPredictedWait
 	}
 	return min(t.maxPredictedWait, max(minStandingWait, t.maxPredictedWait/standingWaitDivisor))
 }
 
 // shouldShed reports whether a request that would be answered at the instant done misses its
-// soft deadline while enough other requests are waiting ahead of it.
+// soft deadline while enough work is waiting ahead of it.
 func (lm *Limiter) shouldShed(t *Ticket, done, now clock.Millis) bool {
-	if _, ok := lm.order.(CostAware); !ok || done <= t.softDeadline || !lm.queueIsStanding(now) {
+	if !lm.isCostAware() || done <= t.softDeadline || !lm.queueIsStanding(now) {
 		return false
 	}
-	enough := max(minShedAhead, lm.limits.slots/shedSlotDivisor)
+	ahead := clock.Millis(0)
 	for _, w := range lm.waiting {
 		if w != t && lm.less(w, t, now) {
-			enough--
+			ahead += lm.serviceTime(w.class)
 		}
 	}
-	return enough <= 0
+	return ahead >= lm.meanServiceTime*clock.Millis(max(minShedAhead, lm.limits.slots/shedSlotDivisor))
+}
+
+func (lm *Limiter) isCostAware() bool {
+	_, ok := lm.order.(CostAware)
+	return ok
 }
 
 // shedLate rejects waiting requests that have become late and are not among the next in line.
--- a/verbenad/command/owner/exchange.go
+++ b/verbenad/command/owner/exchange.go
@@ -130,7 +130,7 @@
 	wait := x.maxQueueWait(s)
 	r, maxStay := admit.NewRequest(x.deadline, wait), wait
 	if x.request.LatencyGoal() > 0 {
-		maxStay = max(0, x.deadline-now-clock.Millis(limiter.MeanServiceTime()))
+		maxStay = limiter.MaxQueueTime(x.request.Class(), now, x.deadline)
 		r = r.WithPriority(x.request.Priority(), goal, maxStay).WithClass(x.request.Class())
 	}
 	t := limiter.Submit(now, r, admit.NewLimits(slots, s.QueueLength(), wait))
