--- a/verbena/query/local/timeline.go
+++ b/verbena/query/local/timeline.go
@@ -32,6 +32,12 @@
 // line, such as "keys s/10-20".
 var keyRangePattern = regexp.MustCompile(`^keys [^/]+/(\d+)-(\d+)$`)
 
+// rowPattern matches the ranges in the lists of keys of a "keeper:" line, such as "10-20@7".
+var rowPattern = regexp.MustCompile(`(\d+)-(\d+)(?:@\d+)?`)
+
+// keyLists are the fields with lists of key ranges: what a target holds, is offered and has freed.
+var keyLists = []string{"held", "offered", "freed"}
+
 // contextWindow is how long before the first and after the last line of a request the state
 // changes of the daemons that handled it are included.
 const contextWindow = 2 * time.Second
@@ -94,7 +100,8 @@
 }
 
 // KeyTimeline lists the log entries about a key of an ordered service in time order: changes of
-// its owner, grants of ranges that contain it, and failed requests for it.
+// its owner, grants of ranges that contain it, what a target reports to hold or to have freed, and failed
+// requests for it.
 func KeyTimeline(key uint32, files []string) (show.Report, error) {
 	entries, malformed, err := readFiles(files, func(e logEntry) bool { return mentionsKey(e, uint64(key)) })
 	if err != nil {
@@ -109,9 +116,13 @@
 	}
 	if subject, ok := e.Fields["subject"].(string); ok {
 		if m := keyRangePattern.FindStringSubmatch(subject); m != nil {
-			first, _ := strconv.ParseUint(m[1], 10, 32)
-			last, _ := strconv.ParseUint(m[2], 10, 32)
-			return first <= key && key <= last
+			return rangeContains(m, key)
+		}
+	}
+	for _, name := range keyLists {
+		list, _ := e.Fields[name].(string)
+		if slices.ContainsFunc(rowPattern.FindAllStringSubmatch(list, -1), func(m []string) bool { return rangeContains(m, key) }) {
+			return true
 		}
 	}
 	first, ok := e.Fields["first"].(float64)
@@ -119,6 +130,13 @@
 	return ok && okLast && first <= float64(key) && float64(key) <= last
 }
 
+// rangeContains reports whether the range of a match, its first and last key, contains the key.
+func rangeContains(match []string, key uint64) bool {
+	first, _ := strconv.ParseUint(match[1], 10, 32)
+	last, _ := strconv.ParseUint(match[2], 10, 32)
+	return first <= key && key <= last
+}
+
 // readFiles returns the matching entries of all files, and the number of malformed lines.
 func readFiles(files []string, match func(logEntry) bool) ([]logEntry, int, error) {
 	var entries []logEntry
--- a/verbena/query/local/timeline_test.go
+++ b/verbena/query/local/timeline_test.go
@@ -69,6 +69,22 @@
 	is.True(!strings.Contains(renderText(t, r), "epoch 8"))
 }
 
+// TestKeyTimelineShowsWhatTargetsReport covers a range that was offered to a target which never reports to hold it.
+func TestKeyTimelineShowsWhatTargetsReport(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "log")
+	is.NoErr(os.WriteFile(path, []byte(`{"instance":"m-2","msg":"keeper: target is offered other keys","offered":"0-255@3 256-511@7","time":"2026-04-05T02:52:23.000Z"}
+{"instance":"m-2","msg":"keeper: target reports other keys","held":"0-255@3","freed":"","time":"2026-04-05T02:52:24.000Z"}
+{"instance":"m-3","msg":"keeper: target reports other keys","held":"","freed":"300-400","time":"2026-04-05T02:52:22.000Z"}
+`), 0o600))
+	r, err := local.KeyTimeline(300, []string{path})
+	is.NoErr(err)
+	lines := strings.Split(strings.TrimSpace(renderText(t, r)), "\n")
+	is.Equal(len(lines), 2)
+	is.True(strings.Contains(lines[0], "freed=300-400"))
+	is.True(strings.Contains(lines[1], "offered=0-255@3 256-511@7"))
+}
+
 // documentedRequests are the failed requests whose timelines OPERATIONS.md explains. The log lines
 // in testdata are from the incidents in which they failed.
 var documentedRequests = []string{"f42c79bf6f494f74", "b0e728ebe7edc649", "9c14c80e45718d5c"}
--- a/verbenad/command/notice/keylog.go
+++ b/verbenad/command/notice/keylog.go
@@ -8,7 +8,7 @@
 )
 
 // maxLoggedRows is the number of ranges that a log line lists; it counts the others.
-const maxLoggedRows = 16
+const maxLoggedRows = 64
 
 // logReport logs what the target says about its keys if it differs from its last heartbeat.
 func (n *Receiver) logReport(r grant.Report) {
