Take no word from a refusal that belongs to another request

Cause: whether a response belongs to the request was checked after whether it says that the request has not run. A faulty target that wrote an earlier refusal once more on a kept connection made its daemon tell callers to try again for requests that ran, or run them at a second target. The product's own targets return Verbena-Request-Id. Rejected ones are logged.

--- a/core/command/hold/heartbeat_test.go
+++ b/core/command/hold/heartbeat_test.go
@@ -170,6 +170,24 @@
 	is.True(tr.HoldsNothing(2100))
 }
 
+// TestKeysThatComeBackWhileTheirRequestsRun covers a report with both the range that the target still works on and
+// the part of it that it holds again.
+func TestKeysThatComeBackWhileTheirRequestsRun(t *testing.T) {
+	is := is.New(t)
+	tr := newOffered(t)
+	tr.Reconcile([]table.Span{moving(0, 99, 5)}, self, 2000)
+	offer(t, tr, 2000, 2000)
+	back := []table.Span{moving(0, 49, 5), owned(50, 60, 7), moving(61, 99, 5)}
+	tr.Reconcile(back, self, 2050)
+	o := beat(t, tr, 2100, rows(grant.NewRow(0, 99, 5)))
+	is.Equal(o.Rows(), rows(grant.NewRow(50, 60, 7)))
+	beat(t, tr, 2200, rows(grant.NewRow(0, 99, 5), grant.NewRow(50, 60, 7)))
+	is.Equal(len(tr.Releases("s")), 0)
+	is.Equal(len(tr.HeldRanges()), 1)
+	beat(t, tr, 2300, rows(grant.NewRow(50, 60, 7)), grant.NewFreedRow(0, 99, "token"))
+	is.Equal(len(tr.Releases("s")), 2)
+}
+
 // TestExpiredKeysAreReleasedWithoutAWord covers keys that are neither held nor freed: their time was over.
 func TestExpiredKeysAreReleasedWithoutAWord(t *testing.T) {
 	is := is.New(t)
--- a/core/state/grant/report.go
+++ b/core/state/grant/report.go
@@ -31,15 +31,13 @@
 func (r Report) Freed() []FreedRow { return r.freed }
 
 // Problem describes why the report cannot be used for a service with the given number of keys, "" if it
-// can: a range is reversed or out of bounds, or two ranges that are held overlap.
+// can: a range is reversed or out of bounds. Ranges may overlap: a target that got keys back may still
+// work on requests of its earlier ownership.
 func (r Report) Problem(keys int) string {
-	for i, h := range r.held {
+	for _, h := range r.held {
 		if h.first > h.last || int(h.last) >= keys {
 			return fmt.Sprintf("the held range %d-%d is reversed or out of bounds", h.first, h.last)
 		}
-		if i > 0 && h.first <= r.held[i-1].last {
-			return fmt.Sprintf("the held ranges overlap at key %d", h.first)
-		}
 	}
 	for _, f := range r.freed {
 		if f.first > f.last || int(f.last) >= keys {
--- a/verbenad/command/notice/keylog.go
+++ b/verbenad/command/notice/keylog.go
@@ -1,8 +1,10 @@
 package notice
 
 import (
+	"errors"
 	"fmt"
 	"strings"
+	"time"
 
 	"verbenabank/core/state/grant"
 )
@@ -30,6 +32,23 @@
 	}
 }
 
+// rejectLogInterval is the least time between two log lines about heartbeats that are not valid.
+const rejectLogInterval = time.Second
+
+// HeartbeatRejected logs that a heartbeat was not valid, at most once per rejectLogInterval.
+func (n *Receiver) HeartbeatRejected(problem string) {
+	n.mu.Lock()
+	now := time.Now()
+	due := now.Sub(n.rejectLoggedAt) >= rejectLogInterval
+	if due {
+		n.rejectLoggedAt = now
+	}
+	n.mu.Unlock()
+	if due {
+		n.log.WithError(errors.New(problem)).Warn("keeper: heartbeat is not valid and changes nothing")
+	}
+}
+
 // swap replaces a text and returns the previous one, and whether they differ.
 func (n *Receiver) swap(text *string, next string) (previous string, changed bool) {
 	n.mu.Lock()
--- a/verbenad/command/notice/notice.go
+++ b/verbenad/command/notice/notice.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/sirupsen/logrus"
@@ -36,6 +37,8 @@
 	unanswered  map[uint64]chan grant.Answer
 	held        string // by the last heartbeat, as logged
 	offered     string // by the last offer, as logged
+
+	rejectLoggedAt time.Time
 }
 
 // New returns a receiver that passes events to post, which may be called from many goroutines.
--- a/verbenad/command/owner/dialect.go
+++ b/verbenad/command/owner/dialect.go
@@ -96,7 +96,12 @@
 		call.NewField(HeaderLease, strconv.FormatInt(int64(i.leaseEnd), 10)))
 }
 
+// Classify classifies a response. Targets that return the identifier of the attempt are protected from responses
+// that belong to another one.
 func (nativeDialect) Classify(a call.Response, _ call.Request, i AttemptInfo) Classification {
+	if id := a.Field(HeaderRequestID); id != "" && id != i.id {
+		return Mismatched{}
+	}
 	switch a.Status() {
 	case http.StatusServiceUnavailable:
 		if _, ok := i.service.Shedding().(rules.ShedNotRun); ok {
--- a/verbenad/command/serve/options.go
+++ b/verbenad/command/serve/options.go
@@ -47,6 +47,8 @@
 	// Heartbeat passes a heartbeat of the target to the agent and waits for its answer, for less than a
 	// second. It reports whether there is one, so that the heartbeat may be acknowledged.
 	Heartbeat(h agent.Heartbeat) (grant.Answer, bool)
+	// HeartbeatRejected logs that a heartbeat was not valid.
+	HeartbeatRejected(problem string)
 	// Propose proposes a configuration until it is decided or ctx ends.
 	Propose(ctx context.Context, r logcmd.SetRules) (fleet.Verdict, error)
 	// Rules returns the rules in force, confirmed by a quorum after the call began. Version 0 means
@@ -62,6 +64,9 @@
 	return d.lifecycle.notice.Heartbeat(h)
 }
 
+// HeartbeatRejected logs that a heartbeat was not valid.
+func (d *Daemon) HeartbeatRejected(problem string) { d.lifecycle.notice.HeartbeatRejected(problem) }
+
 // Propose proposes a configuration to the control group until it is decided or ctx ends.
 func (d *Daemon) Propose(ctx context.Context, r logcmd.SetRules) (fleet.Verdict, error) {
 	return d.controlClient.Propose(ctx, r)
--- a/vload/command/target/handle.go
+++ b/vload/command/target/handle.go
@@ -107,6 +107,7 @@
 	}
 	length, _ := strconv.Atoi(c.Get(body.ResponseBytesHeader))
 	c.Set(body.IDHeader, r.ID())
+	c.Set(daemonRequestIDHeader, r.DaemonRequestID())
 	c.Set(body.KeyHeader, r.Key())
 	c.Set(body.ChecksumHeader, body.Checksum(payload))
 	c.Set(body.InstanceHeader, t.settings.Instance())
@@ -130,6 +131,10 @@
 	return payload, err == nil && (length < 0 || length == len(payload))
 }
 
+// daemonRequestIDHeader identifies the attempt. The response returns it, by which the daemon recognizes responses
+// that belong to another request.
+const daemonRequestIDHeader = "Verbena-Request-Id"
+
 // parseRequest reads shard, epoch, lease and IDs from the headers. Numbers that are missing or not
 // valid are 0. Strings are copied, since fiber reuses their memory after the handler returns.
 func parseRequest(c fiber.Ctx) ledger.Request {
@@ -138,7 +143,7 @@
 	lease, _ := strconv.ParseInt(c.Get("Verbena-Lease-Until"), 10, 64)
 	id, key := string([]byte(c.Get(body.IDHeader))), string([]byte(c.Get(body.KeyHeader)))
 	return ledger.NewRequest(id, key, string([]byte(c.Method())), uint32(shard), epoch, clock.Millis(lease)).
-		WithDaemonRequestID(string([]byte(c.Get("Verbena-Request-Id"))))
+		WithDaemonRequestID(string([]byte(c.Get(daemonRequestIDHeader))))
 }
 
 // deadlineTimer returns a channel that fires when the time budget of the request is used up, and a
