Make two tests of cancelled requests independent of scheduling

Cause: reproduced with 48 processes on 8 cores, 1 of 7,200 runs: the context of 20 ms ended while the connection was being opened, so the outcome was refused, which is right: nothing was sent. In the same way a target that is scheduled 50 ms late is abandoned, which is right, too. Change: the target cancels the request when it has it and finishes after the reply; the case in which the target ends the request has a minute. What is checked is the same, and one check more: the request is not done before its target finishes.

--- a/verbenad/adapt/target/linger_test.go
+++ b/verbenad/adapt/target/linger_test.go
@@ -15,12 +15,18 @@
 	"verbenabank/verbenad/adapt/target"
 )
 
+// TestCancelledRequestIsDoneOrAbandoned lets a target end a cancelled request, and another one keep it for longer
+// than the client lingers. The first has a minute, so that the test does not depend on how fast it is scheduled.
 func TestCancelledRequestIsDoneOrAbandoned(t *testing.T) {
-	for want, serve := range map[string]func(c net.Conn, released <-chan struct{}){
-		"done":      func(c net.Conn, _ <-chan struct{}) { _, _ = io.Copy(io.Discard, c) },
-		"abandoned": func(_ net.Conn, released <-chan struct{}) { <-released },
+	for want, c := range map[string]struct {
+		linger time.Duration
+		serve  func(c net.Conn, released <-chan struct{})
+	}{
+		"done":      {time.Minute, func(c net.Conn, _ <-chan struct{}) { _, _ = io.Copy(io.Discard, c) }},
+		"abandoned": {50 * time.Millisecond, func(_ net.Conn, released <-chan struct{}) { <-released }},
 	} {
 		t.Run(want, func(t *testing.T) {
+			linger, serve := c.linger, c.serve
 			is := is.New(t)
 			released := make(chan struct{})
 			ctx, cancel := context.WithCancel(context.Background())
@@ -29,7 +35,7 @@
 				serve(c, released)
 				return false
 			})
-			x, stop := target.New(target.WithLinger(50 * time.Millisecond))
+			x, stop := target.New(target.WithLinger(linger))
 			defer stop()
 			x.SetAddress(address)
 			got := make(chan string, 2)
--- a/verbenad/adapt/target/target_test.go
+++ b/verbenad/adapt/target/target_test.go
@@ -187,23 +187,31 @@
 	is.True(<-closed != nil)
 }
 
+// TestCancelledRequestIsDoneOnlyWhenTargetFinishes cancels a request once the target has it. The target finishes only
+// after the reply, so the test depends on no duration.
 func TestCancelledRequestIsDoneOnlyWhenTargetFinishes(t *testing.T) {
 	is := is.New(t)
 	var done atomic.Bool
+	replied := make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
 	address, _ := startTarget(t, func(c net.Conn, _ *http.Request, _ int64) bool {
+		cancel()
 		_, _ = c.Read(make([]byte, 1)) // returns when the client closes the sending half
-		time.Sleep(50 * time.Millisecond)
+		<-replied
 		done.Store(true)
 		return false
 	})
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
-	defer cancel()
+	x, stop := target.New(target.WithLinger(time.Minute))
+	defer stop()
+	x.SetAddress(address)
 	ended := make(chan bool, 1)
-	_, o := readReply(newTarget(t, address).Send(ctx, call.NewAttempt(
+	_, o := readReply(x.Send(ctx, call.NewAttempt(
 		func() (call.Request, result.Reason) { return call.NewRequest("s", "POST", "/"), "" },
 		func() { ended <- done.Load() })))
-	is.Equal(o, "unknown timed-out") // the reply does not wait for the target
+	is.Equal(o, "unknown cancelled") // the reply does not wait for the target
 	is.True(!done.Load())
+	is.Equal(len(ended), 0)
+	close(replied)
 	is.True(<-ended)
 }
 
