Bound the wait of the first grants for members that join late

Cause: the first grants of an ordered service waited until no member had joined for a second. Change: the wait ends 2.5 s after the first member joined; later ones get keys by rebalancing.

--- a/core/query/ranges/ranges.go
+++ b/core/query/ranges/ranges.go
@@ -20,6 +20,9 @@
 const (
 	// firstGrantDelay is how long the first grants of a service wait after a member joined.
 	firstGrantDelay = clock.Second
+	// maxFirstGrantDelay is how long the first grants of a service wait at most after its first
+	// member joined. In a large fleet some members always join late.
+	maxFirstGrantDelay = 2500 * clock.Millisecond
 	// defaultMeanMs is the mean time in milliseconds assumed for a request as long as no target
 	// of the service has reported one.
 	defaultMeanMs = 100.0
@@ -188,14 +191,18 @@
 	return list
 }
 
-// membersSettled reports whether no member joined within firstGrantDelay.
+// membersSettled reports whether no member joined within firstGrantDelay, or one joined
+// maxFirstGrantDelay ago.
 func (p *planner) membersSettled() bool {
+	settled := true
 	for _, m := range p.members {
-		if p.now.Sub(p.view.Joined(m.member.Incarnation())) < firstGrantDelay {
-			return false
+		age := p.now.Sub(p.view.Joined(m.member.Incarnation()))
+		if age >= maxFirstGrantDelay {
+			return true
 		}
+		settled = settled && age >= firstGrantDelay
 	}
-	return true
+	return settled
 }
 
 // moveOffIneligible moves keys off owners that are leaving or have no target of the service.
