--- a/verbenad/adapt/link/server.go
+++ b/verbenad/adapt/link/server.go
@@ -22,12 +22,12 @@
 type Server struct {
 	wirepb.UnimplementedControlServer
 	wirepb.UnimplementedPeerServer
-	loop        *ctrl.Loop
-	codec       *codec.Codec
-	log         *logrus.Entry
-	sessions    atomic.Uint64
-	updates     updateCache // for daemons that need them plain
-	packed      updateCache // for all others
+	loop     *ctrl.Loop
+	codec    *codec.Codec
+	log      *logrus.Entry
+	sessions atomic.Uint64
+	updates  updateCache // for daemons that need them plain
+	packed   updateCache // for all others
 }
 
 // NewServer returns a server that posts to l; Register adds it to a gRPC server.
