--- a/core/command/agent/drain.go
+++ b/core/command/agent/drain.go
@@ -112,22 +112,9 @@
 // holdsShards reports whether this daemon owns or is handing over any shard of its target's service.
 func (a *Agent) holdsShards() bool {
 	for _, s := range a.table.Shards(a.target.service) {
-		if servingMember(a.table.Ownership(a.target.service, s)) == a.self {
+		if table.ServingMember(a.table.Ownership(a.target.service, s)) == a.self {
 			return true
 		}
 	}
 	return false
 }
-
-// servingMember returns the member that serves or drains a shard, 0 if there is none.
-func servingMember(h table.Ownership) table.Incarnation {
-	switch h := h.(type) {
-	case table.Vacant:
-		return 0
-	case table.Owned:
-		return h.Owner()
-	case table.Moving:
-		return h.From()
-	}
-	return 0
-}
--- a/core/command/leader/member.go
+++ b/core/command/leader/member.go
@@ -170,21 +170,8 @@
 func (l *Leader) proposeSpanReleases(e RenewRequested) {
 	for _, r := range e.spans {
 		p, ok := l.fleet.Table().SpanAt(r.Service(), r.First())
-		if ok && p.Covers(r.First(), r.Last()) && p.Ownership().Epoch() == r.Epoch() && holderOf(p.Ownership()) == e.incarnation {
+		if ok && p.Covers(r.First(), r.Last()) && p.Ownership().Epoch() == r.Epoch() && table.ServingMember(p.Ownership()) == e.incarnation {
 			l.proposeOnce(r)
 		}
 	}
 }
-
-// holderOf returns the member that owns a range or is handing it over, 0 if it is vacant.
-func holderOf(h table.Ownership) table.Incarnation {
-	switch h := h.(type) {
-	case table.Vacant:
-		return 0
-	case table.Owned:
-		return h.Owner()
-	case table.Moving:
-		return h.From()
-	}
-	return 0
-}
--- a/core/state/snap/snap.go
+++ b/core/state/snap/snap.go
@@ -101,7 +101,7 @@
 // holds it.
 func (s *Snapshot) OwnsKey(service string, k table.Key, now clock.Millis) (table.Epoch, bool) {
 	p, _ := s.table.SpanAt(service, k)
-	if s.self == 0 || owner(p.Ownership()) != s.self || now >= s.leaseEnd {
+	if s.self == 0 || table.ServingMember(p.Ownership()) != s.self || now >= s.leaseEnd {
 		return 0, false
 	}
 	i, _ := slices.BinarySearchFunc(s.heldRanges, k, func(r HeldRange, k table.Key) int {
@@ -114,18 +114,6 @@
 	return p.Ownership().Epoch(), held
 }
 
-// owner returns the member that serves keys with the ownership, 0 if there is none.
-func owner(o table.Ownership) table.Incarnation {
-	switch o := o.(type) {
-	case table.Vacant:
-	case table.Owned:
-		return o.Owner()
-	case table.Moving:
-		return o.From()
-	}
-	return 0
-}
-
 // HeldKeys returns how many keys of its ordered service the local target holds.
 func (s *Snapshot) HeldKeys() int {
 	count := 0
--- a/core/state/table/ownership.go
+++ b/core/state/table/ownership.go
@@ -66,3 +66,16 @@
 func (Vacant) ownership() {}
 func (Owned) ownership()  {}
 func (Moving) ownership() {}
+
+// ServingMember returns the member that serves keys with the ownership: their owner, also while they move
+// away from it, 0 if there is none.
+func ServingMember(o Ownership) Incarnation {
+	switch o := o.(type) {
+	case Vacant:
+	case Owned:
+		return o.Owner()
+	case Moving:
+		return o.From()
+	}
+	return 0
+}
