Slow down attempts to attach in a large fleet

Change: the longest mean delay between attempts grows with the fleet, from 80 ms for up to 32 daemons to 800 ms; after the loss of a session a daemon waits up to half of that first.

--- a/verbenad/adapt/link/uplink.go
+++ b/verbenad/adapt/link/uplink.go
@@ -23,6 +23,7 @@
 	codec    *codec.Codec
 	post     func(agent.Event)
 	log      *logrus.Entry
+	size     func() int // of the fleet, 0 if it is not known
 	group    conc.WaitGroup
 	cancel   func()
 
@@ -31,10 +32,20 @@
 	disconnect func()
 }
 
+// UplinkOption sets one property of an Uplink.
+type UplinkOption func(*Uplink)
+
+// WithFleetSize sets the function that returns how many daemons the fleet has, 0 if that is not known. The
+// more there are, the slower this one tries to attach.
+func WithFleetSize(f func() int) UplinkOption { return func(u *Uplink) { u.size = f } }
+
 // NewUplink returns an uplink that is idle until Start, and a function that closes it
 // and waits for its goroutines.
-func NewUplink(replicas *Addresses, options []grpc.DialOption, c *codec.Codec, log *logrus.Entry) (*Uplink, func()) {
-	u := &Uplink{replicas: replicas, options: options, codec: c, log: log, cancel: func() {}}
+func NewUplink(replicas *Addresses, options []grpc.DialOption, c *codec.Codec, log *logrus.Entry, opts ...UplinkOption) (*Uplink, func()) {
+	u := &Uplink{replicas: replicas, options: options, codec: c, log: log, cancel: func() {}, size: func() int { return 0 }}
+	for _, o := range opts {
+		o(u)
+	}
 	return u, func() {
 		u.cancel()
 		u.group.Wait()
@@ -107,22 +118,32 @@
 		hint, attached = u.attach(ctx, address)
 		if attached {
 			failures = 0
+			pause(ctx, rand.N(attachLimit(u.size())/2))
 		}
 		if hint == address || hint == "" {
 			hint = ""
-			pause(ctx, attachDelay(failures))
+			pause(ctx, attachDelay(failures, u.size()))
 			failures++
 		}
 	}
 }
 
-// attachDelay returns the delay after a number of failed attempts: exponential backoff
-// with jitter of plus or minus 50 %.
-func attachDelay(failures int) time.Duration {
-	delay := min(minBackoff<<min(failures, maxAttachDoublings), maxAttachBackoff)
+// attachDelay returns the delay after a number of failed attempts in a fleet of a size: exponential
+// backoff with jitter of plus or minus 50 %.
+func attachDelay(failures, fleetSize int) time.Duration {
+	delay := min(minBackoff<<min(failures, maxAttachDoublings), attachLimit(fleetSize))
 	return delay/2 + rand.N(delay)
 }
 
+// attachLimit returns the longest mean delay between two attempts to attach in a fleet of a size, 0 if
+// that is not known.
+func attachLimit(fleetSize int) time.Duration {
+	if fleetSize == 0 {
+		fleetSize = unknownFleetSize
+	}
+	return max(minAttachBackoff, min(maxAttachBackoff, time.Duration(fleetSize)*attachBackoffPerPeer))
+}
+
 // attach opens a session with one replica and runs it if that replica leads. It
 // returns the address that the replica redirects to, if any, and whether there was a
 // session.
--- a/verbenad/command/serve/serve.go
+++ b/verbenad/command/serve/serve.go
@@ -162,7 +162,8 @@
 		replicas = append(replicas, r.String())
 	}
 	d.seeds = link.NewAddresses(replicas...)
-	uplink, stop := link.NewUplink(d.seeds, d.trust.DialOptions(), d.codec, d.logger())
+	uplink, stop := link.NewUplink(d.seeds, d.trust.DialOptions(), d.codec, d.logger(),
+		link.WithFleetSize(func() int { return len(d.snapshots.Load().Table().Members()) }))
 	d.addCleanup(stop)
 	d.uplink = uplink
 	d.controlClient = link.NewClient(d.seeds, d.trust.DialOptions(), d.codec)
