Let election timeouts grow with the fleet

Change: the timeouts grow by their base for each 64 daemons that the group serves, five times at most; up to 127 daemons they are what they were.

--- a/core/command/raft/confirm.go
+++ b/core/command/raft/confirm.go
@@ -29,7 +29,7 @@
 	n.lead.round++
 	n.lead.roundStarted = n.now
 	n.lead.roundStarts = append(slices.DeleteFunc(n.lead.roundStarts, func(s roundStart) bool {
-		return n.now.Sub(s.at) > ElectionTimeoutMax
+		return n.now.Sub(s.at) > n.electionTimeoutMax()
 	}), roundStart{round: n.lead.round, at: n.now})
 	n.timer.heartbeat = n.now.Add(HeartbeatInterval)
 	n.timer.round = Never
--- a/core/command/raft/election.go
+++ b/core/command/raft/election.go
@@ -17,7 +17,7 @@
 // hasRecentLeader reports whether this replica leads, or heard from a leader within the minimum
 // election timeout. It then supports no new election, except one that a leadership transfer started.
 func (n *Node) hasRecentLeader() bool {
-	return n.leads() || (n.leader != 0 && n.now.Sub(n.leaderContact) < ElectionTimeoutMin)
+	return n.leads() || (n.leader != 0 && n.now.Sub(n.leaderContact) < n.electionTimeoutMin())
 }
 
 // upToDate reports whether a log whose last entry is at index i, of term t, is at least as up to date
--- a/core/command/raft/leader.go
+++ b/core/command/raft/leader.go
@@ -31,7 +31,7 @@
 func (n *Node) startLeading() {
 	n.leader = n.id
 	n.timer.election = Never
-	n.timer.quorum = n.now.Add(ElectionTimeoutMax)
+	n.timer.quorum = n.now.Add(n.electionTimeoutMax())
 	n.lead = leadership{
 		termStart: n.log.last() + 1, announcedIndex: n.commit,
 		progress: map[peer.ID]*progress{}, proposals: map[peer.Index]uint64{},
@@ -103,7 +103,7 @@
 		}
 	}
 	slices.Sort(heard)
-	n.timer.quorum = heard[len(heard)-n.members.Quorum()].Add(ElectionTimeoutMax)
+	n.timer.quorum = heard[len(heard)-n.members.Quorum()].Add(n.electionTimeoutMax())
 	if n.now >= n.timer.quorum {
 		n.follow(n.term, 0)
 	}
@@ -113,5 +113,5 @@
 // timeout.
 func (n *Node) recentlyActive(id peer.ID) bool {
 	p, ok := n.lead.progress[id]
-	return ok && n.now.Sub(p.lastContact) <= ElectionTimeoutMax
+	return ok && n.now.Sub(p.lastContact) <= n.electionTimeoutMax()
 }
--- a/core/command/raft/raft.go
+++ b/core/command/raft/raft.go
@@ -47,6 +47,7 @@
 	trailing        peer.Index
 	chunkSize       int // bytes of a snapshot in one message
 	maxRequestBytes int // bytes of entries in one message
+	timeoutScale    clock.Millis
 
 	id    peer.ID
 	group peer.Group
@@ -81,6 +82,7 @@
 func New(opts ...Option) *Node {
 	n := &Node{
 		role: Blank{}, random: rand.New(rand.NewPCG(1, 1)), trailing: 4096, chunkSize: 256 << 10, maxRequestBytes: 256 << 10,
+		timeoutScale: 1,
 		addresses: map[peer.ID]string{}, timer: noTimers(), discovery: newDiscovery(),
 	}
 	for _, o := range opts {
--- a/core/command/raft/timer.go
+++ b/core/command/raft/timer.go
@@ -47,7 +47,25 @@
 func (n *Node) resetElection() {
 	n.timer.election = Never
 	if n.mayLead() {
-		spread := int64(ElectionTimeoutMax - ElectionTimeoutMin)
-		n.timer.election = n.now.Add(ElectionTimeoutMin + clock.Millis(n.random.Int64N(spread+1)))
+		spread := int64(n.electionTimeoutMax() - n.electionTimeoutMin())
+		n.timer.election = n.now.Add(n.electionTimeoutMin() + clock.Millis(n.random.Int64N(spread+1)))
 	}
 }
+
+// maxTimeoutScale is the largest factor of the election timeouts.
+const maxTimeoutScale = 5
+
+// daemonsPerTimeoutScale is the number of daemons for which the election timeouts grow by their base: a leader
+// of many daemons is busy for longer at a time, above all when all of them attach to it.
+const daemonsPerTimeoutScale = 64
+
+// TimeoutScale returns the factor of the election timeouts for a group that serves a number of daemons.
+func TimeoutScale(daemons int) int { return max(1, min(maxTimeoutScale, daemons/daemonsPerTimeoutScale)) }
+
+// SetTimeoutScale sets the factor of the election timeouts from now on; timers that are running are not
+// changed. Replicas may differ in it.
+func (n *Node) SetTimeoutScale(scale int) { n.timeoutScale = clock.Millis(max(1, scale)) }
+
+func (n *Node) electionTimeoutMin() clock.Millis { return ElectionTimeoutMin * n.timeoutScale }
+
+func (n *Node) electionTimeoutMax() clock.Millis { return ElectionTimeoutMax * n.timeoutScale }
--- a/core/command/raft/transfer.go
+++ b/core/command/raft/transfer.go
@@ -17,7 +17,7 @@
 	if n.lead.transferee == 0 {
 		return
 	}
-	n.timer.transfer = n.now.Add(ElectionTimeoutMax)
+	n.timer.transfer = n.now.Add(n.electionTimeoutMax())
 	n.sendTimeoutNow()
 }
 
--- a/core/state/table/table.go
+++ b/core/state/table/table.go
@@ -61,6 +61,9 @@
 	return m, ok
 }
 
+// MemberCount returns the number of members.
+func (t *Table) MemberCount() int { return len(t.members.byIncarnation) }
+
 // Ownership returns the ownership of a shard of the service. A shard that was never
 // granted is Vacant at epoch 0.
 func (t *Table) Ownership(service string, s Shard) Ownership {
--- a/verbenad/command/ctrl/replica.go
+++ b/verbenad/command/ctrl/replica.go
@@ -93,7 +93,7 @@
 		return
 	}
 	next, effects := apply.Apply(l.fleet, uint64(c.Entry().Index()), timestamp, command)
-	l.fleet = next
+	l.setFleet(next)
 	l.completeProposal(c.Token(), effects)
 	l.reportEffects(effects)
 	l.logFleetChanges(next)
@@ -147,6 +147,12 @@
 	}
 }
 
+// setFleet replaces the fleet state. The election timeouts follow its size.
+func (l *Loop) setFleet(f *fleet.State) {
+	l.fleet = f
+	l.node.SetTimeoutScale(raft.TimeoutScale(f.Table().MemberCount()))
+}
+
 // restore replaces the fleet state with the one in a snapshot.
 func (l *Loop) restore(s peer.Snapshot) {
 	f, err := l.codec.DecodeState(s.Data())
@@ -154,7 +160,7 @@
 		l.fail("restore", Undecodable, err)
 		return
 	}
-	l.fleet = f
+	l.setFleet(f)
 	l.snapshotIndex = uint64(s.Index())
 }
 
--- a/verbenad/command/relay/task.go
+++ b/verbenad/command/relay/task.go
@@ -75,7 +75,7 @@
 }
 
 // daemonCount returns how many daemons share the retry budget of the fleet.
-func (t *task) daemonCount() int { return len(t.relay.store.Load().Table().Members()) }
+func (t *task) daemonCount() int { return t.relay.store.Load().Table().MemberCount() }
 
 // attempt makes one attempt with the routing table of the snapshot.
 func (t *task) attempt(s *snap.Snapshot) call.Reply {
--- a/verbenad/command/serve/serve.go
+++ b/verbenad/command/serve/serve.go
@@ -163,7 +163,7 @@
 	}
 	d.seeds = link.NewAddresses(replicas...)
 	uplink, stop := link.NewUplink(d.seeds, d.trust.DialOptions(), d.codec, d.logger(),
-		link.WithFleetSize(func() int { return len(d.snapshots.Load().Table().Members()) }))
+		link.WithFleetSize(func() int { return d.snapshots.Load().Table().MemberCount() }))
 	d.addCleanup(stop)
 	d.uplink = uplink
 	d.controlClient = link.NewClient(d.seeds, d.trust.DialOptions(), d.codec)
