--- a/core/command/raft/raft.go
+++ b/core/command/raft/raft.go
@@ -83,7 +83,7 @@
 	n := &Node{
 		role: Blank{}, random: rand.New(rand.NewPCG(1, 1)), trailing: 4096, chunkSize: 256 << 10, maxRequestBytes: 256 << 10,
 		timeoutScale: 1,
-		addresses: map[peer.ID]string{}, timer: noTimers(), discovery: newDiscovery(),
+		addresses:    map[peer.ID]string{}, timer: noTimers(), discovery: newDiscovery(),
 	}
 	for _, o := range opts {
 		o(n)
--- a/core/command/raft/timer.go
+++ b/core/command/raft/timer.go
@@ -60,7 +60,9 @@
 const daemonsPerTimeoutScale = 64
 
 // TimeoutScale returns the factor of the election timeouts for a group that serves a number of daemons.
-func TimeoutScale(daemons int) int { return max(1, min(maxTimeoutScale, daemons/daemonsPerTimeoutScale)) }
+func TimeoutScale(daemons int) int {
+	return max(1, min(maxTimeoutScale, daemons/daemonsPerTimeoutScale))
+}
 
 // SetTimeoutScale sets the factor of the election timeouts from now on; timers that are running are not
 // changed. Replicas may differ in it.
