--- a/core/command/hold/heartbeat.go
+++ b/core/command/hold/heartbeat.go
@@ -40,7 +40,7 @@
 		case holding:
 			t.reportHolding(p, now)
 		case releasing:
-			t.reportReleasing(p, now)
+			t.reportReleasing(p)
 		case released:
 		}
 	}
@@ -56,11 +56,11 @@
 }
 
 func (t *Tracker) reportHolding(p *trackedRange, now clock.Millis) {
-	if t.report.HoldsAll(p.first, p.last, p.epoch) {
-		p.taken, p.appliesAt, p.refusals, p.handover = true, 0, 0, ""
+	if t.reportHeld(p) {
+		p.appliesAt, p.refusals, p.handover = 0, 0, ""
 		return
 	}
-	if p.offeredAt == 0 || !t.synced {
+	if !p.offered || !t.synced {
 		return
 	}
 	if token, ok := t.report.FreedToken(p.first, p.last); ok && p.taken {
@@ -70,24 +70,34 @@
 	p.refusals++
 	if p.refusals >= maxRefusals {
 		p.state = releasing{}
-		t.reportReleasing(p, now)
+		t.reportReleasing(p)
 	}
 }
 
+// reportHeld records whether the target reports to hold the keys at their epoch. What it reports as freed
+// at the same time is a repeat from before.
+func (t *Tracker) reportHeld(p *trackedRange) bool {
+	if !t.report.HoldsAll(p.first, p.last, p.epoch) {
+		return false
+	}
+	_, freed := t.report.FreedToken(p.first, p.last)
+	p.taken, p.oldFreed = true, freed
+	return true
+}
+
 // reportReleasing recognizes that the target no longer holds the keys. Without a word that it has
-// released them, an offer that was lost or late may still be applied until the target accepts no
-// answer to that heartbeat any more.
-func (t *Tracker) reportReleasing(p *trackedRange, now clock.Millis) {
-	if t.report.HoldsAny(p.first, p.last) {
-		p.taken = p.taken || t.report.HoldsAll(p.first, p.last, p.epoch)
+// released them, an offer of them may still be applied, since the heartbeat may have been sent before:
+// they count as held until that offer ends.
+func (t *Tracker) reportReleasing(p *trackedRange) {
+	if t.reportHeld(p) || t.report.HoldsAny(p.first, p.last) {
 		return
 	}
 	p.heldUntil = 0
 	token, freed := t.report.FreedToken(p.first, p.last)
 	switch {
-	case freed && p.taken:
+	case freed && p.taken && !p.oldFreed:
 		p.state = released{handover: token}
-	case p.offeredAt == 0 || now > p.offeredAt+answerTimeout+applyDelay:
+	case !p.offered:
 		p.state = released{handover: p.handover}
 	}
 }
@@ -161,7 +171,7 @@
 		if !p.taken && p.heldUntil == 0 {
 			p.appliesAt = now + applyDelay
 		}
-		p.offeredAt = now
+		p.offered = true
 		p.heldUntil = max(p.heldUntil, now+ttl-answerTimeout)
 		p.mayHoldUntil = max(p.mayHoldUntil, latestEnd(arrived, ttl))
 	}
--- a/core/command/hold/reconcile.go
+++ b/core/command/hold/reconcile.go
@@ -74,7 +74,7 @@
 			continue
 		}
 		p.mayHoldUntil, p.unansweredUntil = max(p.mayHoldUntil, o.mayHoldUntil), max(p.unansweredUntil, o.unansweredUntil)
-		p.offeredAt = max(p.offeredAt, o.offeredAt)
+		p.offered = p.offered || o.offered
 		if o.epoch != e {
 			if d, ok := o.state.(released); ok && p.handover == "" {
 				p.handover = d.handover
@@ -85,7 +85,7 @@
 			p.heldUntil = o.heldUntil
 		}
 		p.taken = o.taken && (covered == 0 || p.taken)
-		p.omitted = p.omitted || o.omitted
+		p.omitted, p.oldFreed = p.omitted || o.omitted, p.oldFreed || o.oldFreed
 		p.appliesAt, p.refusals = max(p.appliesAt, o.appliesAt), max(p.refusals, o.refusals)
 		covered += int(min(o.last, p.last)-max(o.first, p.first)) + 1
 		p.retryAt = max(p.retryAt, o.retryAt)
@@ -95,7 +95,7 @@
 		p.heldUntil, p.taken = 0, false
 		if !t.synced {
 			p.mayHoldUntil = latestEnd(now, t.maxTTL)
-			p.unansweredUntil, p.offeredAt = p.mayHoldUntil, now
+			p.unansweredUntil, p.offered = p.mayHoldUntil, true
 		}
 	}
 	return p
--- a/core/command/hold/tracker.go
+++ b/core/command/hold/tracker.go
@@ -69,9 +69,10 @@
 	// For delivery by heartbeats only.
 	taken     bool         // the target reported the keys at this epoch
 	appliesAt clock.Millis // the target has not applied the first offer before then, 0 once it has
-	offeredAt clock.Millis // when the keys were last offered, 0 if they were not
+	offered   bool         // an answer has listed the keys, or one of an earlier process may have
 	refusals  int          // heartbeats in a row that showed an offer not taken
 	omitted   bool         // an answer has left the keys out
+	oldFreed  bool         // while the target held the keys it reported them as freed, from an earlier time
 }
 
 // rangeState is the state of a range: holding, releasing or released.
