--- a/core/command/agent/answer.go
+++ b/core/command/agent/answer.go
@@ -37,7 +37,7 @@
 		return
 	}
 	a.tracker.SetLeaseEnd(a.holder.End())
-	a.reportingReleases(func() { a.tracker.HandleReport(h.report, a.now) })
+	a.reportingReleases(func() { a.tracker.HandleReport(h.report) })
 	w := waiting{id: h.id, arrived: a.now, deadline: a.now.Add(maxAnswerDelay)}
 	if urgent {
 		w.deadline = a.now
--- a/core/command/hold/heartbeat.go
+++ b/core/command/hold/heartbeat.go
@@ -30,15 +30,15 @@
 // maxRows is the number of ranges in an answer. Targets accept answers of 4 KiB.
 const maxRows = 56
 
-// HandleReport updates the ranges with what the target reported in a heartbeat that arrived at now. It
+// HandleReport updates the ranges with what the target reported in a heartbeat. It
 // must be newer than those before, and the answers to those must have been sent.
-func (t *Tracker) HandleReport(r grant.Report, now clock.Millis) {
+func (t *Tracker) HandleReport(r grant.Report) {
 	t.report = r
 	t.splitReleasing(r)
 	for _, p := range t.ranges {
 		switch p.state.(type) {
 		case holding:
-			t.reportHolding(p, now)
+			t.reportHolding(p)
 		case releasing:
 			t.reportReleasing(p)
 		case released:
@@ -55,7 +55,7 @@
 	}
 }
 
-func (t *Tracker) reportHolding(p *trackedRange, now clock.Millis) {
+func (t *Tracker) reportHolding(p *trackedRange) {
 	if t.reportHeld(p) {
 		p.appliesAt, p.refusals, p.handover = 0, 0, ""
 		return
--- a/core/command/hold/heartbeat_random_test.go
+++ b/core/command/hold/heartbeat_random_test.go
@@ -238,7 +238,7 @@
 	if s.now < d.frozenTo {
 		return
 	}
-	d.tracker.HandleReport(target.lastRep, s.now)
+	d.tracker.HandleReport(target.lastRep)
 	answer, delay := d.tracker.Offer(s.now, s.now), clock.Millis(0)
 	if faults && s.r.IntN(10) == 0 {
 		delay = clock.Millis(s.r.IntN(1500))
--- a/core/command/hold/heartbeat_test.go
+++ b/core/command/hold/heartbeat_test.go
@@ -17,7 +17,7 @@
 // beat reports rows and freed rows at now and returns the offer in the answer, which is sent at once.
 func beat(t *testing.T, tr *hold.Tracker, now clock.Millis, held []grant.Row, freed ...grant.FreedRow) grant.Offer {
 	t.Helper()
-	tr.HandleReport(grant.NewReport(held, freed), now)
+	tr.HandleReport(grant.NewReport(held, freed))
 	return offer(t, tr, now, now)
 }
 
@@ -55,7 +55,7 @@
 	is := is.New(t)
 	tr := newHeartbeatTracker()
 	tr.Reconcile([]table.Span{owned(0, 99, 5)}, self, 1000)
-	tr.HandleReport(grant.NewReport(nil, nil), 1000)
+	tr.HandleReport(grant.NewReport(nil, nil))
 	o := offer(t, tr, 1000, 1500)
 	is.Equal(o.Rows(), rows(grant.NewRow(0, 99, 5)))
 	is.True(1000+o.TTL()+o.TTL()*2/100 <= leaseEnd)
@@ -72,7 +72,7 @@
 	is := is.New(t)
 	tr := hold.New(maxTTL, 0, hold.WithDelivery(grant.ByHeartbeat{}))
 	tr.SetLeaseEnd(leaseEnd)
-	tr.HandleReport(grant.NewReport(rows(grant.NewRow(0, 99, 5)), nil), 1000)
+	tr.HandleReport(grant.NewReport(rows(grant.NewRow(0, 99, 5)), nil))
 	is.Equal(tr.Offer(1000, 1000), grant.Nothing{})
 	tr.Reconcile([]table.Span{owned(0, 99, 5)}, self, 1100)
 	tr.SetLeaseEnd(0)
@@ -85,7 +85,7 @@
 func TestMemberWithoutKeysTakesEverythingAway(t *testing.T) {
 	is := is.New(t)
 	tr := newHeartbeatTracker()
-	tr.HandleReport(grant.NewReport(rows(grant.NewRow(0, 99, 5)), nil), 1000)
+	tr.HandleReport(grant.NewReport(rows(grant.NewRow(0, 99, 5)), nil))
 	is.True(tr.HasNews(1000, 1000))
 	is.Equal(len(offer(t, tr, 1000, 1000).Rows()), 0)
 }
@@ -243,7 +243,7 @@
 func TestRestartedDaemonGoesOnWhereTheTableAgrees(t *testing.T) {
 	is := is.New(t)
 	tr := hold.New(maxTTL, 0, hold.WithDelivery(grant.ByHeartbeat{}))
-	tr.HandleReport(grant.NewReport(rows(grant.NewRow(0, 49, 5), grant.NewRow(50, 99, 4)), nil), 1000)
+	tr.HandleReport(grant.NewReport(rows(grant.NewRow(0, 49, 5), grant.NewRow(50, 99, 4)), nil))
 	tr.SetLeaseEnd(leaseEnd)
 	tr.Reconcile([]table.Span{owned(0, 49, 5), table.NewSpan(50, 99, table.NewOwned(other, 6))}, self, 1100)
 	is.True(tr.HasNews(1000, 1100))
