--- a/core/command/hold/heartbeat.go
+++ b/core/command/hold/heartbeat.go
@@ -51,7 +51,7 @@
 // process of the daemon granted them.
 func (t *Tracker) recognize() {
 	for _, p := range t.ranges {
-		p.taken = t.report.HoldsAll(p.first, p.last, p.epoch)
+		t.reportHeld(p)
 	}
 }
 
@@ -74,8 +74,8 @@
 	}
 }
 
-// reportHeld records whether the target reports to hold the keys at their epoch. What it reports as freed
-// at the same time is a repeat from before.
+// reportHeld reports whether the target holds the keys at their epoch, and records it if so. What it reports as
+// freed at the same time is a repeat from before.
 func (t *Tracker) reportHeld(p *trackedRange) bool {
 	if !t.report.HoldsAll(p.first, p.last, p.epoch) {
 		return false
