--- a/core/command/hold/heartbeat.go
+++ b/core/command/hold/heartbeat.go
@@ -30,8 +30,8 @@
 // maxRows is the number of ranges in an answer. Targets accept answers of 4 KiB.
 const maxRows = 56
 
-// HandleReport updates the ranges with what the target reported in a heartbeat. It
-// must be newer than those before, and the answers to those must have been sent.
+// HandleReport updates the ranges with what the target reported in a heartbeat. It must be newer than those
+// before, and the answers to those must have been sent.
 func (t *Tracker) HandleReport(r grant.Report) {
 	t.report = r
 	t.splitReleasing(r)
@@ -63,7 +63,7 @@
 	if !p.offered || !t.synced {
 		return
 	}
-	if token, ok := t.report.FreedToken(p.first, p.last); ok && p.taken {
+	if token, ok := t.report.FreedToken(p.first, p.last); ok && p.taken && !p.oldFreed {
 		p.handover = token
 	}
 	p.taken, p.appliesAt, p.heldUntil = false, 0, 0
