Ask for a lease of 3 s with grants in heartbeats also if the settings name none

Cause: without a section the default of 0.7 s applied, with which a daemon never counts on a grant. Result: TestShortLeaseWithGrantsInHeartbeatsIsRejected fails without the change.

--- a/verbenad/adapt/jsonc/sections.go
+++ b/verbenad/adapt/jsonc/sections.go
@@ -75,7 +75,7 @@
 	return config.WithTimings(t.WithLimits(duration(l.Reader, "hold", minDuration), l.drain(), duration(l.Reader, "grace", minDuration)))
 }
 
-// drain reads the longest drain. A value of 0, other than none, allows no new requests at all.
+// drain reads the longest drain. Unlike a missing value, 0 allows no new requests at all.
 func (l loader) drain() clock.Millis {
 	d := duration(l.Reader, "drain", 1)
 	if d == 0 && (l.Has("drain_ms") || l.Has("drain_s")) {
@@ -123,8 +123,8 @@
 	case "", grantsByCall:
 		return grant.ByCall{}
 	case grantsByHeartbeat:
-		if lease, ok := l.Object("lease"); ok && duration(lease, "span", minDuration) < minHeartbeatLease {
-			l.AddFault("lease", "span must be at least 3 s if target.grants is heartbeat")
+		if lease, _ := l.Object("lease"); duration(lease, "span", minDuration) < minHeartbeatLease {
+			l.AddFault("lease", "must have a span of at least 3 s if target.grants is heartbeat")
 		}
 		return grant.ByHeartbeat{}
 	}
