--- a/vload/proof/host_test.go
+++ b/vload/proof/host_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -34,6 +35,8 @@
 )
 
 func TestMain(m *testing.M) {
+	// Processes that the tests start would inherit an ignored SIGHUP, as of nohup; a handled one is reset for them.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	folder, err := os.MkdirTemp("", "proof")
 	if err != nil {
 		panic(err)
