--- a/verbenad/command/entry/pooled_test.go
+++ b/verbenad/command/entry/pooled_test.go
@@ -1,9 +1,11 @@
 package entry_test
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -31,12 +33,29 @@
 	return e
 }
 
+// refusingAddress returns an address that refuses connections until the test ends: its port is bound, so that no
+// other process can listen on it, and nobody listens.
+func refusingAddress(t *testing.T) string {
+	t.Helper()
+	s, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err == nil {
+		err = syscall.Bind(s, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(s) })
+	bound, err := syscall.Getsockname(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", bound.(*syscall.SockaddrInet4).Port)
+}
+
 func TestUnreachableTargetIsAvoided(t *testing.T) {
 	is := is.New(t)
 	good, count := countingTarget(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
-	l := listen(t)
-	_ = l.Close()
-	e := startPool(t, []string{good, l.Addr().String(), good})
+	e := startPool(t, []string{good, refusingAddress(t), good})
 	for range 200 {
 		p, err := send(t, "POST", e.url+"/pool/x", nil)
 		is.NoErr(err)
