Start process tests after the placement has settled, and keep their subnets reserved

Cause: the test took the keys of a host while the placement still moved shards to the hosts that had joined last, so a request of 200 ms went to another, fast target. Fleets now start when each host owns an equal share; before, two shards each were enough.

The file of the lock was a local variable, and the garbage collector closes such a file; one run was seen without any lock while another held the lock of the same subnets. The file is a package variable now.

--- a/vload/proof/host_test.go
+++ b/vload/proof/host_test.go
@@ -28,10 +28,11 @@
 )
 
 // binaries is the folder of the programs under test. subnetOffset is added to the
-// subnet numbers of the tests.
+// subnet numbers of the tests; subnetLock reserves them while it is open.
 var (
 	binaries     string
 	subnetOffset int
+	subnetLock   *os.File
 )
 
 func TestMain(m *testing.M) {
@@ -42,7 +43,7 @@
 		panic(err)
 	}
 	binaries = folder
-	subnetOffset = reserveSubnets()
+	subnetLock, subnetOffset = reserveSubnets()
 	for _, p := range []string{"verbenad", "vload"} {
 		c := exec.Command("go", "build", "-o", folder+"/", "./"+p)
 		c.Dir = "../.."
@@ -52,6 +53,7 @@
 	}
 	code := m.Run()
 	_ = os.RemoveAll(folder)
+	_ = subnetLock.Close()
 	os.Exit(code)
 }
 
@@ -62,16 +64,16 @@
 	subnetsPerRun   = 30
 )
 
-// reserveSubnets reserves a range of subnets for this run and returns its offset. The
-// file lock is released when the process exits.
-func reserveSubnets() int {
+// reserveSubnets reserves a range of subnets for this run and returns its offset and the
+// locked file. The lock is released when the file is closed, also by the garbage collector.
+func reserveSubnets() (*os.File, int) {
 	for n := range maxParallelRuns {
 		f, err := os.OpenFile(filepath.Join(os.TempDir(), fmt.Sprintf("verbenabank-proof-%d.lock", n)), os.O_CREATE|os.O_RDWR, 0o600)
 		if err != nil {
 			panic(err)
 		}
 		if syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) == nil {
-			return n * subnetsPerRun
+			return f, n * subnetsPerRun
 		}
 		_ = f.Close()
 	}
@@ -99,7 +101,8 @@
 }
 
 // newFleet starts the hosts in their own subnet and waits until all shards have
-// owners and each host owns some.
+// owners and each host owns an equal share of them, after which no shard moves by
+// itself.
 func newFleet(t *testing.T, subnet, hosts int) *fleet {
 	t.Helper()
 	return startFleet(t, subnet, hosts, func(*host) {})
@@ -135,8 +138,8 @@
 		h.startTarget()
 	}
 	t.Cleanup(f.cleanUp)
-	f.await(20*time.Second, "all shards have owners, each host some", func() bool {
-		return f.minOwnedShards() == shards && f.allHostsOwnShards()
+	f.await(20*time.Second, "all shards have owners, each host an equal share", func() bool {
+		return f.minOwnedShards() == shards && f.sharesAreEqual()
 	})
 	return f
 }
@@ -281,16 +284,16 @@
 	return lowest
 }
 
-// allHostsOwnShards reports whether each host owns at least two shards, according
+// sharesAreEqual reports whether each host owns the same number of shards, according
 // to the table of the first host.
-func (f *fleet) allHostsOwnShards() bool {
-	hosts := 0
+func (f *fleet) sharesAreEqual() bool {
+	equal := 0
 	for _, m := range f.hosts[0].status().Members {
-		if m.Shards > 1 {
-			hosts++
+		if m.Shards == shards/len(f.hosts) {
+			equal++
 		}
 	}
-	return hosts == len(f.hosts)
+	return equal == len(f.hosts)
 }
 
 // owner returns the host that owns the key according to the table of another host,
