Log why the connection of a caller is reset

A response that breaks off, or a write that fails, resets the caller's connection and loses the responses behind it. Now: reason, request and the number of requests in flight on the connection.

--- a/verbenad/adapt/front/respond.go
+++ b/verbenad/adapt/front/respond.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
 	"verbenabank/core/state/call"
@@ -132,12 +133,24 @@
 	return result.NewAnswered(a.Status())
 }
 
-// abort resets the connection after an incomplete response and cancels its other requests.
+// abort ends a response that is incomplete.
 func (x *exchange) abort(reason result.Reason) result.Outcome {
 	x.conn.server.meter.Add("broken_answers", 1)
+	x.reset(reason)
+	return result.NewUnknown(reason)
+}
+
+// reset resets the connection and cancels its other requests, whose responses can't be sent any more.
+func (x *exchange) reset(reason result.Reason) {
+	if x.conn.ctx.Err() == nil {
+		x.conn.server.requestLog.LogReset(reason, func() logrus.Fields {
+			f := x.logFields(nil)
+			f["in_flight"] = x.conn.inFlight.Load()
+			return f
+		})
+	}
 	x.conn.finish(true)
 	x.conn.cancel()
-	return result.NewUnknown(reason)
 }
 
 func writeStatusLine(b *bytes.Buffer, status int) {
@@ -199,8 +212,7 @@
 func (x *exchange) send(b *bytes.Buffer, last bool) {
 	x.sent.Store(true)
 	if _, err := x.conn.net.Write(b.Bytes()); err != nil {
-		x.conn.finish(true)
-		x.conn.cancel()
+		x.reset(result.Cancelled)
 		return
 	}
 	if last {
--- a/verbenad/command/reqlog/log.go
+++ b/verbenad/command/reqlog/log.go
@@ -56,6 +56,17 @@
 	l.log.WithFields(f).Info(l.part + text)
 }
 
+// LogReset logs that the connection of a caller is reset, since the response to a request broke off or could
+// not be written. fields is called only if the line is written.
+func (l *Logger) LogReset(reason result.Reason, fields func() logrus.Fields) {
+	if !l.allow("reset " + string(reason)) {
+		return
+	}
+	f := fields()
+	f["outcome"], f["reason"] = "reset", string(reason)
+	l.log.WithFields(f).Info(l.part + ": connection of the caller is reset")
+}
+
 // allow counts a line of the kind and reports whether it is within the limit of the
 // present second. With the first line of a new second it also logs the number of dropped
 // lines of each kind.
