Remember the targets that left, so that a restarted daemon does not use them

Cause: the order of a target's heartbeats was known to one process of its daemon only. After a restart an old heartbeat that arrived late made a target that had said that it stops join again. Its start time is now kept in the routing table; the state machine rejects such a join, the leader doesn't propose it, and the daemon learns from the table why it has no target.

--- a/core/command/agent/agent.go
+++ b/core/command/agent/agent.go
@@ -46,6 +46,7 @@
 	target        target
 	nextTarget    target
 	slots         int            // concurrent requests of the target, 0 if the rules decide
+	targetLeft    bool           // the target has said that it stops
 	lastHeard     heardTarget    // sender of the last heartbeat
 	targetAddress string         // "" accepts a target at any address
 	tracker       *hold.Tracker  // grants to the target, nil without a target
--- a/core/command/agent/effect.go
+++ b/core/command/agent/effect.go
@@ -63,11 +63,17 @@
 func (e SendRenew) Spans() []logcmd.ReleaseSpan { return e.spans }
 
 // SendLeave tells the leader that the member is leaving, so that its shards are moved away.
-type SendLeave struct{ incarnation table.Incarnation }
+type SendLeave struct {
+	incarnation table.Incarnation
+	targetLeft  bool
+}
 
 // Incarnation returns the member.
 func (e SendLeave) Incarnation() table.Incarnation { return e.incarnation }
 
+// TargetLeft reports whether the target has said that it stops, after which it doesn't join again.
+func (e SendLeave) TargetLeft() bool { return e.targetLeft }
+
 // SendGone tells the leader that the incarnation no longer holds anything.
 type SendGone struct{ incarnation table.Incarnation }
 
--- a/core/command/agent/session.go
+++ b/core/command/agent/session.go
@@ -17,7 +17,7 @@
 	}
 	a.renew()
 	if _, ok := a.shutdown.(handingOver); ok {
-		a.emit(SendLeave{incarnation: a.self})
+		a.sendLeave()
 	}
 }
 
@@ -117,6 +117,10 @@
 	}
 	a.table = next
 	a.checkMembership()
+	if a.isServing() && a.hasLeft(a.target) {
+		a.lastHeard.retiring = true
+		a.withdrawn()
+	}
 	a.dropCompletedHandovers()
 	a.reconcileSpans()
 	a.publish()
@@ -141,9 +145,14 @@
 }
 
 // resumeHandover completes the handover that an earlier process of the daemon began: its member was
-// leaving, and its target may still hold keys. The target joins anew afterwards.
+// leaving, and its target may still hold keys. The target joins anew afterwards, unless it has left.
 func (a *Agent) resumeHandover() {
 	a.joined, a.nextRenew = true, a.now
+	if a.hasLeft(a.target) {
+		a.lastHeard.retiring = true
+		a.withdrawn()
+		return
+	}
 	a.nextTarget = a.target
 	a.startHandover(targetFailed{})
 }
--- a/core/command/agent/shutdown.go
+++ b/core/command/agent/shutdown.go
@@ -139,8 +139,13 @@
 // startHandover asks the leader to move the shards to other members.
 func (a *Agent) startHandover(c shutdownCause) {
 	a.shutdown = handingOver{deadline: a.now.Add(a.drainLimit()), cause: c}
+	a.sendLeave()
+}
+
+// sendLeave tells the leader that this member is leaving.
+func (a *Agent) sendLeave() {
 	if a.joined && a.connected {
-		a.emit(SendLeave{incarnation: a.self})
+		a.emit(SendLeave{incarnation: a.self, targetLeft: a.targetLeft})
 	}
 }
 
@@ -210,6 +215,9 @@
 // replaceTarget joins as a new incarnation with the next target, or without one if there is none.
 func (a *Agent) replaceTarget() {
 	next := a.nextTarget
+	if a.hasLeft(next) {
+		next = target{}
+	}
 	a.nextTarget = target{}
 	a.resign()
 	a.setTarget(next)
--- a/core/command/agent/target.go
+++ b/core/command/agent/target.go
@@ -5,6 +5,7 @@
 func (a *Agent) announced(e Announced) {
 	t := target{service: e.service, address: e.address, boot: e.boot, name: e.name, incarnation: e.incarnation, startTime: e.startTime}
 	switch {
+	case a.hasLeft(t):
 	case t == a.target:
 		a.setSlots(e.slots)
 	case t == a.nextTarget:
@@ -24,15 +25,22 @@
 	return ok
 }
 
+// hasLeft reports whether the table says that the target process has left. A daemon that was restarted
+// learns it from there, if an old announcement reaches it late.
+func (a *Agent) hasLeft(t target) bool { return a.table.HasLeft(a.instance, t.startTime) }
+
 // withdrawn hands over the shards before the target may stop.
 func (a *Agent) withdrawn() {
 	if a.target.service == "" {
 		a.emit(TargetReleased{})
 		return
 	}
+	a.targetLeft = true
 	if a.isServing() {
 		a.startHandover(targetWithdrawn{})
+		return
 	}
+	a.sendLeave()
 }
 
 // targetLost gives up what the daemon owns. A dead target runs nothing, so everything is released
--- a/core/command/apply/apply_test.go
+++ b/core/command/apply/apply_test.go
@@ -174,3 +174,19 @@
 	fx.applies(logcmd.NewAddOverride(service, key))
 	fx.is.Equal(fx.fleet.Table().ShardOf(service, key, 4), table.FirstOverride+1) // shard numbers are not reused
 }
+
+// TestTargetThatLeftDoesNotJoinAgain guards against a daemon that joins with a target of which it has an old
+// announcement only.
+func TestTargetThatLeftDoesNotJoinAgain(t *testing.T) {
+	fx := newFixture(t)
+	started := func(i table.Incarnation, startTime uint64) logcmd.Command {
+		return logcmd.NewJoin(table.NewMember(i, "i-9", "z", "a", service, table.Serving{}).WithTargetStartTime(startTime))
+	}
+	fx.applies(started(9, 50))
+	fx.applies(logcmd.NewSetPhase(9, table.Leaving{}))
+	fx.applies(logcmd.NewSetPhase(9, table.Leaving{}).WithTargetLeft()) // the daemon had begun to stop before
+	fx.rejects(logcmd.NewSetPhase(9, table.Leaving{}).WithTargetLeft(), MemberLeaving)
+	fx.applies(logcmd.NewExpire(9, logcmd.Left))
+	fx.rejects(started(10, 50), TargetHasLeft)
+	fx.applies(started(11, 60))
+}
--- a/core/command/apply/errors.go
+++ b/core/command/apply/errors.go
@@ -6,6 +6,7 @@
 // Kinds of rejection.
 const (
 	UnknownMember       Kind = "no such member"
+	TargetHasLeft       Kind = "the target has said that it stops"
 	AlreadyMember       Kind = "the incarnation is already a member"
 	StaleEpoch          Kind = "the shard has a different epoch"
 	UnexpectedOwnership Kind = "the ownership state of the shard does not match the command"
--- a/core/command/apply/member.go
+++ b/core/command/apply/member.go
@@ -14,6 +14,10 @@
 		t.reject("join", AlreadyMember)
 		return
 	}
+	if t.table().HasLeft(m.Instance(), m.TargetStartTime()) {
+		t.reject("join", TargetHasLeft)
+		return
+	}
 	t.change(table.NewMemberSet(m))
 	t.record(fleet.Control, "member "+m.Instance(), "", formatIncarnation(m.Incarnation()), "joined")
 	t.removePredecessors(m)
@@ -35,8 +39,11 @@
 		t.reject("set phase", UnknownMember)
 		return
 	}
+	recorded := c.TargetLeft() && t.recordTargetLeft(m)
 	if _, ok := m.Phase().(table.Leaving); ok {
-		t.reject("set phase", MemberLeaving)
+		if !recorded {
+			t.reject("set phase", MemberLeaving)
+		}
 		return
 	}
 	next := m.WithPhase(c.Phase())
@@ -44,6 +51,17 @@
 	t.record(fleet.Control, "member "+m.Instance(), table.PhaseName(m.Phase()), table.PhaseName(next.Phase()), "changed")
 }
 
+// recordTargetLeft records that the target of a member has said that it stops. It reports false if that is
+// known, or the start time of the target isn't.
+func (t *transition) recordTargetLeft(m table.Member) bool {
+	if m.TargetStartTime() == 0 || t.table().HasLeft(m.Instance(), m.TargetStartTime()) {
+		return false
+	}
+	t.change(table.NewTargetLeft(m.Instance(), m.TargetStartTime()))
+	t.record(fleet.Control, "target of "+m.Instance(), "", "", "said that it stops")
+	return true
+}
+
 // expire removes a member. What it owned becomes vacant. What was moving to it stays with its
 // owner under the next epoch, so that a release in flight is rejected.
 func (t *transition) expire(c logcmd.Expire) {
--- a/core/command/leader/event.go
+++ b/core/command/leader/event.go
@@ -79,12 +79,22 @@
 	return e
 }
 
-// LeaveRequested says that a member asks to hand over all that it owns, for a graceful shutdown.
-type LeaveRequested struct{ incarnation table.Incarnation }
+// LeaveRequested says that a member asks to hand over all that it owns, for a graceful shutdown of its
+// daemon or of its target.
+type LeaveRequested struct {
+	incarnation table.Incarnation
+	targetLeft  bool
+}
 
 // NewLeaveRequested returns the event for a member; it is ignored for one that is leaving already.
 func NewLeaveRequested(i table.Incarnation) LeaveRequested { return LeaveRequested{incarnation: i} }
 
+// WithTargetLeft returns the event of a member whose target has said that it stops.
+func (e LeaveRequested) WithTargetLeft() LeaveRequested {
+	e.targetLeft = true
+	return e
+}
+
 // GoneReported says that a member owns nothing any more and won't own anything again, so that it
 // can be removed before its lease expires.
 type GoneReported struct{ incarnation table.Incarnation }
--- a/core/command/leader/leader.go
+++ b/core/command/leader/leader.go
@@ -185,6 +185,7 @@
 		case table.MemberRemoved:
 			l.leases.Remove(c.Incarnation())
 			l.collector.MemberLeft(c.Incarnation())
+		case table.TargetLeft:
 		case table.OwnershipSet:
 			l.collector.OwnershipChanged(load.NewShardRef(c.Service(), c.Shard()), c.Ownership(), l.now)
 		case table.SpanSet:
@@ -228,7 +229,7 @@
 			addOwners(involved, c.Ownership())
 		case table.SpanSet:
 			addOwners(involved, c.Span().Ownership())
-		case table.MemberRemoved, table.OverrideSet, table.OverrideRemoved, table.RulesSet:
+		case table.MemberRemoved, table.TargetLeft, table.OverrideSet, table.OverrideRemoved, table.RulesSet:
 		}
 	}
 	if len(involved) == 0 {
--- a/core/command/leader/member.go
+++ b/core/command/leader/member.go
@@ -29,6 +29,10 @@
 	i := e.member.Incarnation()
 	repeated := s.incarnation == i
 	s.incarnation = i
+	if l.fleet.Table().HasLeft(e.member.Instance(), e.member.TargetStartTime()) {
+		l.sendUpdate(e.session, s)
+		return
+	}
 	if _, ok := l.fleet.Table().Member(i); ok {
 		if !repeated {
 			s.version = 0
@@ -124,10 +128,19 @@
 	}
 }
 
+// onLeave proposes that a member leaves, and that its target has left if it says so.
 func (l *Leader) onLeave(e LeaveRequested) {
 	m, ok := l.fleet.Table().Member(e.incarnation)
-	if _, leaving := m.Phase().(table.Leaving); ok && !leaving {
-		l.proposeOnce(logcmd.NewSetPhase(e.incarnation, table.Leaving{}))
+	if !ok {
+		return
+	}
+	c := logcmd.NewSetPhase(e.incarnation, table.Leaving{})
+	news := e.targetLeft && m.TargetStartTime() > 0 && !l.fleet.Table().HasLeft(m.Instance(), m.TargetStartTime())
+	if news {
+		c = c.WithTargetLeft()
+	}
+	if _, leaving := m.Phase().(table.Leaving); !leaving || news {
+		l.proposeOnce(c)
 	}
 }
 
--- a/core/state/logcmd/logcmd.go
+++ b/core/state/logcmd/logcmd.go
@@ -55,6 +55,7 @@
 type SetPhase struct {
 	incarnation table.Incarnation
 	phase       table.Phase
+	targetLeft  bool
 }
 
 // NewSetPhase returns the command that sets the phase of member i.
@@ -62,6 +63,15 @@
 	return SetPhase{incarnation: i, phase: phase}
 }
 
+// WithTargetLeft returns the command that also records that the member's target has said that it stops.
+func (c SetPhase) WithTargetLeft() SetPhase {
+	c.targetLeft = true
+	return c
+}
+
+// TargetLeft reports whether the member's target has said that it stops.
+func (c SetPhase) TargetLeft() bool { return c.targetLeft }
+
 // Incarnation returns the member.
 func (c SetPhase) Incarnation() table.Incarnation { return c.incarnation }
 
--- a/core/state/table/change.go
+++ b/core/state/table/change.go
@@ -8,7 +8,7 @@
 )
 
 // Change is one difference between a table and the next version: RulesSet, MemberSet,
-// MemberRemoved, OwnershipSet, SpanSet, OverrideSet or OverrideRemoved.
+// MemberRemoved, TargetLeft, OwnershipSet, SpanSet, OverrideSet or OverrideRemoved.
 type Change interface{ change() }
 
 // RulesSet puts a configuration in force.
@@ -108,7 +108,7 @@
 // With returns a copy of the table at the version, with the changes applied. The receiver
 // is not modified; unchanged parts are shared.
 func (t *Table) With(version uint64, changes ...Change) *Table {
-	next := &Table{version: version, rules: t.rules, members: t.members, services: t.services}
+	next := &Table{version: version, rules: t.rules, members: t.members, services: t.services, targetsLeft: t.targetsLeft}
 	e := editor{table: next, placementsCopied: map[string]bool{}, pagesCopied: map[pageKey]bool{}}
 	for _, c := range changes {
 		e.apply(c)
@@ -134,6 +134,8 @@
 		e.mutableMembers()[c.member.incarnation] = c.member
 	case MemberRemoved:
 		delete(e.mutableMembers(), c.incarnation)
+	case TargetLeft:
+		e.setTargetLeft(c)
 	case OwnershipSet:
 		e.setOwnership(c.service, c.shard, c.ownership)
 	case SpanSet:
--- a/core/state/table/list.go
+++ b/core/state/table/list.go
@@ -63,6 +63,7 @@
 	for _, m := range t.Members() {
 		list = append(list, NewMemberSet(m))
 	}
+	list = append(list, t.targetsLeftChanges()...)
 	for _, n := range t.Services() {
 		for _, o := range t.Overrides(n) {
 			list = append(list, NewOverrideSet(n, o.key, o.shard))
--- a/core/wire/codec/codec_test.go
+++ b/core/wire/codec/codec_test.go
@@ -50,6 +50,8 @@
 		logcmd.NewAddOverride("s", "k"),
 		logcmd.NewRemoveOverride("s", "k"),
 		logcmd.NewExpire(7, logcmd.LeaseExpired),
+		logcmd.NewJoin(table.NewMember(9, "k", "z", "c", "s", table.Warming{}).WithTargetStartTime(50)),
+		logcmd.NewSetPhase(9, table.Leaving{}).WithTargetLeft(),
 		logcmd.NewAddOverride("s", "l"),
 	}
 }
--- a/core/wire/codec/command.go
+++ b/core/wire/codec/command.go
@@ -28,7 +28,7 @@
 		e := &wirepb.Expire{Incarnation: uint64(c.Incarnation()), Cause: string(c.Cause())}
 		return &wirepb.Command{Command: &wirepb.Command_Expire{Expire: e}}
 	case logcmd.SetPhase:
-		p := &wirepb.PhaseChange{Incarnation: uint64(c.Incarnation()), Phase: encodePhase(c.Phase())}
+		p := &wirepb.PhaseChange{Incarnation: uint64(c.Incarnation()), Phase: encodePhase(c.Phase()), TargetLeft: c.TargetLeft()}
 		return &wirepb.Command{Command: &wirepb.Command_Phase{Phase: p}}
 	case logcmd.Grant:
 		g := &wirepb.Grant{Service: c.Service(), Shard: uint32(c.Shard()), Epoch: uint64(c.Epoch()), Owner: uint64(c.Owner())}
@@ -120,7 +120,11 @@
 		return logcmd.NewExpire(table.Incarnation(x.Expire.GetIncarnation()), logcmd.Cause(x.Expire.GetCause())), nil
 	case *wirepb.Command_Phase:
 		p, err := decodePhase(x.Phase.GetPhase())
-		return logcmd.NewSetPhase(table.Incarnation(x.Phase.GetIncarnation()), p), err
+		s := logcmd.NewSetPhase(table.Incarnation(x.Phase.GetIncarnation()), p)
+		if x.Phase.GetTargetLeft() {
+			s = s.WithTargetLeft()
+		}
+		return s, err
 	case *wirepb.Command_Grant:
 		g := x.Grant
 		return logcmd.NewGrant(g.GetService(), table.Shard(g.GetShard()), table.Epoch(g.GetEpoch()), table.Incarnation(g.GetOwner())), nil
--- a/core/wire/codec/session.go
+++ b/core/wire/codec/session.go
@@ -17,7 +17,8 @@
 
 // EncodeLeave returns the report that the member is about to leave and its shards have to move.
 func EncodeLeave(e agent.SendLeave) *wirepb.Report {
-	return &wirepb.Report{Report: &wirepb.Report_Leave{Leave: &wirepb.Leave{Incarnation: uint64(e.Incarnation())}}}
+	m := &wirepb.Leave{Incarnation: uint64(e.Incarnation()), TargetLeft: e.TargetLeft()}
+	return &wirepb.Report{Report: &wirepb.Report_Leave{Leave: m}}
 }
 
 // EncodeGone returns the report that the member owns nothing and will not own anything again.
@@ -64,7 +65,11 @@
 		if x.Leave.GetGone() {
 			return leader.NewGoneReported(i), nil
 		}
-		return leader.NewLeaveRequested(i), nil
+		l := leader.NewLeaveRequested(i)
+		if x.Leave.GetTargetLeft() {
+			l = l.WithTargetLeft()
+		}
+		return l, nil
 	}
 	return nil, newError("report", Missing, nil)
 }
--- a/core/wire/codec/table.go
+++ b/core/wire/codec/table.go
@@ -22,6 +22,10 @@
 		return &wirepb.TableChange{Change: &wirepb.TableChange_Member{Member: encodeMember(c.Member())}}
 	case table.MemberRemoved:
 		return &wirepb.TableChange{Change: &wirepb.TableChange_Gone{Gone: uint64(c.Incarnation())}}
+	case table.TargetLeft:
+		return &wirepb.TableChange{Change: &wirepb.TableChange_TargetLeft{
+			TargetLeft: &wirepb.TargetLeft{Instance: c.Instance(), Born: c.StartTime()},
+		}}
 	case table.OwnershipSet:
 		return &wirepb.TableChange{Change: &wirepb.TableChange_Holding{Holding: encodeOwnership(c)}}
 	case table.SpanSet:
@@ -122,6 +126,11 @@
 		return table.NewMemberSet(d), err
 	case *wirepb.TableChange_Gone:
 		return table.NewMemberRemoved(table.Incarnation(x.Gone)), nil
+	case *wirepb.TableChange_TargetLeft:
+		if x.TargetLeft.GetBorn() == 0 {
+			return nil, newError("target that left", Missing, nil)
+		}
+		return table.NewTargetLeft(x.TargetLeft.GetInstance(), x.TargetLeft.GetBorn()), nil
 	case *wirepb.TableChange_Holding:
 		h := x.Holding
 		return table.NewOwnershipSet(h.GetService(), table.Shard(h.GetShard()), decodeOwnership(h)), nil
