--- a/verbenad/command/relay/relay.go
+++ b/verbenad/command/relay/relay.go
@@ -30,8 +30,8 @@
 	Send(ctx context.Context, address string, r call.Request) call.Reply
 }
 
-// Relay routes requests, with one retry budget per service and statistics on the targets of
-// pooled services. It is safe for concurrent use.
+// Relay routes requests, with one retry budget per service, statistics on the targets of pooled
+// services and circuit breakers for keys. It is safe for concurrent use.
 type Relay struct {
 	clock         *clock.Clock
 	store         *snap.Store
@@ -46,6 +46,7 @@
 	indexMu       sync.Mutex // held while an index is built, so that concurrent requests build it once
 	budgets       sync.Map   // service name to *budget.Budget
 	balancer      *balancer
+	breakers      *breakers
 }
 
 // Option configures a Relay.
@@ -86,6 +87,7 @@
 		o(r)
 	}
 	r.balancer = newBalancer(r.clock)
+	r.breakers = newBreakers(r.clock)
 	r.index.Store(route.NewIndex(r.store.Load().Table()))
 	return r
 }
--- a/verbenad/command/relay/task.go
+++ b/verbenad/command/relay/task.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"verbenabank/core/clock"
+	"verbenabank/core/command/breaker"
 	"verbenabank/core/query/retry"
 	"verbenabank/core/query/route"
 	"verbenabank/core/state/call"
@@ -44,6 +45,7 @@
 	alternatives bool                       // more than one target could serve the request
 	firstUnknown result.Outcome             // nil while no attempt may have run
 	instance     string                     // instance of the last attempt
+	served       <-chan struct{}            // closed when the owner serves the key again, nil unless the request was held back
 }
 
 // Run serves a request and returns the reply of the last attempt. ctx must end at the deadline and
@@ -86,14 +88,37 @@
 	case route.Refuse:
 		return call.Refuse(d.Reason())
 	case route.Keyed:
-		r := t.attemptRequest(call.WithKey(d.Key(), d.Shard()), call.WithMember(d.Owner().Incarnation()))
-		return t.forward(s, d.Owner(), r)
+		return t.attemptKeyed(s, d)
 	case route.Pooled:
 		return t.attemptPooled(s, d)
 	}
 	return call.Refuse(result.NoTarget)
 }
 
+// attemptKeyed makes one attempt at the owner of the key, unless it has refused others for the key and
+// doesn't serve it yet.
+func (t *task) attemptKeyed(s *snap.Snapshot, d route.Keyed) call.Reply {
+	m := d.Owner()
+	send := func() call.Reply {
+		return t.forward(s, m, t.attemptRequest(call.WithKey(d.Key(), d.Shard()), call.WithMember(m.Incarnation())))
+	}
+	if m.Incarnation() == s.Self() {
+		return send()
+	}
+	k := breaker.NewKey(t.request.service.Name(), d.Key(), m.Incarnation())
+	t.served = nil
+	switch v := t.relay.breakers.check(k).(type) {
+	case breaker.HeldBack:
+		t.relay.meter.Add("held_back", 1)
+		t.served = v.Closed()
+	case breaker.Admitted:
+		reply := send()
+		t.relay.breakers.record(k, v, reply)
+		return reply
+	}
+	return call.Refuse(result.NotHeld)
+}
+
 // attemptPooled makes one attempt at a member of a pooled service, preferably at one that was not
 // tried yet.
 func (t *task) attemptPooled(s *snap.Snapshot, d route.Pooled) call.Reply {
@@ -206,26 +231,28 @@
 			return false
 		}
 		t.relay.meter.Add("retries", 1)
-		return t.wait(nil, v.Delay())
+		return t.wait(nil, nil, v.Delay())
 	case retry.AwaitUpdate:
 		t.relay.meter.Add("awaits", 1)
-		inTime := t.wait(s.Superseded(), v.MaxWait())
+		inTime := t.wait(s.Superseded(), t.served, v.MaxWait())
 		t.waited += t.relay.clock.Now() - now
 		return inTime
 	}
 	return false
 }
 
-// wait blocks for the delay or until early is closed, whichever comes first. It reports false if
-// the request's context ended.
-func (t *task) wait(early <-chan struct{}, delay clock.Millis) bool {
+// wait blocks for the delay or until one of the channels is closed, whichever comes first; either may be nil.
+// It reports false if the request's context ended.
+func (t *task) wait(superseded, served <-chan struct{}, delay clock.Millis) bool {
 	if delay <= 0 {
 		return t.ctx.Err() == nil
 	}
 	timer := time.NewTimer(delay.Duration())
 	defer timer.Stop()
 	select {
-	case <-early:
+	case <-superseded:
+		return true
+	case <-served:
 		return true
 	case <-timer.C:
 		return true
