Refuse requests for popular keys where they arrive, once their owner refuses most of them

Each daemon counts what the owner accepts of a key now (adaptive throttling) and passes on four times as many.

--- a/verbenad/command/relay/breakers_test.go
+++ b/verbenad/command/relay/breakers_test.go
@@ -20,10 +20,11 @@
 	"verbenabank/verbenad/command/relay"
 )
 
-// closedOwner refuses the key as not held until it is opened, and counts the requests that reach it.
+// closedOwner refuses the key for a reason until it is opened, and counts the requests that reach it.
 type closedOwner struct {
-	open  atomic.Bool
-	asked atomic.Int32
+	reason result.Reason
+	open   atomic.Bool
+	asked  atomic.Int32
 }
 
 func (o *closedOwner) Serve(ctx context.Context, q call.Request) call.Reply {
@@ -35,26 +36,49 @@
 	if o.open.Load() {
 		return emptyResponse()
 	}
-	return call.Refuse(result.NotHeld)
+	return call.Refuse(o.reason)
 }
 
-// TestPopularKeyWithoutHolderDoesNotFloodItsOwner sends 200 requests for a key in 600 ms while its owner's
-// target doesn't hold it. At 281 daemons their retries took all of the owner's processor time, and it was the last
-// to find the new leader that would have moved the key.
-func TestPopularKeyWithoutHolderDoesNotFloodItsOwner(t *testing.T) {
-	is := is.New(t)
+// newKeyedRelay returns the relay of a daemon and its service, whose only shard another daemon owns.
+func newKeyedRelay(o *closedOwner) (*relay.Relay, rules.Service) {
 	c, store := clock.New(), snap.NewStore()
 	s := rules.NewService(service, rules.WithKind(rules.NewKeyed(rules.NewPathSegment(2), 1)))
 	x := table.Empty().With(1, table.NewRulesSet(rules.New(1, "", s)), table.NewOwnershipSet(service, 0, table.NewOwned(2, 1)),
 		table.NewMemberSet(table.NewMember(2, "i", "z", "a", service, table.Serving{})))
 	store.Publish(snap.New(x, 1, c.Now()+clock.Minute, c.Now()+clock.Minute))
-	o := &closedOwner{}
-	r := relay.New(relay.WithClock(c), relay.WithStore(store), relay.WithLocal(o), relay.WithRemote(o), relay.WithRetry(retry.Routed{}))
+	return relay.New(relay.WithClock(c), relay.WithStore(store), relay.WithLocal(o), relay.WithRemote(o), relay.WithRetry(retry.Routed{})), s
+}
+
+// sendKey sends a request for the key and reports whether it was answered.
+func sendKey(r *relay.Relay, s rules.Service) bool {
+	q := relay.NewRequest(s, route.ResolvedAttributes(service, "k"), clock.New().Now()+3000)
+	_, ok := r.Run(context.Background(), q).Reply().(call.Response)
+	return ok
+}
+
+// TestPopularKeyOfAnOverloadedOwnerIsRefusedLocally sends 500 requests for a key to an owner that accepts none.
+func TestPopularKeyOfAnOverloadedOwnerIsRefusedLocally(t *testing.T) {
+	is := is.New(t)
+	o := &closedOwner{reason: result.Overloaded}
+	r, s := newKeyedRelay(o)
+	for range 500 {
+		is.True(!sendKey(r, s))
+	}
+	t.Logf("the owner was asked %d times", o.asked.Load())
+	is.True(o.asked.Load() < 50)
+}
+
+// TestPopularKeyWithoutHolderDoesNotFloodItsOwner sends 200 requests for a key in 600 ms while its owner's
+// target doesn't hold it. At 281 daemons their retries took all of the owner's processor time, and it was the last
+// to find the new leader that would have moved the key.
+func TestPopularKeyWithoutHolderDoesNotFloodItsOwner(t *testing.T) {
+	is := is.New(t)
+	o := &closedOwner{reason: result.NotHeld}
+	r, s := newKeyedRelay(o)
 	var group sync.WaitGroup
 	var answered atomic.Int32
 	send := func() {
-		q := relay.NewRequest(s, route.ResolvedAttributes(service, "k"), c.Now()+3000)
-		if _, ok := r.Run(context.Background(), q).Reply().(call.Response); ok {
+		if sendKey(r, s) {
 			answered.Add(1)
 		}
 	}
--- a/verbenad/command/relay/task.go
+++ b/verbenad/command/relay/task.go
@@ -8,6 +8,7 @@
 
 	"verbenabank/core/clock"
 	"verbenabank/core/command/breaker"
+	"verbenabank/core/command/throttle"
 	"verbenabank/core/query/retry"
 	"verbenabank/core/query/route"
 	"verbenabank/core/state/call"
@@ -39,6 +40,7 @@
 	ctx     context.Context
 
 	attempts     int                        // times the request was forwarded to a daemon
+	throttled    int                        // times the request was refused without asking the owner of its key
 	sentCount    int                        // attempts that may have reached a target
 	waited       clock.Millis               // time spent waiting for a newer snapshot
 	tried        map[table.Incarnation]bool // members of a pooled service that were tried
@@ -95,8 +97,8 @@
 	return call.Refuse(result.NoTarget)
 }
 
-// attemptKeyed makes one attempt at the owner of the key, unless it has refused others for the key and
-// doesn't serve it yet.
+// attemptKeyed makes one attempt at the owner of the key, unless its refusals of others say that it is of no
+// use.
 func (t *task) attemptKeyed(s *snap.Snapshot, d route.Keyed) call.Reply {
 	m := d.Owner()
 	send := func() call.Reply {
@@ -105,6 +107,12 @@
 	if m.Incarnation() == s.Self() {
 		return send()
 	}
+	load := throttle.NewKey(t.request.service.Name(), d.Key(), m.Incarnation(), t.request.priority)
+	if v, refused := t.relay.throttle.check(load).(throttle.Refused); refused {
+		t.relay.meter.Add("throttled", 1)
+		t.throttled++
+		return call.NewFailure(v.Outcome())
+	}
 	k := breaker.NewKey(t.request.service.Name(), d.Key(), m.Incarnation())
 	t.served = nil
 	switch v := t.relay.breakers.check(k).(type) {
@@ -114,6 +122,7 @@
 	case breaker.Admitted:
 		reply := send()
 		t.relay.breakers.record(k, v, reply)
+		t.relay.throttle.record(load, reply)
 		return reply
 	}
 	return call.Refuse(result.NotHeld)
@@ -216,7 +225,7 @@
 	}
 	now := t.relay.clock.Now()
 	v := retry.Decide(t.relay.policy, retry.NewAttempt(o,
-		retry.WithAttempts(t.attempts, t.request.maxAttempts), retry.WithSent(t.sentCount),
+		retry.WithAttempts(t.attempts+t.throttled, t.request.maxAttempts), retry.WithSent(t.sentCount),
 		retry.WithRemaining(t.request.deadline-now), retry.WithLatencyGoal(t.request.latencyGoal-now),
 		retry.WithWaited(t.waited),
 		retry.WithRepeatable(t.request.repeatable),
