--- a/verbenad/adapt/front/exchange.go
+++ b/verbenad/adapt/front/exchange.go
@@ -135,12 +135,20 @@
 		"request": x.info.id, "route": x.route, "service": x.service, "key": x.routingKey, "asked": x.attempts, "by": x.lastInstance,
 		"table": x.tableVersion, "took_ms": int64(x.conn.server.clock.Now() - x.startTime),
 	}
-	if r, ok := o.(result.Refused); ok && r.TargetLoad() != (result.TargetLoad{}) {
+	r, refused := o.(result.Refused)
+	switch {
+	case refused && r.Reason() == result.UnknownRoute:
+		path, _, _ := strings.Cut(originForm(&x.head), "?")
+		f["host"], f["path"] = hostname(&x.head), path[:min(len(path), maxLoggedPath)]
+	case refused && r.TargetLoad() != (result.TargetLoad{}):
 		f["busy"], f["waiting"], f["mean_ms"] = r.TargetLoad().Running(), r.TargetLoad().Waiting(), int64(r.TargetLoad().MeanTime())
 	}
 	return f
 }
 
+// maxLoggedPath is the length in bytes up to which the path of a request without a route is logged.
+const maxLoggedPath = 64
+
 // interruptRead unblocks a read of the request body.
 func (x *exchange) interruptRead() { _ = x.conn.net.SetReadDeadline(time.Unix(1, 0)) }
 
