--- a/verbenad/adapt/front/reset_test.go
+++ b/verbenad/adapt/front/log_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
@@ -12,12 +14,17 @@
 	"verbenabank/core/state/call"
 )
 
+// recordLog records the lines that servers log until the test ends.
+func recordLog(t *testing.T) *test.Hook {
+	t.Cleanup(func() { logrus.StandardLogger().ReplaceHooks(logrus.LevelHooks{}) })
+	return test.NewLocal(logrus.StandardLogger())
+}
+
 // TestResetConnectionIsLogged sends a request behind one whose response breaks off: its response is lost too,
 // and the log says why.
 func TestResetConnectionIsLogged(t *testing.T) {
 	is := is.New(t)
-	lines := test.NewLocal(logrus.StandardLogger())
-	t.Cleanup(func() { logrus.StandardLogger().ReplaceHooks(logrus.LevelHooks{}) })
+	lines := recordLog(t)
 	second := make(chan struct{})
 	_, address := startServer(t, 5000, func(ctx context.Context, r call.Request) call.Reply {
 		if r.URI() == "/p/2" {
@@ -45,3 +52,23 @@
 	}
 	is.Equal(reset, 1)
 }
+
+// TestRequestWithoutRouteIsLoggedWithWhatDidNotMatch guards against a log line that does not tell which route is
+// missing.
+func TestRequestWithoutRouteIsLoggedWithWhatDidNotMatch(t *testing.T) {
+	is := is.New(t)
+	lines := recordLog(t)
+	_, address := startServer(t, 2000, func(context.Context, call.Request) call.Reply { return newResponse("", 0) })
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, getRequest("/other/"+strings.Repeat("a", 100)+"?secret=1"))
+	is.NoErr(err)
+	_, _ = readResponse(t, r)
+	for end := time.Now().Add(2 * time.Second); lines.LastEntry() == nil && time.Now().Before(end); {
+		time.Sleep(time.Millisecond) // the line is written after the response
+	}
+	e := lines.LastEntry()
+	is.True(e != nil)
+	is.Equal(e.Data["reason"], "unknown-route")
+	is.Equal(e.Data["host"], "h")
+	is.Equal(e.Data["path"], "/other/"+strings.Repeat("a", 57))
+}
--- a/verbenad/command/relay/task.go
+++ b/verbenad/command/relay/task.go
@@ -7,10 +7,7 @@
 	"time"
 
 	"verbenabank/core/clock"
-	"verbenabank/core/command/breaker"
-	"verbenabank/core/command/throttle"
 	"verbenabank/core/query/retry"
-	"verbenabank/core/query/route"
 	"verbenabank/core/state/call"
 	"verbenabank/core/state/result"
 	"verbenabank/core/state/snap"
@@ -81,106 +78,6 @@
 // daemonCount returns how many daemons share the retry budget of the fleet.
 func (t *task) daemonCount() int { return t.relay.store.Load().Table().MemberCount() }
 
-// attempt makes one attempt with the routing table of the snapshot.
-func (t *task) attempt(s *snap.Snapshot) call.Reply {
-	if !s.RulesValid(t.relay.clock.Now()) {
-		return call.Refuse(result.NotReady)
-	}
-	switch d := t.relay.Index(s).Decide(t.request.attributes).(type) {
-	case route.Refuse:
-		return call.Refuse(d.Reason())
-	case route.Keyed:
-		return t.attemptKeyed(s, d)
-	case route.Pooled:
-		return t.attemptPooled(s, d)
-	}
-	return call.Refuse(result.NoTarget)
-}
-
-// attemptKeyed makes one attempt at the owner of the key, unless its refusals of others say that it is of no
-// use.
-func (t *task) attemptKeyed(s *snap.Snapshot, d route.Keyed) call.Reply {
-	m := d.Owner()
-	send := func() call.Reply {
-		return t.forward(s, m, t.attemptRequest(call.WithKey(d.Key(), d.Shard()), call.WithMember(m.Incarnation())))
-	}
-	if m.Incarnation() == s.Self() {
-		return send()
-	}
-	load := throttle.NewKey(t.request.service.Name(), d.Key(), m.Incarnation(), t.request.priority)
-	if v, refused := t.relay.throttle.check(load).(throttle.Refused); refused {
-		t.relay.meter.Add("throttled", 1)
-		t.throttled++
-		return call.NewFailure(v.Outcome())
-	}
-	k := breaker.NewKey(t.request.service.Name(), d.Key(), m.Incarnation())
-	t.served = nil
-	switch v := t.relay.breakers.check(k).(type) {
-	case breaker.HeldBack:
-		t.relay.meter.Add("held_back", 1)
-		t.served = v.Closed()
-	case breaker.Admitted:
-		reply := send()
-		t.relay.breakers.record(k, v, reply)
-		t.relay.throttle.record(load, reply)
-		return reply
-	}
-	return call.Refuse(result.NotHeld)
-}
-
-// attemptPooled makes one attempt at a member of a pooled service, preferably at one that was not
-// tried yet.
-func (t *task) attemptPooled(s *snap.Snapshot, d route.Pooled) call.Reply {
-	t.alternatives = len(d.Candidates()) > 1
-	if t.tried == nil {
-		t.tried = map[table.Incarnation]bool{}
-	}
-	m, ok := t.relay.balancer.pick(d, t.preferred(s, d), t.tried)
-	if !ok {
-		return call.Refuse(result.NoTarget)
-	}
-	t.tried[m.Incarnation()] = true
-	done := t.relay.balancer.startAttempt(d.Service().Name(), m)
-	reply := t.forward(s, m, t.attemptRequest(call.WithMember(m.Incarnation())))
-	return done(reply)
-}
-
-// largeBodyBytes is the body size above which the cost of the network hop outweighs differences in
-// load between targets.
-const largeBodyBytes = 8 << 10
-
-// preferred returns the candidates to prefer: for a large body the target on this instance, which
-// needs no network hop, otherwise the targets in the same availability zone.
-func (t *task) preferred(s *snap.Snapshot, d route.Pooled) []table.Member {
-	if b := t.request.body; b != nil && (b.length < 0 || b.length > largeBodyBytes) {
-		if own, ok := d.Candidate(s.Self()); ok {
-			return []table.Member{own}
-		}
-	}
-	return d.InZone(t.relay.zone)
-}
-
-// attemptRequest returns the request to forward in one attempt. It opens a new reader of the body.
-func (t *task) attemptRequest(opts ...call.Option) call.Request {
-	q := t.request
-	opts = append(opts, call.WithFields(q.fields), call.WithID(q.id), call.WithClass(q.class),
-		call.WithPolicy(q.priority, max(1, q.latencyGoal-t.relay.clock.Now()), q.repeatable))
-	if q.body != nil {
-		opts = append(opts, call.WithBody(q.body.newReader(), q.body.length))
-	}
-	return call.NewRequest(q.service.Name(), q.method, q.uri, opts...)
-}
-
-// forward sends the request to the member's daemon, or serves it here if that is this daemon.
-func (t *task) forward(s *snap.Snapshot, m table.Member, r call.Request) call.Reply {
-	t.attempts++
-	t.instance = m.Instance()
-	if m.Incarnation() == s.Self() {
-		return t.relay.local.Serve(t.ctx, r)
-	}
-	return t.relay.remote.Send(t.ctx, m.Address(), r)
-}
-
 // withBodyError returns an unknown outcome with the reason on the caller's side if the attempt
 // failed because the request body could not be read, otherwise the outcome as it is.
 func (t *task) withBodyError(o result.Outcome) result.Outcome {
