--- a/verbenad/command/relay/attempt.go
+++ b/verbenad/command/relay/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"verbenabank/core/command/breaker"
-	"verbenabank/core/command/throttle"
 	"verbenabank/core/query/route"
 	"verbenabank/core/state/call"
 	"verbenabank/core/state/result"
@@ -26,8 +25,8 @@
 	return call.Refuse(result.NoTarget)
 }
 
-// attemptKeyed makes one attempt at the owner of the key, unless its refusals of others say that it is of no
-// use.
+// attemptKeyed makes one attempt at the owner of the key, unless it has refused others for the key and
+// doesn't serve it yet.
 func (t *task) attemptKeyed(s *snap.Snapshot, d route.Keyed) call.Reply {
 	m := d.Owner()
 	send := func() call.Reply {
@@ -36,12 +35,6 @@
 	if m.Incarnation() == s.Self() {
 		return send()
 	}
-	load := throttle.NewKey(t.request.service.Name(), d.Key(), m.Incarnation(), t.request.priority)
-	if v, refused := t.relay.throttle.check(load).(throttle.Refused); refused {
-		t.relay.meter.Add("throttled", 1)
-		t.throttled++
-		return call.NewFailure(v.Outcome())
-	}
 	k := breaker.NewKey(t.request.service.Name(), d.Key(), m.Incarnation())
 	t.served = nil
 	switch v := t.relay.breakers.check(k).(type) {
@@ -51,7 +44,6 @@
 	case breaker.Admitted:
 		reply := send()
 		t.relay.breakers.record(k, v, reply)
-		t.relay.throttle.record(load, reply)
 		return reply
 	}
 	return call.Refuse(result.NotHeld)
--- a/verbenad/command/relay/relay.go
+++ b/verbenad/command/relay/relay.go
@@ -31,7 +31,7 @@
 }
 
 // Relay routes requests, with one retry budget per service, statistics on the targets of pooled
-// services, circuit breakers for keys and a throttle for popular ones. It is safe for concurrent use.
+// services and circuit breakers for keys. It is safe for concurrent use.
 type Relay struct {
 	clock         *clock.Clock
 	store         *snap.Store
@@ -47,7 +47,6 @@
 	budgets       sync.Map   // service name to *budget.Budget
 	balancer      *balancer
 	breakers      *breakers
-	throttle      *keyThrottle
 }
 
 // Option configures a Relay.
@@ -89,7 +88,6 @@
 	}
 	r.balancer = newBalancer(r.clock)
 	r.breakers = newBreakers(r.clock)
-	r.throttle = newKeyThrottle(r.clock)
 	r.index.Store(route.NewIndex(r.store.Load().Table()))
 	return r
 }
--- a/verbenad/command/relay/task.go
+++ b/verbenad/command/relay/task.go
@@ -37,7 +37,6 @@
 	ctx     context.Context
 
 	attempts     int                        // times the request was forwarded to a daemon
-	throttled    int                        // times the request was refused without asking the owner of its key
 	sentCount    int                        // attempts that may have reached a target
 	waited       clock.Millis               // time spent waiting for a newer snapshot
 	tried        map[table.Incarnation]bool // members of a pooled service that were tried
@@ -122,7 +121,7 @@
 	}
 	now := t.relay.clock.Now()
 	v := retry.Decide(t.relay.policy, retry.NewAttempt(o,
-		retry.WithAttempts(t.attempts+t.throttled, t.request.maxAttempts), retry.WithSent(t.sentCount),
+		retry.WithAttempts(t.attempts, t.request.maxAttempts), retry.WithSent(t.sentCount),
 		retry.WithRemaining(t.request.deadline-now), retry.WithLatencyGoal(t.request.latencyGoal-now),
 		retry.WithWaited(t.waited),
 		retry.WithRepeatable(t.request.repeatable),
