--- a/core/command/agent/session.go
+++ b/core/command/agent/session.go
@@ -116,11 +116,10 @@
 		return
 	}
 	a.table = next
-	a.checkMembership()
-	if a.isServing() && a.hasLeft(a.target) {
-		a.lastHeard.retiring = true
+	if a.isServing() && a.hasLeft(a.target) { // it told an earlier process of the daemon
 		a.withdrawn()
 	}
+	a.checkMembership()
 	a.dropCompletedHandovers()
 	a.reconcileSpans()
 	a.publish()
@@ -145,14 +144,9 @@
 }
 
 // resumeHandover completes the handover that an earlier process of the daemon began: its member was
-// leaving, and its target may still hold keys. The target joins anew afterwards, unless it has left.
+// leaving, and its target may still hold keys. The target joins anew afterwards.
 func (a *Agent) resumeHandover() {
 	a.joined, a.nextRenew = true, a.now
-	if a.hasLeft(a.target) {
-		a.lastHeard.retiring = true
-		a.withdrawn()
-		return
-	}
 	a.nextTarget = a.target
 	a.startHandover(targetFailed{})
 }
