--- a/verbenad/command/relay/attempt.go
+++ b/verbenad/command/relay/attempt.go
@@ -9,44 +9,43 @@
 	"verbenabank/core/state/table"
 )
 
-// attempt makes one attempt with the routing table of the snapshot.
-func (t *task) attempt(s *snap.Snapshot) call.Reply {
+// attempt makes one attempt with the routing table of the snapshot. If the request was held back from the owner
+// of its key, it also returns a channel that is closed when the owner serves the key again, otherwise nil.
+func (t *task) attempt(s *snap.Snapshot) (reply call.Reply, served <-chan struct{}) {
 	if !s.RulesValid(t.relay.clock.Now()) {
-		return call.Refuse(result.NotReady)
+		return call.Refuse(result.NotReady), nil
 	}
 	switch d := t.relay.Index(s).Decide(t.request.attributes).(type) {
 	case route.Refuse:
-		return call.Refuse(d.Reason())
+		return call.Refuse(d.Reason()), nil
 	case route.Keyed:
 		return t.attemptKeyed(s, d)
 	case route.Pooled:
-		return t.attemptPooled(s, d)
+		return t.attemptPooled(s, d), nil
 	}
-	return call.Refuse(result.NoTarget)
+	return call.Refuse(result.NoTarget), nil
 }
 
 // attemptKeyed makes one attempt at the owner of the key, unless it has refused others for the key and
 // doesn't serve it yet.
-func (t *task) attemptKeyed(s *snap.Snapshot, d route.Keyed) call.Reply {
+func (t *task) attemptKeyed(s *snap.Snapshot, d route.Keyed) (reply call.Reply, served <-chan struct{}) {
 	m := d.Owner()
 	send := func() call.Reply {
 		return t.forward(s, m, t.attemptRequest(call.WithKey(d.Key(), d.Shard()), call.WithMember(m.Incarnation())))
 	}
 	if m.Incarnation() == s.Self() {
-		return send()
+		return send(), nil
 	}
 	k := breaker.NewKey(t.request.service.Name(), d.Key(), m.Incarnation())
-	t.served = nil
 	switch v := t.relay.breakers.check(k).(type) {
 	case breaker.HeldBack:
 		t.relay.meter.Add("held_back", 1)
-		t.served = v.Closed()
+		return call.Refuse(result.NotHeld), v.Closed()
 	case breaker.Admitted:
-		reply := send()
+		reply = send()
 		t.relay.breakers.record(k, v, reply)
-		return reply
 	}
-	return call.Refuse(result.NotHeld)
+	return reply, nil
 }
 
 // attemptPooled makes one attempt at a member of a pooled service, preferably at one that was not
--- a/verbenad/command/relay/breakers_test.go
+++ b/verbenad/command/relay/breakers_test.go
@@ -26,10 +26,6 @@
 	asked atomic.Int32
 }
 
-func (o *closedOwner) Serve(ctx context.Context, q call.Request) call.Reply {
-	return o.Send(ctx, "", q)
-}
-
 func (o *closedOwner) Send(context.Context, string, call.Request) call.Reply {
 	o.asked.Add(1)
 	if o.open.Load() {
@@ -38,14 +34,17 @@
 	return call.Refuse(result.NotHeld)
 }
 
-// newKeyedRelay returns the relay of a daemon and its service, whose only shard another daemon owns.
-func newKeyedRelay(o *closedOwner) (*relay.Relay, rules.Service) {
+// newKeyedRelay returns the relay of a daemon, its service, whose only shard another daemon owns, and a
+// function that publishes the loss of that owner.
+func newKeyedRelay(o relay.Remote) (*relay.Relay, rules.Service, func()) {
 	c, store := clock.New(), snap.NewStore()
-	s := rules.NewService(service, rules.WithKind(rules.NewKeyed(rules.NewPathSegment(2), 1)))
+	s := rules.NewService(service, rules.WithKind(rules.NewKeyed(rules.NewHeader("Key"), 1)))
 	x := table.Empty().With(1, table.NewRulesSet(rules.New(1, "", s)), table.NewOwnershipSet(service, 0, table.NewOwned(2, 1)),
 		table.NewMemberSet(table.NewMember(2, "i", "z", "a", service, table.Serving{})))
-	store.Publish(snap.New(x, 1, c.Now()+clock.Minute, c.Now()+clock.Minute))
-	return relay.New(relay.WithClock(c), relay.WithStore(store), relay.WithLocal(o), relay.WithRemote(o), relay.WithRetry(retry.Routed{})), s
+	publish := func(x *table.Table) { store.Publish(snap.New(x, 1, c.Now()+clock.Minute, c.Now()+clock.Minute)) }
+	publish(x)
+	r := relay.New(relay.WithClock(c), relay.WithStore(store), relay.WithRemote(o), relay.WithRetry(retry.Routed{}))
+	return r, s, func() { publish(x.With(2, table.NewOwnershipSet(service, 0, table.NewVacant(1)))) }
 }
 
 // sendKey sends a request for the key and reports whether it was answered.
@@ -56,12 +55,12 @@
 }
 
 // TestPopularKeyWithoutHolderDoesNotFloodItsOwner sends 200 requests for a key at once while its owner's target
-// doesn't hold it, and lets it be held 200 ms later. At 281 daemons the retries took all of the owner's processor
-// time, and it was the last to find the new leader that would have moved the key.
+// doesn't hold it, and lets it be held 200 ms later. In a large fleet the retries take all of the owner's
+// processor time, so that it finds a new leader late, which would move the key.
 func TestPopularKeyWithoutHolderDoesNotFloodItsOwner(t *testing.T) {
 	is := is.New(t)
 	o := &closedOwner{}
-	r, s := newKeyedRelay(o)
+	r, s, _ := newKeyedRelay(o)
 	var group sync.WaitGroup
 	var answered atomic.Int32
 	send := func() {
@@ -84,3 +83,46 @@
 	group.Wait()
 	is.Equal(answered.Load(), int32(200)) // those that waited are served as soon as the key is
 }
+
+// slowOwner refuses the key as not held once, and answers the next request when it is told to.
+type slowOwner struct {
+	asked  atomic.Int32
+	answer chan struct{}
+}
+
+func (o *slowOwner) Send(context.Context, string, call.Request) call.Reply {
+	if o.asked.Add(1) == 1 {
+		return call.Refuse(result.NotHeld)
+	}
+	<-o.answer
+	return emptyResponse()
+}
+
+// TestRequestThatWasHeldBackWaitsForAnOwner loses the owner of a key while one request probes it and another
+// waits for that. Once the probe is answered, the other goes on waiting, for an owner, without trying all the time.
+func TestRequestThatWasHeldBackWaitsForAnOwner(t *testing.T) {
+	is := is.New(t)
+	o := &slowOwner{answer: make(chan struct{})}
+	r, s, loseOwner := newKeyedRelay(o)
+	var group sync.WaitGroup
+	group.Go(func() { sendKey(r, s) })
+	for o.asked.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	var tries atomic.Int32
+	group.Go(func() {
+		a := route.NewAttributes("/"+service+"/", func(string) string {
+			tries.Add(1)
+			return "k"
+		})
+		r.Run(context.Background(), relay.NewRequest(s, a, clock.New().Now()+3000))
+	})
+	for tries.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	loseOwner()
+	close(o.answer)
+	group.Wait()
+	t.Logf("%d tries", tries.Load())
+	is.True(tries.Load() < 20)
+}
--- a/verbenad/command/relay/task.go
+++ b/verbenad/command/relay/task.go
@@ -43,7 +43,6 @@
 	alternatives bool                       // more than one target could serve the request
 	firstUnknown result.Outcome             // nil while no attempt may have run
 	instance     string                     // instance of the last attempt
-	served       <-chan struct{}            // closed when the owner serves the key again, nil unless the request was held back
 }
 
 // Run serves a request and returns the reply of the last attempt. ctx must end at the deadline and
@@ -62,13 +61,13 @@
 	t.relay.budget(t.request.service.Name()).Earn(percent, t.daemonCount(), t.relay.clock.Now())
 	for {
 		s := t.relay.store.Load()
-		reply := t.attempt(s)
+		reply, served := t.attempt(s)
 		f, failed := reply.(call.Failure)
 		if !failed {
 			return reply
 		}
 		o := t.withBodyError(f.Outcome())
-		if !t.prepareRetry(s, o) {
+		if !t.prepareRetry(s, served, o) {
 			return call.NewFailure(t.finalOutcome(o))
 		}
 	}
@@ -105,8 +104,8 @@
 }
 
 // prepareRetry decides whether the outcome of an attempt allows a retry, and waits for the delay or
-// the table update that must come before it. It reports whether to retry.
-func (t *task) prepareRetry(s *snap.Snapshot, o result.Outcome) bool {
+// the table update that must come before it, or until served is closed. It reports whether to retry.
+func (t *task) prepareRetry(s *snap.Snapshot, served <-chan struct{}, o result.Outcome) bool {
 	switch o := o.(type) {
 	case result.Unknown:
 		t.sentCount++
@@ -139,7 +138,7 @@
 		return t.wait(nil, nil, v.Delay())
 	case retry.AwaitUpdate:
 		t.relay.meter.Add("awaits", 1)
-		inTime := t.wait(s.Superseded(), t.served, v.MaxWait())
+		inTime := t.wait(s.Superseded(), served, v.MaxWait())
 		t.waited += t.relay.clock.Now() - now
 		return inTime
 	}
