--- a/core/command/agent/heartbeat.go
+++ b/core/command/agent/heartbeat.go
@@ -109,7 +109,6 @@
 	a.lastHeard.lastSequence, a.lastHeard.heardAt = max(a.lastHeard.lastSequence, h.sequence), a.now
 	switch h.phase.(type) {
 	case Accepting:
-		a.lastHeard.retiring = a.lastHeard.retiring || a.table.HasLeft(a.instance, a.lastHeard.startTime)
 		if !a.lastHeard.retiring {
 			boot := strconv.FormatUint(a.lastHeard.startTime, 36)
 			a.announced(NewAnnounced(h.service, h.address, boot).WithIncarnation(h.name, a.incarnationOf(a.lastHeard), h.slots).WithStartTime(a.lastHeard.startTime))
--- a/core/command/apply/apply_test.go
+++ b/core/command/apply/apply_test.go
@@ -184,8 +184,8 @@
 	}
 	fx.applies(started(9, 50))
 	fx.applies(logcmd.NewSetPhase(9, table.Leaving{}))
-	fx.applies(logcmd.NewSetPhase(9, table.Leaving{}).WithTargetLeft()) // the daemon had begun to stop before
-	fx.rejects(logcmd.NewSetPhase(9, table.Leaving{}).WithTargetLeft(), MemberLeaving)
+	fx.applies(logcmd.NewSetPhase(9, table.Leaving{}).WithTargetLeft(true)) // the daemon had begun to stop before
+	fx.rejects(logcmd.NewSetPhase(9, table.Leaving{}).WithTargetLeft(true), MemberLeaving)
 	fx.applies(logcmd.NewExpire(9, logcmd.Left))
 	fx.rejects(started(10, 50), TargetHasLeft)
 	fx.applies(started(11, 60))
--- a/core/command/apply/member.go
+++ b/core/command/apply/member.go
@@ -54,10 +54,11 @@
 // recordTargetLeft records that the target of a member has said that it stops. It reports false if that is
 // known, or the start time of the target isn't.
 func (t *transition) recordTargetLeft(m table.Member) bool {
-	if m.TargetStartTime() == 0 || t.table().HasLeft(m.Instance(), m.TargetStartTime()) {
+	left, news := t.table().TargetLeaves(m)
+	if !news {
 		return false
 	}
-	t.change(table.NewTargetLeft(m.Instance(), m.TargetStartTime()))
+	t.change(left)
 	t.record(fleet.Control, "target of "+m.Instance(), "", "", "said that it stops")
 	return true
 }
--- a/core/command/hold/heartbeat.go
+++ b/core/command/hold/heartbeat.go
@@ -232,18 +232,11 @@
 
 // covers reports whether the ranges, ordered by key, contain all keys from first to last.
 func covers(ranges []*trackedRange, first, last table.Key) bool {
-	next := first
-	for _, p := range ranges {
-		if p.last < next {
-			continue
-		}
-		if p.first > next {
-			return false
-		}
-		if p.last >= last {
-			return true
+	return table.CoverKeys(func(yield func(first, last table.Key) bool) {
+		for _, p := range ranges {
+			if !yield(p.first, p.last) {
+				return
+			}
 		}
-		next = p.last + 1
-	}
-	return false
+	}, first, last)
 }
--- a/core/command/leader/event.go
+++ b/core/command/leader/event.go
@@ -89,9 +89,9 @@
 // NewLeaveRequested returns the event for a member; it is ignored for one that is leaving already.
 func NewLeaveRequested(i table.Incarnation) LeaveRequested { return LeaveRequested{incarnation: i} }
 
-// WithTargetLeft returns the event of a member whose target has said that it stops.
-func (e LeaveRequested) WithTargetLeft() LeaveRequested {
-	e.targetLeft = true
+// WithTargetLeft sets whether the member's target has said that it stops.
+func (e LeaveRequested) WithTargetLeft(left bool) LeaveRequested {
+	e.targetLeft = left
 	return e
 }
 
--- a/core/command/leader/member.go
+++ b/core/command/leader/member.go
@@ -134,13 +134,10 @@
 	if !ok {
 		return
 	}
-	c := logcmd.NewSetPhase(e.incarnation, table.Leaving{})
-	news := e.targetLeft && m.TargetStartTime() > 0 && !l.fleet.Table().HasLeft(m.Instance(), m.TargetStartTime())
-	if news {
-		c = c.WithTargetLeft()
-	}
-	if _, leaving := m.Phase().(table.Leaving); !leaving || news {
-		l.proposeOnce(c)
+	_, news := l.fleet.Table().TargetLeaves(m)
+	left := e.targetLeft && news
+	if _, leaving := m.Phase().(table.Leaving); !leaving || left {
+		l.proposeOnce(logcmd.NewSetPhase(e.incarnation, table.Leaving{}).WithTargetLeft(left))
 	}
 }
 
--- a/core/state/grant/report.go
+++ b/core/state/grant/report.go
@@ -54,20 +54,13 @@
 
 // HoldsAll reports whether the target holds all keys from first to last at the epoch.
 func (r Report) HoldsAll(first, last table.Key, e table.Epoch) bool {
-	next := first
-	for _, h := range r.held {
-		if h.epoch != e || h.last < next {
-			continue
-		}
-		if h.first > next {
-			return false
+	return table.CoverKeys(func(yield func(first, last table.Key) bool) {
+		for _, h := range r.held {
+			if h.epoch == e && !yield(h.first, h.last) {
+				return
+			}
 		}
-		if h.last >= last {
-			return true
-		}
-		next = h.last + 1
-	}
-	return false
+	}, first, last)
 }
 
 // FreedToken returns the token of the released range that contains all keys from first to last, and
--- a/core/state/logcmd/logcmd.go
+++ b/core/state/logcmd/logcmd.go
@@ -63,9 +63,10 @@
 	return SetPhase{incarnation: i, phase: phase}
 }
 
-// WithTargetLeft returns the command that also records that the member's target has said that it stops.
-func (c SetPhase) WithTargetLeft() SetPhase {
-	c.targetLeft = true
+// WithTargetLeft returns the command that also records, if left is set, that the member's target has said that
+// it stops.
+func (c SetPhase) WithTargetLeft(left bool) SetPhase {
+	c.targetLeft = left
 	return c
 }
 
--- a/core/state/table/span.go
+++ b/core/state/table/span.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"iter"
 	"slices"
 	"strconv"
 )
@@ -63,6 +64,24 @@
 // were never granted. The caller must not modify the list.
 func (t *Table) Spans(service string) []Span { return t.services[service].spans }
 
+// CoverKeys reports whether ranges, given by their first and last keys and ordered by the first, together
+// contain all keys from first to last.
+func CoverKeys(ranges iter.Seq2[Key, Key], first, last Key) bool {
+	next := first
+	for f, l := range ranges {
+		switch {
+		case l < next:
+		case f > next:
+			return false
+		case l >= last:
+			return true
+		default:
+			next = l + 1
+		}
+	}
+	return false
+}
+
 // SpanAt returns the span that contains the key, and whether the key was ever granted. If not,
 // the span is the key alone, Vacant at epoch 0.
 func (t *Table) SpanAt(service string, k Key) (Span, bool) {
--- a/core/state/table/targetleft.go
+++ b/core/state/table/targetleft.go
@@ -36,6 +36,13 @@
 	return startTime > 0 && t.targetsLeft[instance] == startTime
 }
 
+// TargetLeaves returns the change that records that the target of a member has said that it stops. It reports
+// false if that is recorded already, or the start time of the target is not known.
+func (t *Table) TargetLeaves(m Member) (TargetLeft, bool) {
+	c := NewTargetLeft(m.instance, m.targetStartTime)
+	return c, c.startTime > 0 && !t.HasLeft(c.instance, c.startTime)
+}
+
 // targetsLeftChanges returns the changes that record the targets that left, sorted by instance.
 func (t *Table) targetsLeftChanges() []Change {
 	list := make([]Change, 0, len(t.targetsLeft))
--- a/core/wire/codec/codec_test.go
+++ b/core/wire/codec/codec_test.go
@@ -51,7 +51,7 @@
 		logcmd.NewRemoveOverride("s", "k"),
 		logcmd.NewExpire(7, logcmd.LeaseExpired),
 		logcmd.NewJoin(table.NewMember(9, "k", "z", "c", "s", table.Warming{}).WithTargetStartTime(50)),
-		logcmd.NewSetPhase(9, table.Leaving{}).WithTargetLeft(),
+		logcmd.NewSetPhase(9, table.Leaving{}).WithTargetLeft(true),
 		logcmd.NewAddOverride("s", "l"),
 	}
 }
--- a/core/wire/codec/command.go
+++ b/core/wire/codec/command.go
@@ -120,11 +120,7 @@
 		return logcmd.NewExpire(table.Incarnation(x.Expire.GetIncarnation()), logcmd.Cause(x.Expire.GetCause())), nil
 	case *wirepb.Command_Phase:
 		p, err := decodePhase(x.Phase.GetPhase())
-		s := logcmd.NewSetPhase(table.Incarnation(x.Phase.GetIncarnation()), p)
-		if x.Phase.GetTargetLeft() {
-			s = s.WithTargetLeft()
-		}
-		return s, err
+		return logcmd.NewSetPhase(table.Incarnation(x.Phase.GetIncarnation()), p).WithTargetLeft(x.Phase.GetTargetLeft()), err
 	case *wirepb.Command_Grant:
 		g := x.Grant
 		return logcmd.NewGrant(g.GetService(), table.Shard(g.GetShard()), table.Epoch(g.GetEpoch()), table.Incarnation(g.GetOwner())), nil
--- a/core/wire/codec/session.go
+++ b/core/wire/codec/session.go
@@ -65,11 +65,7 @@
 		if x.Leave.GetGone() {
 			return leader.NewGoneReported(i), nil
 		}
-		l := leader.NewLeaveRequested(i)
-		if x.Leave.GetTargetLeft() {
-			l = l.WithTargetLeft()
-		}
-		return l, nil
+		return leader.NewLeaveRequested(i).WithTargetLeft(x.Leave.GetTargetLeft()), nil
 	}
 	return nil, newError("report", Missing, nil)
 }
