--- a/core/command/admit/admit.go
+++ b/core/command/admit/admit.go
@@ -76,8 +76,7 @@
 // Submit requests a slot at now under the limits, and returns without waiting. The decision
 // arrives on the ticket's channel.
 func (lm *Limiter) Submit(now clock.Millis, r Request, l Limits) *Ticket {
-	t := &Ticket{arrived: now, deadline: r.deadline, maxPredictedWait: r.maxPredictedWait, maxQueueTime: r.maxQueueTime,
-		priority: r.priority, softDeadline: r.softDeadline, class: r.class, ready: make(chan Decision, 1)}
+	t := &Ticket{request: r, arrived: now, ready: make(chan Decision, 1)}
 	lm.mu.Lock()
 	defer lm.mu.Unlock()
 	lm.limits = l
@@ -104,7 +103,7 @@
 	ahead := clock.Millis(0)
 	for _, w := range lm.waiting {
 		if lm.before(w, t, now) {
-			ahead += lm.serviceTime(w.class)
+			ahead += lm.serviceTime(w.request.class)
 		}
 	}
 	slots := clock.Millis(max(1, lm.limits.slots))
@@ -113,8 +112,8 @@
 	if lm.isCostAware() {
 		counted = ahead / slots / 1000
 	}
-	done := now + wait + lm.serviceTime(t.class)/1000
-	return counted <= lm.maxPredictedWait(t, now) && done < t.deadline && !lm.shouldShed(t, done, now)
+	done := now + wait + lm.serviceTime(t.request.class)/1000
+	return counted <= lm.maxPredictedWait(t, now) && done < t.request.deadline && !lm.shouldShed(t, done, now)
 }
 
 func (lm *Limiter) enqueue(t *Ticket, now clock.Millis) {
@@ -137,7 +136,7 @@
 func (lm *Limiter) evictionIndex() int {
 	i := 0
 	for k, t := range lm.waiting {
-		if t.priority > lm.waiting[i].priority {
+		if t.request.priority > lm.waiting[i].request.priority {
 			i = k
 		}
 	}
@@ -220,7 +219,7 @@
 func (lm *Limiter) fill(now clock.Millis) {
 	for len(lm.waiting) > 0 && lm.inFlight < lm.limits.slots {
 		t := lm.dequeue(now)
-		if now-t.arrived > t.maxQueueTime || now+lm.serviceTime(t.class)/1000 >= t.deadline {
+		if now-t.arrived > t.request.maxQueueTime || now+lm.serviceTime(t.request.class)/1000 >= t.request.deadline {
 			t.ready <- lm.refusal()
 			continue
 		}
--- a/core/command/admit/mixed_test.go
+++ b/core/command/admit/mixed_test.go
@@ -56,7 +56,7 @@
 					continue
 				}
 				busy = append(busy, running{class: c, end: now + c.serviceTime})
-				if now+c.serviceTime < t.deadline {
+				if now+c.serviceTime < t.request.deadline {
 					served[c.name]++
 				}
 			default:
--- a/core/command/admit/order.go
+++ b/core/command/admit/order.go
@@ -50,8 +50,8 @@
 
 // before reports whether the waiting request w goes before the new request t.
 func (lm *Limiter) before(w, t *Ticket, now clock.Millis) bool {
-	if w.priority != t.priority {
-		return w.priority < t.priority
+	if w.request.priority != t.request.priority {
+		return w.request.priority < t.request.priority
 	}
 	switch lm.order.(type) {
 	case Adaptive:
@@ -86,7 +86,7 @@
 		}
 	}
 	for k, t := range lm.waiting {
-		if t.priority > lm.waiting[top].priority && (lower < 0 || lm.less(t, lm.waiting[lower], now)) {
+		if t.request.priority > lm.waiting[top].request.priority && (lower < 0 || lm.less(t, lm.waiting[lower], now)) {
 			lower = k
 		}
 	}
@@ -105,51 +105,51 @@
 // less reports whether a goes before b: by priority, then cost, then time from arrival to the
 // soft deadline, then soft deadline.
 func (lm *Limiter) less(a, b *Ticket, now clock.Millis) bool {
-	if a.priority != b.priority {
-		return a.priority < b.priority
+	if a.request.priority != b.request.priority {
+		return a.request.priority < b.request.priority
 	}
 	if x, y := lm.cost(a, now), lm.cost(b, now); x != y {
 		return x < y
 	}
-	if x, y := a.softDeadline-a.arrived, b.softDeadline-b.arrived; x != y {
+	if x, y := a.request.softDeadline-a.arrived, b.request.softDeadline-b.arrived; x != y {
 		return x < y
 	}
-	return a.softDeadline < b.softDeadline
+	return a.request.softDeadline < b.request.softDeadline
 }
 
 // cost returns the expected service time in 1/1000 ms, weighted by the lower value of a late
 // response.
 func (lm *Limiter) cost(t *Ticket, now clock.Millis) clock.Millis {
 	if lm.missesSoftDeadline(t, now) {
-		return lm.serviceTime(t.class) * lateCostFactor
+		return lm.serviceTime(t.request.class) * lateCostFactor
 	}
-	return lm.serviceTime(t.class)
+	return lm.serviceTime(t.request.class)
 }
 
 // missesSoftDeadline reports whether a request would miss its soft deadline even if it started now.
 func (lm *Limiter) missesSoftDeadline(t *Ticket, now clock.Millis) bool {
-	return now+lm.serviceTime(t.class)/1000 > t.softDeadline
+	return now+lm.serviceTime(t.request.class)/1000 > t.request.softDeadline
 }
 
 // maxPredictedWait returns the longest wait that a new request may expect. Once the queue is
 // standing, a longer queue serves no more requests and makes all of them later.
 func (lm *Limiter) maxPredictedWait(t *Ticket, now clock.Millis) clock.Millis {
 	if !lm.isCostAware() || len(lm.waiting) == 0 || now-lm.nonEmptySince <= standingThreshold {
-		return t.maxPredictedWait
+		return t.request.maxPredictedWait
 	}
-	return min(t.maxPredictedWait, max(minStandingWait, t.maxPredictedWait/standingWaitDivisor))
+	return min(t.request.maxPredictedWait, max(minStandingWait, t.request.maxPredictedWait/standingWaitDivisor))
 }
 
 // shouldShed reports whether a request that would be answered at the instant done misses its
 // soft deadline while enough work is waiting ahead of it.
 func (lm *Limiter) shouldShed(t *Ticket, done, now clock.Millis) bool {
-	if !lm.isCostAware() || done <= t.softDeadline || !lm.queueIsStanding(now) {
+	if !lm.isCostAware() || done <= t.request.softDeadline || !lm.queueIsStanding(now) {
 		return false
 	}
 	ahead := clock.Millis(0)
 	for _, w := range lm.waiting {
 		if w != t && lm.less(w, t, now) {
-			ahead += lm.serviceTime(w.class)
+			ahead += lm.serviceTime(w.request.class)
 		}
 	}
 	return ahead >= lm.meanServiceTime*clock.Millis(max(minShedAhead, lm.limits.slots/shedSlotDivisor))
@@ -164,7 +164,7 @@
 func (lm *Limiter) shedLate(now clock.Millis) {
 	var late []*Ticket
 	for _, t := range lm.waiting {
-		if lm.shouldShed(t, now+lm.serviceTime(t.class)/1000, now) {
+		if lm.shouldShed(t, now+lm.serviceTime(t.request.class)/1000, now) {
 			late = append(late, t)
 		}
 	}
--- a/core/command/admit/overload_test.go
+++ b/core/command/admit/overload_test.go
@@ -36,7 +36,7 @@
 					continue
 				}
 				served++
-				if now+serviceTime <= t.softDeadline {
+				if now+serviceTime <= t.request.softDeadline {
 					timely++
 				}
 				ends = append(ends, now+serviceTime)
--- a/core/command/admit/request.go
+++ b/core/command/admit/request.go
@@ -57,14 +57,9 @@
 
 // Ticket tracks one request from its arrival to the decision.
 type Ticket struct {
-	arrived          clock.Millis
-	deadline         clock.Millis
-	maxPredictedWait clock.Millis
-	maxQueueTime     clock.Millis
-	priority         int
-	softDeadline     clock.Millis
-	class            string
-	ready            chan Decision
+	request Request
+	arrived clock.Millis
+	ready   chan Decision
 }
 
 // Ready returns a buffered channel that receives exactly one decision, unless the
