--- a/core/command/admit/mixed_test.go
+++ b/core/command/admit/mixed_test.go
@@ -71,7 +71,7 @@
 
 // TestShortCallsGetThroughAnOverloadOfLongRequests guards against calls of 30 ms that are refused because a target
 // that is full of requests of 450 ms needs 50 ms to free a slot: a target whose call is refused fails the request
-// that needed it, and its caller cannot repeat that. Seen in quiet-1 of caroni-warp: 47 of 664 bookings failed.
+// that needed it, and its caller cannot repeat that.
 func TestShortCallsGetThroughAnOverloadOfLongRequests(t *testing.T) {
 	is := is.New(t)
 	served := mixedLoad(
--- a/core/command/raft/timer_test.go
+++ b/core/command/raft/timer_test.go
@@ -9,8 +9,7 @@
 )
 
 // TestElectionTimeoutsGrowWithTheFleet guards against a leader of hundreds of daemons that is deposed whenever it is
-// busy for 150 ms: each change makes all daemons attach to the next leader, which keeps that one busy. Seen on
-// mflha-mesh-large, with 14 leaders in 17 s.
+// busy for 150 ms: each change makes all daemons attach to the next leader, which keeps that one busy.
 func TestElectionTimeoutsGrowWithTheFleet(t *testing.T) {
 	is := is.New(t)
 	is.Equal(TimeoutScale(0), 1)
--- a/core/query/ranges/ranges_test.go
+++ b/core/query/ranges/ranges_test.go
@@ -112,8 +112,8 @@
 // TestHotKeysAreRebalancedInOnePlan puts a third of the load on 200 neighboring keys of one of 24
 // members. It guards against rebalancing one move at a time, which took 10 s on such a load.
 // TestFirstGrantsDoNotWaitForStragglers has members that join one after the other for longer than the first grants
-// may wait. Seen on mflha-mesh-large, where single daemons joined up to 8 s after the others and every request of
-// catalogue was refused until then.
+// may wait. In a large fleet single daemons join seconds after the others, and every request for a key is refused until
+// the first grants.
 func TestFirstGrantsDoNotWaitForStragglers(t *testing.T) {
 	is := is.New(t)
 	cl := newCluster(4)
--- a/verbenad/adapt/link/backoff_test.go
+++ b/verbenad/adapt/link/backoff_test.go
@@ -7,9 +7,8 @@
 	"github.com/matryer/is"
 )
 
-// TestAttemptsToAttachDoNotGrowWithTheFleet guards against daemons that keep the replicas from electing a leader: 281
-// daemons that each opened a connection every 80 ms took more processor time than the replicas had, and leadership
-// changed eight times in four seconds. Seen at the start of mflha-mesh-large.
+// TestAttemptsToAttachDoNotGrowWithTheFleet guards against daemons that keep the replicas from electing a leader:
+// hundreds of daemons that each open a connection every 80 ms take more processor time than small replicas have.
 func TestAttemptsToAttachDoNotGrowWithTheFleet(t *testing.T) {
 	is := is.New(t)
 	for _, size := range []int{12, 68, 281} {
