--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins of the cases into review/bin. They use the standard library only.
+set -e
+cd "$(dirname "$0")/standin"
+GOWORK=off go build -o ../bin/standin .
--- /dev/null
+++ b/review/standin/server.go
@@ -0,0 +1,259 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// server is one life of an application server. It follows the page on servers: it runs a keyed request only while
+// it holds the key, answers 421 to requests for another instance, takes grants and releases, and sends heartbeats.
+type server struct {
+	machine  *machine
+	id       string
+	born     int64
+	http     *http.Server
+	stop     chan struct{}
+	up       atomic.Bool
+	seq      atomic.Int64
+	runs     atomic.Int64
+	workTime time.Duration
+
+	mu       sync.Mutex
+	holds    []holding
+	highest  []holding
+	running  map[uint32]int
+	lateBeat atomic.Int64 // heartbeats sent before this time (Unix ms) arrive at this time
+}
+
+// holding is a range of keys that a server was granted.
+type holding struct {
+	from, to uint32
+	fence    uint64
+	until    time.Time
+}
+
+func overlaps(a, b holding) bool { return a.from <= b.to && b.from <= a.to }
+
+// cut returns the list without the keys of a range.
+func cut(list []holding, from, to uint32) []holding {
+	var rest []holding
+	for _, h := range list {
+		if h.to < from || h.from > to {
+			rest = append(rest, h)
+			continue
+		}
+		if h.from < from {
+			l := h
+			l.to = from - 1
+			rest = append(rest, l)
+		}
+		if h.to > to {
+			r := h
+			r.from = to + 1
+			rest = append(rest, r)
+		}
+	}
+	return rest
+}
+
+// startServer starts a server of the machine. Its heartbeats sent within late arrive only when late is over.
+func startServer(m *machine, id string, late time.Duration) (*server, error) {
+	s := &server{machine: m, id: id, born: time.Now().UnixMilli(), stop: make(chan struct{}), running: map[uint32]int{}, workTime: 20 * time.Millisecond}
+	s.lateBeat.Store(time.Now().Add(late).UnixMilli())
+	l, err := net.Listen("tcp", m.address(appPort))
+	for end := time.Now().Add(time.Second); err != nil && time.Now().Before(end); l, err = net.Listen("tcp", m.address(appPort)) {
+		time.Sleep(time.Millisecond)
+	}
+	if err != nil {
+		return nil, err
+	}
+	s.up.Store(true)
+	s.http = &http.Server{Handler: s}
+	go func() { _ = s.http.Serve(l) }()
+	go s.beats()
+	return s, nil
+}
+
+// crash ends the server at once: it closes its port and all its connections, and sends nothing more.
+func (s *server) crash() {
+	if s.up.Swap(false) {
+		close(s.stop)
+		_ = s.http.Close()
+		s.machine.fleet.judge.gone(s)
+	}
+}
+
+// beats sends a heartbeat at the start and at each interval.
+func (s *server) beats() {
+	t := time.NewTicker(beatInterval)
+	defer t.Stop()
+	for {
+		seq := s.seq.Add(1)
+		if wait := time.Until(time.UnixMilli(s.lateBeat.Load())); wait > 0 {
+			go func() {
+				time.Sleep(wait)
+				s.beat(seq)
+			}()
+		} else {
+			s.beat(seq)
+		}
+		select {
+		case <-s.stop:
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (s *server) beatBody(seq int64) []byte {
+	b, _ := json.Marshal(map[string]any{
+		"service": s.machine.service, "address": s.machine.address(appPort), "zone": s.machine.zone, "version": "v1", "slots": 9,
+		"state": "ready", "coldRemainingMs": 0, "seq": seq, "born": s.born,
+	})
+	return b
+}
+
+func (s *server) beat(seq int64) {
+	if !s.up.Load() {
+		return
+	}
+	s.machine.put(s.id, s.beatBody(seq))
+}
+
+// put calls the daemon of the machine as a writer of an entry does.
+func (m *machine) put(id string, body []byte) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	q, _ := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+m.address(controlPort)+"/instances/"+id, bytes.NewReader(body))
+	q.Header.Set("Content-Type", "application/json")
+	if r, err := m.fleet.client.Do(q); err == nil {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_ = r.Body.Close()
+	}
+}
+
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/grant":
+		s.grant(w, r)
+	case "/release":
+		s.release(w, r)
+	case "/health":
+		w.Header().Set("Instance-Id", s.id)
+	default:
+		s.request(w, r)
+	}
+}
+
+type order struct {
+	From, To uint32
+	Fence    uint64
+	HoldMs   int64
+	Handover string
+}
+
+func (s *server) grant(w http.ResponseWriter, r *http.Request) {
+	var o order
+	if json.NewDecoder(r.Body).Decode(&o) != nil || o.From > o.To || o.To > 65535 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	h := holding{from: o.From, to: o.To, fence: o.Fence, until: time.Now().Add(time.Duration(o.HoldMs) * time.Millisecond)}
+	s.mu.Lock()
+	for _, x := range s.highest {
+		if overlaps(x, h) && x.fence > h.fence {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusConflict)
+			return
+		}
+	}
+	s.highest = append(cut(s.highest, h.from, h.to), h)
+	s.holds = append(cut(s.holds, h.from, h.to), h)
+	s.mu.Unlock()
+	s.machine.fleet.judge.granted(s, h, o.Handover)
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *server) release(w http.ResponseWriter, r *http.Request) {
+	var o order
+	if json.NewDecoder(r.Body).Decode(&o) != nil || o.From > o.To || o.To > 65535 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	s.holds = cut(s.holds, o.From, o.To)
+	for s.busy(o.From, o.To) {
+		s.mu.Unlock()
+		time.Sleep(2 * time.Millisecond)
+		s.mu.Lock()
+	}
+	s.mu.Unlock()
+	s.machine.fleet.judge.released(s, o.From, o.To)
+	w.Header().Set("Handover", "0123456789abcdef")
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *server) busy(from, to uint32) bool {
+	for k, n := range s.running {
+		if n > 0 && from <= k && k <= to {
+			return true
+		}
+	}
+	return false
+}
+
+// refuse answers a request that is not run.
+func refuse(w http.ResponseWriter, status int) {
+	w.Header().Set("Not-Executed", "1")
+	w.WriteHeader(status)
+}
+
+func (s *server) request(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Request-Id")
+	w.Header().Set("Request-Id", id)
+	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != s.id {
+		refuse(w, http.StatusMisdirectedRequest)
+		return
+	}
+	if s.machine.service == keyedService {
+		k, err := strconv.ParseUint(r.Header.Get("Shard-Key"), 10, 32)
+		if err != nil {
+			refuse(w, http.StatusBadRequest)
+			return
+		}
+		key := uint32(k)
+		s.mu.Lock()
+		held := false
+		for _, h := range s.holds {
+			held = held || (h.from <= key && key <= h.to && time.Now().Before(h.until))
+		}
+		if held {
+			s.running[key]++
+		}
+		s.mu.Unlock()
+		if !held {
+			refuse(w, http.StatusMisdirectedRequest)
+			return
+		}
+		defer func() {
+			s.mu.Lock()
+			s.running[key]--
+			s.mu.Unlock()
+		}()
+	}
+	s.runs.Add(1)
+	s.machine.fleet.judge.ran(s, id, r.Method+" "+r.URL.RequestURI())
+	_, _ = io.Copy(io.Discard, r.Body)
+	time.Sleep(s.workTime)
+	w.Header().Set("Response-Signature", s.id+"."+id)
+	_, _ = fmt.Fprintf(w, "ran %s at %s\n", id, s.id)
+}
