--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -216,7 +216,7 @@
 	}
 }
 
-func configBody() []byte {
+func configBody(version uint64) []byte {
 	route := func(name, prefix, kind, service string) map[string]any {
 		return map[string]any{"type": "routes", "metadata": map[string]any{"name": name}, "spec": map[string]any{
 			"hostname": hostName, "pathPrefix": prefix, "routeKind": kind, "timeoutMs": 2500, "targetLatencyMs": 600, "priority": 1,
@@ -230,7 +230,7 @@
 		}
 		return map[string]any{"type": "services", "metadata": map[string]any{"name": name}, "spec": spec}
 	}
-	b, _ := json.Marshal(map[string]any{"version": "00000001", "resources": []any{
+	b, _ := json.Marshal(map[string]any{"version": fmt.Sprintf("%08x", version), "resources": []any{
 		route("r-history", keyedPrefix, "safe", keyedService), route("r-entry", onceKeyed, "unsafe", keyedService),
 		route("r-issue", pooledPrefix, "unsafe", pooledService),
 		service(keyedService, true), service(pooledService, false),
@@ -242,7 +242,7 @@
 
 // putConfig sends the first configuration, again and again until it is acknowledged.
 func (f *fleet) putConfig(limit time.Duration) error {
-	body := configBody()
+	body := configBody(1)
 	for end, n := time.Now().Add(limit), 0; time.Now().Before(end); n++ {
 		q, _ := http.NewRequest(http.MethodPut, "http://"+f.controls[n%3].address(controlPort)+"/config", bytes.NewReader(body))
 		q.Header.Set("If-Match", "0")
@@ -266,6 +266,9 @@
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
 		served := true
 		for n := range 16 {
+			if !f.has(keyedService) {
+				break
+			}
 			a := f.send(f.sides[n%len(f.sides)], http.MethodGet, keyedPrefix+"probe", uint32(n*4096+7))
 			served = served && a.status == 200
 		}
@@ -346,3 +349,31 @@
 		}()
 	}
 }
+
+// put sends a configuration that builds on a version, and returns the status, 0 without an answer.
+func (f *fleet) put(m *machine, body []byte, base uint64) int {
+	q, _ := http.NewRequest(http.MethodPut, "http://"+m.address(controlPort)+"/config", bytes.NewReader(body))
+	q.Header.Set("If-Match", fmt.Sprintf("%08x", base))
+	q.Header.Set("Content-Type", "application/json")
+	r, err := f.client.Do(q)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	_ = r.Body.Close()
+	return r.StatusCode
+}
+
+// read returns the configuration that a machine answers, "" if it has none to give.
+func (f *fleet) read(m *machine) string {
+	r, err := f.client.Get("http://" + m.address(controlPort) + "/config")
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = r.Body.Close() }()
+	b, err := io.ReadAll(r.Body)
+	if err != nil || r.StatusCode != http.StatusOK {
+		return ""
+	}
+	return string(b)
+}
--- a/review/standin/judge.go
+++ b/review/standin/judge.go
@@ -35,6 +35,7 @@
 	broken   []string
 	requests map[string]bool
 	runs     map[string][]string
+	answers  []answer // to requests that may run once
 }
 
 type taken struct {
@@ -156,3 +157,28 @@
 	defer j.mu.Unlock()
 	return append([]string(nil), j.broken...)
 }
+
+// answered records the answer to a request that may run once.
+func (j *judge) answered(a answer) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.answers = append(j.answers, a)
+}
+
+// checkRuns checks that each of these requests ran once at most, and not at all if its answer promises so.
+func (j *judge) checkRuns() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, a := range j.answers {
+		runs := j.runs[a.id]
+		switch a.status {
+		case 408, 421, 429, 503:
+			if len(runs) > 0 {
+				j.breach("REFUSED: request %s was answered %d (%s) and ran at %v", a.id, a.status, a.body, runs)
+			}
+		}
+		if len(runs) > 1 {
+			j.breach("TWICE: request %s was answered %d and ran at %v", a.id, a.status, runs)
+		}
+	}
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -35,6 +35,9 @@
 var cases = map[string]caseOf{
 	"restart": {services: []string{keyedService, keyedService, keyedService}, play: playRestart},
 	"writer":  {services: []string{keyedService, keyedService, keyedService}, play: playWriter},
+	"repeat":  {services: []string{pooledService, pooledService}, play: playRepeat},
+	"storm":   {services: []string{keyedService, keyedService, pooledService}, play: playStorm},
+	"idle":    {services: []string{keyedService, pooledService}, play: func(f *fleet, _ bool) { fmt.Println("outbound", f.sides[0].address(outboundPort), f.sides[0].address(controlPort)); time.Sleep(100 * time.Second) }},
 	"oldbeat": {services: []string{keyedService, keyedService, keyedService}, play: playOldBeat},
 }
 
@@ -133,8 +136,9 @@
 func playOldBeat(f *fleet, trouble bool) {
 	const (
 		heldUp   = 4 // heartbeats that were sent during a partition of six seconds
-		settling = 4 * time.Second
-		watching = 7 * time.Second
+		settling = 2500 * time.Millisecond
+		watching = 4500 * time.Millisecond
+		rounds   = 12
 	)
 	stop, ended := make(chan struct{}), make(chan struct{})
 	go func() {
@@ -142,7 +146,7 @@
 		close(ended)
 	}()
 	time.Sleep(2 * time.Second)
-	for n := range 2 * len(f.sides) {
+	for n := range rounds {
 		m := f.sides[n%len(f.sides)]
 		old := m.server
 		if trouble {
@@ -170,3 +174,132 @@
 	close(stop)
 	<-ended
 }
+
+// playRepeat sends requests that may run once to a service with two servers. In spells, these refuse a part of the
+// requests though they are healthy, and write a second copy of a small part of their answers, late.
+func playRepeat(f *fleet, trouble bool) {
+	const (
+		shedShare   = 0.55
+		shedFor     = 8500 * time.Millisecond
+		repeatShare = 0.03
+		repeatFor   = 5 * time.Second
+		spells      = 10
+		clients     = 6
+		pause       = 5 * time.Millisecond
+	)
+	stop := make(chan struct{})
+	done := make(chan map[int]int)
+	for c := range clients {
+		go func() {
+			counts := map[int]int{}
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					done <- counts
+					return
+				default:
+				}
+				a := f.send(f.sides[(n+c)%len(f.sides)], "POST", fmt.Sprintf("%s%d-%d", pooledPrefix, c, n), noKey)
+				counts[a.status]++
+				f.judge.answered(a)
+				time.Sleep(pause)
+			}
+		}()
+	}
+	set := func(v faults) {
+		for _, m := range f.sides {
+			if trouble {
+				m.server.faults.Store(&v)
+			}
+		}
+		f.record.print("the servers refuse %v of the requests and repeat %v of their answers", v.shed, v.repeat)
+	}
+	for range spells {
+		set(faults{shed: shedShare, repeat: repeatShare})
+		time.Sleep(repeatFor)
+		set(faults{shed: shedShare})
+		time.Sleep(shedFor - repeatFor)
+		set(faults{})
+		time.Sleep(500 * time.Millisecond)
+	}
+	close(stop)
+	for range clients {
+		f.record.print("client statuses (0: no answer): %v", <-done)
+	}
+	time.Sleep(time.Second)
+	f.judge.checkRuns()
+}
+
+// playStorm sends thousands of configurations, then kills all control machines, then replaces one disk and loses another
+// machine, and reads the configuration back.
+func playStorm(f *fleet, trouble bool) {
+	version := uint64(1)
+	put := func() {
+		next := version + 1
+		for n := 0; ; n++ {
+			status := f.put(f.controls[n%3], configBody(next), version)
+			if status == 200 {
+				version = next
+				return
+			}
+			if n > 200 {
+				f.judge.mu.Lock()
+				f.judge.breach("CONFIG: version %d isn't acknowledged, last status %d", next, status)
+				f.judge.mu.Unlock()
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	check := func(when string) {
+		for n := range 300 {
+			got := f.read(f.controls[n%3])
+			if got == "" {
+				time.Sleep(50 * time.Millisecond)
+				continue
+			}
+			if want := string(configBody(version)); got != want {
+				f.judge.mu.Lock()
+				f.judge.breach("CONFIG: %s the configuration isn't the newest acknowledged one (version %d)", when, version)
+				f.judge.mu.Unlock()
+			}
+			f.record.print("%s: read back version %d", when, version)
+			return
+		}
+		f.judge.mu.Lock()
+		f.judge.breach("CONFIG: %s the configuration can't be read", when)
+		f.judge.mu.Unlock()
+	}
+	for range 4300 {
+		put()
+	}
+	f.record.print("version %d acknowledged", version)
+	if !trouble {
+		check("at the end")
+		return
+	}
+	for _, m := range f.controls {
+		m.kill()
+	}
+	for _, m := range f.controls {
+		_ = m.start()
+	}
+	check("after a kill of all")
+	put()
+	m := f.controls[0]
+	m.kill()
+	_ = os.RemoveAll(f.folder + "/" + m.name + "/data")
+	_ = m.start()
+	time.Sleep(8 * time.Second)
+	check("after a lost disk")
+	put()
+	f.controls[1].kill()
+	time.Sleep(2 * time.Second)
+	check("with one machine down")
+	put()
+	_ = f.controls[1].start()
+	time.Sleep(6 * time.Second)
+	f.controls[2].kill()
+	check("with another machine down")
+	put()
+}
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -6,8 +6,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -31,6 +33,7 @@
 	holds    []holding
 	highest  []holding
 	running  map[uint32]int
+	faults   atomic.Pointer[faults]
 	lateBeat atomic.Int64 // heartbeats sent before this time (Unix ms) arrive at this time
 }
 
@@ -77,7 +80,9 @@
 		return nil, err
 	}
 	s.up.Store(true)
-	s.http = &http.Server{Handler: s}
+	s.http = &http.Server{Handler: s, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, &connState{})
+	}}
 	go func() { _ = s.http.Serve(l) }()
 	go s.beats()
 	return s, nil
@@ -217,7 +222,70 @@
 	w.WriteHeader(status)
 }
 
+// faults are those of a server that is healthy by its own account.
+type faults struct {
+	shed   float64 // share of the requests that it refuses
+	repeat float64 // share of its answers that it writes a second time, where the next answer is expected
+}
+
+type connKey struct{}
+
+// connState is what a server keeps of a connection.
+type connState struct{ extra []byte } // copy of the last answer, which is written before the next one
+
+// rawAnswer returns the bytes of an answer.
+func rawAnswer(status int, id, fields, body string) []byte {
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nRequest-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), id, fields, len(body), body)
+}
+
+// request runs a request, or refuses it, with the faults of the server.
 func (s *server) request(w http.ResponseWriter, r *http.Request) {
+	f := s.faults.Load()
+	c, _ := r.Context().Value(connKey{}).(*connState)
+	if f == nil || c == nil {
+		s.run(w, r)
+		return
+	}
+	id := r.Header.Get("Request-Id")
+	if extra := c.extra; extra != nil {
+		c.extra = nil
+		s.repeatThenRun(w, r, extra)
+		return
+	}
+	if rand.Float64() < f.shed {
+		if rand.Float64() < f.repeat {
+			c.extra = rawAnswer(http.StatusServiceUnavailable, id, "Not-Executed: 1\r\n", "")
+		}
+		w.Header().Set("Request-Id", id)
+		refuse(w, http.StatusServiceUnavailable)
+		return
+	}
+	s.run(w, r)
+}
+
+// repeatThenRun writes a copy of the answer before, runs the request, and writes its answer.
+func (s *server) repeatThenRun(w http.ResponseWriter, r *http.Request, extra []byte) {
+	id, expected := r.Header.Get("Request-Id"), r.Header.Get("Expect-Instance")
+	what := r.Method + " " + r.URL.RequestURI()
+	_, _ = io.Copy(io.Discard, r.Body)
+	n, buffer, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = n.Close() }()
+	s.machine.fleet.record.print("server %s writes its last answer once more as request %s arrives on the connection", s.id, id)
+	_, _ = buffer.Write(extra)
+	_ = buffer.Flush()
+	if expected != "" && expected != s.id {
+		return
+	}
+	s.machine.fleet.judge.ran(s, id, what)
+	time.Sleep(s.workTime)
+	_, _ = buffer.Write(rawAnswer(http.StatusOK, id, "Response-Signature: "+s.id+"."+id+"\r\nConnection: close\r\n", "ran "+id+"\n"))
+	_ = buffer.Flush()
+}
+
+func (s *server) run(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
 	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != s.id {
@@ -252,7 +320,10 @@
 	}
 	s.runs.Add(1)
 	s.machine.fleet.judge.ran(s, id, r.Method+" "+r.URL.RequestURI())
-	_, _ = io.Copy(io.Discard, r.Body)
+	b, _ := io.ReadAll(r.Body)
+	if os.Getenv("VERBOSE") != "" {
+		s.machine.fleet.record.print("server %s runs %s %s %q te=%v cl=%d hdr=%v", s.id, r.Method, r.URL.RequestURI(), string(b), r.TransferEncoding, r.ContentLength, r.Header)
+	}
 	time.Sleep(s.workTime)
 	w.Header().Set("Response-Signature", s.id+"."+id)
 	_, _ = fmt.Fprintf(w, "ran %s at %s\n", id, s.id)
