--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -110,7 +110,7 @@
 	}
 	return render(string(text), map[string]any{
 		"node": m.name, "ip": m.ip, "zone": m.zone, "seeds": seeds, "bootstrap": bootstrap,
-		"listen": map[string]any{"control": m.address(controlPort), "outbound": m.address(outboundPort), "ready": m.address(readyPort)},
+		"listen":    map[string]any{"control": m.address(controlPort), "outbound": m.address(outboundPort), "ready": m.address(readyPort)},
 		"portRange": []any{firstPeer, firstPeer + 15}, "dataDir": filepath.Join(m.fleet.folder, m.name, "data"),
 		"faultTolerance": map[string]any{"machines": 1, "zones": 0, "regions": 0},
 		"limits":         map[string]any{"linkMbps": 1000}, "grants": "request", "service": m.service, "appAddr": m.address(appPort),
@@ -377,3 +377,30 @@
 	}
 	return string(b)
 }
+
+// load sends requests for some neighboring keys that the server holds until stop is closed, from all machines in turn.
+func (f *fleet) load(s *server, stop chan struct{}) {
+	s.mu.Lock()
+	from, to := uint32(65535), uint32(0)
+	for _, h := range s.holds {
+		from, to = min(from, h.from), max(to, h.to)
+	}
+	s.mu.Unlock()
+	const busyKeys = 1200
+	first := (from+to)/2 - busyKeys/2
+	f.record.print("requests go to keys %d-%d", first, first+busyKeys)
+	var group sync.WaitGroup
+	defer group.Wait()
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(9 * time.Millisecond):
+		}
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			f.send(f.sides[n%len(f.sides)], http.MethodGet, keyedPrefix+fmt.Sprint(n), first+uint32(rand.IntN(busyKeys)))
+		}()
+	}
+}
