--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -43,6 +43,7 @@
 		time.Sleep(100 * time.Second)
 	}},
 	"late":    {services: []string{keyedService, keyedService}, play: playLate},
+	"silence": {services: []string{keyedService, keyedService, keyedService}, play: playSilence},
 	"oldbeat": {services: []string{keyedService, keyedService, keyedService}, play: playOldBeat},
 }
 
@@ -374,3 +375,53 @@
 	close(stop)
 	<-ended
 }
+
+// playSilence restarts one server after the other under a new id, which registers at once. Later its heartbeats are
+// late, and in that time one heartbeat of the old server arrives.
+func playSilence(f *fleet, trouble bool) {
+	const (
+		settling = 5 * time.Second
+		silence  = 4 * time.Second         // the next heartbeats arrive when this is over
+		oldAfter = 2800 * time.Millisecond // after the last heartbeat in time
+		watching = 6 * time.Second
+	)
+	stop, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		f.traffic(50*time.Millisecond, stop)
+		close(ended)
+	}()
+	time.Sleep(2 * time.Second)
+	for _, m := range f.sides {
+		old, s := m.server, m.server
+		if trouble {
+			var err error
+			old.crash()
+			if s, err = startServer(m, newID(), 0); err != nil {
+				f.record.print("cannot start a server: %v", err)
+				return
+			}
+			m.server = s
+			f.record.print("server %s of %s crashed; %s is up at the same address", old.id, m.name, s.id)
+		}
+		time.Sleep(settling)
+		for n := s.seq.Load(); s.seq.Load() == n; {
+			time.Sleep(5 * time.Millisecond)
+		}
+		time.Sleep(50 * time.Millisecond)
+		if trouble {
+			s.lateBeat.Store(time.Now().Add(silence).UnixMilli())
+			f.record.print("the heartbeats of %s in the next %v arrive at the end of that time", s.id, silence)
+		}
+		time.Sleep(oldAfter)
+		if trouble {
+			f.record.print("a heartbeat of %s arrives late", old.id)
+			m.put(old.id, old.beatBody(old.seq.Load()+1))
+		}
+		time.Sleep(watching)
+		if len(f.judge.verdict()) > 0 {
+			break
+		}
+	}
+	close(stop)
+	<-ended
+}
