--- a/review/standin/judge.go
+++ b/review/standin/judge.go
@@ -191,3 +191,14 @@
 		}
 	}
 }
+
+// checkLeft checks that no request reached a server that had left, by machines that are in touch again.
+func (j *judge) checkLeft(s *server) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	late, inTouch := s.reached[0].Load(), s.reached[1].Load()
+	j.record.print("requests that reached %s later than %v after its ack: %d, later than %v: %d", s.id, drainTime, late, inTouchAfter, inTouch)
+	if inTouch > 0 {
+		j.breach("DRAIN: %d requests reached server %s later than %v after the ack of its exit", inTouch, s.id, inTouchAfter)
+	}
+}
