--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the cases into review/bin. They use the standard library only.
 set -e
 cd "$(dirname "$0")/standin"
-GOWORK=off go build -o ../bin/standin .
+GOWORK=off go build -buildvcs=false -o ../bin/standin .
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -305,6 +305,18 @@
 
 // send sends one request on a new connection and returns its answer. There is no retry.
 func (f *fleet) send(m *machine, method, path string, key uint32) answer {
+	sent := time.Now()
+	a := f.exchange(m, method, path, key)
+	keyText := "no key"
+	if key != noKey {
+		keyText = fmt.Sprintf("key %d", key)
+	}
+	f.record.print("request %s (%s %s, %s) to %s: status %d, error %v, after %d ms", a.id, method, path, keyText, m.name, a.status, a.err,
+		time.Since(sent).Milliseconds())
+	return a
+}
+
+func (f *fleet) exchange(m *machine, method, path string, key uint32) answer {
 	id := fmt.Sprintf("%016x", rand.Uint64())
 	q, _ := http.NewRequest(method, "http://"+m.address(outboundPort)+path, nil)
 	q.Host, q.Close = hostName, true
--- a/review/standin/judge.go
+++ b/review/standin/judge.go
@@ -111,6 +111,7 @@
 		j.runs = map[string][]string{}
 	}
 	j.runs[id] = append(j.runs[id], s.id)
+	j.record.print("server %s runs request %s (%s)", s.id, id, what)
 }
 
 // watch checks every 20 ms whether two servers that are up hold the same keys for over half a second. Grants that were
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -90,28 +90,47 @@
 
 func newID() string { return fmt.Sprintf("i-%010x", rand.Uint64()>>24) }
 
-// playRestart crashes a server, which is back at once under a new id. The heartbeats of its first two seconds arrive
-// late.
+// restart crashes the server of a machine and starts it again at its address after a delay, under a new id. Its
+// heartbeats of the first time arrive when late is over.
+func (m *machine) restart(delay, late time.Duration) (old, next *server, err error) {
+	old = m.server
+	old.crash()
+	time.Sleep(delay)
+	if next, err = startServer(m, newID(), late); err != nil {
+		return nil, nil, err
+	}
+	m.server = next
+	m.fleet.record.print("server %s of %s crashed; after %v %s is up at the same address, its first heartbeat arrives %v late",
+		old.id, m.name, delay, next.id, late)
+	return old, next, nil
+}
+
+// playRestart restarts one server after the other. The heartbeats of their first two seconds arrive late.
 func playRestart(f *fleet, trouble bool) {
+	const (
+		rounds   = 6
+		down     = 20 * time.Millisecond
+		late     = 2 * time.Second
+		watching = 8 * time.Second
+	)
 	stop, ended := make(chan struct{}), make(chan struct{})
 	go func() {
 		f.traffic(100*time.Millisecond, stop)
 		close(ended)
 	}()
 	time.Sleep(3 * time.Second)
-	if trouble {
-		m := f.sides[0]
-		old := m.server
-		old.crash()
-		s, err := startServer(m, newID(), 2*time.Second)
-		if err != nil {
-			f.notRun = err
-			return
+	for n := range rounds {
+		if trouble {
+			if _, _, err := f.sides[n%len(f.sides)].restart(down, late); err != nil {
+				f.notRun = err
+				return
+			}
+		}
+		time.Sleep(watching)
+		if len(f.judge.verdict()) > 0 {
+			break
 		}
-		m.server = s
-		f.record.print("server %s of %s crashed; %s is up at the same address, its first heartbeat arrives 2 s late", old.id, m.name, s.id)
 	}
-	time.Sleep(9 * time.Second)
 	close(stop)
 	<-ended
 }
@@ -156,14 +175,11 @@
 		m := f.sides[n%len(f.sides)]
 		old := m.server
 		if trouble {
-			old.crash()
-			s, err := startServer(m, newID(), 0)
-			if err != nil {
+			var err error
+			if old, _, err = m.restart(0, 0); err != nil {
 				f.notRun = err
 				return
 			}
-			m.server = s
-			f.record.print("server %s of %s crashed; %s is up at the same address", old.id, m.name, s.id)
 		}
 		time.Sleep(settling)
 		if trouble {
@@ -321,13 +337,10 @@
 		old, s := m.server, m.server
 		if trouble {
 			var err error
-			old.crash()
-			if s, err = startServer(m, newID(), 0); err != nil {
+			if old, s, err = m.restart(0, 0); err != nil {
 				f.notRun = err
 				return
 			}
-			m.server = s
-			f.record.print("server %s of %s crashed; %s is up at the same address", old.id, m.name, s.id)
 		}
 		time.Sleep(settling)
 		for n := s.seq.Load(); s.seq.Load() == n; {
