--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -35,18 +36,19 @@
 type playFunc func(f *fleet, trouble bool)
 
 var cases = map[string]caseOf{
-	"restart": {services: []string{keyedService, keyedService, keyedService}, play: playRestart},
-	"writer":  {services: []string{keyedService, keyedService, keyedService}, play: playWriter},
+	"restart": {services: []string{keyedService, keyedService, keyedService, keyedService, keyedService}, play: playRestart},
+	"writer":  {services: []string{keyedService, keyedService, keyedService, keyedService, keyedService}, play: playWriter},
 	"repeat":  {services: []string{pooledService, pooledService}, play: playRepeat},
-	"late":    {services: []string{keyedService, keyedService}, play: playLate},
+	"late":    {services: []string{keyedService, keyedService}, play: playLate, copies: 4},
 	"left":    {services: []string{pooledService, pooledService, pooledService}, play: playLeft},
-	"silence": {services: []string{keyedService, keyedService, keyedService}, play: playSilence},
-	"oldbeat": {services: []string{keyedService, keyedService, keyedService}, play: playOldBeat},
+	"silence": {services: []string{keyedService, keyedService, keyedService, keyedService, keyedService}, play: playSilence},
+	"oldbeat": {services: []string{keyedService, keyedService, keyedService, keyedService, keyedService}, play: playOldBeat},
 }
 
 type caseOf struct {
 	services []string
 	play     playFunc
+	copies   int // fleets that play the case beside each other, 0 for one
 }
 
 func run(root, path string, keep bool, c caseOf) int {
@@ -55,6 +57,25 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
+	codes := make(chan int)
+	copies := max(1, c.copies)
+	for range copies {
+		go func() { codes <- runFleet(root, r, keep, c) }()
+	}
+	seen := map[int]bool{}
+	for range copies {
+		seen[<-codes] = true
+	}
+	switch {
+	case seen[exitBroken]:
+		return exitBroken
+	case seen[exitHeld]:
+		return exitHeld
+	}
+	return exitNotRun
+}
+
+func runFleet(root string, r *record, keep bool, c caseOf) int {
 	f, err := newFleet(root, r, c.services)
 	if err != nil {
 		r.print("not run: %v", err)
@@ -69,8 +90,7 @@
 		return exitNotRun
 	}
 	go f.judge.watch(f.done)
-	trouble := os.Getenv("TROUBLE") != "0"
-	c.play(f, trouble)
+	c.play(f, os.Getenv("TROUBLE") != "0")
 	if f.notRun != nil {
 		r.print("not run: %v", f.notRun)
 		return exitNotRun
@@ -156,21 +176,22 @@
 	<-ended
 }
 
-// playOldBeat restarts one server after the other under a new id. Later the last heartbeats of the old one, which were
-// held up, arrive.
+// playOldBeat cuts off the heartbeats of one server after the other, restarts it under a new id, which registers at once,
+// and lets the heartbeats of the old one arrive after that.
 func playOldBeat(f *fleet, trouble bool) {
 	const (
-		heldUp   = 4 // heartbeats that were sent during a partition of six seconds
 		settling = 2500 * time.Millisecond
 		watching = 4500 * time.Millisecond
+		cutFor   = settling + watching // before the restart; until the heartbeats arrive it is settling more
 		rounds   = 12
 	)
 	stop, ended := make(chan struct{}), make(chan struct{})
 	go func() {
-		f.traffic(100*time.Millisecond, stop)
+		f.traffic(50*time.Millisecond, stop)
 		close(ended)
 	}()
-	time.Sleep(2 * time.Second)
+	f.sides[0].server.cutOff.Store(trouble)
+	time.Sleep(cutFor)
 	for n := range rounds {
 		m := f.sides[n%len(f.sides)]
 		old := m.server
@@ -181,12 +202,10 @@
 				return
 			}
 		}
+		f.sides[(n+1)%len(f.sides)].server.cutOff.Store(trouble)
 		time.Sleep(settling)
 		if trouble {
-			f.record.print("%d heartbeats of %s arrive late", heldUp, old.id)
-			for i := range int64(heldUp) {
-				go m.put(old.id, old.beatBody(old.seq.Load()+1+i))
-			}
+			old.deliver()
 		}
 		time.Sleep(watching)
 		if len(f.judge.verdict()) > 0 {
@@ -232,12 +251,11 @@
 		}()
 	}
 	set := func(v faults) {
-		for _, m := range f.sides {
-			if trouble {
-				m.server.faults.Store(&v)
-			}
+		if trouble {
+			f.sides[0].server.faults.Store(&v)
+			f.sides[1].server.faults.Store(&faults{shed: v.shed})
 		}
-		f.record.print("the servers refuse %v of the requests and repeat %v of their answers", v.shed, v.repeat)
+		f.record.print("the servers refuse %v of the requests, and the first one repeats %v of its refusals", v.shed, v.repeat)
 	}
 	for range spells {
 		set(faults{shed: shedShare, repeat: repeatShare})
@@ -256,32 +274,37 @@
 }
 
 // playLate keeps one of two servers busier than the other, so that keys are moved away from it. The server leaves the
-// release of these keys unanswered and carries it out late, and does the same with the next grant. Right after that it
-// reports that it leaves, as planned.
+// release of these keys unanswered and carries it out late. Its daemon gets SIGTERM, as in a rolling restart, and the
+// grants that arrive just before the daemon leaves get no answer either.
 func playLate(f *fleet, trouble bool) {
 	const (
-		busyLimit = 60 * time.Second // until the first move
-		lateBy    = 3 * time.Second  // the page says 2 to 12 s
-		staysFor  = 8 * time.Second
+		busyLimit  = 60 * time.Second        // until the first move
+		lateBy     = 3 * time.Second         // the page says 2 to 12 s
+		leaveDelay = 1750 * time.Millisecond // from SIGTERM until the daemon leaves
+		inFlight   = 600 * time.Millisecond  // before that; the daemon waits 700 ms for an answer
+		staysFor   = 9 * time.Second
 	)
-	s := f.sides[0].server
-	leaves := make(chan struct{})
+	m := f.sides[0]
+	s := m.server
+	moving := make(chan struct{})
+	pause := time.Duration(rand.IntN(600)) * time.Millisecond
 	var mu sync.Mutex
-	released, granted := false, false
+	var first time.Time
 	orders, unanswered := 0, 0
 	s.onOrder.Store(new(func(isGrant bool) time.Duration {
 		mu.Lock()
 		defer mu.Unlock()
-		if isGrant && !released {
+		if isGrant && first.IsZero() {
 			return 0
 		}
 		orders++
-		late := (!isGrant && !released) || (isGrant && !granted)
-		if isGrant && !granted {
-			granted = true
-			close(leaves)
+		late := first.IsZero()
+		if late {
+			first = time.Now()
+			close(moving)
 		}
-		released = true
+		left := time.Until(first.Add(pause + leaveDelay))
+		late = late || (isGrant && unanswered < 3 && left > 0 && left < inFlight)
 		if !trouble || !late {
 			return 0
 		}
@@ -291,7 +314,7 @@
 	f.sides[1].server.onOrder.Store(new(func(bool) time.Duration {
 		mu.Lock()
 		defer mu.Unlock()
-		if released {
+		if !first.IsZero() {
 			orders++
 		}
 		return 0
@@ -303,10 +326,10 @@
 		close(ended)
 	}()
 	select {
-	case <-leaves:
-		f.record.print("server %s reports that it leaves", s.id)
-		s.draining.Store(true)
-		s.beat(s.seq.Add(1))
+	case <-moving:
+		time.Sleep(pause)
+		f.record.print("SIGTERM to the daemon of %s", m.name)
+		m.signal(syscall.SIGTERM)
 		time.Sleep(staysFor)
 	case <-time.After(busyLimit):
 		f.notRun = errors.New("no keys were moved in time")
@@ -322,7 +345,8 @@
 // late, and in that time one heartbeat of the old server arrives.
 func playSilence(f *fleet, trouble bool) {
 	const (
-		settling = 5 * time.Second
+		cutFor   = 1600 * time.Millisecond // before the restart, for one heartbeat or two
+		settling = 2500 * time.Millisecond
 		silence  = 4 * time.Second         // the next heartbeats arrive when this is over
 		oldAfter = 2800 * time.Millisecond // after the last heartbeat in time
 		watching = 6 * time.Second
@@ -336,6 +360,8 @@
 	for _, m := range f.sides {
 		old, s := m.server, m.server
 		if trouble {
+			old.cutOff.Store(true)
+			time.Sleep(cutFor)
 			var err error
 			if old, s, err = m.restart(0, 0); err != nil {
 				f.notRun = err
@@ -353,8 +379,7 @@
 		}
 		time.Sleep(oldAfter)
 		if trouble {
-			f.record.print("a heartbeat of %s arrives late", old.id)
-			m.put(old.id, old.beatBody(old.seq.Load()+1))
+			old.deliver()
 		}
 		time.Sleep(watching)
 		if len(f.judge.verdict()) > 0 {
@@ -380,12 +405,13 @@
 	time.Sleep(3 * time.Second)
 	m := f.sides[0]
 	s := m.server
+	s.cutOff.Store(true)
+	time.Sleep(1600 * time.Millisecond)
 	for _, c := range f.controls {
 		c.kill()
 	}
 	f.record.print("all control machines are killed")
 	time.Sleep(200 * time.Millisecond)
-	late := s.beatBody(s.seq.Load() + 1)
 	s.silent.Store(true)
 	status := m.leave(s.id, s.born)
 	s.leftAt.Store(time.Now().UnixMilli())
@@ -397,8 +423,8 @@
 	}
 	time.Sleep(400 * time.Millisecond)
 	if trouble {
-		f.record.print("daemon of %s was killed and started; a heartbeat that %s had sent before arrives", m.name, s.id)
-		m.put(s.id, late)
+		f.record.print("daemon of %s was killed and started", m.name)
+		s.deliver()
 	}
 	for _, c := range f.controls {
 		_ = c.start()
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -33,6 +33,8 @@
 	highest  []holding
 	running  map[uint32]int
 	draining atomic.Bool
+	cutOff   atomic.Bool     // its heartbeats are held up
+	heldUp   [][]byte        // these heartbeats
 	silent   atomic.Bool     // it sends no heartbeats
 	leftAt   atomic.Int64    // when its exit was acknowledged, 0 if it wasn't
 	reached  [2]atomic.Int64 // requests that reached it after leftAt by drainMs, and by inTouchAfter
@@ -140,7 +142,26 @@
 	if !s.up.Load() || s.silent.Load() {
 		return
 	}
-	s.machine.put(s.id, s.beatBody(seq))
+	body := s.beatBody(seq)
+	if s.cutOff.Load() {
+		s.mu.Lock()
+		s.heldUp = append(s.heldUp, body)
+		s.mu.Unlock()
+		return
+	}
+	s.machine.put(s.id, body)
+}
+
+// deliver lets the heartbeats arrive that the server sent while it was cut off.
+func (s *server) deliver() {
+	s.mu.Lock()
+	list := s.heldUp
+	s.heldUp = nil
+	s.mu.Unlock()
+	s.machine.fleet.record.print("%d heartbeats arrive late that %s sent while it was cut off", len(list), s.id)
+	for _, body := range list {
+		go s.machine.put(s.id, body)
+	}
 }
 
 // put calls the daemon of the machine as a writer of an entry does.
