--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -25,6 +25,7 @@
 	outboundPort = 8304
 	controlPort  = 8306
 	firstPeer    = 7620
+	reservedPort = 8399 // of the first machine; held so that another fleet takes another subnet
 )
 
 // Names in the configuration of the stand-in operator.
@@ -49,6 +50,7 @@
 	judge        *judge
 	client       *http.Client
 	done         chan struct{}
+	reserved     net.Listener
 	notRun       error // why the case could not be played to its end
 }
 
@@ -76,11 +78,13 @@
 	f.judge = &judge{record: r, held: map[*server][]holding{}}
 	for range 100 {
 		f.subnet = 20 + rand.IntN(200)
-		if l, err := net.Listen("tcp", fmt.Sprintf("127.%d.1.1:%d", f.subnet, controlPort)); err == nil {
-			_ = l.Close()
+		if f.reserved, err = net.Listen("tcp", fmt.Sprintf("127.%d.1.1:%d", f.subnet, reservedPort)); err == nil {
 			break
 		}
 	}
+	if err != nil {
+		return nil, err
+	}
 	add := func(n int, name, service string) *machine {
 		return &machine{fleet: f, name: name, ip: fmt.Sprintf("127.%d.%d.1", f.subnet, n), zone: fmt.Sprintf("zone-%c", 'a'+(n-1)%3), service: service}
 	}
@@ -206,6 +210,7 @@
 // stop kills the processes that the fleet started.
 func (f *fleet) stop(keep bool) {
 	close(f.done)
+	defer func() { _ = f.reserved.Close() }()
 	for _, m := range append(append([]*machine{}, f.sides...), f.controls...) {
 		m.kill()
 		if m.server != nil {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -39,7 +39,7 @@
 	"restart": {services: []string{keyedService, keyedService, keyedService, keyedService, keyedService}, play: playRestart},
 	"writer":  {services: []string{keyedService, keyedService, keyedService, keyedService, keyedService}, play: playWriter},
 	"repeat":  {services: []string{pooledService, pooledService}, play: playRepeat},
-	"late":    {services: []string{keyedService, keyedService}, play: playLate, copies: 4},
+	"late":    {services: []string{keyedService, keyedService}, play: playLate, copies: 8},
 	"left":    {services: []string{pooledService, pooledService, pooledService}, play: playLeft},
 	"silence": {services: []string{keyedService, keyedService, keyedService, keyedService, keyedService}, play: playSilence},
 	"oldbeat": {services: []string{keyedService, keyedService, keyedService, keyedService, keyedService}, play: playOldBeat},
@@ -275,7 +275,7 @@
 
 // playLate keeps one of two servers busier than the other, so that keys are moved away from it. The server leaves the
 // release of these keys unanswered and carries it out late. Its daemon gets SIGTERM, as in a rolling restart, and the
-// grants that arrive just before the daemon leaves get no answer either.
+// first grant that arrives just before the daemon leaves gets no answer either.
 func playLate(f *fleet, trouble bool) {
 	const (
 		busyLimit  = 60 * time.Second        // until the first move
@@ -304,7 +304,7 @@
 			close(moving)
 		}
 		left := time.Until(first.Add(pause + leaveDelay))
-		late = late || (isGrant && unanswered < 3 && left > 0 && left < inFlight)
+		late = late || (isGrant && unanswered < 2 && left > 0 && left < inFlight)
 		if !trouble || !late {
 			return 0
 		}
