Count an unanswered grant for all of its keys, whatever ranges they are in by then

Cause: the result of a call was applied to the tracked ranges that lay wholly within its keys and still had its epoch. If the table had merged a part of them with adjacent keys while the call was in flight, no range matched, the grant that got no answer was forgotten, and the keys were reported as released while it could still take effect.

The sentence: keys are free once every grant to their target has run out, unanswered ones too. Now the ranges are split at the bounds of the call first, and that the target may hold keys follows from a grant at any epoch. Paths that rest on it: grants (mended), releases (the same split; before, the release of a part was repeated, safe, but its handover token was lost), keys that get a new epoch while a grant is in flight (the same fault, second test), grants of an earlier process (counted for the longest time already), Reconcile (takes the later end, was right).

Nothing waits longer unless a grant of these very keys got no answer.

--- a/core/command/hold/calls.go
+++ b/core/command/hold/calls.go
@@ -95,6 +95,7 @@
 		return
 	}
 	delete(t.pending, id)
+	t.splitAtCall(c.call)
 	switch o := c.call.(type) {
 	case Grant:
 		t.onGrantResult(o, c.sent, r, now)
@@ -103,27 +104,42 @@
 	}
 }
 
-// rangesOf returns the tracked ranges within the keys of a call that still have its epoch.
-func (t *Tracker) rangesOf(c Call, e table.Epoch) []*trackedRange {
+// splitAtCall splits the ranges at the bounds of a call. The table may have merged or split them while
+// the call was in flight, and its result is known for its own keys only.
+func (t *Tracker) splitAtCall(c Call) {
+	first, last := c.Keys()
+	t.splitRanges([]table.Key{first, last + 1}, func(*trackedRange) bool { return true })
+}
+
+// rangesOf returns the tracked ranges within the keys of a call, at any epoch. None lies partly within
+// them after splitAtCall.
+func (t *Tracker) rangesOf(c Call) []*trackedRange {
 	first, last := c.Keys()
 	var list []*trackedRange
 	for _, p := range t.ranges {
-		if p.epoch == e && first <= p.first && p.last <= last {
+		if first <= p.first && p.last <= last {
 			list = append(list, p)
 		}
 	}
 	return list
 }
 
+// onGrantResult updates the ranges of a grant. That the target may hold the keys follows from a grant at any
+// epoch, that it does hold them only from one at their epoch.
 func (t *Tracker) onGrantResult(g Grant, sent clock.Millis, r Result, now clock.Millis) {
-	for _, p := range t.rangesOf(g, g.epoch) {
+	for _, p := range t.rangesOf(g) {
+		same := p.epoch == g.epoch
 		switch r.(type) {
 		case Done:
-			p.heldUntil = max(p.heldUntil, sent+g.ttl)
 			p.mayHoldUntil = max(p.mayHoldUntil, latestEnd(now, g.ttl))
-			p.handover = ""
+			if same {
+				p.heldUntil = max(p.heldUntil, sent+g.ttl)
+				p.handover = ""
+			}
 		case Stale:
-			p.state = laterState(p.state, releasing{})
+			if same {
+				p.state = laterState(p.state, releasing{})
+			}
 		case Unanswered:
 			p.mayHoldUntil = max(p.mayHoldUntil, latestEnd(now, g.ttl))
 			p.unansweredUntil = max(p.unansweredUntil, latestEnd(now, g.ttl))
@@ -137,7 +153,10 @@
 // onReleaseResult updates the ranges of a release. A grant without an answer may still take
 // effect, so the keys are reported as released only after that grant would have ended.
 func (t *Tracker) onReleaseResult(rel Release, r Result, now clock.Millis) {
-	for _, p := range t.rangesOf(rel, rel.epoch) {
+	for _, p := range t.rangesOf(rel) {
+		if p.epoch != rel.epoch {
+			continue
+		}
 		p.heldUntil = 0
 		switch r := r.(type) {
 		case Done:
--- a/core/command/hold/heartbeat.go
+++ b/core/command/hold/heartbeat.go
@@ -105,22 +105,10 @@
 // splitReleasing splits the ranges that are being released at the bounds of the report, so that keys
 // whose requests end early do not wait for the others.
 func (t *Tracker) splitReleasing(r grant.Report) {
-	bounds := r.Bounds()
-	slices.Sort(bounds)
-	var next []*trackedRange
-	for _, p := range t.ranges {
-		if _, ok := p.state.(releasing); ok {
-			for _, b := range bounds {
-				if p.first < b && b <= p.last {
-					left := *p
-					left.last, p.first = b-1, b
-					next = append(next, &left)
-				}
-			}
-		}
-		next = append(next, p)
-	}
-	t.ranges = next
+	t.splitRanges(r.Bounds(), func(p *trackedRange) bool {
+		_, ok := p.state.(releasing)
+		return ok
+	})
 }
 
 // expire lets the ends of grants and of apply delays take effect.
--- a/core/command/hold/tracker.go
+++ b/core/command/hold/tracker.go
@@ -196,6 +196,25 @@
 	return list
 }
 
+// splitRanges splits the ranges that match at the keys, so that each key is the first of a range.
+func (t *Tracker) splitRanges(keys []table.Key, match func(*trackedRange) bool) {
+	slices.Sort(keys)
+	var next []*trackedRange
+	for _, p := range t.ranges {
+		if match(p) {
+			for _, k := range keys {
+				if p.first < k && k <= p.last {
+					left := *p
+					left.last, p.first = k-1, k
+					next = append(next, &left)
+				}
+			}
+		}
+		next = append(next, p)
+	}
+	t.ranges = next
+}
+
 // Releases returns the commands that tell the leader which keys of the service the target no
 // longer holds. They are returned until the table stops assigning the keys to this daemon.
 func (t *Tracker) Releases(service string) []logcmd.ReleaseSpan {
--- a/core/command/hold/tracker_test.go
+++ b/core/command/hold/tracker_test.go
@@ -195,3 +195,53 @@
 	is.Equal(len(list), 2)
 	is.Equal(list[1].Handover(), "second")
 }
+
+// TestUnansweredGrantOfMergedKeysDelaysRelease guards against two owners: the table moves a part of the keys of a
+// grant in flight, together with adjacent keys, to one member. The grant gets no answer and may still take effect,
+// so none of its keys may be handed over before it has ended (review case 1).
+func TestUnansweredGrantOfMergedKeysDelaysRelease(t *testing.T) {
+	is := is.New(t)
+	tr := hold.New(maxTTL, 0)
+	tr.Reconcile(nil, self, 900)
+	tr.Reconcile([]table.Span{owned(0, 99, 5), owned(100, 199, 5)}, self, 1000)
+	tr.SetLeaseEnd(6000)
+	calls := tr.DueCalls(1000)
+	is.Equal(len(calls), 2)
+	tr.Reconcile([]table.Span{moving(50, 149, 5), owned(0, 49, 5), owned(150, 199, 5)}, self, 1100)
+	g := calls[0].(hold.Grant)
+	tr.HandleResult(g.ID(), hold.Unanswered{}, 1700)
+	tr.HandleResult(calls[1].ID(), hold.NewDone(""), 1700)
+	end := 1700 + g.TTL() + g.TTL()*2/100
+	for now := clock.Millis(1700); now < end; now += 50 {
+		for _, c := range tr.DueCalls(now) {
+			tr.HandleResult(c.ID(), hold.NewDone("token"), now)
+		}
+		for _, r := range tr.Releases("s") {
+			if r.First() < 100 {
+				t.Fatalf("the keys %d to %d are released at %d, but the grant may take effect until %d", r.First(), r.Last(), now, end)
+			}
+		}
+	}
+	tr.DueCalls(end + 2)
+	is.Equal(tr.Releases("s")[0].First(), table.Key(50))
+}
+
+// TestUnansweredGrantOfAnEarlierEpochDelaysRelease guards against two owners: the keys get a new epoch while a grant
+// at the one before is in flight.
+func TestUnansweredGrantOfAnEarlierEpochDelaysRelease(t *testing.T) {
+	is := is.New(t)
+	tr := hold.New(maxTTL, 0)
+	tr.Reconcile(nil, self, 900)
+	tr.Reconcile([]table.Span{owned(0, 99, 5)}, self, 1000)
+	tr.SetLeaseEnd(6000)
+	g := oneDue[hold.Grant](t, tr, 1000)
+	tr.Reconcile([]table.Span{owned(0, 99, 7)}, self, 1100)
+	tr.HandleResult(g.ID(), hold.Unanswered{}, 1700)
+	tr.Reconcile([]table.Span{moving(0, 99, 7)}, self, 1800)
+	for now := clock.Millis(1800); now < 1700+g.TTL(); now += 50 {
+		for _, c := range tr.DueCalls(now) {
+			tr.HandleResult(c.ID(), hold.NewDone("token"), now)
+		}
+		is.Equal(len(tr.Releases("s")), 0)
+	}
+}
