Copy what the admin server passes on from a request

Cause: the names in paths point into a buffer that the web framework uses again for the next request. The agent keeps the name of its target, and another caller's request overwrote it.

The admin and readiness servers now copy all values that they hand to handlers. Other paths, by reading: the platform's heartbeats and exits (the name; mended here), /announce and configurations (decoded by encoding/json, which copies), If-Match (parsed within the request), the caller servers and the target client (each field, path and host is converted to a string, which copies), gRPC messages (own memory each).

No key waits longer.

--- a/verbenad/command/serve/serve.go
+++ b/verbenad/command/serve/serve.go
@@ -195,6 +195,7 @@
 	wirepb.RegisterHopServer(d.peers, hop.NewServer(d.owner))
 	d.admin = fiber.New(fiber.Config{
 		AppName: "verbenad", BodyLimit: maxAdminBodyBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		Immutable: true, // handlers pass on names that outlive the request
 	})
 	d.admin.Use(d.recoverAdmin)
 	n := notice.New(d.post, notice.WithOnHeartbeat(d.target.RecordHeartbeat), notice.WithLog(d.logger()))
@@ -204,7 +205,7 @@
 	a := admin.New(admin.WithInstance(s.Instance(), s.Zone()), admin.WithStopping(d.stopping.Load),
 		admin.WithState(d.clock, d.snapshots, d.loop.View), admin.WithAudit(d.audit))
 	a.Register(d.admin)
-	d.ready = fiber.New(fiber.Config{AppName: "verbenad", ReadTimeout: readTimeout, IdleTimeout: idleTimeout})
+	d.ready = fiber.New(fiber.Config{AppName: "verbenad", ReadTimeout: readTimeout, IdleTimeout: idleTimeout, Immutable: true})
 	a.RegisterReady(d.ready)
 	if d.registerAdmin != nil {
 		d.registerAdmin(d.admin, d)
