Send grants only to the process that they are meant for

Cause: grants were sent to an address. The HTTP client opens a new connection, and repeats a call that it hasn't begun to write, whenever the one before is gone, without a word to the caller.

The sentence: a grant is meant for a process, not an address. Now a client of grants belongs to one process. Each new connection first asks the health path which process it leads to, and then leads there until it is closed; a process that closes its connections is asked on a second one that was opened later. A call that finds another process, or a closed port, with no connection left shows that the target has ended (hold.Ended), so a quick restart is noticed at the next call and the keys are free at once, without waiting for a heartbeat. Other paths: requests name the process they are for (were right), answers to heartbeats go to the process that sent it (right), lease extensions of the product's own protocol name requests and go to an address (they extend only requests that it knows; not changed). healthPath of a service is read from the configuration.

Each new connection for grants costs one health request.

--- a/core/command/agent/keys.go
+++ b/core/command/agent/keys.go
@@ -93,6 +93,9 @@
 		a.tracker.HandleResult(e.id, e.result, a.now)
 		a.publish()
 	})
+	if a.tracker.TargetEnded() {
+		a.targetLost(NewTargetLost(PortClosed{}))
+	}
 }
 
 // spanReleases returns the key spans to report as released.
--- a/core/command/hold/call.go
+++ b/core/command/hold/call.go
@@ -60,7 +60,7 @@
 func (Grant) call()   {}
 func (Release) call() {}
 
-// Result is the outcome of a call: Done, Stale, Unanswered or Unreached.
+// Result is the outcome of a call: Done, Stale, Unanswered, Unreached or Ended.
 type Result interface{ result() }
 
 // Done is the result of a call that is in effect.
@@ -79,10 +79,15 @@
 // Unreached is the result of a call that certainly did not arrive.
 type Unreached struct{}
 
+// Ended is the result of a call that did not arrive since the process that was granted the keys has ended: no
+// connection to it is left, and its address refuses new ones or leads to another process.
+type Ended struct{}
+
 func (Done) result()       {}
 func (Stale) result()      {}
 func (Unanswered) result() {}
 func (Unreached) result()  {}
+func (Ended) result()      {}
 
 // HeldRange is a range of keys that the target is certain to hold until an instant.
 type HeldRange struct {
--- a/core/command/hold/calls.go
+++ b/core/command/hold/calls.go
@@ -10,6 +10,9 @@
 // call per range is in flight. With delivery by heartbeats there are none, and ranges whose grants
 // have ended count as released.
 func (t *Tracker) DueCalls(now clock.Millis) []Call {
+	if t.ended {
+		return nil
+	}
 	switch t.delivery.(type) {
 	case grant.ByCall:
 		return t.callsDue(now)
@@ -95,6 +98,10 @@
 		return
 	}
 	delete(t.pending, id)
+	if _, ok := r.(Ended); ok {
+		t.targetEnded()
+		return
+	}
 	t.splitAtCall(c.call)
 	switch o := c.call.(type) {
 	case Grant:
@@ -104,6 +111,15 @@
 	}
 }
 
+// targetEnded reports all keys as released, since the only process that was granted them has ended.
+func (t *Tracker) targetEnded() {
+	t.ended = true
+	for _, p := range t.ranges {
+		p.heldUntil, p.mayHoldUntil, p.unansweredUntil = 0, 0, 0
+		p.state = laterState(p.state, released{handover: p.handover})
+	}
+}
+
 // splitAtCall splits the ranges at the bounds of a call. The table may have merged or split them while
 // the call was in flight, and its result is known for its own keys only.
 func (t *Tracker) splitAtCall(c Call) {
@@ -146,6 +162,7 @@
 			p.retryAt = now + retryDelay
 		case Unreached:
 			p.retryAt = now + retryDelay
+		case Ended:
 		}
 	}
 }
@@ -166,6 +183,7 @@
 			}
 		case Stale, Unanswered, Unreached:
 			p.retryAt = now + retryDelay
+		case Ended:
 		}
 	}
 }
--- a/core/command/hold/tracker.go
+++ b/core/command/hold/tracker.go
@@ -50,6 +50,7 @@
 	pending  map[uint64]pendingCall
 	lastID   uint64
 	synced   bool         // the table was seen before, so all later grants were made by this process
+	ended    bool         // the target has ended, so it holds nothing
 	report   grant.Report // of the last heartbeat
 	revision uint64       // increases whenever the held ranges change
 }
@@ -130,18 +131,34 @@
 	}
 }
 
-// HoldsNothing reports whether the target is certain to hold no keys at now.
-func (t *Tracker) HoldsNothing(now clock.Millis) bool {
+// TargetEnded reports whether the result of a call has shown that the target has ended.
+func (t *Tracker) TargetEnded() bool { return t.ended }
+
+// LastEnd returns when the last grant that the target may hold ends, as known at now.
+func (t *Tracker) LastEnd(now clock.Millis) clock.Millis {
+	end := clock.Millis(0)
+	if t.ended {
+		return end
+	}
 	for _, p := range t.ranges {
-		if _, ok := p.state.(released); !ok && (p.mayHoldUntil > now || t.hasPending(p)) {
-			return false
+		if t.hasPending(p) {
+			end = max(end, now+retryDelay)
+		}
+		if _, ok := p.state.(released); !ok {
+			end = max(end, p.mayHoldUntil)
 		}
 	}
-	return true
+	return end
 }
 
+// HoldsNothing reports whether the target is certain to hold no keys at now.
+func (t *Tracker) HoldsNothing(now clock.Millis) bool { return t.LastEnd(now) <= now }
+
 // NextDue returns when to call DueCalls again, a far future instant if there is nothing to do.
 func (t *Tracker) NextDue(now clock.Millis) clock.Millis {
+	if t.ended {
+		return never
+	}
 	switch t.delivery.(type) {
 	case grant.ByCall:
 		return t.nextCall(now)
--- a/core/state/rules/options.go
+++ b/core/state/rules/options.go
@@ -20,6 +20,9 @@
 	return func(s *Service) { s.repeatable = slices.Clone(methods) }
 }
 
+// WithHealthPath sets the path of health requests to targets, by default DefaultHealthPath.
+func WithHealthPath(path string) Option { return func(s *Service) { s.healthPath = path } }
+
 // WithSlots sets the maximum number of requests that run at one target at once.
 func WithSlots(count int) Option { return func(s *Service) { s.slots = count } }
 
--- a/core/state/rules/service.go
+++ b/core/state/rules/service.go
@@ -24,6 +24,7 @@
 	DefaultUnavailableWeight       = 1.0
 	DefaultChurnWeight             = 1.0
 	DefaultImbalanceWeight         = 1.0
+	DefaultHealthPath              = "/health"
 )
 
 // Service is the configuration of one service. It is immutable.
@@ -33,6 +34,7 @@
 	fencing    Fencing
 	shedding   Shedding
 	repeatable []string
+	healthPath string
 
 	slots        int
 	connections  int
@@ -61,8 +63,8 @@
 func NewService(name string, opts ...Option) Service {
 	s := Service{
 		name: name, kind: Pooled{}, fencing: Unchecked{}, shedding: ShedAmbiguous{},
-		repeatable: []string{"GET", "HEAD", "OPTIONS"},
-		slots:      DefaultSlots, connections: DefaultConnections,
+		repeatable: []string{"GET", "HEAD", "OPTIONS"}, healthPath: DefaultHealthPath,
+		slots: DefaultSlots, connections: DefaultConnections,
 		queueLength: DefaultQueueLength, queueWait: DefaultQueueWait, maxBodyBytes: DefaultMaxBodyBytes,
 		deadline: DefaultDeadline, drain: DefaultDrain, warmUp: DefaultWarmUp,
 		retryAttempts: DefaultRetryAttempts, retryPercent: DefaultRetryPercent,
@@ -94,6 +96,9 @@
 // RepeatableMethods returns the HTTP methods whose requests may run more than once.
 func (s Service) RepeatableMethods() []string { return slices.Clone(s.repeatable) }
 
+// HealthPath returns the path of health requests to targets.
+func (s Service) HealthPath() string { return s.healthPath }
+
 // Slots returns the maximum number of requests that run at one target at once.
 func (s Service) Slots() int { return s.slots }
 
--- a/verbenad/adapt/flood/flood_test.go
+++ b/verbenad/adapt/flood/flood_test.go
@@ -28,6 +28,7 @@
 type endlessTarget struct {
 	prefix, piece string
 	pause         time.Duration
+	name          string // it answers health requests with its name, unless that is empty
 
 	address   string
 	sent      atomic.Int64  // bytes
@@ -56,7 +57,13 @@
 
 func (f *endlessTarget) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
-	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+	reader := bufio.NewReader(c)
+	r, err := http.ReadRequest(reader)
+	if err == nil && f.name != "" && r.Method == http.MethodGet {
+		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nName: " + f.name + "\r\n\r\n"))
+		_, err = http.ReadRequest(reader)
+	}
+	if err != nil {
 		return
 	}
 	f.open.Add(1)
--- a/verbenad/adapt/flood/grants_test.go
+++ b/verbenad/adapt/flood/grants_test.go
@@ -29,6 +29,11 @@
 	return hold.Stale{}
 }
 
+func (grantDialect) ProcessName(field func(name string) string) string { return field("Name") }
+
+// targetName is the name of the process that gets the calls.
+const targetName = "target-1"
+
 // Time-outs of the calls.
 const (
 	grantTimeout   = 700 * time.Millisecond
@@ -41,26 +46,36 @@
 	for name, k := range kinds {
 		t.Run(name+" slowly", func(t *testing.T) {
 			t.Parallel()
-			checkCall(t, &endlessTarget{prefix: k.prefix, piece: k.piece, pause: 2 * time.Millisecond}, hold.Grant{}, grantTimeout)
+			checkCall(t, &endlessTarget{prefix: k.prefix, piece: k.piece, pause: 2 * time.Millisecond, name: targetName}, hold.Grant{}, hold.Unanswered{}, grantTimeout)
 		})
 		t.Run(name+" at full speed", func(t *testing.T) {
-			checkCall(t, &endlessTarget{prefix: k.prefix, piece: k.piece}, hold.Grant{}, grantTimeout)
+			checkCall(t, &endlessTarget{prefix: k.prefix, piece: k.piece, name: targetName}, hold.Grant{}, hold.Unanswered{}, grantTimeout)
 		})
 	}
 	t.Run("release", func(t *testing.T) {
 		t.Parallel()
 		k := kinds["body of length"]
-		checkCall(t, &endlessTarget{prefix: k.prefix, piece: k.piece, pause: 50 * time.Millisecond}, hold.Release{}, releaseTimeout)
+		checkCall(t, &endlessTarget{prefix: k.prefix, piece: k.piece, pause: 50 * time.Millisecond, name: targetName}, hold.Release{}, hold.Unanswered{}, releaseTimeout)
 	})
 }
 
-// checkCall sends a call to the endless target and checks that it ends in time, as unanswered.
-func checkCall(t *testing.T, f *endlessTarget, c hold.Call, timeout time.Duration) {
+// TestCallsWaitForTheEndOfNoHealthResponse checks that no call is sent on a connection whose process answers the
+// question for its name without end.
+func TestCallsWaitForTheEndOfNoHealthResponse(t *testing.T) {
+	for name, k := range kinds {
+		t.Run(name, func(t *testing.T) {
+			checkCall(t, &endlessTarget{prefix: k.prefix, piece: k.piece}, hold.Grant{}, hold.Unreached{}, grantTimeout)
+		})
+	}
+}
+
+// checkCall sends a call to the endless target and checks that it ends in time, with a result.
+func checkCall(t *testing.T, f *endlessTarget, c hold.Call, want hold.Result, timeout time.Duration) {
 	is := is.New(t)
 	f.start(t)
 	client, stop := grants.New(grants.WithDialect(grantDialect{}))
 	defer stop()
-	client.SetAddress(f.address)
+	client.SetProcess(grants.NewProcess(targetName, f.address, "s"))
 	got := make(chan hold.Result, 2)
 	memory, began := measureHeapGrowth(), time.Now()
 	client.SendCall(c, func(r hold.Result) { got <- r })
@@ -74,7 +89,7 @@
 	f.awaitClose(t)
 	grown := memory()
 	t.Logf("%T, %v, %d KiB sent, memory grew by %d KiB", r, took, f.sent.Load()>>10, grown>>10)
-	is.Equal(r, hold.Result(hold.Unanswered{}))
+	is.Equal(r, want)
 	is.True(f.sent.Load() < maxSentBytes)
 	// The growth of memory is only logged here.
 }
--- a/verbenad/adapt/grants/grants.go
+++ b/verbenad/adapt/grants/grants.go
@@ -10,12 +10,12 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"verbenabank/core/command/hold"
+	"verbenabank/core/state/rules"
 	"verbenabank/core/state/table"
 )
 
@@ -49,17 +49,20 @@
 	Release(r hold.Release) Message
 	// Result returns the result of a call from the status and the header fields of the response.
 	Result(status int, field func(name string) string) hold.Result
+	// ProcessName returns the name of the process that answered a health request, from the header fields of
+	// the response, "" if it does not say it.
+	ProcessName(field func(name string) string) string
 }
 
-// Client is a client of one target at a time. It is safe for concurrent use.
+// Client is a client of one process of the target at a time. It is safe for concurrent use.
 type Client struct {
 	dialect       Dialect
-	client        *http.Client
 	log           *logrus.Entry
 	onConnRefused func()
+	healthPath    func(service string) string
 
 	mu      sync.Mutex
-	address string
+	session *session // nil without a process or a dialect
 }
 
 // Option sets one property of a Client.
@@ -72,46 +75,53 @@
 // several goroutines.
 func WithOnConnRefused(f func()) Option { return func(c *Client) { c.onConnRefused = f } }
 
+// WithHealthPath sets the function that returns the path of health requests to targets of a service, by default
+// rules.DefaultHealthPath.
+func WithHealthPath(f func(service string) string) Option {
+	return func(c *Client) { c.healthPath = f }
+}
+
 // WithLog sets the log, by default the standard logger.
 func WithLog(e *logrus.Entry) Option { return func(c *Client) { c.log = e } }
 
-// New returns a client without an address, and a function that closes its idle connections.
+// New returns a client without a process, and a function that closes its idle connections.
 func New(opts ...Option) (*Client, func()) {
-	t := &http.Transport{
-		MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
-	}
 	c := &Client{
-		client: &http.Client{Transport: t}, log: logrus.NewEntry(logrus.StandardLogger()), onConnRefused: func() {},
+		log: logrus.NewEntry(logrus.StandardLogger()), onConnRefused: func() {},
+		healthPath: func(string) string { return rules.DefaultHealthPath },
 	}
 	for _, o := range opts {
 		o(c)
 	}
-	return c, t.CloseIdleConnections
+	return c, func() { c.SetProcess(Process{}) }
 }
 
-// SetAddress sets the address of the target, "" if there is none. Calls in flight continue.
-func (c *Client) SetAddress(address string) {
+// SetProcess sets the process that gets calls from now on. Calls in flight continue.
+func (c *Client) SetProcess(p Process) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.address != address {
-		c.address = address
-		c.client.CloseIdleConnections()
+	if c.session != nil {
+		c.session.close()
+	}
+	c.session = nil
+	if c.dialect != nil && p.address != "" {
+		c.session = newSession(p, c.dialect, c.healthPath, c.onConnRefused)
 	}
 }
 
 // SendCall sends a call and calls done once with its result, from another goroutine.
 func (c *Client) SendCall(call hold.Call, done func(hold.Result)) {
 	c.mu.Lock()
-	address := c.address
+	s := c.session
 	c.mu.Unlock()
-	go func() { done(c.send(address, call)) }()
+	go func() { done(c.send(s, call)) }()
 }
 
-func (c *Client) send(address string, call hold.Call) hold.Result {
+func (c *Client) send(s *session, call hold.Call) hold.Result {
 	first, last := call.Keys()
 	log := c.log.WithField("first", uint32(first)).WithField("last", uint32(last))
-	if c.dialect == nil || address == "" {
-		log.Warn("keeper: call not sent: no target address or no grant dialect")
+	if s == nil {
+		log.Warn("keeper: call not sent: no target or no grant dialect")
 		return hold.Unreached{}
 	}
 	var m Message
@@ -123,7 +133,7 @@
 	case hold.Release:
 		m, e, timeout = c.dialect.Release(call), call.Epoch(), releaseTimeout
 	}
-	r, err := c.post(address, m, timeout)
+	r, err := s.post(m, timeout)
 	log = log.WithField("epoch", uint64(e)).WithField("order", m.path)
 	switch r.(type) {
 	case hold.Done:
@@ -134,37 +144,45 @@
 		log.WithError(err).Warn("keeper: no answer, the order may take effect late")
 	case hold.Unreached:
 		log.WithError(err).Warn("keeper: cannot connect to the target; the call was not sent")
+	case hold.Ended:
+		log.WithError(err).Warn("keeper: the target that was granted keys has ended; the call was not sent")
 	}
 	return r
 }
 
 // post sends a message and returns the result of the call, with the error if there is no valid response.
-func (c *Client) post(address string, m Message, timeout time.Duration) (hold.Result, error) {
+func (s *session) post(m Message, timeout time.Duration) (hold.Result, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+m.path, bytes.NewReader(m.body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.process.address+m.path, bytes.NewReader(m.body))
 	if err != nil {
 		return hold.Unreached{}, err
 	}
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := c.client.Do(req)
+	resp, err := s.client.Do(req)
 	if err != nil {
-		var opErr *net.OpError
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			c.onConnRefused()
-		}
-		if errors.As(err, &opErr) && opErr.Op == "dial" {
-			return hold.Unreached{}, err
-		}
-		return hold.Unanswered{}, err
+		return s.failure(err), err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	switch _, err := io.CopyN(io.Discard, resp.Body, maxBodyBytes+1); err {
 	case io.EOF:
-		return c.dialect.Result(resp.StatusCode, resp.Header.Get), nil
+		return s.dialect.Result(resp.StatusCode, resp.Header.Get), nil
 	case nil:
 		return hold.Unanswered{}, &Error{op: "read response of " + m.path, kind: BodyTooLarge}
 	default:
 		return hold.Unanswered{}, err
 	}
 }
+
+// failure returns the result of a call that failed with err.
+func (s *session) failure(err error) hold.Result {
+	if s.ended(err) {
+		return hold.Ended{}
+	}
+	var opErr *net.OpError
+	var unidentified *Error
+	if errors.As(err, &unidentified) || (errors.As(err, &opErr) && opErr.Op == "dial") {
+		return hold.Unreached{}
+	}
+	return hold.Unanswered{}
+}
--- a/verbenad/command/serve/target.go
+++ b/verbenad/command/serve/target.go
@@ -63,17 +63,16 @@
 	l.lastResponse.Store(0)
 	l.client.SetAddress(t.Address())
 	l.extender.SetAddress(t.Address())
-	l.grantClient.SetAddress(t.Address())
+	l.grantClient.SetProcess(grants.NewProcess(t.Name(), t.Address(), t.Service()))
 	l.watcher.Watch(t.Address())
 }
 
-// Drain sends no new requests to the target. Those in flight go on.
+// Drain sends no new requests to the target. Those in flight go on, and it can still be asked to release keys.
 func (l *localTarget) Drain() {
 	l.current = agent.UseTarget{}
 	l.watcher.Drop()
 	l.client.SetAddress("")
 	l.extender.SetAddress("")
-	l.grantClient.SetAddress("")
 }
 
 // Drop sends no new requests to the target and cancels those in flight.
--- a/verbenad/command/serve/traffic.go
+++ b/verbenad/command/serve/traffic.go
@@ -9,6 +9,7 @@
 	"verbenabank/core/command/budget"
 	"verbenabank/core/command/lease"
 	"verbenabank/core/query/retry"
+	"verbenabank/core/state/rules"
 	"verbenabank/verbenad/adapt/detect"
 	"verbenabank/verbenad/adapt/extend"
 	"verbenabank/verbenad/adapt/front"
@@ -63,11 +64,20 @@
 	d.addCleanup(stopWatcher)
 	t, stop := target.New(target.WithLinger(0), target.WithOnConnRefused(w.RecordConnRefused))
 	d.addCleanup(stop)
-	g, stopGrants := grants.New(grants.WithLog(d.logger()), grants.WithDialect(d.grantDialect), grants.WithOnConnRefused(w.RecordConnRefused))
+	g, stopGrants := grants.New(grants.WithLog(d.logger()), grants.WithDialect(d.grantDialect),
+		grants.WithOnConnRefused(w.RecordConnRefused), grants.WithHealthPath(d.healthPath))
 	d.addCleanup(stopGrants)
 	d.target.client, d.target.watcher, d.target.grantClient, d.target.onHeartbeat = t, w, g, w.RecordHeartbeat
 }
 
+// healthPath returns the path of health requests to targets of a service.
+func (d *Daemon) healthPath(service string) string {
+	if s, ok := d.snapshots.Load().Table().Rules().Service(service); ok {
+		return s.HealthPath()
+	}
+	return rules.DefaultHealthPath
+}
+
 // buildCallerServer builds the server for callers if the settings have a port for them: a front.Server with
 // the caller dialect, or an entry.Server for the daemon's own protocol.
 func (d *Daemon) buildCallerServer() {
