Free the keys of a target only on evidence about that target

Cause, twice the same: the agent took the heartbeat of another process at the target's address as proof that the target is dead (announced, targetLost(Dead)), and took a silence of heartbeats, though the target answered, as reason to believe an older boot (supersedes).

The sentence: keys are free only on evidence about the very process that was granted them: its release, its end, or the end of every grant to it, unanswered ones too. Paths that rest on it: - another process is announced: was wrong. The target is now asked to release; if it doesn't answer, its grants run out. - an older boot: replaces only a target that was lost. That detector counts neither heartbeats of other processes nor answers that the request is for another server (421) as signs of life any more. - a closed port: counted as the end of the process, though one that closed its port may still be up. Now it is asked on the connections that are left; if there are none, it has ended. With grants in heartbeats nothing can be asked: as before, the keys are free once its requests have ended. - an unresponsive target: waited for its lease, not for a grant without an answer, which may end later. Now for both. - a join removes earlier incarnations of its instance (a restarted daemon that hears another process first): the same fault. The leader now lets the join wait while such a member owns anything and its lease may be renewed, and gives it nothing more.

--- a/core/command/agent/heartbeat.go
+++ b/core/command/agent/heartbeat.go
@@ -9,8 +9,8 @@
 	"verbenabank/core/state/grant"
 )
 
-// supersedeAfter is how long a target must be silent before one with an earlier start time
-// replaces it: start times come from the wall clock, which may have been set back.
+// supersedeAfter is how long a target that was lost must be silent before one with an earlier start time
+// is used: start times come from the wall clock, which may have been set back.
 const supersedeAfter = 2500 * clock.Millisecond
 
 // Heartbeat is sent by a target periodically, with its address, capacity and life-cycle phase. Each one
@@ -63,6 +63,9 @@
 	return h
 }
 
+// Name returns the name of the target.
+func (h Heartbeat) Name() string { return h.name }
+
 // Report returns what the target says about its keys.
 func (h Heartbeat) Report() grant.Report { return h.report }
 
@@ -129,7 +132,9 @@
 	return known || a.table.Rules().Version() == 0
 }
 
-// supersedes reports whether the sender replaces the target process that was heard last.
+// supersedes reports whether the sender replaces the target process that was heard last. One that started
+// earlier does so only once that process was lost: its heartbeat may be late, and silence says nothing about a
+// target that answers requests.
 func (a *Agent) supersedes(h Heartbeat) bool {
 	if _, ok := h.phase.(Exiting); ok {
 		return false
@@ -137,8 +142,8 @@
 	if a.lastHeard.name == "" || h.startTime > a.lastHeard.startTime {
 		return true
 	}
-	expired := a.now.Sub(a.lastHeard.heardAt) > supersedeAfter
-	return expired && (h.startTime < a.lastHeard.startTime || h.name != a.lastHeard.name)
+	lost := a.target.service == "" && a.now.Sub(a.lastHeard.heardAt) > supersedeAfter
+	return lost && (h.startTime < a.lastHeard.startTime || h.name != a.lastHeard.name)
 }
 
 // retireTarget starts the withdrawal of the target. A target that has received no requests since this
--- a/core/command/agent/shutdown.go
+++ b/core/command/agent/shutdown.go
@@ -110,9 +110,7 @@
 			a.drain(st.cause)
 		}
 	case awaitingExpiry:
-		if a.now >= st.leaseEnd {
-			a.finish(st.cause)
-		}
+		a.advanceExpiry(st)
 	case departed:
 		if _, known := a.table.Member(a.self); st.deadline != never && (!known || a.now >= st.deadline) {
 			a.shutdown = departed{deadline: never}
@@ -126,6 +124,18 @@
 	}
 }
 
+// advanceExpiry gives up an unresponsive target once its lease has expired, and each grant to it has ended.
+func (a *Agent) advanceExpiry(st awaitingExpiry) {
+	if a.now < st.leaseEnd {
+		return
+	}
+	if a.tracker != nil && !a.tracker.HoldsNothing(a.now) {
+		a.shutdown = awaitingExpiry{leaseEnd: a.tracker.LastEnd(a.now), cause: st.cause}
+		return
+	}
+	a.finish(st.cause)
+}
+
 // handoverComplete reports whether the table shows this daemon as leaving and without shards.
 func (a *Agent) handoverComplete() bool {
 	if !a.joined {
--- a/core/command/agent/target.go
+++ b/core/command/agent/target.go
@@ -1,7 +1,8 @@
 package agent
 
-// announced handles the announcement of the local target. A restart or another target means that
-// the previous process is dead.
+import "verbenabank/core/state/grant"
+
+// announced handles the announcement of the local target.
 func (a *Agent) announced(e Announced) {
 	t := target{service: e.service, address: e.address, boot: e.boot, name: e.name, incarnation: e.incarnation, startTime: e.startTime}
 	switch {
@@ -14,7 +15,7 @@
 		a.replaceTarget()
 	case a.isServing():
 		a.nextTarget, a.slots = t, e.slots
-		a.targetLost(NewTargetLost(Dead{}))
+		a.drainReplacedTarget()
 	default:
 		a.nextTarget, a.slots = t, e.slots
 	}
@@ -43,32 +44,38 @@
 	a.sendLeave()
 }
 
+// drainReplacedTarget gives up a target in whose place another one was announced. That is no evidence about
+// the target itself, since announcements may be late: it must release the keys that it was granted, or its grants
+// must end.
+func (a *Agent) drainReplacedTarget() {
+	a.emit(DropTarget{})
+	a.drain(targetFailed{})
+}
+
 // targetLost gives up what the daemon owns. A dead target runs nothing, so everything is released
 // as soon as no request is counted as in flight. A target with a closed port first finishes its
-// requests. An unresponsive one may continue under the lease that it was last told, so
-// that lease must expire first.
+// requests, and releases the keys that it was granted unless a call to it shows that it has ended. An
+// unresponsive one may continue under the lease that it was last told, so that lease must expire first.
 func (a *Agent) targetLost(e TargetLost) {
 	if a.target.service == "" || a.refusesNewRequests() {
 		return
 	}
 	switch e.loss.(type) {
 	case Dead:
-		a.drainLostTarget(DropTarget{})
+		a.discardTracker()
+		a.emit(DropTarget{})
+		a.drain(a.causeAfterLoss())
 	case PortClosed:
-		a.drainLostTarget(DrainTarget{})
+		if _, ok := a.delivery.(grant.ByHeartbeat); ok {
+			a.discardTracker() // no call can ask it
+		}
+		a.emit(DrainTarget{})
+		a.drain(a.causeAfterLoss())
 	case Unresponsive:
 		a.awaitLeaseExpiry()
 	}
 }
 
-// drainLostTarget stops using a target that runs nothing or starts nothing new, by the effect
-// that closes it, and releases what the daemon owns once no request is in flight.
-func (a *Agent) drainLostTarget(closing Effect) {
-	a.emit(closing)
-	a.discardTracker()
-	a.drain(a.causeAfterLoss())
-}
-
 // causeAfterLoss returns the cause of the shutdown under way, or targetFailed.
 func (a *Agent) causeAfterLoss() shutdownCause {
 	if st, ok := a.shutdown.(handingOver); ok {
--- a/core/command/apply/member.go
+++ b/core/command/apply/member.go
@@ -27,7 +27,7 @@
 // an instance's target runs at a time.
 func (t *transition) removePredecessors(m table.Member) {
 	for _, o := range t.table().Members() {
-		if o.Instance() == m.Instance() && o.Incarnation() != m.Incarnation() && o.TargetStartTime() > 0 && o.TargetStartTime() < m.TargetStartTime() {
+		if o.Precedes(m) {
 			t.removeMember(o, logcmd.TargetRestarted)
 		}
 	}
--- a/core/command/leader/member.go
+++ b/core/command/leader/member.go
@@ -40,13 +40,30 @@
 		l.sendUpdate(e.session, s)
 		return
 	}
-	if !l.pending(l.joinProposedAt[i]) {
+	if !l.awaitPredecessors(e.member) && !l.pending(l.joinProposedAt[i]) {
 		l.joinProposedAt[i] = l.now
 		l.submit(logcmd.NewJoin(e.member))
 	}
 	l.sendUpdate(e.session, s)
 }
 
+// awaitPredecessors reports whether a join must wait for earlier incarnations of its instance, which it removes.
+// That another target process has started says nothing about keys that its predecessor was granted: these are free
+// once they were released, or the lease has expired. Until then the predecessor gets nothing more.
+func (l *Leader) awaitPredecessors(m table.Member) bool {
+	waits := false
+	for _, o := range l.fleet.Table().Members() {
+		if !o.Precedes(m) || !l.leases.MayRenew(o.Incarnation()) || !l.fleet.Table().OwnsAny(o.Service(), o.Incarnation()) {
+			continue
+		}
+		waits = true
+		if _, leaving := o.Phase().(table.Leaving); !leaving {
+			l.proposeOnce(logcmd.NewSetPhase(o.Incarnation(), table.Leaving{}))
+		}
+	}
+	return waits
+}
+
 // onRenew counts the lease from the arrival of the renewal and answers it once a quorum has
 // confirmed this leader, so that a deposed leader grants no leases.
 func (l *Leader) onRenew(e RenewRequested) {
--- a/core/state/table/list.go
+++ b/core/state/table/list.go
@@ -41,6 +41,16 @@
 	return append(list, slices.Sorted(maps.Keys(p.dedicated))...)
 }
 
+// OwnsAny reports whether a member owns any shard or key of the service, or is handing it over.
+func (t *Table) OwnsAny(service string, i Incarnation) bool {
+	for _, s := range t.Shards(service) {
+		if ServingMember(t.Ownership(service, s)) == i {
+			return true
+		}
+	}
+	return slices.ContainsFunc(t.Spans(service), func(s Span) bool { return ServingMember(s.Ownership()) == i })
+}
+
 // Services returns the names of the services with shards, spans or overrides, sorted.
 func (t *Table) Services() []string { return slices.Sorted(maps.Keys(t.services)) }
 
--- a/core/state/table/member.go
+++ b/core/state/table/member.go
@@ -47,6 +47,13 @@
 // TargetStartTime returns the start time of the target process, 0 if it is not known.
 func (m Member) TargetStartTime() uint64 { return m.targetStartTime }
 
+// Precedes reports whether the member is of the same instance as another one and its target process started
+// earlier, as far as both start times are known.
+func (m Member) Precedes(other Member) bool {
+	return m.instance == other.instance && m.incarnation != other.incarnation &&
+		m.targetStartTime > 0 && m.targetStartTime < other.targetStartTime
+}
+
 // Phase returns the phase in the life cycle of the member.
 func (m Member) Phase() Phase { return m.phase }
 
--- a/verbenad/command/notice/heartbeat.go
+++ b/verbenad/command/notice/heartbeat.go
@@ -13,7 +13,7 @@
 // Heartbeat passes a heartbeat of the target to the agent and waits for its answer. It reports false if
 // the agent has not answered in time; the heartbeat must not be acknowledged then.
 func (n *Receiver) Heartbeat(h agent.Heartbeat) (grant.Answer, bool) {
-	n.onHeartbeat()
+	n.onHeartbeat(h.Name())
 	n.logReport(h.Report())
 	id, answer := n.expectAnswer()
 	defer n.forget(id)
--- a/verbenad/command/notice/notice.go
+++ b/verbenad/command/notice/notice.go
@@ -28,7 +28,7 @@
 // concurrent use.
 type Receiver struct {
 	post        func(agent.Event)
-	onHeartbeat func()
+	onHeartbeat func(name string)
 	log         *logrus.Entry
 
 	mu          sync.Mutex
@@ -43,7 +43,7 @@
 
 // New returns a receiver that passes events to post, which may be called from many goroutines.
 func New(post func(agent.Event), opts ...Option) *Receiver {
-	n := &Receiver{post: post, onHeartbeat: func() {}, log: logrus.NewEntry(logrus.StandardLogger()), unanswered: map[uint64]chan grant.Answer{}}
+	n := &Receiver{post: post, onHeartbeat: func(string) {}, log: logrus.NewEntry(logrus.StandardLogger()), unanswered: map[uint64]chan grant.Answer{}}
 	for _, o := range opts {
 		o(n)
 	}
@@ -56,8 +56,9 @@
 // WithLog sets the log, by default the standard logger.
 func WithLog(e *logrus.Entry) Option { return func(n *Receiver) { n.log = e } }
 
-// WithOnHeartbeat sets a function that is called on each heartbeat, before the agent gets it.
-func WithOnHeartbeat(f func()) Option { return func(n *Receiver) { n.onHeartbeat = f } }
+// WithOnHeartbeat sets a function that is called on each heartbeat with the name of its sender, before the agent
+// gets it.
+func WithOnHeartbeat(f func(name string)) Option { return func(n *Receiver) { n.onHeartbeat = f } }
 
 // Register adds the endpoints for announcements and their withdrawal to the admin server.
 func (n *Receiver) Register(r fiber.Router) {
--- a/verbenad/command/serve/target.go
+++ b/verbenad/command/serve/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"sync/atomic"
 
@@ -34,6 +35,7 @@
 	onHeartbeat  func()
 	lastResponse atomic.Int64
 	current      agent.UseTarget
+	currentName  atomic.Pointer[string]
 
 	mu     sync.Mutex
 	ctx    context.Context
@@ -43,17 +45,30 @@
 func newLocalTarget(c *clock.Clock, e *extend.Extender) *localTarget {
 	l := &localTarget{clock: c, extender: e, onHeartbeat: func() {}}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
+	l.setCurrent(agent.UseTarget{})
 	return l
 }
 
-// RecordHeartbeat tells the health watcher that the target sent a heartbeat.
-func (l *localTarget) RecordHeartbeat() { l.onHeartbeat() }
+// RecordHeartbeat tells the health watcher that a target sent a heartbeat. Those of other targets than the
+// current one say nothing about it.
+func (l *localTarget) RecordHeartbeat(name string) {
+	if name == *l.currentName.Load() {
+		l.onHeartbeat()
+	}
+}
+
+// setCurrent sets the current target.
+func (l *localTarget) setCurrent(t agent.UseTarget) {
+	l.current = t
+	name := t.Name()
+	l.currentName.Store(&name)
+}
 
 // Use sends traffic to a target. For the current target only the number of its slots is updated.
 func (l *localTarget) Use(t agent.UseTarget) {
 	l.owner.SetTarget(t.Name(), t.Slots())
 	same := t.Address() == l.current.Address() && t.Name() == l.current.Name() && t.Name() != ""
-	l.current = t
+	l.setCurrent(t)
 	if same {
 		return
 	}
@@ -69,7 +84,7 @@
 
 // Drain sends no new requests to the target. Those in flight go on, and it can still be asked to release keys.
 func (l *localTarget) Drain() {
-	l.current = agent.UseTarget{}
+	l.setCurrent(agent.UseTarget{})
 	l.watcher.Drop()
 	l.client.SetAddress("")
 	l.extender.SetAddress("")
@@ -95,13 +110,16 @@
 	stop := context.AfterFunc(lifetime, cancel)
 	context.AfterFunc(ctx, func() { stop() })
 	reply := l.client.Send(ctx, a)
-	if _, ok := reply.(call.Response); ok {
-		l.lastResponse.Store(int64(l.clock.Now()))
-	} else {
+	r, ok := reply.(call.Response)
+	switch {
+	case !ok:
 		cancel()
+	case r.Status() != http.StatusMisdirectedRequest: // another process may say that it isn't the target
+		l.lastResponse.Store(int64(l.clock.Now()))
 	}
 	return reply
 }
 
-// LastResponse returns when the current target last responded to a request, 0 if it has not yet.
+// LastResponse returns when the current target last responded to a request, 0 if it has not yet. A response that
+// the request is for another target does not count.
 func (l *localTarget) LastResponse() clock.Millis { return clock.Millis(l.lastResponse.Load()) }
