Send a request only once on a connection

Seen: a request that may run once was answered 503, not run, and ran.

Cause: a server refuses a request, gets it a second time on the same connection (all others have refused it too), writes its refusal once more and runs the request. The request ID, by which answers of other requests are recognized, is the same.

The sentence: a response must belong to its own request. A connection now remembers which requests it has carried, as long as they may be repeated, and carries none of them again. Paths that rest on it: requests to the target (mended; the same copy made a request run at two servers), hops between daemons (a stream each, right), health questions of grants (the first exchange of their connection, right). Open: calls that grant and release keys have no ID.

Also looked at, without finding a path from sent to refused: writes that fail, uploads in another goroutine, hops whose stream ends, admission that ends while it is granted, refusals after an unknown attempt.

--- a/core/state/call/call.go
+++ b/core/state/call/call.go
@@ -55,7 +55,7 @@
 	return func(r *Request) { r.key, r.shard = key, s }
 }
 
-// WithID sets the request ID, which is for logs only.
+// WithID sets the request ID, which is the same for each attempt of a request.
 func WithID(id string) Option { return func(r *Request) { r.id = id } }
 
 // WithPolicy sets the priority (0 is the highest), the time in milliseconds that is left to meet
@@ -129,7 +129,7 @@
 	return r
 }
 
-// ID returns the request ID, which is for logs only.
+// ID returns the request ID, which is the same for each attempt of a request.
 func (r Request) ID() string { return r.id }
 
 // Priority returns the priority; 0 is the highest.
--- a/verbenad/adapt/target/exchange.go
+++ b/verbenad/adapt/target/exchange.go
@@ -194,6 +194,22 @@
 	}
 }
 
+const (
+	// repeatMargin is how long after its deadline a request may still be repeated: the daemon that took it has
+	// a little more time.
+	repeatMargin = time.Second
+	// maxRequestTime bounds the time of requests without a deadline.
+	maxRequestTime = 10 * time.Minute
+)
+
+// repeatsUntil returns until when the request may be repeated.
+func (x *exchange) repeatsUntil() time.Time {
+	if d, ok := x.ctx.Deadline(); ok {
+		return d.Add(repeatMargin)
+	}
+	return time.Now().Add(maxRequestTime)
+}
+
 // abort discards the connection, so that no late byte of this exchange can reach another one.
 func (x *exchange) abort() {
 	x.stopInterrupt()
--- a/verbenad/adapt/target/target.go
+++ b/verbenad/adapt/target/target.go
@@ -117,7 +117,7 @@
 // Send sends a request and returns the response, or a failure. The caller must read the body of the
 // response to its end or close it. The end of ctx cancels the exchange, including the body.
 func (t *Target) Send(ctx context.Context, a call.Attempt) call.Reply {
-	c, failure := t.acquire(ctx)
+	c, failure := t.acquire(ctx, a.RequestID())
 	if c == nil {
 		a.Done()
 		return failure
@@ -131,9 +131,9 @@
 	return newExchange(ctx, t, c, r, a).run()
 }
 
-// acquire returns an idle or new connection, or nil and the failure.
-func (t *Target) acquire(ctx context.Context) (*conn, call.Failure) {
-	address, c := t.takeIdle()
+// acquire returns an idle or new connection for a request, or nil and the failure.
+func (t *Target) acquire(ctx context.Context, requestID string) (*conn, call.Failure) {
+	address, c := t.takeIdle(requestID)
 	if c != nil {
 		return c, call.Failure{}
 	}
@@ -154,13 +154,17 @@
 	return c, call.Failure{}
 }
 
-// takeIdle removes and returns a usable idle connection, nil if there is none, and the current address.
-func (t *Target) takeIdle() (string, *conn) {
+// takeIdle removes and returns a usable idle connection that has not carried the request, nil if there is none, and
+// the current address.
+func (t *Target) takeIdle(requestID string) (string, *conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for len(t.idle) > 0 {
-		c := t.idle[len(t.idle)-1]
-		t.idle = t.idle[:len(t.idle)-1]
+	for i := len(t.idle) - 1; i >= 0; i-- {
+		c := t.idle[i]
+		if c.hasCarried(requestID) {
+			continue
+		}
+		t.idle = slices.Delete(t.idle, i, i+1)
 		if c.usable(min(t.idleTimeout, c.idleTimeout)) {
 			return t.address, c
 		}
--- a/verbenad/command/owner/exchange.go
+++ b/verbenad/command/owner/exchange.go
@@ -87,7 +87,8 @@
 	x.admission = a
 	x.submitted = true
 	x.owner.meter.ObservePhase("queue", x.owner.clock.Now()-x.enteredAt)
-	switch reply := x.owner.target.Send(x.trackOwnership(ctx), call.NewAttempt(x.prepare, x.once(x.release), call.WithOnAbandon(x.once(x.releaseAfterLease)))).(type) {
+	switch reply := x.owner.target.Send(x.trackOwnership(ctx), call.NewAttempt(x.prepare, x.once(x.release),
+		call.WithOnAbandon(x.once(x.releaseAfterLease)), call.WithRequestID(x.request.ID()))).(type) {
 	case call.Response:
 		return x.classify(reply)
 	case call.Failure:
