Acknowledge that a target leaves only once the table says so

Seen (review, standin left): a server said that it exits, 200, while no leader could be reached. Its daemon was killed and started again, took a heartbeat that the server had sent before, and used it: DRAIN, 84 requests 6 s later.

Cause: the daemon that acknowledges forgets when it ends; later processes of it learn that a target has left from the table only. The acknowledgement binds them too.

Now the heartbeat of a target that leaves is answered once the table says that it has left, at once in that step; without a leader it gets no acknowledgement, and the target calls again. A daemon that has just started remembers an exit of a target that it doesn't know yet. The drain begins at once, as before.

TestExitIsAcknowledgedOnceRecorded and TestExitOfAnUnknownTargetIsRemembered fail without the change.

Left open as before: targets without a start time, and targets that this process of the daemon has never used.

--- a/core/command/agent/agent.go
+++ b/core/command/agent/agent.go
@@ -45,6 +45,7 @@
 
 	target        target
 	nextTarget    target
+	lastUsed      target         // the last one that got traffic from this process
 	slots         int            // concurrent requests of the target, 0 if the rules decide
 	targetLeft    bool           // the target has said that it stops
 	lastHeard     heardTarget    // sender of the last heartbeat
@@ -179,7 +180,7 @@
 	if a.tracker != nil {
 		next = min(next, a.tracker.NextDue(a.now))
 	}
-	if w, ok := a.unanswered.(waiting); ok {
+	if w, ok := a.unanswered.(waiting); ok && !a.awaitsLeave() {
 		next = min(next, w.deadline)
 	}
 	return next
--- a/core/command/agent/answer.go
+++ b/core/command/agent/answer.go
@@ -32,35 +32,53 @@
 // all if the heartbeat is urgent, or if its target gets its grants by calls.
 func (a *Agent) openHeartbeat(h Heartbeat, urgent bool) {
 	a.dismissHeartbeat()
-	if _, ok := a.delivery.(grant.ByHeartbeat); !ok || a.tracker == nil || a.target.name != h.name {
-		a.emit(AnswerHeartbeat{id: h.id, answer: grant.Nothing{}})
-		return
-	}
-	a.tracker.SetLeaseEnd(a.holder.End())
-	a.reportingReleases(func() { a.tracker.HandleReport(h.report) })
-	w := waiting{id: h.id, arrived: a.now, deadline: a.now.Add(maxAnswerDelay)}
-	if urgent {
-		w.deadline = a.now
+	w := waiting{id: h.id, arrived: a.now, deadline: a.now}
+	if a.grantsByHeartbeat() && a.target.name == h.name {
+		a.tracker.SetLeaseEnd(a.holder.End())
+		a.reportingReleases(func() { a.tracker.HandleReport(h.report) })
+		if !urgent && !a.awaitsLeave() {
+			w.deadline = a.now.Add(maxAnswerDelay)
+		}
 	}
 	a.unanswered = w
 }
 
+// grantsByHeartbeat reports whether the answers to heartbeats carry grants.
+func (a *Agent) grantsByHeartbeat() bool {
+	_, ok := a.delivery.(grant.ByHeartbeat)
+	return ok && a.tracker != nil
+}
+
 // dismissHeartbeat answers a waiting heartbeat that a newer one has overtaken.
 func (a *Agent) dismissHeartbeat() {
 	if w, ok := a.unanswered.(waiting); ok {
-		a.emit(AnswerHeartbeat{id: w.id, answer: grant.Nothing{}})
+		a.answerNothing(w.id)
 		a.unanswered = answered{}
 	}
 }
 
+// answerNothing answers a heartbeat without saying anything about keys, if it may be acknowledged.
+func (a *Agent) answerNothing(id uint64) {
+	if !a.awaitsLeave() {
+		a.emit(AnswerHeartbeat{id: id, answer: grant.Nothing{}})
+	}
+}
+
+// awaitsLeave reports whether the target has said that it stops and the table does not say so yet. The
+// acknowledgement would bind later processes of the daemon too, which learn it from the table only.
+func (a *Agent) awaitsLeave() bool {
+	t := a.lastUsed
+	return a.lastHeard.retiring && t.startTime > 0 && t.name == a.lastHeard.name && t.startTime == a.lastHeard.startTime && !a.hasLeft(t)
+}
+
 // answerHeartbeat answers the waiting heartbeat when it is time. A daemon that must not renew, or has no
 // target, says nothing about keys.
 func (a *Agent) answerHeartbeat() {
 	w, ok := a.unanswered.(waiting)
-	if !ok {
+	if !ok || a.awaitsLeave() {
 		return
 	}
-	if a.tracker == nil || a.renewalsStopped() {
+	if !a.grantsByHeartbeat() || a.renewalsStopped() {
 		a.dismissHeartbeat()
 		return
 	}
--- a/core/command/agent/heartbeat.go
+++ b/core/command/agent/heartbeat.go
@@ -88,7 +88,7 @@
 func (a *Agent) heartbeat(h Heartbeat) {
 	retiring := a.lastHeard.retiring
 	if !a.acceptHeartbeat(h) {
-		a.emit(AnswerHeartbeat{id: h.id, answer: grant.Nothing{}})
+		a.answerNothing(h.id)
 		return
 	}
 	a.openHeartbeat(h, a.lastHeard.retiring != retiring)
@@ -136,10 +136,13 @@
 // earlier does so only once that process was lost: its heartbeat may be late, and silence says nothing about a
 // target that answers requests.
 func (a *Agent) supersedes(h Heartbeat) bool {
+	if a.lastHeard.name == "" {
+		return true
+	}
 	if _, ok := h.phase.(Exiting); ok {
 		return false
 	}
-	if a.lastHeard.name == "" || h.startTime > a.lastHeard.startTime {
+	if h.startTime > a.lastHeard.startTime {
 		return true
 	}
 	lost := a.target.service == "" && a.now.Sub(a.lastHeard.heardAt) > supersedeAfter
--- a/core/command/agent/keys.go
+++ b/core/command/agent/keys.go
@@ -11,6 +11,9 @@
 // target holds.
 func (a *Agent) setTarget(t target) {
 	a.target, a.targetLeft = t, false
+	if t.service != "" {
+		a.lastUsed = t
+	}
 	a.resetTracker()
 }
 
--- a/core/command/agent/left_test.go
+++ b/core/command/agent/left_test.go
@@ -55,6 +55,37 @@
 	}
 }
 
+// TestExitOfAnUnknownTargetIsRemembered guards against a daemon that has just started, is told that a target exits,
+// and uses that target when an earlier heartbeat arrives late.
+func TestExitOfAnUnknownTargetIsRemembered(t *testing.T) {
+	h := newHarness(t)
+	h.hear(0, startTime, Exiting{})
+	h.hear(4, startTime, Accepting{})
+	h.is.Equal(h.agent.target.service, "")
+	h.hear(1, startTime+1, Accepting{})
+	h.is.Equal(h.agent.target.startTime, uint64(startTime+1))
+}
+
+// TestExitIsAcknowledgedOnceRecorded guards against an acknowledged exit that nobody knows of: no leader could be
+// reached, and the daemon is killed (review, "standin left").
+func TestExitIsAcknowledgedOnceRecorded(t *testing.T) {
+	h := newHarness(t)
+	h.hear(3, startTime, Accepting{})
+	h.is.Equal(len(h.answers()), 1)
+	h.step(Connected{})
+	j, _ := find[SendJoin](h)
+	h.update(h.serviceRules(), table.NewMemberSet(j.Member()))
+	h.step(Disconnected{})
+	h.hear(0, startTime, Exiting{})
+	h.is.Equal(len(h.answers()), 0)
+	h.step(Connected{})
+	l, ok := find[SendLeave](h)
+	h.is.True(ok)
+	h.is.True(l.TargetLeft())
+	h.update(table.NewTargetLeft("i", startTime))
+	h.is.Equal(len(h.answers()), 1)
+}
+
 func TestLeaderLearnsThatATargetLeft(t *testing.T) {
 	is := is.New(t)
 	for name, c := range map[string]struct {
