End the predecessors of a target that listens at their address

Evidence about that process can be had: the target listens at its address, and no connection to it is left, since the daemon is new. A daemon whose table shows such a predecessor asks the process at the address for its name. If it is the target, it tells the leader that the predecessor holds nothing more, and joins; if it is another process, the heartbeat was late and the target isn't used. Grants keep 16 idle connections instead of 4, so that fewer are opened and asked.

--- a/core/command/agent/agent.go
+++ b/core/command/agent/agent.go
@@ -43,19 +43,20 @@
 	report       load.Report
 	handovers    map[logcmd.Release]handover
 
-	target        target
-	nextTarget    target
-	lastUsed      target         // the last one that got traffic from this process
-	slots         int            // concurrent requests of the target, 0 if the rules decide
-	targetLeft    bool           // the target has said that it stops
-	lastHeard     heardTarget    // sender of the last heartbeat
-	targetAddress string         // "" accepts a target at any address
-	tracker       *hold.Tracker  // grants to the target, nil without a target
-	lastCallID    uint64         // of the last call to any target
-	unanswered    heartbeatState // of the last heartbeat
-	heldRevision  uint64         // of the tracker, when its ranges were published
-	shutdown      shutdownState
-	effects       []Effect
+	target         target
+	nextTarget     target
+	lastUsed       target      // the last one that got traffic from this process
+	slots          int         // concurrent requests of the target, 0 if the rules decide
+	targetLeft     bool        // the target has said that it stops
+	lastHeard      heardTarget // sender of the last heartbeat
+	targetAddress  string      // "" accepts a target at any address
+	identification identification
+	tracker        *hold.Tracker  // grants to the target, nil without a target
+	lastCallID     uint64         // of the last call to any target
+	unanswered     heartbeatState // of the last heartbeat
+	heldRevision   uint64         // of the tracker, when its ranges were published
+	shutdown       shutdownState
+	effects        []Effect
 }
 
 // target identifies the local target of the daemon; the zero value means that there is none.
@@ -106,14 +107,15 @@
 // New returns an agent that has no session, no target and no lease.
 func New(opts ...Option) *Agent {
 	a := &Agent{
-		random:      func() uint64 { return 1 },
-		table:       table.Empty(),
-		params:      lease.DefaultParams(),
-		maxGrantTTL: DefaultHold,
-		delivery:    grant.ByCall{},
-		unanswered:  answered{},
-		handovers:   map[logcmd.Release]handover{},
-		shutdown:    serving{},
+		random:         func() uint64 { return 1 },
+		table:          table.Empty(),
+		params:         lease.DefaultParams(),
+		maxGrantTTL:    DefaultHold,
+		delivery:       grant.ByCall{},
+		unanswered:     answered{},
+		identification: unidentified{},
+		handovers:      map[logcmd.Release]handover{},
+		shutdown:       serving{},
 	}
 	for _, o := range opts {
 		o(a)
@@ -168,6 +170,8 @@
 		a.heartbeat(e)
 	case CallEnded:
 		a.callEnded(e)
+	case TargetIdentified:
+		a.targetIdentified(e)
 	}
 }
 
--- a/core/command/agent/effect.go
+++ b/core/command/agent/effect.go
@@ -11,7 +11,7 @@
 )
 
 // Effect is an action that the agent requests: Publish, SendJoin, SendRenew, SendLeave,
-// SendGone, AwaitQuiesced, AwaitShardDrained, AwaitAllDrained, UseTarget, SendCall, AnswerHeartbeat,
+// SendGone, AwaitQuiesced, AwaitShardDrained, AwaitAllDrained, UseTarget, SendCall, IdentifyTarget, AnswerHeartbeat,
 // DrainTarget, DropTarget, Reconnect, TargetReleased, InvariantViolated or Stopped. Effects are
 // carried out in order.
 type Effect interface{ effect() }
@@ -156,6 +156,10 @@
 // Call returns the call, with the ID that CallEnded must carry.
 func (e SendCall) Call() hold.Call { return e.call }
 
+// IdentifyTarget asks the process that listens at the address of the target for its name. The answer is reported
+// with a TargetIdentified event.
+type IdentifyTarget struct{}
+
 // AnswerHeartbeat answers a heartbeat of the target.
 type AnswerHeartbeat struct {
 	id     uint64
@@ -206,4 +210,5 @@
 func (InvariantViolated) effect() {}
 func (Stopped) effect()           {}
 func (SendCall) effect()          {}
+func (IdentifyTarget) effect()    {}
 func (AnswerHeartbeat) effect()   {}
--- a/core/command/agent/event.go
+++ b/core/command/agent/event.go
@@ -9,7 +9,7 @@
 
 // Event is an input of the agent: Ticked, Announced, Withdrawn, TargetLost, Connected, Disconnected,
 // LeaseGranted, TableUpdated, RejoinRequired, LoadMeasured, ShardQuiesced, ShardDrained, AllDrained,
-// CallEnded, Heartbeat or StopRequested.
+// CallEnded, TargetIdentified, Heartbeat or StopRequested.
 type Event interface{ event() }
 
 // Ticked reports that the instant returned by NextTick has passed.
@@ -81,6 +81,18 @@
 // NewTargetLost returns the event for the loss of the local target.
 func NewTargetLost(l Loss) TargetLost { return TargetLost{loss: l} }
 
+// TargetIdentified reports which process listens at the address of a target.
+type TargetIdentified struct {
+	name   string
+	result hold.Result
+}
+
+// NewTargetIdentified returns the event for the named target. The result is hold.Done if the target itself
+// listens, hold.Ended if another process does or none, and another one if that is not known.
+func NewTargetIdentified(name string, r hold.Result) TargetIdentified {
+	return TargetIdentified{name: name, result: r}
+}
+
 // Connected reports that a session with the leader has been established.
 type Connected struct{}
 
@@ -160,19 +172,20 @@
 // StopRequested reports that the process was asked to shut down.
 type StopRequested struct{}
 
-func (Ticked) event()         {}
-func (Announced) event()      {}
-func (Withdrawn) event()      {}
-func (TargetLost) event()     {}
-func (Connected) event()      {}
-func (Disconnected) event()   {}
-func (LeaseGranted) event()   {}
-func (TableUpdated) event()   {}
-func (RejoinRequired) event() {}
-func (LoadMeasured) event()   {}
-func (ShardQuiesced) event()  {}
-func (ShardDrained) event()   {}
-func (AllDrained) event()     {}
-func (StopRequested) event()  {}
-func (CallEnded) event()      {}
-func (Heartbeat) event()      {}
+func (Ticked) event()           {}
+func (Announced) event()        {}
+func (Withdrawn) event()        {}
+func (TargetLost) event()       {}
+func (Connected) event()        {}
+func (Disconnected) event()     {}
+func (LeaseGranted) event()     {}
+func (TableUpdated) event()     {}
+func (RejoinRequired) event()   {}
+func (LoadMeasured) event()     {}
+func (ShardQuiesced) event()    {}
+func (ShardDrained) event()     {}
+func (AllDrained) event()       {}
+func (StopRequested) event()    {}
+func (CallEnded) event()        {}
+func (TargetIdentified) event() {}
+func (Heartbeat) event()        {}
--- a/core/command/agent/keys.go
+++ b/core/command/agent/keys.go
@@ -10,7 +10,7 @@
 // setTarget replaces the target; the zero value means none. It is not yet known what the new
 // target holds.
 func (a *Agent) setTarget(t target) {
-	a.target, a.targetLeft = t, false
+	a.target, a.targetLeft, a.identification = t, false, unidentified{}
 	if t.service != "" {
 		a.lastUsed = t
 	}
--- a/core/command/agent/session.go
+++ b/core/command/agent/session.go
@@ -43,11 +43,16 @@
 		a.emit(Reconnect{})
 		return
 	}
-	m := table.NewMember(a.self, a.instance, a.zone, a.address, a.target.service, table.Warming{}).WithTargetStartTime(a.target.startTime)
-	a.emit(SendJoin{member: m, group: a.group})
+	a.endPredecessors()
+	a.emit(SendJoin{member: a.member(), group: a.group})
 	a.nextRenew = a.now.Add(a.params.RenewInterval())
 }
 
+// member returns the member that this daemon joins as.
+func (a *Agent) member() table.Member {
+	return table.NewMember(a.self, a.instance, a.zone, a.address, a.target.service, table.Warming{}).WithTargetStartTime(a.target.startTime)
+}
+
 func (a *Agent) tick() {
 	if a.now < a.nextRenew {
 		return
@@ -120,6 +125,9 @@
 		a.withdrawn()
 	}
 	a.checkMembership()
+	if !a.joined && a.isServing() {
+		a.endPredecessors()
+	}
 	a.dropCompletedHandovers()
 	a.reconcileSpans()
 	a.publish()
--- a/verbenad/adapt/grants/grants.go
+++ b/verbenad/adapt/grants/grants.go
@@ -24,7 +24,7 @@
 	// it once its requests for the keys have ended.
 	grantTimeout    = 700 * time.Millisecond
 	releaseTimeout  = 2500 * time.Millisecond
-	maxIdleConns    = 4
+	maxIdleConns    = 16
 	idleConnTimeout = 8 * time.Second
 	// maxHeaderBytes is the size in bytes of the largest header of a response.
 	maxHeaderBytes = 16 << 10
@@ -117,6 +117,28 @@
 	go func() { done(c.send(s, call)) }()
 }
 
+// Identify asks the process that listens at the address of the current process for its name, from another
+// goroutine. done gets hold.Done if it is that process, hold.Ended if it has ended, and hold.Unreached otherwise.
+func (c *Client) Identify(done func(hold.Result)) {
+	c.mu.Lock()
+	s := c.session
+	c.mu.Unlock()
+	go func() { done(c.identify(s)) }()
+}
+
+func (c *Client) identify(s *session) hold.Result {
+	if s == nil {
+		return hold.Unreached{}
+	}
+	n, err := s.dial(context.Background(), "", "")
+	if err == nil {
+		_ = n.Close()
+		return hold.NewDone("")
+	}
+	c.log.WithError(err).Warn("keeper: the target at its address is not known to be the one that sends heartbeats")
+	return s.failure(err)
+}
+
 func (c *Client) send(s *session, call hold.Call) hold.Result {
 	first, last := call.Keys()
 	log := c.log.WithField("first", uint32(first)).WithField("last", uint32(last))
--- a/verbenad/command/ctrl/agent.go
+++ b/verbenad/command/ctrl/agent.go
@@ -38,6 +38,8 @@
 	case agent.SendCall:
 		id := f.Call().ID()
 		l.target.SendCall(f.Call(), func(r hold.Result) { l.Post(NewAgentEvent(agent.NewCallEnded(id, r))) })
+	case agent.IdentifyTarget:
+		l.target.Identify(func(name string, r hold.Result) { l.Post(NewAgentEvent(agent.NewTargetIdentified(name, r))) })
 	case agent.AnswerHeartbeat:
 		l.observer.HeartbeatAnswered(f.ID(), f.Answer())
 	case agent.DrainTarget:
--- a/verbenad/command/ctrl/ports.go
+++ b/verbenad/command/ctrl/ports.go
@@ -53,6 +53,9 @@
 	// SendCall sends the target a call that grants or releases keys, and calls done once with its
 	// result.
 	SendCall(c hold.Call, done func(hold.Result))
+	// Identify asks the process at the target's address for its name, and calls done once with the name of
+	// the target and hold.Done if it is that process, hold.Ended if the target has ended.
+	Identify(done func(name string, r hold.Result))
 }
 
 // RequestTracker reports when requests in flight at the local target have ended. Each method calls
--- a/verbenad/command/serve/target.go
+++ b/verbenad/command/serve/target.go
@@ -101,6 +101,13 @@
 // SendCall sends the target a call that grants or releases keys; done gets its result.
 func (l *localTarget) SendCall(c hold.Call, done func(hold.Result)) { l.grantClient.SendCall(c, done) }
 
+// Identify asks the process at the address of the current target for its name; done gets the name of that target, and
+// hold.Done if it is the one.
+func (l *localTarget) Identify(done func(name string, r hold.Result)) {
+	name := l.current.Name()
+	l.grantClient.Identify(func(r hold.Result) { done(name, r) })
+}
+
 // Send makes one attempt of a request at the target. Drop cancels it.
 func (l *localTarget) Send(ctx context.Context, a call.Attempt) call.Reply {
 	l.mu.Lock()
