--- a/core/command/leader/grants_daemon_test.go
+++ b/core/command/leader/grants_daemon_test.go
@@ -32,7 +32,6 @@
 	listener   *process   // process at the address, nil if there is none
 	processes  []*process // all of them, for late heartbeats
 	answeredAt clock.Millis
-	drained    bool // no request of this daemon is in flight
 }
 
 func (d *grantDaemon) start() {
--- a/verbenad/adapt/grants/process.go
+++ b/verbenad/adapt/grants/process.go
@@ -137,6 +137,7 @@
 	if err != nil {
 		return false, s.unidentified(err)
 	}
+	defer func() { _ = resp.Body.Close() }()
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 		return false, s.unidentified(err)
 	}
--- a/vscale/command/fake/traffic.go
+++ b/vscale/command/fake/traffic.go
@@ -48,3 +48,6 @@
 
 // SendCall reports success at once, since there is no target that holds keys.
 func (noTraffic) SendCall(_ hold.Call, done func(hold.Result)) { done(hold.Done{}) }
+
+// Identify says that the process at the target's address is not known.
+func (noTraffic) Identify(done func(string, hold.Result)) { done("", hold.Unreached{}) }
