Keep the question for predecessors and the retirement apart

A command that also returned a view (awaitPredecessors) is a query and a command now; what a heartbeat's answer waits for is said at its type. No change of behaviour: the same tests pass.

--- a/core/command/agent/heartbeat.go
+++ b/core/command/agent/heartbeat.go
@@ -14,7 +14,8 @@
 const supersedeAfter = 2500 * clock.Millisecond
 
 // Heartbeat is sent by a target periodically, with its address, capacity and life-cycle phase. Each one
-// is answered by one AnswerHeartbeat effect, at once or a little later.
+// is answered by one AnswerHeartbeat effect, at once or a little later. Those of a target that leaves get no answer
+// before the table says that it has left.
 type Heartbeat struct {
 	id        uint64
 	report    grant.Report
--- a/core/command/leader/grants_random_test.go
+++ b/core/command/leader/grants_random_test.go
@@ -334,7 +334,7 @@
 	{"an earlier process may have granted", "../hold/reconcile.go", "p.mayHoldUntil = latestEnd(now, t.maxTTL)", "p.mayHoldUntil = now"},
 	{"a grant ends before the lease", "../hold/calls.go", "ttl = min(t.maxTTL, (t.leaseEnd-now-DeliveryMargin)*100/(100+clockDriftPercent))", "ttl = t.maxTTL"},
 	{"a predecessor has ended if the target listens", "../agent/predecessor.go", "	case unidentified:\n", "	case unidentified:\n		for _, m := range list {\n			a.emit(SendGone{incarnation: m.Incarnation()})\n		}\n"},
-	{"a predecessor keeps its keys", "member.go", "if !l.awaitPredecessors(e.member) && !l.pending", "if !l.pending"},
+	{"a predecessor keeps its keys", "member.go", "if len(predecessors) == 0 && !l.pending", "if !l.pending"},
 }
 
 // TestGrantGuards takes out one guard after the other and requires the simulation to fail. It runs only when MUTANTS is
--- a/core/command/leader/member.go
+++ b/core/command/leader/member.go
@@ -19,8 +19,9 @@
 	queued   []pendingRenewal
 }
 
-// onJoin proposes a new member. A daemon repeats the request until it sees itself in the table;
-// changes that were sent on its session are not sent again.
+// onJoin proposes a new member. The join removes earlier incarnations of its instance, so it waits while one of them
+// owns anything. A daemon repeats the request until it sees itself in the table; changes that were sent on its
+// session are not sent again.
 func (l *Leader) onJoin(e JoinRequested) {
 	s, ok := l.sessions[e.session]
 	if !ok || (e.group != 0 && e.group != l.group) {
@@ -40,28 +41,36 @@
 		l.sendUpdate(e.session, s)
 		return
 	}
-	if !l.awaitPredecessors(e.member) && !l.pending(l.joinProposedAt[i]) {
+	predecessors := l.owningPredecessors(e.member)
+	for _, m := range predecessors {
+		l.retire(m)
+	}
+	if len(predecessors) == 0 && !l.pending(l.joinProposedAt[i]) {
 		l.joinProposedAt[i] = l.now
 		l.submit(logcmd.NewJoin(e.member))
 	}
 	l.sendUpdate(e.session, s)
 }
 
-// awaitPredecessors reports whether a join must wait for earlier incarnations of its instance, which it removes.
-// That another target process has started says nothing about keys that its predecessor was granted: these are free
-// once they were released, or the lease has expired. Until then the predecessor gets nothing more.
-func (l *Leader) awaitPredecessors(m table.Member) bool {
-	waits := false
-	for _, o := range l.fleet.Table().Members() {
-		if !o.Precedes(m) || !l.leases.MayRenew(o.Incarnation()) || !l.fleet.Table().OwnsAny(o.Service(), o.Incarnation()) {
-			continue
-		}
-		waits = true
-		if _, leaving := o.Phase().(table.Leaving); !leaving {
-			l.proposeOnce(logcmd.NewSetPhase(o.Incarnation(), table.Leaving{}))
+// owningPredecessors returns the earlier incarnations of the instance of m that own anything and whose lease may be
+// renewed. That another target process has started says nothing about the keys that they were granted: these are free
+// once they were released, or the lease has expired.
+func (l *Leader) owningPredecessors(m table.Member) []table.Member {
+	t := l.fleet.Table()
+	var list []table.Member
+	for _, o := range t.Members() {
+		if o.Precedes(m) && l.leases.MayRenew(o.Incarnation()) && t.OwnsAny(o.Service(), o.Incarnation()) {
+			list = append(list, o)
 		}
 	}
-	return waits
+	return list
+}
+
+// retire proposes that a member gets nothing more.
+func (l *Leader) retire(m table.Member) {
+	if _, leaving := m.Phase().(table.Leaving); !leaving {
+		l.proposeOnce(logcmd.NewSetPhase(m.Incarnation(), table.Leaving{}))
+	}
 }
 
 // onRenew counts the lease from the arrival of the renewal and answers it once a quorum has
