--- a/core/command/leader/grants_daemon_test.go
+++ b/core/command/leader/grants_daemon_test.go
@@ -13,11 +13,11 @@
 )
 
 const (
-	beatInterval    = 1500 * clock.Millisecond
-	maxBeatDelay    = 5 * clock.Second
-	callTimeout     = 700 * clock.Millisecond
-	silenceForLoss  = 3500 * clock.Millisecond
-	refusalsForLoss = 20 * clock.Millisecond
+	heartbeatInterval = 1500 * clock.Millisecond
+	maxHeartbeatDelay = 5 * clock.Second
+	callTimeout       = 700 * clock.Millisecond
+	silenceForLoss    = 3500 * clock.Millisecond
+	refusalsForLoss   = 20 * clock.Millisecond
 )
 
 // grantDaemon is a daemon with a real agent. Its target is one process after the other at one address.
@@ -182,11 +182,11 @@
 	}
 	p := newProcess(d.sim, fmt.Sprintf("%s-%d", d.name, len(d.processes)), startTime)
 	d.listener, d.processes = p, append(d.processes, p)
-	d.beat(p)
+	d.sendHeartbeats(p)
 }
 
-// beat sends heartbeats while the process runs. Some arrive late, also after its end.
-func (d *grantDaemon) beat(p *process) {
+// sendHeartbeats sends heartbeats while the process runs. Some arrive late, also after its end.
+func (d *grantDaemon) sendHeartbeats(p *process) {
 	if !p.up {
 		return
 	}
@@ -195,7 +195,7 @@
 		h := agent.NewHeartbeat(p.name, p.startTime, p.sequence, agent.Accepting{}).WithService(orderedService, d.name, 9)
 		delay := d.sim.delay()
 		if d.sim.rand.IntN(4) == 0 {
-			delay = d.sim.randomUpTo(maxBeatDelay)
+			delay = d.sim.randomUpTo(maxHeartbeatDelay)
 		}
 		d.sim.after(delay, func() {
 			if p.name == d.current {
@@ -204,7 +204,7 @@
 			d.step(d.generation, h)
 		})
 	})
-	d.sim.after(beatInterval, func() { d.beat(p) })
+	d.sim.after(heartbeatInterval, func() { d.sendHeartbeats(p) })
 }
 
 // watch detects the loss of the target: no process listens at its address, or the target is silent.
--- a/core/command/leader/grants_random_test.go
+++ b/core/command/leader/grants_random_test.go
@@ -33,9 +33,6 @@
 // grantLeaseParams are leases that are longer than a target is silent.
 var grantLeaseParams = lease.NewParams(4*clock.Second, 100*clock.Millisecond, 500*clock.Millisecond, clock.Second)
 
-// grantsToAddress is a mutation: calls go to whatever process listens at the address of the target.
-const grantsToAddress mutation = 1000
-
 // grantSimulation is a deterministic simulation of daemons whose targets get their keys by calls, with a leader that
 // is never lost. Agents, hold trackers, leader and log commands are the real ones.
 type grantSimulation struct {
@@ -175,7 +172,7 @@
 		sm.closePort(d)
 	case 5: // the next daemon hears the old process or the new one first
 		sm.replace(d, often)
-		sm.after(sm.randomUpTo(maxBeatDelay), d.start)
+		sm.after(sm.randomUpTo(maxHeartbeatDelay), d.start)
 	default:
 		sm.move()
 	}
@@ -260,7 +257,7 @@
 	}
 	for _, d := range sm.daemons {
 		for _, o := range d.processes {
-			if o != p && o.up && o.busyUntil[k] > sm.now && sm.now < o.held[k].until {
+			if o != p && o.up && o.busyUntil[k] > sm.now && sm.now < o.grantEnds[k] {
 				sm.fail("%s takes key %d while %s is at work on it", p.name, k, o.name)
 			}
 		}
--- a/core/command/leader/grants_target_test.go
+++ b/core/command/leader/grants_target_test.go
@@ -20,6 +20,7 @@
 	held      map[table.Key]heldKey
 	seen      map[table.Key]table.Epoch // highest epoch
 	busyUntil map[table.Key]clock.Millis
+	grantEnds map[table.Key]clock.Millis // of the last grant of a key, also after its release
 	resumed   []func()
 }
 
@@ -33,6 +34,7 @@
 	return &process{
 		sim: sm, name: name, startTime: startTime, up: true, listens: true,
 		held: map[table.Key]heldKey{}, seen: map[table.Key]table.Epoch{}, busyUntil: map[table.Key]clock.Millis{},
+		grantEnds: map[table.Key]clock.Millis{},
 	}
 }
 
@@ -57,6 +59,7 @@
 	for k := first; k <= last; k++ {
 		p.seen[k] = g.Epoch()
 		p.held[k] = heldKey{epoch: g.Epoch(), until: until}
+		p.grantEnds[k] = until
 		p.sim.checkTaken(p, k, g.Epoch())
 	}
 	return hold.NewDone("")
--- a/core/command/leader/simulation_test.go
+++ b/core/command/leader/simulation_test.go
@@ -46,6 +46,7 @@
 	countFromAnswer
 	drainOwnShardOnly
 	forgetRemoved
+	grantsToAddress // calls go to whatever process listens at the address of the target
 )
 
 // event is a callback at an instant of the simulated time.
