Count a connection from when it is opened, before it is known where it leads

Found by reading: a connection that had just been opened to a target, and was being asked for its name, was not counted. If the target closed its port in that moment, a call that was refused at the same time took it for ended, though the first connection led to it. Now it counts until it is closed; the refused call is made again. No test shows the race; the tests of grants pass as before. The stand-in for a missing connection is gone.

--- a/verbenad/adapt/grants/process.go
+++ b/verbenad/adapt/grants/process.go
@@ -42,7 +42,7 @@
 	onConnRefused func()
 	transport     *http.Transport
 	client        *http.Client
-	open          atomic.Int64 // connections to the process
+	open          atomic.Int64 // connections that lead to the process, or may
 }
 
 func newSession(p Process, d Dialect, healthPath func(service string) string, onConnRefused func()) *session {
@@ -73,16 +73,14 @@
 		return nil, err
 	}
 	reusable, err := s.identify(c)
-	if err == nil && !reusable {
-		_ = c.Close()
-		c, err = s.dialBeside(ctx)
+	if err == nil && reusable {
+		return c, nil
 	}
+	_ = c.Close()
 	if err != nil {
-		_ = c.Close()
 		return nil, err
 	}
-	s.open.Add(1)
-	return &processConn{Conn: c, onClose: sync.OnceFunc(func() { s.open.Add(-1) })}, nil
+	return s.dialBeside(ctx)
 }
 
 // dialBeside opens a connection to a process that closes each connection after its answer, as one that stops
@@ -91,18 +89,28 @@
 func (s *session) dialBeside(ctx context.Context) (net.Conn, error) {
 	c, err := s.connect(ctx)
 	if err != nil {
-		return c, err
+		return nil, err
 	}
-	asked, err := s.connect(ctx)
+	if err := s.askBeside(ctx); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// askBeside returns an error unless the process answers on a connection that is opened for the question.
+func (s *session) askBeside(ctx context.Context) error {
+	c, err := s.connect(ctx)
 	if err != nil {
-		return c, err
+		return err
 	}
-	defer func() { _ = asked.Close() }()
-	_, err = s.identify(asked)
-	return c, err
+	defer func() { _ = c.Close() }()
+	_, err = s.identify(c)
+	return err
 }
 
-// connect opens a connection to whatever listens at the address. The connection is never nil.
+// connect opens a connection to whatever listens at the address. It counts as one to the process until it is
+// closed, also while it is not known to lead there.
 func (s *session) connect(ctx context.Context) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
 	c, err := d.DialContext(ctx, "tcp", s.process.address)
@@ -110,17 +118,12 @@
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			s.onConnRefused()
 		}
-		return noConn{}, err
+		return nil, err
 	}
-	return c, nil
+	s.open.Add(1)
+	return &processConn{Conn: c, onClose: sync.OnceFunc(func() { s.open.Add(-1) })}, nil
 }
 
-// noConn takes the place of a connection that could not be opened.
-type noConn struct{ net.Conn }
-
-// Close implements net.Conn.
-func (noConn) Close() error { return nil }
-
 // identify asks which process a new connection leads to. It returns an error unless it is the process of this
 // session, and whether the connection can be used after the answer.
 func (s *session) identify(c net.Conn) (reusable bool, err error) {
