--- a/core/command/agent/predecessor_test.go
+++ b/core/command/agent/predecessor_test.go
@@ -4,7 +4,6 @@
 	"testing"
 
 	"verbenabank/core/command/hold"
-	"verbenabank/core/state/rules"
 	"verbenabank/core/state/table"
 )
 
@@ -27,8 +26,7 @@
 			const earlier = 77
 			h.hearFrom("t", startTime, 3)
 			h.step(Connected{})
-			r := rules.New(3, "d", rules.NewService(service, rules.WithKind(rules.NewOrdered(rules.NewHeader("Key"), 100))))
-			h.update(table.NewRulesSet(r),
+			h.update(orderedRules(),
 				table.NewMemberSet(table.NewMember(earlier, "i", "z", "a", service, table.Serving{}).WithTargetStartTime(startTime-1)),
 				table.NewSpanSet(service, table.NewSpan(0, 99, table.NewOwned(earlier, 5))))
 			_, asks := find[IdentifyTarget](h)
--- a/core/command/agent/replace_test.go
+++ b/core/command/agent/replace_test.go
@@ -16,8 +16,7 @@
 	h.step(Connected{})
 	j, ok := find[SendJoin](h)
 	h.is.True(ok)
-	r := rules.New(3, "d", rules.NewService(service, rules.WithKind(rules.NewOrdered(rules.NewHeader("Key"), 100))))
-	h.update(table.NewRulesSet(r), table.NewMemberSet(j.Member()))
+	h.update(orderedRules(), table.NewMemberSet(j.Member()))
 	h.update(table.NewSpanSet(service, table.NewSpan(0, 99, table.NewOwned(j.Member().Incarnation(), 5))))
 	h.now += h.agent.params.RenewInterval()
 	h.step(Ticked{})
@@ -27,6 +26,12 @@
 	return c.Call()
 }
 
+// orderedRules returns the change that makes the service an ordered one with the keys 0 to 99.
+func orderedRules() table.Change {
+	kind := rules.NewOrdered(rules.NewHeader("Key"), 100)
+	return table.NewRulesSet(rules.New(3, "d", rules.NewService(service, rules.WithKind(kind))))
+}
+
 // tick lets time pass. The leader answers renewals.
 func (h *harness) tick(d clock.Millis) {
 	h.now += d
--- a/verbenad/adapt/target/conn.go
+++ b/verbenad/adapt/target/conn.go
@@ -22,8 +22,8 @@
 	idleTimeout time.Duration // the smaller of this and the client's applies
 	reader      *bufio.Reader
 	writer      *bufio.Writer
-	wrote       atomic.Bool          // a byte of the current request may have left the daemon
-	carried     map[uint64]time.Time // until when a request that the connection has carried may be repeated, by hash
+	wrote       atomic.Bool               // a byte of the current request may have left the daemon
+	carried     map[requestHash]time.Time // until when a request that the connection has carried may be repeated, by hash
 }
 
 func newConn(n net.Conn, address string) *conn {
@@ -44,30 +44,43 @@
 	return n, err
 }
 
+// requestHash is the hash of a request ID, 0 if there is none.
+type requestHash uint64
+
 // hashSeed is the seed of the hashes of request IDs.
 var hashSeed = maphash.MakeSeed()
 
+func hashRequest(id string) requestHash {
+	if id == "" {
+		return 0
+	}
+	return requestHash(maphash.String(hashSeed, id))
+}
+
 // minPruned is the number of recorded requests from which on those that are over are removed.
 const minPruned = 64
 
 // recordCarried records that the connection has carried a request, which may be repeated until an instant. A
 // connection carries a request once only: a copy of the first response would pass for the second one, since the
 // request ID is the same.
-func (c *conn) recordCarried(requestID string, until time.Time) {
+func (c *conn) recordCarried(h requestHash, until time.Time) {
+	if h == 0 {
+		return
+	}
 	if c.carried == nil {
-		c.carried = map[uint64]time.Time{}
+		c.carried = map[requestHash]time.Time{}
 	}
 	if len(c.carried) >= minPruned {
 		now := time.Now()
-		maps.DeleteFunc(c.carried, func(_ uint64, until time.Time) bool { return now.After(until) })
+		maps.DeleteFunc(c.carried, func(_ requestHash, until time.Time) bool { return now.After(until) })
 	}
-	c.carried[maphash.String(hashSeed, requestID)] = until
+	c.carried[h] = until
 }
 
 // hasCarried reports whether the connection has carried the request.
-func (c *conn) hasCarried(requestID string) bool {
-	_, ok := c.carried[maphash.String(hashSeed, requestID)]
-	return ok && requestID != ""
+func (c *conn) hasCarried(h requestHash) bool {
+	_, ok := c.carried[h]
+	return ok
 }
 
 // markIdle prepares the connection for its next exchange and starts its idle time.
--- a/verbenad/adapt/target/response.go
+++ b/verbenad/adapt/target/response.go
@@ -120,7 +120,7 @@
 	}
 	b.err = io.EOF
 	if x.requestSent() && b.keepAlive && x.stopInterrupt() {
-		x.conn.recordCarried(x.attempt.RequestID(), x.repeatsUntil())
+		x.conn.recordCarried(hashRequest(x.attempt.RequestID()), x.repeatsUntil())
 		x.target.putIdle(x.conn)
 		x.attempt.Done()
 		return
--- a/verbenad/adapt/target/target.go
+++ b/verbenad/adapt/target/target.go
@@ -117,7 +117,7 @@
 // Send sends a request and returns the response, or a failure. The caller must read the body of the
 // response to its end or close it. The end of ctx cancels the exchange, including the body.
 func (t *Target) Send(ctx context.Context, a call.Attempt) call.Reply {
-	c, failure := t.acquire(ctx, a.RequestID())
+	c, failure := t.acquire(ctx, hashRequest(a.RequestID()))
 	if c == nil {
 		a.Done()
 		return failure
@@ -132,8 +132,8 @@
 }
 
 // acquire returns an idle or new connection for a request, or nil and the failure.
-func (t *Target) acquire(ctx context.Context, requestID string) (*conn, call.Failure) {
-	address, c := t.takeIdle(requestID)
+func (t *Target) acquire(ctx context.Context, request requestHash) (*conn, call.Failure) {
+	address, c := t.takeIdle(request)
 	if c != nil {
 		return c, call.Failure{}
 	}
@@ -156,12 +156,12 @@
 
 // takeIdle removes and returns a usable idle connection that has not carried the request, nil if there is none, and
 // the current address.
-func (t *Target) takeIdle(requestID string) (string, *conn) {
+func (t *Target) takeIdle(request requestHash) (string, *conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for i := len(t.idle) - 1; i >= 0; i-- {
 		c := t.idle[i]
-		if c.hasCarried(requestID) {
+		if c.hasCarried(request) {
 			continue
 		}
 		t.idle = slices.Delete(t.idle, i, i+1)
