--- a/verbenad/command/entry/fault_test.go
+++ b/verbenad/command/entry/fault_test.go
@@ -106,9 +106,7 @@
 
 func TestRefusedConnectionIsRetriedThenRefused(t *testing.T) {
 	is := is.New(t)
-	l := listen(t)
-	_ = l.Close()
-	e, _ := startPair(t, l.Addr().String())
+	e, _ := startPair(t, refusingAddress(t))
 	p, err := send(t, "POST", e.url+"/catalogue/k", nil, "Verbena-Deadline-Ms", "300")
 	is.NoErr(err)
 	is.Equal(p.outcome, "refused unreachable")
