Let both simulations share their timeline, and ask once how grants are delivered

Found by reading the change: the simulation of grants had its own copy of the event queue's loop, random durations and first violation; both embed one timeline now. The agent asked in two ways whether answers to heartbeats carry grants.

--- a/core/command/agent/replace_test.go
+++ b/core/command/agent/replace_test.go
@@ -142,7 +142,7 @@
 	h.is.True(h.gone())
 }
 
-// TestLateHeartbeatReplacesNoTarget guards against the use of an old boot: its heartbeat arrives while those of the
+// TestLateHeartbeatReplacesNoTarget guards against the use of an earlier process: its heartbeat arrives while those of the
 // running target are late (review case 5).
 func TestLateHeartbeatReplacesNoTarget(t *testing.T) {
 	h := newHarness(t)
--- a/core/command/agent/target.go
+++ b/core/command/agent/target.go
@@ -1,7 +1,5 @@
 package agent
 
-import "verbenabank/core/state/grant"
-
 // announced handles the announcement of the local target.
 func (a *Agent) announced(e Announced) {
 	t := target{service: e.service, address: e.address, boot: e.boot, name: e.name, incarnation: e.incarnation, startTime: e.startTime}
@@ -66,7 +64,7 @@
 		a.emit(DropTarget{})
 		a.drain(a.causeAfterLoss())
 	case PortClosed:
-		if _, ok := a.delivery.(grant.ByHeartbeat); ok {
+		if a.grantsByHeartbeat() {
 			a.discardTracker() // no call can ask it
 		}
 		a.emit(DrainTarget{})
--- a/core/command/leader/grants_random_test.go
+++ b/core/command/leader/grants_random_test.go
@@ -1,7 +1,6 @@
 package leader_test
 
 import (
-	"container/heap"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -36,11 +35,8 @@
 // grantSimulation is a deterministic simulation of daemons whose targets get their keys by calls, with a leader that
 // is never lost. Agents, hold trackers, leader and log commands are the real ones.
 type grantSimulation struct {
+	timeline
 	mutation    mutation
-	rand        *rand.Rand
-	now         clock.Millis
-	seq         int
-	queue       eventQueue
 	index       uint64
 	lastCommit  clock.Millis
 	state       *fleet.State
@@ -54,11 +50,13 @@
 	}
 	calm                  bool // no more faults
 	begun, moves, crashes int
-	violation             string
 }
 
 func newGrantSimulation(seed uint64, m mutation) *grantSimulation {
-	sm := &grantSimulation{mutation: m, rand: rand.New(rand.NewPCG(seed, 2)), now: 10_000, state: fleet.New(), sessions: map[leader.SessionID]*grantDaemon{}}
+	sm := &grantSimulation{
+		timeline: timeline{rand: rand.New(rand.NewPCG(seed, 2)), now: 10_000},
+		mutation: m, state: fleet.New(), sessions: map[leader.SessionID]*grantDaemon{},
+	}
 	sm.leader = leader.New(sm.now, groupID, sm.state, leader.WithLeaseParams(grantLeaseParams))
 	kind := rules.NewOrdered(rules.NewHeader("key"), grantKeys)
 	sm.commit(logcmd.NewSetRules(rules.New(1, "d", rules.NewService(orderedService, rules.WithKind(kind), rules.WithWarmUp(0))), "i", "f"))
@@ -74,33 +72,11 @@
 	return sm
 }
 
-func (sm *grantSimulation) fail(format string, args ...any) {
-	if sm.violation == "" {
-		sm.violation = fmt.Sprintf("at %d ms: ", sm.now) + fmt.Sprintf(format, args...)
-	}
-}
-
-func (sm *grantSimulation) randomUpTo(limit clock.Millis) clock.Millis {
-	return clock.Millis(sm.rand.Int64N(int64(limit) + 1))
-}
-
 // delay returns a short delay of a message.
 func (sm *grantSimulation) delay() clock.Millis { return 1 + sm.randomUpTo(4) }
 
-func (sm *grantSimulation) after(delay clock.Millis, run func()) {
-	sm.seq++
-	heap.Push(&sm.queue, event{at: sm.now.Add(max(0, delay)), seq: sm.seq, run: run})
-}
-
 // run processes events until the instant or the first violation.
-func (sm *grantSimulation) run(until clock.Millis) {
-	for sm.violation == "" && sm.queue[0].at <= until {
-		e := heap.Pop(&sm.queue).(event)
-		sm.now = e.at
-		e.run()
-		sm.check()
-	}
-}
+func (sm *grantSimulation) run(until clock.Millis) { sm.runUntil(until, sm.check) }
 
 func (sm *grantSimulation) commit(c logcmd.Command) {
 	sm.index++
@@ -323,7 +299,7 @@
 // grantGuards are the guards of the code that keeps keys with the process that was granted them.
 var grantGuards = []struct{ guard, file, old, new string }{
 	{"a replaced target is no dead one", "../agent/target.go", "		a.drainReplacedTarget()\n", "		a.targetLost(NewTargetLost(Dead{}))\n"},
-	{"a closed port is no end", "../agent/target.go", "if _, ok := a.delivery.(grant.ByHeartbeat); ok {", "if _, ok := a.delivery.(grant.ByHeartbeat); ok || true {"},
+	{"a closed port is no end", "../agent/target.go", "if a.grantsByHeartbeat() {", "if true {"},
 	{"a draining target holds keys", "../agent/shutdown.go", "if st.idle && (a.tracker == nil || a.tracker.HoldsNothing(a.now)) {", "if st.idle {"},
 	{"a result is for the keys of its call", "../hold/calls.go", "	t.splitAtCall(c.call)\n", ""},
 	{"an unanswered grant may take effect", "../hold/calls.go", "p.unansweredUntil = max(p.unansweredUntil, latestEnd(now, g.ttl))", "_ = latestEnd(now, g.ttl)"},
--- a/core/command/leader/simulation_test.go
+++ b/core/command/leader/simulation_test.go
@@ -70,14 +70,46 @@
 	return last
 }
 
+// timeline is the simulated time of a run with its random numbers, its events and its first violation.
+type timeline struct {
+	rand      *rand.Rand
+	now       clock.Millis
+	seq       int
+	queue     eventQueue
+	violation string
+}
+
+func (tl *timeline) fail(format string, args ...any) {
+	if tl.violation == "" {
+		tl.violation = fmt.Sprintf("at %d ms: ", tl.now) + fmt.Sprintf(format, args...)
+	}
+}
+
+// randomUpTo returns a random duration of at most limit, inclusive.
+func (tl *timeline) randomUpTo(limit clock.Millis) clock.Millis {
+	return clock.Millis(tl.rand.Int64N(int64(limit) + 1))
+}
+
+func (tl *timeline) after(delay clock.Millis, run func()) {
+	tl.seq++
+	heap.Push(&tl.queue, event{at: tl.now.Add(delay), seq: tl.seq, run: run})
+}
+
+// runUntil processes events until the instant or the first violation, with a check after each.
+func (tl *timeline) runUntil(until clock.Millis, check func()) {
+	for tl.queue.Len() > 0 && tl.violation == "" && tl.queue[0].at <= until {
+		e := heap.Pop(&tl.queue).(event)
+		tl.now = e.at
+		e.run()
+		check()
+	}
+}
+
 // simulation is a deterministic simulation of agents and leaders, which are the real ones, with a
 // fake log, network, clocks and targets.
 type simulation struct {
+	timeline
 	mutation     mutation
-	rand         *rand.Rand
-	now          clock.Millis
-	seq          int
-	queue        eventQueue
 	log          []logcmd.Command
 	state        *fleet.State
 	leader       *leaderNode
@@ -89,7 +121,6 @@
 	served       int
 	faults       int
 	grants       int
-	violation    string
 }
 
 // leaderNode is one leader; it may be deposed without knowing it yet.
@@ -103,7 +134,7 @@
 }
 
 func newSimulation(seed uint64, f mutation, daemons int) *simulation {
-	sm := &simulation{mutation: f, rand: rand.New(rand.NewPCG(seed, 1)), state: fleet.New(), owners: map[string]table.Incarnation{}}
+	sm := &simulation{timeline: timeline{rand: rand.New(rand.NewPCG(seed, 1))}, mutation: f, state: fleet.New(), owners: map[string]table.Incarnation{}}
 	r := rules.New(1, "d", rules.NewService(service, rules.WithKind(rules.NewKeyed(rules.NewPathSegment(2), shards)), rules.WithWarmUp(0)))
 	sm.commit(logcmd.NewSetRules(r, "i", "f"))
 	sm.elect()
@@ -113,31 +144,8 @@
 	return sm
 }
 
-func (sm *simulation) fail(format string, args ...any) {
-	if sm.violation == "" {
-		sm.violation = fmt.Sprintf("at %d ms: ", sm.now) + fmt.Sprintf(format, args...)
-	}
-}
-
-// randomUpTo returns a random duration of at most limit, inclusive.
-func (sm *simulation) randomUpTo(limit clock.Millis) clock.Millis {
-	return clock.Millis(sm.rand.Int64N(int64(limit) + 1))
-}
-
-func (sm *simulation) after(delay clock.Millis, run func()) {
-	sm.seq++
-	heap.Push(&sm.queue, event{at: sm.now.Add(delay), seq: sm.seq, run: run})
-}
-
 // run processes events until the instant or the first violation.
-func (sm *simulation) run(until clock.Millis) {
-	for sm.queue.Len() > 0 && sm.violation == "" && sm.queue[0].at <= until {
-		e := heap.Pop(&sm.queue).(event)
-		sm.now = e.at
-		e.run()
-		sm.check()
-	}
-}
+func (sm *simulation) run(until clock.Millis) { sm.runUntil(until, sm.check) }
 
 // elect starts a new leader that has applied the whole log.
 func (sm *simulation) elect() {
