Log a daemon's search for a session, and how late its control goroutine runs

A daemon now logs with each session how long it had none and what became of its attempts (every 2 s while it has none), and verbenad.control_lag_ms and a log line say how late its control goroutine runs. The decisions where and when to try next moved from the uplink to core/command/attach, unchanged, so that a test can replay them; the test of their backoff moved with them.

Tests of both packages pass.

--- a/core/command/attach/attach_test.go
+++ b/core/command/attach/attach_test.go
@@ -1,26 +1,54 @@
-package link
+package attach
 
 import (
+	"math/rand/v2"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
+
+	"verbenabank/core/clock"
 )
 
+func newPlan(fleet int) *Plan {
+	random := rand.New(rand.NewPCG(1, 1))
+	return New(WithFleetSize(func() int { return fleet }),
+		WithRandom(func(limit clock.Millis) clock.Millis { return clock.Millis(random.Int64N(int64(limit))) }))
+}
+
 // TestAttemptsToAttachDoNotGrowWithTheFleet guards against daemons that keep the replicas from electing a leader:
 // hundreds of daemons that each open a connection every 80 ms take more processor time than small replicas have.
 func TestAttemptsToAttachDoNotGrowWithTheFleet(t *testing.T) {
 	is := is.New(t)
 	for _, size := range []int{12, 68, 281} {
-		total := time.Duration(0)
+		p := newPlan(size)
+		for range maxDoublings {
+			p.End(Unanswered{})
+		}
+		total := clock.Millis(0)
 		const attempts = 200
 		for range attempts {
-			total += attachDelay(maxAttachDoublings, size)
+			total += p.End(Unanswered{})
 		}
-		perSecond := float64(size) / (total / attempts).Seconds()
+		perSecond := float64(size) / (total / attempts).Duration().Seconds()
 		is.True(perSecond <= 440)
 	}
-	is.True(attachLimit(12) == 80*time.Millisecond) // small fleets find a new leader as soon as before
-	is.True(attachLimit(0) > attachLimit(68))       // a daemon without a table may be one of many
-	is.True(attachLimit(7200) == 800*time.Millisecond)
+	is.True(newPlan(12).limit() == 80) // small fleets find a new leader as soon as before
+	is.True(newPlan(0).limit() > newPlan(68).limit())
+	is.True(newPlan(7200).limit() == 800)
+}
+
+// TestRedirectsAreFollowedAtOnce guards against daemons that look for the leader in turn although a replica named it,
+// and against attempts without a delay at a replica that names itself.
+func TestRedirectsAreFollowedAtOnce(t *testing.T) {
+	is := is.New(t)
+	p, replicas := newPlan(12), []string{"a", "b", "c"}
+	is.Equal(p.Next(replicas), "a")
+	is.Equal(p.End(NewRedirected("c")), clock.Millis(0))
+	is.Equal(p.Next(replicas), "c")
+	is.True(p.End(NewRedirected("c")) > 0)
+	is.Equal(p.Next(replicas), "b")
+	is.Equal(p.Tally().Attempts(), 3)
+	is.Equal(p.Tally().Redirects(), 2)
+	is.True(p.End(NewServed("")) > 0)
+	is.Equal(p.Tally().Attempts(), 0)
 }
--- a/verbenad/adapt/link/link.go
+++ b/verbenad/adapt/link/link.go
@@ -15,14 +15,6 @@
 	connectTimeout = 500 * time.Millisecond
 	minBackoff     = 20 * time.Millisecond
 	maxBackoff     = 250 * time.Millisecond
-	// Mean delays between two attempts to attach grow from minBackoff to a limit that depends on the size of the
-	// fleet, between minAttachBackoff and maxAttachBackoff: each attempt costs a replica a connection, and all
-	// daemons try at the same time when there is no leader.
-	minAttachBackoff     = 80 * time.Millisecond
-	maxAttachBackoff     = 800 * time.Millisecond
-	attachBackoffPerPeer = 2500 * time.Microsecond
-	unknownFleetSize     = 128 // assumed before the first table
-	maxAttachDoublings   = 6
 )
 
 // Lengths of send queues, in messages.
--- a/verbenad/adapt/link/uplink.go
+++ b/verbenad/adapt/link/uplink.go
@@ -4,13 +4,14 @@
 	"context"
 	"math/rand/v2"
 	"sync"
-	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 	"google.golang.org/grpc"
 
+	"verbenabank/core/clock"
 	"verbenabank/core/command/agent"
+	"verbenabank/core/command/attach"
 	"verbenabank/core/wire/codec"
 	"verbenabank/core/wire/wirepb"
 )
@@ -102,57 +103,34 @@
 	return nil
 }
 
-// run attaches to one replica after the other, to the address of a redirect first.
-// It backs off between failed attempts, so that a large fleet without a leader does
-// not keep the replicas from electing one.
+// run attaches to one replica after the other, as the plan says.
 func (u *Uplink) run(ctx context.Context) {
-	next, hint, failures := 0, "", 0
+	plan := attach.New(attach.WithFleetSize(u.size), attach.WithRandom(randomBelow))
+	search := newSearch(u.log)
 	for ctx.Err() == nil {
-		address := hint
-		if address == "" {
-			list := u.replicas.List()
-			address = list[next%len(list)]
-			next++
-		}
-		attached := false
-		hint, attached = u.attach(ctx, address)
-		if attached {
-			failures = 0
-			pause(ctx, rand.N(attachLimit(u.size())/2))
-		}
-		if hint == address || hint == "" {
-			hint = ""
-			pause(ctx, attachDelay(failures, u.size()))
-			failures++
+		address := plan.Next(u.replicas.List())
+		outcome := u.attach(ctx, address, func() { search.found(address, plan.Tally()) })
+		if _, served := outcome.(attach.Served); served {
+			search = newSearch(u.log)
+			u.log.WithField("address", address).Info("link: session closed")
 		}
+		delay := plan.End(outcome)
+		search.report(plan.Tally())
+		pause(ctx, delay.Duration())
 	}
 }
 
-// attachDelay returns the delay after a number of failed attempts in a fleet of a size: exponential
-// backoff with jitter of plus or minus 50 %.
-func attachDelay(failures, fleetSize int) time.Duration {
-	delay := min(minBackoff<<min(failures, maxAttachDoublings), attachLimit(fleetSize))
-	return delay/2 + rand.N(delay)
-}
-
-// attachLimit returns the longest mean delay between two attempts to attach in a fleet of a size, 0 if
-// that is not known.
-func attachLimit(fleetSize int) time.Duration {
-	if fleetSize == 0 {
-		fleetSize = unknownFleetSize
-	}
-	return max(minAttachBackoff, min(maxAttachBackoff, time.Duration(fleetSize)*attachBackoffPerPeer))
-}
+// randomBelow returns a random duration below the limit, which is at least 1 ms.
+func randomBelow(limit clock.Millis) clock.Millis { return rand.N(max(1, limit)) }
 
-// attach opens a session with one replica and runs it if that replica leads. It
-// returns the address that the replica redirects to, if any, and whether there was a
-// session.
-func (u *Uplink) attach(parent context.Context, address string) (string, bool) {
+// attach opens a session with one replica and runs it if that replica leads. It calls opened when the session
+// begins, and returns how the attempt ended.
+func (u *Uplink) attach(parent context.Context, address string, opened func()) attach.Outcome {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	conn, err := dial(address, u.options)
 	if err != nil {
-		return "", false
+		return attach.Unconnected{}
 	}
 	defer func() { _ = conn.Close() }()
 	timeout, stop := context.WithTimeout(ctx, connectTimeout)
@@ -160,25 +138,23 @@
 	context.AfterFunc(timeout, func() { u.cancelOnTimeout(timeout, cancel) })
 	stream, err := wirepb.NewControlClient(conn).Attach(withPacked(ctx))
 	if err != nil {
-		return "", false
+		return attach.Unconnected{}
 	}
 	m, err := stream.Recv()
 	stop()
 	if err != nil {
 		u.log.WithError(err).WithField("address", address).Debug("link: replica did not open a session")
-		return "", false
+		return attach.Unanswered{}
 	}
 	if r := m.GetRedirect(); r != nil {
-		return r.GetAddress(), false
+		return attach.NewRedirected(r.GetAddress())
 	}
 	if m.GetWelcome() == nil {
-		return "", false
+		return attach.Unanswered{}
 	}
 	u.replicas.Learn(m.GetWelcome().GetReplicas())
-	u.log.WithField("address", address).Info("link: session with the leader")
-	hint := u.runSession(ctx, cancel, stream)
-	u.log.WithField("address", address).Info("link: session closed")
-	return hint, true
+	opened()
+	return attach.NewServed(u.runSession(ctx, cancel, stream))
 }
 
 // cancelOnTimeout cancels the attempt if the replica did not respond in time. It does
--- a/verbenad/command/ctrl/ctrl.go
+++ b/verbenad/command/ctrl/ctrl.go
@@ -59,6 +59,7 @@
 	lastToken     uint64
 	snapshotIndex uint64
 	failure       error
+	lag           *lagMonitor
 }
 
 // New returns a loop that does not process events until Run is called. Without WithReplica it serves a
@@ -79,6 +80,7 @@
 	for _, o := range opts {
 		o(l)
 	}
+	l.lag = newLagMonitor(l.log)
 	l.view.Store(view.New(l.fleet))
 	return l
 }
@@ -129,7 +131,8 @@
 	}
 	for l.failure == nil {
 		l.publishView()
-		timer.Reset(max(0, l.nextTick().Sub(l.clock.Now())).Duration())
+		due := max(l.nextTick(), l.clock.Now())
+		timer.Reset(due.Sub(l.clock.Now()).Duration())
 		select {
 		case e := <-l.urgent:
 			l.handle(e)
@@ -140,6 +143,7 @@
 		case <-ctx.Done():
 			return
 		case <-timer.C:
+			l.lag.record(l.clock.Now(), due)
 			l.tick()
 		case e := <-l.urgent:
 			l.handle(e)
