Keep an attempt to open a session when the next one begins

Callers at the owner of popular keys got nothing for seconds after the control group had lost its leader: the daemon opened no session, so its lease lapsed and it used an old configuration. An attempt now stays open for 4 s; after 0.5 s the next one begins beside it, four at most, at the same rate as before. The first session that opens ends the others.

TestSlowHandshakeOpensASession fails without the change (no session in 3 s) and passes, three times with the race detector.

--- a/core/command/attach/attach.go
+++ b/core/command/attach/attach.go
@@ -3,10 +3,23 @@
 //
 // Each attempt costs a replica a connection, and all daemons try at the same time when there is no leader. So the
 // delays between failed attempts grow, up to a limit that depends on the size of the fleet.
+//
+// An attempt without an answer is overdue after OverdueAfter, and another one begins beside it. It stays open, since a
+// replica without power looks like a daemon or a leader that has too little processor time for a handshake, and
+// such a daemon would never have a session if each attempt started from nothing.
 package attach
 
 import "verbenabank/core/clock"
 
+const (
+	// OverdueAfter is how long the newest attempt may take before another one begins beside it.
+	OverdueAfter = 500 * clock.Millisecond
+	// GiveUpAfter is how long an attempt may take.
+	GiveUpAfter = 4 * clock.Second
+	// MaxOpen is how many attempts may be open at the same time.
+	MaxOpen = 4
+)
+
 const (
 	minBackoff = 20 * clock.Millisecond
 	// The limit of the mean delay between two attempts grows with the fleet, from minLimit to maxLimit.
@@ -52,7 +65,6 @@
 	fleet    func() int
 	next     int
 	leader   string // to try next, "" for the next replica in turn
-	address  string // of the last attempt
 	failures int
 	tally    Tally
 }
@@ -80,24 +92,31 @@
 // Next begins an attempt and returns the address for it: that of the leader if a replica named it, otherwise that of
 // the next of the replicas, of which there must be at least one.
 func (p *Plan) Next(replicas []string) string {
-	p.address, p.leader = p.leader, ""
-	if p.address == "" {
-		p.address = replicas[p.next%len(replicas)]
+	address := p.leader
+	p.leader = ""
+	if address == "" {
+		address = replicas[p.next%len(replicas)]
 		p.next++
 	}
 	p.tally.attempts++
-	return p.address
+	return address
 }
 
-// End records how the attempt ended, and returns the delay before the next one.
-func (p *Plan) End(o Outcome) clock.Millis {
+// Overdue records that the newest attempt is overdue, and returns the delay before the next one.
+func (p *Plan) Overdue() clock.Millis {
+	p.tally.overdue++
+	return p.backOff()
+}
+
+// End records how the attempt at an address ended, and returns the delay before the next one.
+func (p *Plan) End(address string, o Outcome) clock.Millis {
 	switch o := o.(type) {
 	case Served:
 		p.failures, p.tally = 0, Tally{}
-		return p.random(p.limit()/2) + p.follow(o.leader)
+		return p.random(p.limit()/2) + p.follow(address, o.leader)
 	case Redirected:
 		p.tally.redirects++
-		return p.follow(o.leader)
+		return p.follow(address, o.leader)
 	case Unconnected:
 		p.tally.unconnected++
 		return p.backOff()
@@ -109,8 +128,8 @@
 }
 
 // follow makes a leader that was named the next one to try, at once, unless it has just been tried.
-func (p *Plan) follow(leader string) clock.Millis {
-	if leader == "" || leader == p.address {
+func (p *Plan) follow(address, leader string) clock.Millis {
+	if leader == "" || leader == address {
 		return p.backOff()
 	}
 	p.leader = leader
@@ -139,6 +158,7 @@
 // Tally counts attempts.
 type Tally struct {
 	attempts    int
+	overdue     int
 	redirects   int
 	unconnected int
 	unanswered  int
@@ -147,6 +167,9 @@
 // Attempts returns how many attempts began.
 func (t Tally) Attempts() int { return t.attempts }
 
+// Overdue returns how many took longer than OverdueAfter; they may have ended since.
+func (t Tally) Overdue() int { return t.overdue }
+
 // Redirects returns how many ended at a replica that does not lead.
 func (t Tally) Redirects() int { return t.redirects }
 
--- a/core/command/attach/attach_test.go
+++ b/core/command/attach/attach_test.go
@@ -22,12 +22,12 @@
 	for _, size := range []int{12, 68, 281} {
 		p := newPlan(size)
 		for range maxDoublings {
-			p.End(Unanswered{})
+			p.End("a", Unanswered{})
 		}
 		total := clock.Millis(0)
 		const attempts = 200
 		for range attempts {
-			total += p.End(Unanswered{})
+			total += p.End("a", Unanswered{})
 		}
 		perSecond := float64(size) / (total / attempts).Duration().Seconds()
 		is.True(perSecond <= 440)
@@ -43,12 +43,12 @@
 	is := is.New(t)
 	p, replicas := newPlan(12), []string{"a", "b", "c"}
 	is.Equal(p.Next(replicas), "a")
-	is.Equal(p.End(NewRedirected("c")), clock.Millis(0))
+	is.Equal(p.End("a", NewRedirected("c")), clock.Millis(0))
 	is.Equal(p.Next(replicas), "c")
-	is.True(p.End(NewRedirected("c")) > 0)
+	is.True(p.End("c", NewRedirected("c")) > 0)
 	is.Equal(p.Next(replicas), "b")
 	is.Equal(p.Tally().Attempts(), 3)
 	is.Equal(p.Tally().Redirects(), 2)
-	is.True(p.End(NewServed("")) > 0)
+	is.True(p.End("b", NewServed("")) > 0)
 	is.Equal(p.Tally().Attempts(), 0)
 }
--- a/core/command/leader/delivery_test.go
+++ b/core/command/leader/delivery_test.go
@@ -37,10 +37,9 @@
 )
 
 const (
-	replicaCount  = 10
-	attachTimeout = 500 * clock.Millisecond // of an attempt to open a session
-	linkDelay     = 2 * clock.Millisecond
-	commitDelay   = 5 * clock.Millisecond
+	replicaCount = 10
+	linkDelay    = 2 * clock.Millisecond
+	commitDelay  = 5 * clock.Millisecond
 )
 
 // delivery is a fleet of real agents with a real leader, whose instance has a slow processor, and with the control
@@ -198,6 +197,8 @@
 	agent   *agent.Agent
 	plan    *attach.Plan
 	session leader.SessionID
+	begun   int // attempts to open a session
+	search  int // number of the search that goes on, 0 while there is a session
 	snap    *snap.Snapshot
 	inForce map[uint64]clock.Millis
 	lag     clock.Millis // of each goroutine that is to run, in a process that requests saturate
@@ -212,7 +213,8 @@
 		agent.WithLeaseParams(deliveryParams()), agent.WithLastingRules())
 	s.plan = attach.New(attach.WithFleetSize(func() int { return s.agent.Table().MemberCount() }),
 		attach.WithRandom(func(limit clock.Millis) clock.Millis { return d.randomUpTo(limit - 1) }))
-	d.after(d.randomUpTo(300), s.attempt)
+	s.search = 1
+	d.after(d.randomUpTo(300), func() { s.attempt(1) })
 	d.after(1, s.scheduleTick)
 	return s
 }
@@ -224,56 +226,65 @@
 	s.fleet.after(max(1, s.agent.NextTick().Sub(s.fleet.now))+s.lag, s.scheduleTick)
 }
 
-// attempt asks one replica for a session. One without power does not answer.
-func (s *subscriber) attempt() {
-	d, begin := s.fleet, s.fleet.now
+// attempt asks one replica for a session. One without power does not answer, and the next attempt begins beside it.
+func (s *subscriber) attempt(search int) {
+	if search != s.search {
+		return
+	}
+	d := s.fleet
+	s.begun++
+	number, address := s.begun, s.plan.Next(replicaAddresses())
+	ended := false
+	d.after(attach.OverdueAfter, func() {
+		if !ended && search == s.search && number == s.begun {
+			d.after(s.plan.Overdue(), func() { s.attempt(search) })
+		}
+	})
 	replica := 0
-	_, _ = fmt.Sscan(s.plan.Next(replicaAddresses()), &replica)
+	_, _ = fmt.Sscan(address, &replica)
 	switch {
 	case d.down[replica]:
-		d.after(attachTimeout, func() { s.ended(attach.Unanswered{}) })
 	case replica != d.leading:
-		d.after(linkDelay, func() { s.ended(attach.NewRedirected(d.leaderAddress())) })
+		d.after(linkDelay+handshakeSteps*s.lag, func() {
+			ended = true
+			if search == s.search {
+				d.after(s.plan.End(address, attach.NewRedirected(d.leaderAddress())), func() { s.attempt(search) })
+			}
+		})
 	default:
-		s.open(begin)
+		d.work(sessionMicros, func() {
+			d.after(handshakeSteps*s.lag, func() {
+				ended = true
+				s.open(search)
+			})
+		})
 	}
 }
 
-// open asks the leader for a session. The daemon gives up after attachTimeout; the leader does the work all the same.
-func (s *subscriber) open(begin clock.Millis) {
-	d, opened, gaveUp := s.fleet, false, false
-	d.after(attachTimeout, func() {
-		if !opened {
-			gaveUp = true
-			s.ended(attach.Unanswered{})
-		}
-	})
-	connected := func() {
-		if gaveUp {
-			return
-		}
-		opened = true
-		d.lastID++
-		s.session = d.lastID
-		d.sessions[s.session] = s
-		d.step(leader.NewSessionOpened(s.session))
-		s.step(agent.Connected{})
+// open begins the session unless another attempt was faster, or the leader is gone.
+func (s *subscriber) open(search int) {
+	d := s.fleet
+	if search != s.search || d.leader == nil {
+		return
 	}
-	d.work(sessionMicros, func() { d.after(handshakeSteps*s.lag, connected) })
+	d.lastID++
+	s.session, s.search = d.lastID, 0
+	d.sessions[s.session] = s
+	d.step(leader.NewSessionOpened(s.session))
+	s.step(agent.Connected{})
 }
 
-func (s *subscriber) ended(o attach.Outcome) { s.fleet.after(s.plan.End(o), s.attempt) }
-
 func (s *subscriber) disconnect() {
 	if s.session == 0 {
 		return
 	}
-	id := s.session
-	s.session = 0
-	delete(s.fleet.sessions, id)
-	s.fleet.step(leader.NewSessionClosed(id))
+	d, id := s.fleet, s.session
+	s.session, s.search = 0, s.begun+1
+	delete(d.sessions, id)
+	d.step(leader.NewSessionClosed(id))
 	s.step(agent.Disconnected{})
-	s.ended(attach.NewServed(""))
+	search := s.search
+	d.after(s.plan.End("", attach.NewServed("")), func() { s.attempt(search) })
 }
 
 func (s *subscriber) step(e agent.Event) {
--- a/verbenad/adapt/link/link.go
+++ b/verbenad/adapt/link/link.go
@@ -26,14 +26,17 @@
 	sessionQueueLength = 256
 )
 
+// connectWithin bounds one attempt to connect.
+func connectWithin(timeout time.Duration) grpc.DialOption {
+	return grpc.WithConnectParams(grpc.ConnectParams{
+		Backoff:           backoff.Config{BaseDelay: minBackoff, Multiplier: 1.6, Jitter: 0.2, MaxDelay: maxBackoff},
+		MinConnectTimeout: timeout,
+	})
+}
+
 // dial creates a client connection, which connects on first use.
 func dial(address string, options []grpc.DialOption) (*grpc.ClientConn, error) {
-	combined := append([]grpc.DialOption{
-		grpc.WithConnectParams(grpc.ConnectParams{
-			Backoff:           backoff.Config{BaseDelay: minBackoff, Multiplier: 1.6, Jitter: 0.2, MaxDelay: maxBackoff},
-			MinConnectTimeout: connectTimeout,
-		}),
-	}, options...)
+	combined := append([]grpc.DialOption{connectWithin(connectTimeout)}, options...)
 	conn, err := grpc.NewClient("passthrough:///"+address, combined...)
 	if err != nil {
 		return nil, &Error{op: "dial " + address, kind: Unreachable, cause: err}
--- a/verbenad/adapt/link/search.go
+++ b/verbenad/adapt/link/search.go
@@ -40,6 +40,6 @@
 func (s *search) entry(t attach.Tally) *logrus.Entry {
 	return s.log.WithFields(logrus.Fields{
 		"without_ms": time.Since(s.began).Milliseconds(), "attempts": t.Attempts(), "redirects": t.Redirects(),
-		"unconnected": t.Unconnected(), "unanswered": t.Unanswered(),
+		"overdue": t.Overdue(), "unconnected": t.Unconnected(), "unanswered": t.Unanswered(),
 	})
 }
--- a/verbenad/adapt/link/uplink.go
+++ b/verbenad/adapt/link/uplink.go
@@ -103,79 +103,35 @@
 	return nil
 }
 
-// run attaches to one replica after the other, as the plan says.
+// run opens sessions with the leader, one after the other.
 func (u *Uplink) run(ctx context.Context) {
 	plan := attach.New(attach.WithFleetSize(u.size), attach.WithRandom(randomBelow))
-	search := newSearch(u.log)
 	for ctx.Err() == nil {
-		address := plan.Next(u.replicas.List())
-		outcome := u.attach(ctx, address, func() { search.found(address, plan.Tally()) })
-		if _, served := outcome.(attach.Served); served {
-			search = newSearch(u.log)
-			u.log.WithField("address", address).Info("link: session closed")
+		s, ok := newFinder(u, plan).find(ctx)
+		if !ok {
+			return
 		}
-		delay := plan.End(outcome)
-		search.report(plan.Tally())
-		pause(ctx, delay.Duration())
+		hint := u.runSession(s)
+		s.close()
+		u.log.WithField("address", s.address).Info("link: session closed")
+		pause(ctx, plan.End(s.address, attach.NewServed(hint)).Duration())
 	}
 }
 
 // randomBelow returns a random duration below the limit, which is at least 1 ms.
 func randomBelow(limit clock.Millis) clock.Millis { return rand.N(max(1, limit)) }
 
-// attach opens a session with one replica and runs it if that replica leads. It calls opened when the session
-// begins, and returns how the attempt ended.
-func (u *Uplink) attach(parent context.Context, address string, opened func()) attach.Outcome {
-	ctx, cancel := context.WithCancel(parent)
-	defer cancel()
-	conn, err := dial(address, u.options)
-	if err != nil {
-		return attach.Unconnected{}
-	}
-	defer func() { _ = conn.Close() }()
-	timeout, stop := context.WithTimeout(ctx, connectTimeout)
-	defer stop()
-	context.AfterFunc(timeout, func() { u.cancelOnTimeout(timeout, cancel) })
-	stream, err := wirepb.NewControlClient(conn).Attach(withPacked(ctx))
-	if err != nil {
-		return attach.Unconnected{}
-	}
-	m, err := stream.Recv()
-	stop()
-	if err != nil {
-		u.log.WithError(err).WithField("address", address).Debug("link: replica did not open a session")
-		return attach.Unanswered{}
-	}
-	if r := m.GetRedirect(); r != nil {
-		return attach.NewRedirected(r.GetAddress())
-	}
-	if m.GetWelcome() == nil {
-		return attach.Unanswered{}
-	}
-	u.replicas.Learn(m.GetWelcome().GetReplicas())
-	opened()
-	return attach.NewServed(u.runSession(ctx, cancel, stream))
-}
-
-// cancelOnTimeout cancels the attempt if the replica did not respond in time. It does
-// nothing if timeout was cancelled because a response arrived.
-func (u *Uplink) cancelOnTimeout(timeout context.Context, cancel func()) {
-	if timeout.Err() == context.DeadlineExceeded {
-		cancel()
-	}
-}
-
 // runSession sends and receives until the session ends, and returns the address that
 // the leader redirects to, if any.
-func (u *Uplink) runSession(ctx context.Context, cancel func(), stream wirepb.Control_AttachClient) string {
+func (u *Uplink) runSession(s *session) string {
 	queue := make(chan *wirepb.Report, sendQueueLength)
-	u.setSession(queue, cancel)
+	u.setSession(queue, s.cancel)
 	u.post(agent.Connected{})
 	var group conc.WaitGroup
-	group.Go(func() { send(ctx, cancel, stream, queue) })
-	hint := u.receive(stream)
+	group.Go(func() { send(s.ctx, s.cancel, s.stream, queue) })
+	hint := u.receive(s.stream)
 	u.setSession(nil, nil)
-	cancel()
+	s.cancel()
 	group.Wait()
 	u.post(agent.Disconnected{})
 	return hint
