Ask other members for rules that no leader has confirmed

Callers on a route that had changed were served by the old one. Weighed: asking all replicas instead (281 daemons x 3 connections in an election, against 400 attempts a second that the replicas bear), and acknowledging a version only when all daemons have it (each lost daemon would delay every operator by its lease).

With lasting_rules (LASTING) an old version is used beyond the bound only while the daemon knows that its rules are unconfirmed.

--- a/core/command/agent/agent.go
+++ b/core/command/agent/agent.go
@@ -40,6 +40,10 @@
 	joined       bool
 	nextRenew    clock.Millis
 	joiningSince clock.Millis // when the unanswered join began, 0 if none is open
+	newestRules  rules.Rules  // from another member, the zero value if the leader's are as new
+	leaderRules  uint64       // version that the leader sent last
+	nextAsk      clock.Millis // when other members may be asked for rules again
+	askCursor    int          // next member to ask
 	report       load.Report
 	handovers    map[logcmd.Release]handover
 
@@ -130,6 +134,7 @@
 	a.now, a.effects = now, nil
 	a.handle(e)
 	a.advanceShutdown()
+	a.askRules()
 	a.sendDueCalls()
 	a.answerHeartbeat()
 	a.publishHeldRanges()
@@ -172,12 +177,14 @@
 		a.callEnded(e)
 	case TargetIdentified:
 		a.targetIdentified(e)
+	case RulesAnswered:
+		a.rulesAnswered(e)
 	}
 }
 
 // NextTick returns the instant at which the caller must step the agent with Ticked.
 func (a *Agent) NextTick() clock.Millis {
-	next := a.nextRenew
+	next := min(a.nextRenew, a.nextAskDue())
 	if d, ok := a.shutdownDeadline(); ok && d < next {
 		next = d
 	}
@@ -226,7 +233,8 @@
 	if a.rulesNeverExpire && a.table.Rules().Version() > 0 {
 		rules = never
 	}
-	a.emit(Publish{snap: snap.New(a.table, self, a.holder.End(), rules, snap.WithDraining(a.closedShards()), snap.WithHeldRanges(a.heldRanges()))})
+	a.emit(Publish{snap: snap.New(a.table, self, a.holder.End(), rules, snap.WithDraining(a.closedShards()), snap.WithHeldRanges(a.heldRanges()),
+		snap.WithConfirmation(a.group, a.holder.RulesConfirmed()))})
 }
 
 func (a *Agent) rulesOf(service string) (rules.Service, bool) {
--- a/core/command/agent/effect.go
+++ b/core/command/agent/effect.go
@@ -12,7 +12,7 @@
 
 // Effect is an action that the agent requests: Publish, SendJoin, SendRenew, SendLeave,
 // SendGone, AwaitQuiesced, AwaitShardDrained, AwaitAllDrained, UseTarget, SendCall, IdentifyTarget, AnswerHeartbeat,
-// DrainTarget, DropTarget, Reconnect, TargetReleased, InvariantViolated or Stopped. Effects are
+// AskRules, DrainTarget, DropTarget, Reconnect, TargetReleased, InvariantViolated or Stopped. Effects are
 // carried out in order.
 type Effect interface{ effect() }
 
@@ -172,6 +172,23 @@
 // Answer returns what the answer says about the target's keys.
 func (e AnswerHeartbeat) Answer() grant.Answer { return e.answer }
 
+// AskRules asks other members for rules newer than a version. Each answer is a RulesAnswered event with the same
+// instant.
+type AskRules struct {
+	asked     clock.Millis
+	version   uint64
+	addresses []string
+}
+
+// Asked returns the current time by the clock of the daemon.
+func (e AskRules) Asked() clock.Millis { return e.asked }
+
+// Version returns the version of the known rules.
+func (e AskRules) Version() uint64 { return e.version }
+
+// Addresses returns the members' addresses, as "ip:port".
+func (e AskRules) Addresses() []string { return e.addresses }
+
 // DrainTarget stops sending requests to the target. Requests in flight continue.
 type DrainTarget struct{}
 
@@ -212,3 +229,4 @@
 func (SendCall) effect()          {}
 func (IdentifyTarget) effect()    {}
 func (AnswerHeartbeat) effect()   {}
+func (AskRules) effect()          {}
--- a/core/command/agent/event.go
+++ b/core/command/agent/event.go
@@ -4,12 +4,13 @@
 	"verbenabank/core/clock"
 	"verbenabank/core/command/hold"
 	"verbenabank/core/state/load"
+	"verbenabank/core/state/rules"
 	"verbenabank/core/state/table"
 )
 
 // Event is an input of the agent: Ticked, Announced, Withdrawn, TargetLost, Connected, Disconnected,
 // LeaseGranted, TableUpdated, RejoinRequired, LoadMeasured, ShardQuiesced, ShardDrained, AllDrained,
-// CallEnded, TargetIdentified, Heartbeat or StopRequested.
+// CallEnded, TargetIdentified, RulesAnswered, Heartbeat or StopRequested.
 type Event interface{ event() }
 
 // Ticked reports that the instant returned by NextTick has passed.
@@ -169,6 +170,34 @@
 // AllDrained reports that no request is in flight at the target.
 type AllDrained struct{}
 
+// RulesAnswered is the answer of another member to AskRules.
+type RulesAnswered struct {
+	asked     clock.Millis
+	group     uint64
+	version   uint64
+	newer     rules.Rules
+	confirmed bool
+	age       clock.Millis
+}
+
+// NewRulesAnswered returns the answer to a question that was asked at an instant by the clock of the daemon: the
+// control group of the other member and the version of its rules.
+func NewRulesAnswered(asked clock.Millis, group, version uint64) RulesAnswered {
+	return RulesAnswered{asked: asked, group: group, version: version}
+}
+
+// WithNewer adds the rules of the other member, which are newer than those known when it was asked.
+func (e RulesAnswered) WithNewer(r rules.Rules) RulesAnswered {
+	e.newer = r
+	return e
+}
+
+// WithConfirmation says that the other member's rules were the newest ones age before its answer.
+func (e RulesAnswered) WithConfirmation(age clock.Millis) RulesAnswered {
+	e.confirmed, e.age = true, age
+	return e
+}
+
 // StopRequested reports that the process was asked to shut down.
 type StopRequested struct{}
 
@@ -188,4 +217,5 @@
 func (StopRequested) event()    {}
 func (CallEnded) event()        {}
 func (TargetIdentified) event() {}
+func (RulesAnswered) event()    {}
 func (Heartbeat) event()        {}
--- a/core/command/agent/invariant.go
+++ b/core/command/agent/invariant.go
@@ -8,14 +8,14 @@
 
 // violation describes the invariant that the next table would violate, "" if none: the versions
 // of table and rules and the epochs of shards never decrease.
-func (a *Agent) violation(next *table.Table, changes []table.Change) string {
+func (a *Agent) violation(next *table.Table, e TableUpdated) string {
 	if next.Version() < a.table.Version() {
 		return fmt.Sprintf("an update would take the table from version %d back to %d", a.table.Version(), next.Version())
 	}
-	if next.Rules().Version() < a.table.Rules().Version() {
-		return fmt.Sprintf("an update would take the rules from version %d back to %d", a.table.Rules().Version(), next.Rules().Version())
+	if v, ok := updatedRules(e); ok && v < a.leaderRules {
+		return fmt.Sprintf("an update would take the rules from version %d back to %d", a.leaderRules, v)
 	}
-	for _, c := range changes {
+	for _, c := range e.changes {
 		h, ok := c.(table.OwnershipSet)
 		if !ok {
 			continue
--- a/core/command/agent/session.go
+++ b/core/command/agent/session.go
@@ -116,11 +116,14 @@
 		return
 	}
 	next := base.With(e.to, e.changes...)
-	if problem := a.violation(next, e.changes); problem != "" {
+	if problem := a.violation(next, e); problem != "" {
 		a.rejectUpdate(problem)
 		return
 	}
-	a.table = next
+	if v, ok := updatedRules(e); ok {
+		a.leaderRules = v
+	}
+	a.table = a.withNewestRules(next)
 	if a.isServing() && a.hasLeft(a.target) { // it told an earlier process of the daemon
 		a.withdrawn()
 	}
--- a/core/command/leader/delivery_test.go
+++ b/core/command/leader/delivery_test.go
@@ -303,12 +303,41 @@
 		s.report(leader.NewRenewRequested(s.session, f.Incarnation(), f.Sequence(), f.Version(), f.Releases(), load.Report{}))
 	case agent.Reconnect:
 		s.disconnect()
+	case agent.AskRules:
+		s.ask(f)
 	case agent.InvariantViolated:
 		s.fleet.fail("%s: %s", s.name, f.Problem())
 	default: // a daemon without a target has nothing else to do
 	}
 }
 
+// ask asks other daemons for rules, on connections that are open.
+func (s *subscriber) ask(f agent.AskRules) {
+	d := s.fleet
+	for _, o := range d.daemons {
+		if !slices.Contains(f.Addresses(), o.name) {
+			continue
+		}
+		d.after(linkDelay+messageSteps*(s.lag+o.lag), func() {
+			e := o.answer(f)
+			d.after(linkDelay+messageSteps*s.lag, func() { s.step(e) })
+		})
+	}
+}
+
+// answer returns what the daemon answers to another one, as hop.Server does.
+func (s *subscriber) answer(f agent.AskRules) agent.RulesAnswered {
+	r := s.snap.Table().Rules()
+	e := agent.NewRulesAnswered(f.Asked(), s.snap.Group(), r.Version())
+	if r.Version() > f.Version() {
+		e = e.WithNewer(r)
+	}
+	if at := s.snap.RulesConfirmed(); at > 0 {
+		e = e.WithConfirmation(s.fleet.now.Sub(at))
+	}
+	return e
+}
+
 func (s *subscriber) publish(next *snap.Snapshot) {
 	v, last := next.Table().Rules().Version(), s.snap.Table().Rules().Version()
 	if v < last {
--- a/core/command/lease/holder.go
+++ b/core/command/lease/holder.go
@@ -12,6 +12,8 @@
 	inFlight map[uint64]clock.Millis
 	end      clock.Millis
 	rulesEnd clock.Millis
+	// confirmed is the latest time at which the rules were certainly the newest ones, 0 if there is none.
+	confirmed clock.Millis
 }
 
 // NewHolder returns a holder without a lease.
@@ -43,6 +45,14 @@
 	}
 	h.end = max(h.end, sent.Add(ttl-h.params.margin))
 	h.rulesEnd = max(h.rulesEnd, sent.Add(rulesTTL-h.params.margin))
+	h.confirmed = max(h.confirmed, sent)
+}
+
+// RecordConfirmation extends the lease on the rules, which were the newest ones at an instant according to another
+// member. It does not extend the lease on ownership.
+func (h *Holder) RecordConfirmation(at clock.Millis) {
+	h.rulesEnd = max(h.rulesEnd, at.Add(h.params.rulesTTL-h.params.margin))
+	h.confirmed = max(h.confirmed, at)
 }
 
 // OldestUnanswered returns the age at now of the oldest renewal without an answer, 0 if
@@ -67,5 +77,8 @@
 // End returns when ownership expires, 0 without a lease.
 func (h *Holder) End() clock.Millis { return h.end }
 
+// RulesConfirmed returns when the rules were last known to be the newest ones, 0 if never.
+func (h *Holder) RulesConfirmed() clock.Millis { return h.confirmed }
+
 // RulesEnd returns when the rules may have become out of date.
 func (h *Holder) RulesEnd() clock.Millis { return h.rulesEnd }
--- a/core/state/snap/snap.go
+++ b/core/state/snap/snap.go
@@ -19,6 +19,8 @@
 	rulesEnd   clock.Millis
 	draining   map[ShardRef]bool
 	heldRanges []HeldRange
+	group      uint64
+	confirmed  clock.Millis
 	superseded chan struct{}
 }
 
@@ -38,6 +40,11 @@
 // not be modified afterwards.
 func WithDraining(shards map[ShardRef]bool) Option { return func(s *Snapshot) { s.draining = shards } }
 
+// WithConfirmation sets the control group, and when its rules were last known to be the newest ones, 0 if never.
+func WithConfirmation(group uint64, at clock.Millis) Option {
+	return func(s *Snapshot) { s.group, s.confirmed = group, at }
+}
+
 // New returns a snapshot of a daemon that has joined as self (0 if it has not). Its lease
 // on shards expires at leaseEnd, and it may use the rules until rulesEnd, both on its own clock.
 func New(t *table.Table, self table.Incarnation, leaseEnd, rulesEnd clock.Millis, opts ...Option) *Snapshot {
@@ -60,6 +67,12 @@
 // RulesEnd returns from when on the rules may be outdated.
 func (s *Snapshot) RulesEnd() clock.Millis { return s.rulesEnd }
 
+// Group returns the control group of the rules, 0 if no leader has confirmed any.
+func (s *Snapshot) Group() uint64 { return s.group }
+
+// RulesConfirmed returns when the rules were last known to be the newest ones, 0 if never.
+func (s *Snapshot) RulesConfirmed() clock.Millis { return s.confirmed }
+
 // Superseded returns a channel that is closed when a newer snapshot is published.
 func (s *Snapshot) Superseded() <-chan struct{} { return s.superseded }
 
--- a/core/wire/codec/pack.go
+++ b/core/wire/codec/pack.go
@@ -21,13 +21,20 @@
 func EncodePackedUpdate(u leader.Update) *wirepb.Order {
 	m := EncodeUpdate(u)
 	for _, c := range m.GetUpdate().GetChanges() {
-		if r := c.GetRules(); len(r.GetContent()) >= minPackedBytes {
-			r.Packed, r.Content = pack(r.GetContent()), nil
+		if r := c.GetRules(); r != nil {
+			packLarge(r)
 		}
 	}
 	return m
 }
 
+// packLarge compresses the content of a configuration message if it is large.
+func packLarge(m *wirepb.Configuration) {
+	if len(m.GetContent()) >= minPackedBytes {
+		m.Packed, m.Content = pack(m.GetContent()), nil
+	}
+}
+
 func pack(content []byte) []byte {
 	var out bytes.Buffer
 	w, err := flate.NewWriter(&out, flate.BestSpeed)
--- a/model/rules.pml
+++ b/model/rules.pml
@@ -7,9 +7,14 @@
  * are repeated after a lost verdict; a daemon that is cut off, restarts, or receives
  * replies late and out of order; a superseded leader that does not know it.
  * Bounds: three operators that propose any number of times, versions 1 and 2; one
- * daemon (daemons do not exchange rules) with any number of restarts and two renewals
- * in flight; time in steps of one second, unbounded. The daemon's clock may lose 1 s
- * over the TTL of 3 s, far more than the drift margin.
+ * daemon with any number of restarts and two renewals or questions in flight, and another
+ * member, which has the rules of any of its own renewals; time in steps of one second,
+ * unbounded. The daemon's clock may lose 1 s over the TTL of 3 s, far more than the drift
+ * margin.
+ * LASTING: a daemon uses its rules without a time limit (lasting_rules). Beyond the bound it
+ * does so only with rules that it knows to be unconfirmed.
+ * search -DLASTING=0
+ * search -DLASTING=1
  * Left out: how the log keeps what is committed (log.pml): a decision commits in
  * one step. Merging and validation of files.
  *
@@ -19,6 +24,11 @@
  * variant NO_RULES_LEASE: a daemon uses its rules without a time limit.
  * variant NO_CONFIRM: a leader replies to renewals without a quorum round.
  * variant COUNT_FROM_RECEIPT: the TTL counts from the receipt of the reply.
+ * variant COUNT_FROM_MEMBER: the TTL counts from the receipt of another member's answer.
+ * variant ASK_BEFORE_LEASE: a restarted daemon takes another member's rules before a leader
+ *   has answered it.
+ * variant LASTING_UNSEEN -DLASTING=1: with lasting rules, the daemon does not know that its rules
+ *   are unconfirmed.
  * variant UNORDERED_TABLES: a daemon replaces its table by an older one from a late
  *   reply.
  * witness SERVES_NEWEST, SERVES_SUPERSEDED
@@ -31,6 +41,10 @@
 #define OPERATORS 3
 #define ATTEMPTS 2
 
+#ifndef LASTING
+#define LASTING 0
+#endif
+
 mtype = { accepted, repeated, conflict, older };
 
 byte version, digest; /* the committed rules */
@@ -87,10 +101,12 @@
 #define SLOTS 2
 mtype slot[SLOTS] = free;
 byte age[SLOTS];
+bool asked[SLOTS]; /* the slot has another member's answer */
 byte table_version[SLOTS], table_digest[SLOTS];
 
 inline clear(s) {
 	slot[s] = free;
+	asked[s] = false;
 	age[s] = 0;
 	table_version[s] = 0;
 	table_digest[s] = 0
@@ -127,7 +143,17 @@
 	od
 }
 
+/* Another member: the table of the last answer to it, 0 if none, and the age of the renewal. */
+byte member_version, member_digest, member_age;
+
+active proctype Member() {
+end:	do
+	:: d_step { member_version = version; member_digest = digest; member_age = 0 }
+	od
+}
+
 byte daemon_version, daemon_digest; /* 0: none */
+bool led; /* a leader has answered the daemon since its start */
 byte usable;                        /* remaining seconds for which the rules may be used */
 byte served_version;                /* for the invariant: the highest version ever served */
 
@@ -152,10 +178,30 @@
 	clear(s)
 }
 
+/* The answer of a member that is on its way; its age is that of the member's renewal. */
+inline ask(s) {
+	slot[s] = answer;
+	asked[s] = true;
+	age[s] = member_age;
+	table_version[s] = member_version;
+	table_digest[s] = member_digest
+}
+
+inline receive_from_member(s) {
+#ifdef COUNT_FROM_MEMBER
+	age[s] = 0;
+#endif
+	receive(s)
+}
+
 inline serve() {
 	assert(daemon_digest == first_digest[daemon_version]);
 	assert(daemon_version >= served_version);
+#if LASTING && !defined(LASTING_UNSEEN)
+	assert(daemon_version >= 2 || since < BOUND || usable == 0);
+#else
 	assert(daemon_version >= 2 || since < BOUND);
+#endif
 #ifdef SERVES_NEWEST
 	assert(daemon_version < 2);
 #endif
@@ -172,16 +218,22 @@
 		select(s : 0 .. SLOTS - 1);
 		if
 		:: slot[s] == free -> slot[s] = renewal
-		:: slot[s] == answer -> receive(s)
+		:: slot[s] == answer && !asked[s] -> led = true; receive(s)
+		:: slot[s] == answer && asked[s] -> receive_from_member(s)
+#ifdef ASK_BEFORE_LEASE
+		:: slot[s] == free && member_version > 0 -> ask(s)
+#else
+		:: slot[s] == free && member_version > 0 && led -> ask(s)
+#endif
 		:: slot[s] != free -> clear(s) /* lost, or considered lost */
 		fi;
 		s = 0
 	   }
 	/* Restart: replies to the former incarnation are ignored. */
 	:: d_step { daemon_version > 0 ->
-		daemon_version = 0; daemon_digest = 0; usable = 0;
+		daemon_version = 0; daemon_digest = 0; usable = 0; led = false;
 		clear(0); clear(1) }
-#ifdef NO_RULES_LEASE
+#if LASTING || defined(NO_RULES_LEASE)
 	:: atomic { daemon_version > 0 -> serve() }
 #else
 	:: atomic { daemon_version > 0 && usable > 0 -> serve() }
@@ -202,6 +254,10 @@
 		older_by_one(0);
 		older_by_one(1);
 		if
+		:: member_age < USABLE -> member_age++
+		:: else
+		fi;
+		if
 		:: usable > 0 -> usable--
 		:: else
 		fi;
--- a/verbenad/adapt/hop/server.go
+++ b/verbenad/adapt/hop/server.go
@@ -8,8 +8,10 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"verbenabank/core/clock"
 	"verbenabank/core/state/call"
 	"verbenabank/core/state/result"
+	"verbenabank/core/state/snap"
 	"verbenabank/core/wire/hopmsg"
 	"verbenabank/core/wire/wirepb"
 )
@@ -23,12 +25,24 @@
 // Server handles requests forwarded by other daemons. It is safe for concurrent use.
 type Server struct {
 	wirepb.UnimplementedHopServer
-	owner Owner
+	owner     Owner
+	clock     *clock.Clock
+	snapshots *snap.Store
+	packed    packedRules
 }
 
+// ServerOption sets one property of a Server.
+type ServerOption func(*Server)
+
 // NewServer returns a gRPC service that passes requests to owner. Each is passed on its stream's
-// goroutine, with the stream's context.
-func NewServer(owner Owner) *Server { return &Server{owner: owner} }
+// goroutine, with the stream's context. Without WithRules it knows no rules.
+func NewServer(owner Owner, opts ...ServerOption) *Server {
+	s := &Server{owner: owner, clock: clock.New(), snapshots: snap.NewStore()}
+	for _, o := range opts {
+		o(s)
+	}
+	return s
+}
 
 // Forward handles the stream of one request. The stream ends without an error also if the request
 // failed; the failure is sent as a message.
--- a/verbenad/command/ctrl/agent.go
+++ b/verbenad/command/ctrl/agent.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"verbenabank/core/clock"
 	"verbenabank/core/command/agent"
 	"verbenabank/core/command/hold"
 	"verbenabank/core/state/snap"
@@ -14,11 +15,20 @@
 
 // stepAgent passes an event to the agent and carries out the effects.
 func (l *Loop) stepAgent(e agent.Event) {
+	l.rulesSource = rulesSource(e)
 	for _, f := range l.agent.Step(l.clock.Now(), e) {
 		l.runAgentEffect(f)
 	}
 }
 
+// rulesSource returns where rules that an event puts in force come from, as it appears in the log.
+func rulesSource(e agent.Event) string {
+	if _, ok := e.(agent.RulesAnswered); ok {
+		return "member"
+	}
+	return "leader"
+}
+
 func (l *Loop) runAgentEffect(f agent.Effect) {
 	switch f := f.(type) {
 	case agent.Publish:
@@ -42,6 +52,8 @@
 		l.target.Identify(func(name string, r hold.Result) { l.Post(NewAgentEvent(agent.NewTargetIdentified(name, r))) })
 	case agent.AnswerHeartbeat:
 		l.observer.HeartbeatAnswered(f.ID(), f.Answer())
+	case agent.AskRules:
+		l.askRules(f)
 	case agent.DrainTarget:
 		l.target.Drain()
 	case agent.DropTarget:
@@ -72,10 +84,27 @@
 	}
 	if s.Table().Rules().Version() != previous.Table().Rules().Version() {
 		fields["was_rules"] = previous.Table().Rules().Version()
+		fields["source"] = l.rulesSource
+		fields["unconfirmed_ms"] = unconfirmed(previous, l.clock.Now())
 		l.log.WithFields(fields).Info("ctrl: rules in force")
 	}
 }
 
+// unconfirmed returns for how many milliseconds the rules of a snapshot have not been confirmed, 0 if they never were.
+func unconfirmed(s *snap.Snapshot, now clock.Millis) int64 {
+	if s.RulesConfirmed() == 0 {
+		return 0
+	}
+	return int64(now.Sub(s.RulesConfirmed()))
+}
+
+// askRules asks other members for newer rules. The answers are posted from other goroutines.
+func (l *Loop) askRules(f agent.AskRules) {
+	if l.members != nil {
+		l.members.AskRules(f, func(e agent.RulesAnswered) { l.Post(NewAgentEvent(e)) })
+	}
+}
+
 // incarnation formats an incarnation as in the audit trail.
 func incarnation(i table.Incarnation) string { return fmt.Sprintf("%016x", uint64(i)) }
 
--- a/verbenad/command/ctrl/ctrl.go
+++ b/verbenad/command/ctrl/ctrl.go
@@ -44,6 +44,7 @@
 	leaseParams lease.Params
 	snapshots   *snap.Store
 	uplink      Uplink
+	members     Members
 	target      Target
 	tracker     RequestTracker
 	observer    LifecycleObserver
@@ -59,6 +60,7 @@
 	lastToken     uint64
 	snapshotIndex uint64
 	failure       error
+	rulesSource   string // of the agent's current event
 	lag           *lagMonitor
 }
 
--- a/verbenad/command/ctrl/options.go
+++ b/verbenad/command/ctrl/options.go
@@ -45,6 +45,9 @@
 // WithUplink sets the session with the leader of the control group.
 func WithUplink(u Uplink) Option { return func(l *Loop) { l.uplink = u } }
 
+// WithMembers sets how other daemons are asked for rules. Without it they are not asked.
+func WithMembers(m Members) Option { return func(l *Loop) { l.members = m } }
+
 // WithLifecycleObserver sets the observer of target release, shutdown and failure.
 func WithLifecycleObserver(o LifecycleObserver) Option { return func(l *Loop) { l.observer = o } }
 
--- a/verbenad/command/ctrl/ports.go
+++ b/verbenad/command/ctrl/ports.go
@@ -31,6 +31,12 @@
 	Reconnect()
 }
 
+// Members asks other daemons.
+type Members interface {
+	// AskRules calls answered once for each answer, from other goroutines.
+	AskRules(q agent.AskRules, answered func(agent.RulesAnswered))
+}
+
 // PeerTransport sends messages to other control replicas. It may lose messages.
 type PeerTransport interface {
 	Send(address string, m peer.Message)
--- a/verbenad/command/serve/metric.go
+++ b/verbenad/command/serve/metric.go
@@ -23,23 +23,24 @@
 		return
 	}
 	gauges := map[string]func(*Daemon) int64{
-		"verbenad.lease_left_ms":     func(d *Daemon) int64 { return int64(max(0, d.snapshots.Load().LeaseEnd().Sub(d.clock.Now()))) },
-		"verbenad.rules_left_ms":     func(d *Daemon) int64 { return int64(max(0, d.snapshots.Load().RulesEnd().Sub(d.clock.Now()))) },
-		"verbenad.rules_version":     func(d *Daemon) int64 { return int64(d.snapshots.Load().Table().Rules().Version()) },
-		"verbenad.table_version":     func(d *Daemon) int64 { return int64(d.snapshots.Load().Table().Version()) },
-		"verbenad.shards_owned":      func(d *Daemon) int64 { return int64(ownedShards(d)) },
-		"verbenad.epoch_highest":     func(d *Daemon) int64 { return int64(highestEpoch(d)) },
-		"verbenad.target_flight":     func(d *Daemon) int64 { return int64(d.owner.InFlight().Total()) },
-		"verbenad.target_queue":      func(d *Daemon) int64 { return int64(d.owner.Waiting()) },
-		"verbenad.control_term":      func(d *Daemon) int64 { s, _ := d.loop.View().Status(); return int64(s.Term()) },
-		"verbenad.control_commit":    func(d *Daemon) int64 { s, _ := d.loop.View().Status(); return int64(s.Commit()) },
-		"verbenad.control_members":   func(d *Daemon) int64 { s, _ := d.loop.View().Status(); return int64(s.Members().VoterCount()) },
-		"verbenad.control_role":      func(d *Daemon) int64 { return roleNumber(d.loop.View()) },
-		"verbenad.members":           func(d *Daemon) int64 { return int64(len(d.snapshots.Load().Table().Members())) },
-		"verbenad.keys_held":         func(d *Daemon) int64 { return int64(d.snapshots.Load().HeldKeys()) },
-		"verbenad.heap_bytes":        func(*Daemon) int64 { var m runtime.MemStats; runtime.ReadMemStats(&m); return int64(m.HeapAlloc) },
-		"verbenad.log_lines_dropped": func(d *Daemon) int64 { return d.droppedLogLines() },
-		"verbenad.sessions":          func(d *Daemon) int64 { return int64(d.loop.View().Sessions()) },
+		"verbenad.lease_left_ms":        func(d *Daemon) int64 { return int64(max(0, d.snapshots.Load().LeaseEnd().Sub(d.clock.Now()))) },
+		"verbenad.rules_left_ms":        func(d *Daemon) int64 { return int64(max(0, d.snapshots.Load().RulesEnd().Sub(d.clock.Now()))) },
+		"verbenad.rules_unconfirmed_ms": func(d *Daemon) int64 { return unconfirmedMs(d) },
+		"verbenad.rules_version":        func(d *Daemon) int64 { return int64(d.snapshots.Load().Table().Rules().Version()) },
+		"verbenad.table_version":        func(d *Daemon) int64 { return int64(d.snapshots.Load().Table().Version()) },
+		"verbenad.shards_owned":         func(d *Daemon) int64 { return int64(ownedShards(d)) },
+		"verbenad.epoch_highest":        func(d *Daemon) int64 { return int64(highestEpoch(d)) },
+		"verbenad.target_flight":        func(d *Daemon) int64 { return int64(d.owner.InFlight().Total()) },
+		"verbenad.target_queue":         func(d *Daemon) int64 { return int64(d.owner.Waiting()) },
+		"verbenad.control_term":         func(d *Daemon) int64 { s, _ := d.loop.View().Status(); return int64(s.Term()) },
+		"verbenad.control_commit":       func(d *Daemon) int64 { s, _ := d.loop.View().Status(); return int64(s.Commit()) },
+		"verbenad.control_members":      func(d *Daemon) int64 { s, _ := d.loop.View().Status(); return int64(s.Members().VoterCount()) },
+		"verbenad.control_role":         func(d *Daemon) int64 { return roleNumber(d.loop.View()) },
+		"verbenad.members":              func(d *Daemon) int64 { return int64(len(d.snapshots.Load().Table().Members())) },
+		"verbenad.keys_held":            func(d *Daemon) int64 { return int64(d.snapshots.Load().HeldKeys()) },
+		"verbenad.heap_bytes":           func(*Daemon) int64 { var m runtime.MemStats; runtime.ReadMemStats(&m); return int64(m.HeapAlloc) },
+		"verbenad.log_lines_dropped":    func(d *Daemon) int64 { return d.droppedLogLines() },
+		"verbenad.sessions":             func(d *Daemon) int64 { return int64(d.loop.View().Sessions()) },
 	}
 	for name, read := range gauges {
 		expvar.Publish(name, expvar.Func(func() any { return read(published.Load()) }))
@@ -47,6 +48,15 @@
 	}
 }
 
+// unconfirmedMs returns for how long the rules have not been confirmed as the newest ones, 0 if they never were.
+func unconfirmedMs(d *Daemon) int64 {
+	at := d.snapshots.Load().RulesConfirmed()
+	if at == 0 {
+		return 0
+	}
+	return int64(d.clock.Now().Sub(at))
+}
+
 // Values of the gauge verbenad.control_role.
 const (
 	roleNone = iota
--- a/verbenad/command/serve/serve.go
+++ b/verbenad/command/serve/serve.go
@@ -171,7 +171,7 @@
 	options := []ctrl.Option{
 		ctrl.WithClock(d.clock, func() logcmd.Timestamp { return logcmd.Timestamp(time.Now().UnixMilli()) }),
 		ctrl.WithCodec(d.codec), ctrl.WithLog(d.logger()), ctrl.WithAgent(a, d.snapshots),
-		ctrl.WithTraffic(d.target, d.owner.InFlight()), ctrl.WithUplink(uplink), ctrl.WithLifecycleObserver(d.lifecycle), ctrl.WithLeaseParams(d.leaseParams()),
+		ctrl.WithTraffic(d.target, d.owner.InFlight()), ctrl.WithUplink(uplink), ctrl.WithMembers(otherMembers{client: d.hopClient, codec: d.codec}), ctrl.WithLifecycleObserver(d.lifecycle), ctrl.WithLeaseParams(d.leaseParams()),
 	}
 	if c, ok := d.settings.Load().Control(); ok {
 		o, err := d.buildReplica(c, replicas)
@@ -192,7 +192,7 @@
 	d.peers = grpc.NewServer(append(d.trust.ServerOptions(), grpc.InitialWindowSize(hop.WindowBytes), grpc.ConnectionTimeout(connectionTimeout),
 		grpc.ChainUnaryInterceptor(d.recoverUnary), grpc.ChainStreamInterceptor(d.recoverStream))...)
 	link.NewServer(d.loop, d.codec, d.logger()).Register(d.peers)
-	wirepb.RegisterHopServer(d.peers, hop.NewServer(d.owner))
+	wirepb.RegisterHopServer(d.peers, hop.NewServer(d.owner, hop.WithRules(d.clock, d.snapshots)))
 	d.admin = fiber.New(fiber.Config{
 		AppName: "verbenad", BodyLimit: maxAdminBodyBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		Immutable: true, // handlers pass on names that outlive the request
