Read from the settings how long rules may be unconfirmed, and report it

A daemon whose rules lapse logs it, counts it in verbenad.rules_lapses and logs when they are confirmed again; with lasting rules callers are still served in between.

TestLapsedRulesAreReported; tests of agent, leader, jsonc, serve, start and platform pass.

--- a/core/command/agent/agent.go
+++ b/core/command/agent/agent.go
@@ -44,6 +44,8 @@
 	leaderRules  uint64       // version that the leader sent last
 	nextAsk      clock.Millis // when other members may be asked for rules again
 	askCursor    int          // next member to ask
+	rulesLapsed  bool         // the lease on the rules had ended at the last step
+	lapsedSince  clock.Millis // when it ended
 	report       load.Report
 	handovers    map[logcmd.Release]handover
 
@@ -135,6 +137,7 @@
 	a.handle(e)
 	a.advanceShutdown()
 	a.askRules()
+	a.watchRulesLease()
 	a.sendDueCalls()
 	a.answerHeartbeat()
 	a.publishHeldRanges()
@@ -184,7 +187,7 @@
 
 // NextTick returns the instant at which the caller must step the agent with Ticked.
 func (a *Agent) NextTick() clock.Millis {
-	next := min(a.nextRenew, a.nextAskDue())
+	next := min(a.nextRenew, a.nextAskDue(), a.nextRulesLapse())
 	if d, ok := a.shutdownDeadline(); ok && d < next {
 		next = d
 	}
--- a/core/command/agent/effect.go
+++ b/core/command/agent/effect.go
@@ -12,7 +12,7 @@
 
 // Effect is an action that the agent requests: Publish, SendJoin, SendRenew, SendLeave,
 // SendGone, AwaitQuiesced, AwaitShardDrained, AwaitAllDrained, UseTarget, SendCall, IdentifyTarget, AnswerHeartbeat,
-// AskRules, DrainTarget, DropTarget, Reconnect, TargetReleased, InvariantViolated or Stopped. Effects are
+// AskRules, RulesLapsed, RulesRenewed, DrainTarget, DropTarget, Reconnect, TargetReleased, InvariantViolated or Stopped. Effects are
 // carried out in order.
 type Effect interface{ effect() }
 
@@ -189,6 +189,15 @@
 // Addresses returns the members' addresses, as "ip:port".
 func (e AskRules) Addresses() []string { return e.addresses }
 
+// RulesLapsed reports that the lease on the rules has ended: newer ones may be in force elsewhere.
+type RulesLapsed struct{}
+
+// RulesRenewed reports that a lapsed lease on the rules was renewed.
+type RulesRenewed struct{ after clock.Millis }
+
+// After returns for how long the lease had lapsed.
+func (e RulesRenewed) After() clock.Millis { return e.after }
+
 // DrainTarget stops sending requests to the target. Requests in flight continue.
 type DrainTarget struct{}
 
@@ -230,3 +239,5 @@
 func (IdentifyTarget) effect()    {}
 func (AnswerHeartbeat) effect()   {}
 func (AskRules) effect()          {}
+func (RulesLapsed) effect()       {}
+func (RulesRenewed) effect()      {}
--- a/core/command/agent/rules.go
+++ b/core/command/agent/rules.go
@@ -1,8 +1,6 @@
 package agent
 
 import (
-	"math"
-
 	"verbenabank/core/clock"
 	"verbenabank/core/state/table"
 )
@@ -16,15 +14,12 @@
 	askFanout            = 3 // members asked at a time
 )
 
-// noAsk is later than any time at which a member is asked.
-const noAsk = clock.Millis(math.MaxInt64)
-
 // nextAskDue returns when other members are asked next. Before the first answered renewal they are not asked: a
 // restarted daemon could get rules that are older than those it used before.
 func (a *Agent) nextAskDue() clock.Millis {
 	confirmed := a.holder.RulesConfirmed()
 	if confirmed == 0 || a.table.MemberCount() < 2 {
-		return noAsk
+		return never
 	}
 	return max(a.nextAsk, confirmed.Add(unconfirmedIntervals*a.params.RenewInterval()))
 }
@@ -97,3 +92,25 @@
 	}
 	return version, found
 }
+
+// nextRulesLapse returns when the lease on the rules ends.
+func (a *Agent) nextRulesLapse() clock.Millis {
+	if end := a.holder.RulesEnd(); end > 0 && !a.rulesLapsed {
+		return end
+	}
+	return never
+}
+
+// watchRulesLease reports when the lease on the rules ends, and when it is renewed. With lasting rules the daemon goes on
+// in between, but never unnoticed.
+func (a *Agent) watchRulesLease() {
+	end := a.holder.RulesEnd()
+	switch lapsed := end > 0 && a.now >= end; {
+	case lapsed && !a.rulesLapsed:
+		a.rulesLapsed, a.lapsedSince = true, end
+		a.emit(RulesLapsed{})
+	case !lapsed && a.rulesLapsed:
+		a.rulesLapsed = false
+		a.emit(RulesRenewed{after: a.now.Sub(a.lapsedSince)})
+	}
+}
--- a/core/command/agent/rules_test.go
+++ b/core/command/agent/rules_test.go
@@ -99,3 +99,29 @@
 	h.step(NewRulesAnswered(h.now, groupID, 3).WithNewer(rules.New(3, "e")))
 	h.is.Equal(h.rulesVersion(), uint64(0))
 }
+
+// TestLapsedRulesAreReported guards against a daemon with lasting rules that serves with an old configuration and tells
+// nobody, while it can reach neither a leader nor another member.
+func TestLapsedRulesAreReported(t *testing.T) {
+	h := newHarness(t)
+	h.agent = New(WithInstance("i", "z", "a"), WithRandom(func() uint64 { h.random++; return h.random }), WithLastingRules())
+	h.becomeMember()
+	h.now = h.agent.holder.RulesEnd() - 1
+	h.step(Ticked{})
+	_, lapsed := find[RulesLapsed](h)
+	h.is.True(!lapsed)
+	h.is.True(h.agent.NextTick() <= h.now+1)
+	h.now++
+	h.step(Ticked{})
+	_, lapsed = find[RulesLapsed](h)
+	h.is.True(lapsed)
+	h.is.True(h.snap.RulesValid(h.now)) // callers are served
+	h.now += 500
+	h.step(Ticked{})
+	_, lapsed = find[RulesLapsed](h)
+	h.is.True(!lapsed) // once
+	h.step(NewRulesAnswered(h.now, groupID, 3).WithConfirmation(10))
+	renewed, ok := find[RulesRenewed](h)
+	h.is.True(ok)
+	h.is.Equal(renewed.After(), clock.Millis(500))
+}
--- a/core/command/lease/params.go
+++ b/core/command/lease/params.go
@@ -24,6 +24,12 @@
 	return Params{ttl: ttl, rulesTTL: max(RulesTTL, ttl), margin: margin, renewInterval: renewInterval, renewTimeout: renewTimeout}
 }
 
+// WithRulesTTL replaces the TTL of the lease on the rules.
+func (p Params) WithRulesTTL(ttl clock.Millis) Params {
+	p.rulesTTL = ttl
+	return p
+}
+
 // TTL returns how long ownership lasts from the sending of a renewal.
 func (p Params) TTL() clock.Millis { return p.ttl }
 
--- a/verbenad/adapt/jsonc/sections.go
+++ b/verbenad/adapt/jsonc/sections.go
@@ -64,11 +64,15 @@
 // longest drain and the grace period of a shutdown.
 func (l loader) timing() config.Option {
 	r, _ := l.Object("lease")
-	r.RejectUnknown(withDurations(nil, "span", "margin", "renew")...)
-	t := config.NewTimings(duration(r, "span", minDuration), duration(r, "margin", 1), duration(r, "renew", 1))
+	r.RejectUnknown(withDurations(nil, "span", "margin", "renew", "rules")...)
+	t := config.NewTimings(duration(r, "span", minDuration), duration(r, "margin", 1), duration(r, "renew", 1)).
+		WithRulesTTL(duration(r, "rules", minDuration))
 	if t.LeaseTTL() > 0 && (t.LeaseMargin() == 0 || t.RenewInterval() == 0 || t.LeaseTTL() <= 2*t.RenewInterval()+t.LeaseMargin()) {
 		l.AddFault("lease", "must have margin_ms and renew_ms, and a span_ms above two renewals and the margin")
 	}
+	if t.RulesTTL() > 0 && t.RulesTTL() <= 2*t.RenewInterval()+t.LeaseMargin() {
+		r.AddFault("rules_ms", "must be above two renewals and the margin")
+	}
 	if t.LeaseTTL() == 0 && l.Has("lease") {
 		l.AddFault("lease", "must have span_ms")
 	}
--- a/verbenad/command/ctrl/agent.go
+++ b/verbenad/command/ctrl/agent.go
@@ -54,6 +54,12 @@
 		l.observer.HeartbeatAnswered(f.ID(), f.Answer())
 	case agent.AskRules:
 		l.askRules(f)
+	case agent.RulesLapsed:
+		rulesLapses.Add(1)
+		l.log.WithField("rules", l.snapshots.Load().Table().Rules().Version()).Warn("ctrl: the rules are unconfirmed")
+	case agent.RulesRenewed:
+		l.log.WithFields(logrus.Fields{"rules": l.snapshots.Load().Table().Rules().Version(), "lapsed_ms": int64(f.After())}).
+			Info("ctrl: the rules are confirmed again")
 	case agent.DrainTarget:
 		l.target.Drain()
 	case agent.DropTarget:
--- a/verbenad/command/ctrl/metric.go
+++ b/verbenad/command/ctrl/metric.go
@@ -11,6 +11,7 @@
 	invariantViolations = expvar.NewInt("verbenad.invariant_violations")
 	electionsWon        = expvar.NewInt("verbenad.elections_won")
 	shardMoves          = expvar.NewInt("verbenad.moves")
+	rulesLapses         = expvar.NewInt("verbenad.rules_lapses")
 )
 
 // countShardMoves counts the shards that start to move with the changes.
--- a/verbenad/command/serve/traffic.go
+++ b/verbenad/command/serve/traffic.go
@@ -112,7 +112,11 @@
 	if t.LeaseTTL() == 0 {
 		return lease.DefaultParams()
 	}
-	return lease.NewParams(t.LeaseTTL(), t.LeaseMargin(), t.RenewInterval(), renewTimeoutIntervals*t.RenewInterval())
+	p := lease.NewParams(t.LeaseTTL(), t.LeaseMargin(), t.RenewInterval(), renewTimeoutIntervals*t.RenewInterval())
+	if t.RulesTTL() > 0 {
+		p = p.WithRulesTTL(t.RulesTTL())
+	}
+	return p
 }
 
 // renewTimeoutIntervals is the time-out of a lease renewal in renewal intervals. A renewal that is not
--- a/verbenad/state/config/timings.go
+++ b/verbenad/state/config/timings.go
@@ -44,6 +44,7 @@
 	leaseTTL      clock.Millis
 	leaseMargin   clock.Millis
 	renewInterval clock.Millis
+	rulesTTL      clock.Millis
 	maxHold       clock.Millis
 	maxDrain      clock.Millis
 	stopGrace     clock.Millis
@@ -62,6 +63,15 @@
 	return t
 }
 
+// WithRulesTTL sets how long the rules may be used from the sending of an answered renewal.
+func (t Timings) WithRulesTTL(ttl clock.Millis) Timings {
+	t.rulesTTL = ttl
+	return t
+}
+
+// RulesTTL returns how long the rules may be used from the sending of an answered renewal.
+func (t Timings) RulesTTL() clock.Millis { return t.rulesTTL }
+
 // LeaseTTL returns how long a lease lasts.
 func (t Timings) LeaseTTL() clock.Millis { return t.leaseTTL }
 
