Send a daemon that lags only the newest configuration

The merged changes and the full table keep only the last one now; rules are independent of the other changes.

TestSupersededConfigurationsAreNotSent fails without the change: versions 2 and 3 sent, 3 wanted.

--- a/core/command/leader/delivery_test.go
+++ b/core/command/leader/delivery_test.go
@@ -431,3 +431,35 @@
 		})
 	}
 }
+
+// TestSupersededConfigurationsAreNotSent guards against a daemon behind a slow link that gets each configuration of a
+// series after the link was free again, with the newest one last.
+func TestSupersededConfigurationsAreNotSent(t *testing.T) {
+	is := is.New(t)
+	d := newDelivery(1, 2)
+	d.run(settledAt)
+	for _, from := range []uint64{d.state.Table().Version(), 0} { // a daemon that lags, and one that joins
+		d.accept(d.state.Table().Rules().Version() + 1)
+		d.accept(d.state.Table().Rules().Version() + 1)
+		newest := d.state.Table().Rules().Version()
+		d.step(leader.NewSessionOpened(900))
+		var sent []uint64
+		for _, f := range d.leader.Step(d.now, leader.NewRenewRequested(900, d.daemons[0].snap.Self(), 1, from, nil, load.Report{})) {
+			if u, ok := f.(leader.SendUpdate); ok {
+				sent = append(sent, configurations(u.Update())...)
+			}
+		}
+		is.Equal(sent, []uint64{newest})
+	}
+}
+
+// configurations returns the versions that an update carries.
+func configurations(u leader.Update) []uint64 {
+	var list []uint64
+	for _, c := range u.Changes() {
+		if r, ok := c.(table.RulesSet); ok {
+			list = append(list, r.Rules().Version())
+		}
+	}
+	return list
+}
--- a/core/command/leader/history.go
+++ b/core/command/leader/history.go
@@ -69,7 +69,7 @@
 		for _, s := range h.deltas[next:] {
 			changes = append(changes, s.changes...)
 		}
-		h.merged = mergedDelta{from: version, delta: delta{to: last, changes: changes}}
+		h.merged = mergedDelta{from: version, delta: delta{to: last, changes: withoutSupersededRules(changes)}}
 	}
 	return h.merged.changes, true
 }
@@ -82,7 +82,25 @@
 		h.snapshot = delta{to: t.Version(), changes: t.Changes()}
 		return h.snapshot.changes
 	}
-	return slices.Concat(h.snapshot.changes, later)
+	return withoutSupersededRules(slices.Concat(h.snapshot.changes, later))
+}
+
+// withoutSupersededRules returns the changes without all configurations but the last one. A daemon that lags behind a
+// series of them needs only that, and its link may be slow.
+func withoutSupersededRules(changes []table.Change) []table.Change {
+	last := -1
+	for i, c := range changes {
+		if _, ok := c.(table.RulesSet); ok {
+			last = i
+		}
+	}
+	kept := make([]table.Change, 0, len(changes))
+	for i, c := range changes {
+		if _, ok := c.(table.RulesSet); !ok || i == last {
+			kept = append(kept, c)
+		}
+	}
+	return kept
 }
 
 // sendUpdate sends a session the changes that it lacks, or the full table if they are not kept.
