--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 MODULES := core platform verbenad verbena vload vscale
 BIN := bin
 
-.PHONY: build run test race lint format model generate capacity soak platform-soak gopls
+.PHONY: build run test race lint format model generate capacity delivery soak platform-soak gopls
 
 build:
 	@mkdir -p $(BIN)
@@ -41,6 +41,10 @@
 capacity: build
 	$(BIN)/vscale
 
+# How long after its acknowledgement each daemon uses a configuration, at 30, 100 and 300 daemons.
+delivery: build
+	$(BIN)/vscale --delivery --output run/delivery.json
+
 format:
 	@for m in $(MODULES); do (cd $$m && ../.tools/golangci-lint fmt --config ../.golangci.yml ./...); done
 
--- a/vscale/command/fake/daemon.go
+++ b/vscale/command/fake/daemon.go
@@ -38,6 +38,7 @@
 	log          *logrus.Entry
 	reportShards int
 	reportKeys   int
+	members      ctrl.Members
 
 	clock      *clock.Clock
 	snapshots  *snap.Store
@@ -71,6 +72,9 @@
 	return func(d *Daemon) { d.reportShards, d.reportKeys = shards, keys }
 }
 
+// WithMembers sets how other daemons are asked for rules; by default they are not asked.
+func WithMembers(m ctrl.Members) Option { return func(d *Daemon) { d.members = m } }
+
 // New starts a stand-in daemon whose target is up. The function that it returns stops
 // it without a handover or leaving the group, as a crash would.
 func New(opts ...Option) (*Daemon, func()) {
@@ -83,7 +87,7 @@
 	a := agent.New(agent.WithInstance(d.name, d.zone, d.address), agent.WithRandom(rand.Uint64))
 	d.loop = ctrl.New(
 		ctrl.WithClock(d.clock, func() logcmd.Timestamp { return 0 }), ctrl.WithCodec(d.codec), ctrl.WithLog(d.log),
-		ctrl.WithAgent(a, d.snapshots), ctrl.WithTraffic(noTraffic{}, noTraffic{}), ctrl.WithUplink(uplink), ctrl.WithLifecycleObserver(noTraffic{}))
+		ctrl.WithAgent(a, d.snapshots), ctrl.WithTraffic(noTraffic{}, noTraffic{}), ctrl.WithUplink(uplink), ctrl.WithMembers(d.members), ctrl.WithLifecycleObserver(noTraffic{}))
 	d.goroutines.Go(func() { _ = d.loop.Run(ctx) })
 	d.goroutines.Go(func() { d.reportLoad(ctx) })
 	uplink.Start(d.post)
@@ -126,6 +130,19 @@
 // Incarnation returns the current incarnation, 0 if the daemon is not a member.
 func (d *Daemon) Incarnation() table.Incarnation { return d.snapshots.Load().Self() }
 
+// AnswerRules answers another daemon that asks for rules, as hop.Server does.
+func (d *Daemon) AnswerRules(q agent.AskRules) agent.RulesAnswered {
+	s := d.snapshots.Load()
+	e := agent.NewRulesAnswered(q.Asked(), s.Group(), s.Table().Rules().Version())
+	if r := s.Table().Rules(); r.Version() > q.Version() {
+		e = e.WithNewer(r)
+	}
+	if at := s.RulesConfirmed(); at > 0 {
+		e = e.WithConfirmation(d.clock.Now().Sub(at))
+	}
+	return e
+}
+
 // AwaitLease waits for a lease by a renewal that was sent later than after, and
 // returns the time at which it was seen.
 func (d *Daemon) AwaitLease(ctx context.Context, after clock.Millis) (clock.Millis, error) {
--- a/vscale/command/trial/trial.go
+++ b/vscale/command/trial/trial.go
@@ -47,6 +47,7 @@
 	shards     int
 
 	version uint64
+	members *registry
 	daemons []*fake.Daemon
 	stops   []func()
 	points  []figure.Point
@@ -56,7 +57,7 @@
 // and returns a trial on the group. The function that it returns stops the stand-in
 // daemons, but not the group.
 func New(g *group.Group, shards int, log, standInLog *logrus.Entry) (*Trial, func(), error) {
-	t := &Trial{group: g, clock: clock.New(), log: log, standInLog: standInLog, traffic: &iostat.Counter{}, shards: shards}
+	t := &Trial{group: g, clock: clock.New(), log: log, standInLog: standInLog, traffic: &iostat.Counter{}, shards: shards, members: newRegistry()}
 	t.codec = codec.New(codec.WithRules(func(content []byte) (rules.Rules, error) { return confjs.Decode("rules", content) }))
 	credentials, err := auth.New(g.Settings())
 	if err != nil {
@@ -90,10 +91,12 @@
 	begin := t.clock.Now()
 	added := count - len(t.daemons)
 	for i := len(t.daemons); i < count; i++ {
+		address := fmt.Sprintf("127.40.%d.%d:8090", i/200+1, i%200+1)
 		d, stop := fake.New(
-			fake.WithInstance(fmt.Sprintf("stand-in-%04d", i), fmt.Sprintf("zone-%d", i%3+1), fmt.Sprintf("127.40.%d.%d:8090", i/200+1, i%200+1), service),
+			fake.WithInstance(fmt.Sprintf("stand-in-%04d", i), fmt.Sprintf("zone-%d", i%3+1), address, service), fake.WithMembers(t.members),
 			fake.WithReplicas(t.group.PeersAddresses(), t.dial...), fake.WithCodec(t.codec),
 			fake.WithLog(t.standInLog), fake.WithReport(reportShards, reportKeys))
+		t.members.add(address, d)
 		t.daemons, t.stops = append(t.daemons, d), append(t.stops, stop)
 	}
 	joined, err := t.awaitAll(func(ctx context.Context, d *fake.Daemon) (clock.Millis, error) { return d.AwaitLease(ctx, begin) })
--- a/vscale/main.go
+++ b/vscale/main.go
@@ -26,6 +26,7 @@
 	flaggy.Int(&o.rounds, "r", "rounds", "how often the sizes are gone through")
 	flaggy.Int(&o.maxDaemons, "m", "most", "the most daemons")
 	flaggy.Int(&o.maxShards, "s", "shards", "the most shards with live daemons")
+	flaggy.Bool(&o.deliveryOnly, "c", "delivery", "only how long after its acknowledgement each daemon uses a configuration")
 	flaggy.Parse()
 	runtime.LockOSThread() // the kernel kills the replicas when the thread that started them ends (Pdeathsig)
 	if err := run(o); err != nil {
@@ -43,6 +44,8 @@
 	rounds     int
 	maxDaemons int
 	maxShards  int
+
+	deliveryOnly bool
 }
 
 func run(o options) error {
@@ -51,7 +54,12 @@
 	standIns := logrus.New()
 	standIns.SetOutput(os.Stderr)
 	standIns.SetLevel(logrus.ErrorLevel)
-	points, measureErr := measure(o, loggers{trial: logrus.NewEntry(log), standIns: logrus.NewEntry(standIns)})
+	loggers := loggers{trial: logrus.NewEntry(log), standIns: logrus.NewEntry(standIns)}
+	measureAll := measure
+	if o.deliveryOnly {
+		measureAll = measureDelivery
+	}
+	points, measureErr := measureAll(o, loggers)
 	regressions := fit.LeastSquares(points)
 	if err := show.Table(os.Stdout, regressions); err != nil {
 		return err
--- a/vscale/measure.go
+++ b/vscale/measure.go
@@ -44,6 +44,29 @@
 	return points, err
 }
 
+// Sizes of the fleet and number of configurations of a measurement of their delivery.
+var deliverySizes = []int{30, 100, 300}
+
+const deliveryCount = 10
+
+// measureDelivery measures how long after its acknowledgement each daemon uses a configuration.
+func measureDelivery(o options, log loggers) ([]figure.Point, error) {
+	t, cleanup, err := newTrial(o, log, minShards)
+	if err != nil {
+		return nil, err
+	}
+	defer cleanup()
+	for _, count := range deliverySizes {
+		if err := t.GrowTo(count); err != nil {
+			return t.Points(), err
+		}
+		if err := t.MeasureDelivery(deliveryCount); err != nil {
+			return t.Points(), err
+		}
+	}
+	return t.Points(), nil
+}
+
 // measureState measures the replicated state and the decisions of the leader in this
 // process.
 func measureState(rounds int) ([]figure.Point, error) {
