Let an owner without processor time hold other daemons' requests off

Cause: 1,600 requests a second came to the owner of popular keys, of which its target can serve 33. Refusing the others took all the processor time of its daemon; its goroutines waited 0.3 s and more for each turn, so that it opened no session for 7 s, got no answer from other members, and its lease lapsed. The refusals now carry a hold-off while goroutines wait for 100 ms or more, and the other daemons refuse requests for its keys where they arrive, but for one in each hold-off.

--- /dev/null
+++ b/core/command/press/press_test.go
@@ -0,0 +1,100 @@
+package press_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"verbenabank/core/clock"
+	"verbenabank/core/command/press"
+	"verbenabank/core/state/table"
+)
+
+const owner table.Incarnation = 7
+
+// TestSaturatedOwnerIsRelieved replays 280 daemons that pass 1,500 requests a second for popular keys on to an owner, which
+// has processor time for 500. It guards against an owner that answers none of its leader's messages, and against
+// one that gets fewer requests than its target can serve (33 a second).
+func TestSaturatedOwnerIsRelieved(t *testing.T) {
+	is := is.New(t)
+	const daemons, interval, capacity, perSecond, target = 280, 200 * clock.Millisecond, 500, 1500, 33
+	random := rand.New(rand.NewPCG(1, 1))
+	var valves []*press.Valve
+	for range daemons {
+		valves = append(valves, press.NewValve(func(limit clock.Millis) clock.Millis { return clock.Millis(random.Int64N(int64(limit))) }))
+	}
+	gauge, holdOff, passed := press.Gauge{}, clock.Millis(0), 0
+	saturated, intervals, least := 0, 0, perSecond
+	inSecond := 0
+	for now := clock.Millis(0); now < 20*clock.Second; now++ {
+		for range perSecond / int(clock.Second) {
+			passed += pass(valves[random.IntN(daemons)], random.IntN(10) == 0, holdOff, now)
+		}
+		if random.IntN(2) == 0 { // half a request in each millisecond
+			passed += pass(valves[random.IntN(daemons)], random.IntN(10) == 0, holdOff, now)
+		}
+		if now%interval == interval-1 {
+			latency := clock.Millis(5)
+			if now > 3*clock.Second {
+				intervals++
+			}
+			if passed > capacity*int(interval)/int(clock.Second) {
+				latency = 500
+				if now > 3*clock.Second {
+					saturated++
+				}
+			}
+			inSecond += passed
+			passed, holdOff = 0, gauge.Record(latency)
+		}
+		if now%clock.Second == clock.Second-1 {
+			least = min(least, inSecond)
+			inSecond = 0
+		}
+	}
+	is.True(least >= 3*target)
+	is.True(saturated <= intervals/4)
+}
+
+// pass returns 1 if a request passes to the owner, which serves one in ten and refuses the others with its hold-off.
+func pass(v *press.Valve, served bool, holdOff, now clock.Millis) int {
+	if _, kept := v.Check(owner, now).(press.Kept); kept {
+		return 0
+	}
+	if served {
+		holdOff = 0
+	}
+	v.Record(owner, holdOff, now)
+	return 1
+}
+
+// TestValveOpensWithTheNextReply guards against an owner that gets no requests for as long as it was once saturated.
+func TestValveOpensWithTheNextReply(t *testing.T) {
+	is := is.New(t)
+	v := press.NewValve(func(clock.Millis) clock.Millis { return 0 })
+	is.Equal(v.Check(owner, 0), press.Passed{})
+	v.Record(owner, 400, 0)
+	k, kept := v.Check(owner, 50).(press.Kept)
+	is.True(kept)
+	is.Equal(k.Left(), 150*clock.Millisecond)
+	is.Equal(v.Check(owner+1, 50), press.Passed{})
+	is.Equal(v.Check(owner, 200), press.Passed{})
+	_, kept = v.Check(owner, 201).(press.Kept)
+	is.True(kept) // until the one that passed is answered
+	v.Record(owner, 0, 210)
+	is.Equal(v.Check(owner, 211), press.Passed{})
+}
+
+// TestOwnersThatAreGoneAreForgotten guards against a valve that is full of owners that were restarted long ago.
+func TestOwnersThatAreGoneAreForgotten(t *testing.T) {
+	is := is.New(t)
+	v := press.NewValve(func(clock.Millis) clock.Millis { return 0 })
+	const many = 5000
+	for i := range table.Incarnation(many) {
+		v.Record(i+1, 100, 0)
+	}
+	v.Record(many+1, 100, clock.Minute)
+	_, kept := v.Check(many+1, clock.Minute).(press.Kept)
+	is.True(kept)
+}
--- a/core/state/result/result.go
+++ b/core/state/result/result.go
@@ -28,6 +28,7 @@
 	retryAfter clock.Millis
 	sent       bool
 	targetLoad TargetLoad
+	holdOff    clock.Millis
 }
 
 // TargetLoad is the load of a target at the time of a refusal.
@@ -80,6 +81,16 @@
 // was not the cause.
 func (r Refused) TargetLoad() TargetLoad { return r.targetLoad }
 
+// WithHoldOff returns the refusal with the time for which the daemon of the target wants no further requests for its
+// keys, since it has too little processor time.
+func (r Refused) WithHoldOff(d clock.Millis) Refused {
+	r.holdOff = d
+	return r
+}
+
+// HoldOff returns for how long the daemon of the target wants no further requests for its keys, 0 if it does.
+func (r Refused) HoldOff() clock.Millis { return r.holdOff }
+
 // Sent reports whether the request was sent to a target, which refused to run it.
 func (r Refused) Sent() bool { return r.sent }
 
--- a/core/wire/hopmsg/hopmsg.go
+++ b/core/wire/hopmsg/hopmsg.go
@@ -86,6 +86,7 @@
 	switch o := o.(type) {
 	case result.Refused:
 		f.NotRun, f.Reason, f.RetryAfterMs, f.Sent = true, string(o.Reason()), int64(o.RetryAfter()), o.Sent()
+		f.HoldOffMs = int64(o.HoldOff())
 		f.Running, f.Waiting, f.MeanMs = uint32(o.TargetLoad().Running()), uint32(o.TargetLoad().Waiting()), int64(o.TargetLoad().MeanTime())
 	case result.Unknown:
 		f.Reason = string(o.Reason())
@@ -100,7 +101,8 @@
 func DecodeFailure(f *wirepb.Failure) result.Outcome {
 	if f.GetNotRun() {
 		o := result.NewRefused(result.Reason(f.GetReason()), clock.Millis(f.GetRetryAfterMs())).
-			WithTargetLoad(result.NewTargetLoad(int(f.GetRunning()), int(f.GetWaiting()), clock.Millis(f.GetMeanMs())))
+			WithTargetLoad(result.NewTargetLoad(int(f.GetRunning()), int(f.GetWaiting()), clock.Millis(f.GetMeanMs()))).
+			WithHoldOff(clock.Millis(f.GetHoldOffMs()))
 		if f.GetSent() {
 			return o.WithSent()
 		}
--- a/verbenad/adapt/hop/hop.go
+++ b/verbenad/adapt/hop/hop.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -36,6 +37,7 @@
 type Client struct {
 	dialOptions    []grpc.DialOption
 	connectTimeout time.Duration
+	questions      atomic.Int32 // for rules, without an answer
 
 	mu      sync.Mutex
 	closed  bool
--- a/verbenad/adapt/hop/rules.go
+++ b/verbenad/adapt/hop/rules.go
@@ -13,17 +13,23 @@
 	"verbenabank/core/wire/wirepb"
 )
 
-// rulesTimeout bounds a question for rules.
-const rulesTimeout = 1 * time.Second
+// Limits of questions for rules. They may take long in a process with too little processor time, and are then not
+// repeated.
+const (
+	rulesTimeout  = 4 * time.Second
+	openQuestions = 12
+)
 
 // AskRules asks the daemon at an address for rules newer than a version, on the connection that requests use. It
-// calls answered from another goroutine if there is an answer.
+// calls answered from another goroutine if there is an answer. While openQuestions have none it asks no more.
 func (c *Client) AskRules(address string, asked clock.Millis, version uint64, d *codec.Codec, answered func(agent.RulesAnswered)) {
 	n, ok := c.conn(address)
-	if !ok {
+	if !ok || c.questions.Load() >= openQuestions {
 		return
 	}
+	c.questions.Add(1)
 	go func() {
+		defer c.questions.Add(-1)
 		ctx, cancel := context.WithTimeout(context.Background(), rulesTimeout)
 		defer cancel()
 		m, err := wirepb.NewHopClient(n).Rules(ctx, &wirepb.RulesRequest{Version: version})
--- a/verbenad/command/owner/owner.go
+++ b/verbenad/command/owner/owner.go
@@ -52,6 +52,7 @@
 	limiter        *admit.Limiter
 	bodies         bodyLimiter
 	closed         atomic.Bool
+	holdOff        atomic.Int64 // in ms
 	attempts       atomic.Uint64
 	meter          *meter.Meter
 	log            *logrus.Entry // nil for no request log
@@ -193,7 +194,7 @@
 		return call.NewResponse(reply.Status(), reply.Fields(), b, reply.Length())
 	case call.Failure:
 		x.finish(reply.Outcome())
-		return reply
+		return o.withHoldOff(reply)
 	}
 	return call.Unknown(result.Interrupted)
 }
--- a/verbenad/command/relay/attempt.go
+++ b/verbenad/command/relay/attempt.go
@@ -27,7 +27,7 @@
 }
 
 // attemptKeyed makes one attempt at the owner of the key, unless it has refused others for the key and
-// doesn't serve it yet.
+// doesn't serve it yet, or has too little processor time.
 func (t *task) attemptKeyed(s *snap.Snapshot, d route.Keyed) (reply call.Reply, served <-chan struct{}) {
 	m := d.Owner()
 	send := func() call.Reply {
@@ -36,6 +36,10 @@
 	if m.Incarnation() == s.Self() {
 		return send(), nil
 	}
+	if refusal, kept := t.relay.valve.check(m.Incarnation()); kept {
+		t.relay.meter.Add("held_off", 1)
+		return refusal, nil
+	}
 	k := breaker.NewKey(t.request.service.Name(), d.Key(), m.Incarnation())
 	switch v := t.relay.breakers.check(k).(type) {
 	case breaker.HeldBack:
@@ -44,6 +48,7 @@
 	case breaker.Admitted:
 		reply = send()
 		t.relay.breakers.record(k, v, reply)
+		t.relay.valve.record(m.Incarnation(), reply)
 	}
 	return reply, nil
 }
--- a/verbenad/command/relay/relay.go
+++ b/verbenad/command/relay/relay.go
@@ -47,6 +47,7 @@
 	budgets       sync.Map   // service name to *budget.Budget
 	balancer      *balancer
 	breakers      *breakers
+	valve         *valve
 }
 
 // Option configures a Relay.
@@ -88,6 +89,7 @@
 	}
 	r.balancer = newBalancer(r.clock)
 	r.breakers = newBreakers(r.clock)
+	r.valve = newValve(r.clock)
 	r.index.Store(route.NewIndex(r.store.Load().Table()))
 	return r
 }
--- a/verbenad/command/serve/run.go
+++ b/verbenad/command/serve/run.go
@@ -48,6 +48,7 @@
 func (d *Daemon) startComponents(ended chan error) {
 	d.group.Go(func() { _ = d.loop.Run(d.ctx) })
 	d.runComponent(ended, "measure", func() error { reportLoad(d.ctx, d.owner, d.loop); return nil })
+	d.runComponent(ended, "measure waits", func() error { d.measureWaits(); return nil })
 	d.runComponent(ended, "watch leases", func() error { d.owner.WatchLeases(d.ctx); return nil })
 	d.runComponent(ended, "extend leases", func() error { d.owner.ExtendLeases(d.ctx); return nil })
 	d.runComponent(ended, "close connections to removed members", func() error { d.hopClient.WatchMembers(d.ctx, d.snapshots); return nil })
