--- a/core/command/raft/host_test.go
+++ b/core/command/raft/host_test.go
@@ -22,6 +22,7 @@
 	lag           clock.Millis // extra delay of messages to the host
 	lagUntil      clock.Millis // end of the extra delay
 	downUntil     clock.Millis // when a stopped process starts again
+	fullUntil     clock.Millis // the disk is full until then: it stores nothing, and no process starts
 	clockRate     clock.Millis // clock rate in thousandths of real time
 	clockBase     clock.Millis // clock reading when the rate last changed
 	clockSince    clock.Millis // when the rate last changed
@@ -109,7 +110,7 @@
 func (h *host) tick() {
 	cl := h.cluster
 	if h.node == nil {
-		if !h.removed && cl.now >= h.downUntil {
+		if !h.removed && cl.now >= max(h.downUntil, h.fullUntil) {
 			h.start()
 		}
 		return
@@ -118,7 +119,7 @@
 		return
 	}
 	var durable uint64
-	for len(h.pending) > 0 && h.pending[0].at <= cl.now {
+	for len(h.pending) > 0 && max(h.pending[0].at, h.fullUntil) <= cl.now {
 		durable = h.pending[0].batch.Sequence()
 		h.persist(h.pending[0].batch)
 		h.pending = h.pending[1:]
