Keep what an agent knows of its rules together, and answer questions in one place

The lag of the control goroutine's timers is no longer measured: it stayed below 200 ms at the owner of the hot keys in the reproduction (a timer's goroutine runs next), so it can't show the fault, and sched_latency_ms does.

No change of behavior otherwise; tests of agent, leader, ctrl, start and hop pass.

--- a/core/command/agent/agent.go
+++ b/core/command/agent/agent.go
@@ -40,12 +40,7 @@
 	joined       bool
 	nextRenew    clock.Millis
 	joiningSince clock.Millis // when the unanswered join began, 0 if none is open
-	newestRules  rules.Rules  // from another member, the zero value if the leader's are as new
-	leaderRules  uint64       // version that the leader sent last
-	nextAsk      clock.Millis // when other members may be asked for rules again
-	askCursor    int          // next member to ask
-	rulesLapsed  bool         // the lease on the rules had ended at the last step
-	lapsedSince  clock.Millis // when it ended
+	freshness    freshness
 	report       load.Report
 	handovers    map[logcmd.Release]handover
 
--- a/core/command/agent/invariant.go
+++ b/core/command/agent/invariant.go
@@ -12,8 +12,8 @@
 	if next.Version() < a.table.Version() {
 		return fmt.Sprintf("an update would take the table from version %d back to %d", a.table.Version(), next.Version())
 	}
-	if v, ok := updatedRules(e); ok && v < a.leaderRules {
-		return fmt.Sprintf("an update would take the rules from version %d back to %d", a.leaderRules, v)
+	if v, ok := updatedRules(e); ok && v < a.freshness.fromLeader {
+		return fmt.Sprintf("an update would take the rules from version %d back to %d", a.freshness.fromLeader, v)
 	}
 	for _, c := range e.changes {
 		h, ok := c.(table.OwnershipSet)
--- a/core/command/agent/session.go
+++ b/core/command/agent/session.go
@@ -121,7 +121,7 @@
 		return
 	}
 	if v, ok := updatedRules(e); ok {
-		a.leaderRules = v
+		a.freshness.fromLeader = v
 	}
 	a.table = a.withNewestRules(next)
 	if a.isServing() && a.hasLeft(a.target) { // it told an earlier process of the daemon
--- a/verbenad/command/ctrl/ctrl.go
+++ b/verbenad/command/ctrl/ctrl.go
@@ -61,7 +61,6 @@
 	snapshotIndex uint64
 	failure       error
 	rulesSource   string // of the agent's current event
-	lag           *lagMonitor
 }
 
 // New returns a loop that does not process events until Run is called. Without WithReplica it serves a
@@ -82,7 +81,6 @@
 	for _, o := range opts {
 		o(l)
 	}
-	l.lag = newLagMonitor(l.log)
 	l.view.Store(view.New(l.fleet))
 	return l
 }
@@ -133,8 +131,7 @@
 	}
 	for l.failure == nil {
 		l.publishView()
-		due := max(l.nextTick(), l.clock.Now())
-		timer.Reset(due.Sub(l.clock.Now()).Duration())
+		timer.Reset(max(0, l.nextTick().Sub(l.clock.Now())).Duration())
 		select {
 		case e := <-l.urgent:
 			l.handle(e)
@@ -145,7 +142,6 @@
 		case <-ctx.Done():
 			return
 		case <-timer.C:
-			l.lag.record(l.clock.Now(), due)
 			l.tick()
 		case e := <-l.urgent:
 			l.handle(e)
--- a/vscale/command/fake/daemon.go
+++ b/vscale/command/fake/daemon.go
@@ -130,17 +130,9 @@
 // Incarnation returns the current incarnation, 0 if the daemon is not a member.
 func (d *Daemon) Incarnation() table.Incarnation { return d.snapshots.Load().Self() }
 
-// AnswerRules answers another daemon that asks for rules, as hop.Server does.
+// AnswerRules answers another daemon that asks for rules.
 func (d *Daemon) AnswerRules(q agent.AskRules) agent.RulesAnswered {
-	s := d.snapshots.Load()
-	e := agent.NewRulesAnswered(q.Asked(), s.Group(), s.Table().Rules().Version())
-	if r := s.Table().Rules(); r.Version() > q.Version() {
-		e = e.WithNewer(r)
-	}
-	if at := s.RulesConfirmed(); at > 0 {
-		e = e.WithConfirmation(d.clock.Now().Sub(at))
-	}
-	return e
+	return agent.AnswerRules(q, d.snapshots.Load(), d.clock.Now())
 }
 
 // AwaitLease waits for a lease by a renewal that was sent later than after, and
