--- a/verbenad/adapt/sched/sched.go
+++ b/verbenad/adapt/sched/sched.go
@@ -13,7 +13,7 @@
 
 const latencyMetric = "/sched/latencies:seconds"
 
-// quantile of the waits that Latency returns.
+// quantile of the waits that TakeLatency returns.
 const quantile = 0.9
 
 // Monitor reads the waits since its last reading. It is not safe for concurrent use.
@@ -25,8 +25,8 @@
 // New returns a monitor whose first reading covers the life of the process.
 func New() *Monitor { return &Monitor{sample: []metrics.Sample{{Name: latencyMetric}}} }
 
-// Latency returns the time within which nine in ten goroutines got a processor since the last call, 0 if none waited.
-func (m *Monitor) Latency() clock.Millis {
+// TakeLatency returns the time within which nine in ten goroutines got a processor since the last call, 0 if none waited.
+func (m *Monitor) TakeLatency() clock.Millis {
 	metrics.Read(m.sample)
 	if m.sample[0].Value.Kind() != metrics.KindFloat64Histogram {
 		return 0
--- a/verbenad/adapt/sched/sched_test.go
+++ b/verbenad/adapt/sched/sched_test.go
@@ -37,7 +37,7 @@
 	is := is.New(t)
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	m := New()
-	m.Latency()
+	m.TakeLatency()
 	end := time.Now().Add(300 * time.Millisecond)
 	done := make(chan struct{})
 	const goroutines = 200
@@ -53,5 +53,5 @@
 	for range goroutines {
 		<-done
 	}
-	is.True(m.Latency() >= 20*clock.Millisecond)
+	is.True(m.TakeLatency() >= 20*clock.Millisecond)
 }
--- a/verbenad/command/serve/waits.go
+++ b/verbenad/command/serve/waits.go
@@ -26,7 +26,7 @@
 			return
 		case <-t.C:
 		}
-		latency := monitor.Latency()
+		latency := monitor.TakeLatency()
 		schedLatency.Set(int64(latency))
 		holdOff := gauge.Record(latency)
 		d.owner.SetHoldOff(holdOff)
