Let attempts at silent replicas delay no other attempt

Found by reading the change: with four open attempts of 4 s each, a daemon of a small fleet, which begins one every 0.6 s, would have waited for 1.7 s after four replicas without an answer, where it went on at once before. Eight may be open, which is as many as can be in 4 s. TestSilentReplicasDelayNoAttempt fails with four. Constants of the backoff without arithmetic in their names; delays are the same.

--- a/core/command/attach/attach.go
+++ b/core/command/attach/attach.go
@@ -16,21 +16,20 @@
 	OverdueAfter = 500 * clock.Millisecond
 	// GiveUpAfter is how long an attempt may take.
 	GiveUpAfter = 4 * clock.Second
-	// MaxOpen is how many attempts may be open at the same time.
-	MaxOpen = 4
+	// MaxOpen is how many attempts may be open at the same time. Those at replicas without an answer fill it only if
+	// they begin faster than they are given up.
+	MaxOpen = int(GiveUpAfter / OverdueAfter)
 )
 
 const (
 	minBackoff = 20 * clock.Millisecond
-	// The limit of the mean delay between two attempts grows with the fleet, from minLimit to maxLimit.
-	minLimit          = 80 * clock.Millisecond
-	maxLimit          = 800 * clock.Millisecond
-	fleetShareMicros  = 2500 // of the limit, for each daemon
-	microsPerMilli    = 1000
-	unknownFleetSize  = 128 // assumed before the first table
-	maxDoublings      = 6
-	redirectDelay     = clock.Millis(0)
-	jitterDenominator = 2 // delays vary by plus or minus one half
+	// The limit of the mean delay between two attempts grows with the fleet, from minLimit to maxLimit, which it
+	// reaches at maxLimitFleet daemons.
+	minLimit         = 80 * clock.Millisecond
+	maxLimit         = 800 * clock.Millisecond
+	maxLimitFleet    = 320
+	unknownFleetSize = 128 // assumed before the first table
+	maxDoublings     = 6
 )
 
 // Outcome is how an attempt ended: Served, Redirected, Unconnected or Unanswered.
@@ -133,14 +132,14 @@
 		return p.backOff()
 	}
 	p.leader = leader
-	return redirectDelay
+	return 0
 }
 
-// backOff returns the delay after a failure: exponential backoff with jitter.
+// backOff returns the delay after a failure: exponential backoff with jitter of plus or minus one half.
 func (p *Plan) backOff() clock.Millis {
 	delay := min(minBackoff<<min(p.failures, maxDoublings), p.limit())
 	p.failures++
-	return delay/jitterDenominator + p.random(delay)
+	return delay/2 + p.random(delay)
 }
 
 // limit returns the longest mean delay between two attempts.
@@ -149,7 +148,7 @@
 	if size == 0 {
 		size = unknownFleetSize
 	}
-	return max(minLimit, min(maxLimit, clock.Millis(size*fleetShareMicros/microsPerMilli)))
+	return max(minLimit, min(maxLimit, maxLimit*clock.Millis(size)/maxLimitFleet))
 }
 
 // Tally returns the attempts since the last session.
--- a/core/command/attach/attach_test.go
+++ b/core/command/attach/attach_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -52,3 +53,16 @@
 	is.True(p.End("b", NewServed("")) > 0)
 	is.Equal(p.Tally().Attempts(), 0)
 }
+
+// TestSilentReplicasDelayNoAttempt guards against a search in a small fleet that stands still for seconds, since the
+// attempts at replicas that are cut off are all still open.
+func TestSilentReplicasDelayNoAttempt(t *testing.T) {
+	is := is.New(t)
+	p, now, ends := newPlan(12), clock.Millis(0), []clock.Millis{}
+	for range 100 {
+		ends = slices.DeleteFunc(ends, func(end clock.Millis) bool { return end <= now })
+		is.True(len(ends) < MaxOpen)
+		ends = append(ends, now+GiveUpAfter)
+		now += OverdueAfter + p.Overdue()
+	}
+}
