Play random faults on daemons that ask each other for rules

Corrected: an overdue attempt that was redirected later began a second search in the simulation, which the daemon's finder does not do.

--- a/core/command/leader/delivery_fleet_test.go
+++ b/core/command/leader/delivery_fleet_test.go
@@ -49,6 +49,7 @@
 	down      map[int]bool
 	daemons   []*subscriber
 	accepted  []acceptance
+	byMembers int // configurations that a daemon got from another one
 }
 
 // acceptance is the commit of a configuration, which its operator is told at once.
@@ -162,7 +163,7 @@
 		return
 	}
 	d.after(linkDelay+messageSteps*s.lag, func() {
-		if s.session == id {
+		if s.session == id && !s.cut {
 			s.step(e)
 		}
 	})
--- a/core/command/leader/delivery_test.go
+++ b/core/command/leader/delivery_test.go
@@ -63,6 +63,51 @@
 	}
 }
 
+// disturb makes something happen to a fleet: a configuration, or the loss, the return or the change of a leader, or to one
+// of its daemons the loss of its session, of its network to the replicas, of its process or of its processor time.
+func (d *delivery) disturb(next *uint64) {
+	s := d.daemons[d.rand.IntN(len(d.daemons))]
+	switch d.rand.IntN(10) {
+	case 0:
+		d.powerOff()
+	case 1:
+		d.powerOn()
+		d.elect(d.rand.IntN(replicaCount))
+	case 2:
+		s.disconnect()
+	case 3:
+		s.cut = !s.cut
+	case 4:
+		s.restart()
+	case 5:
+		s.lag = d.randomUpTo(saturatedLag)
+	default:
+		if d.leader != nil {
+			*next++
+			d.accept(*next)
+		}
+	}
+}
+
+// TestConfirmedRulesWereTheNewest plays random faults on a fleet whose daemons ask each other for rules. It guards against a
+// daemon that goes back to an older version, or that takes rules for confirmed as of an instant at which a newer
+// version had been accepted, over whatever number of members the confirmation came to it.
+func TestConfirmedRulesWereTheNewest(t *testing.T) {
+	is := is.New(t)
+	byMembers := 0
+	for seed := range uint64(60) {
+		d, next := newDelivery(seed, 12), uint64(1)
+		for range 120 {
+			d.run(d.now + d.randomUpTo(600))
+			d.disturb(&next)
+		}
+		is.Equal(d.violation, "")
+		byMembers += d.byMembers
+	}
+	t.Logf("%d configurations came from other members", byMembers)
+	is.True(byMembers > 100)
+}
+
 // TestSupersededConfigurationsAreNotSent guards against a daemon behind a slow link that gets each configuration of a
 // series after the link was free again, with the newest one last.
 func TestSupersededConfigurationsAreNotSent(t *testing.T) {
--- a/core/command/leader/subscriber_test.go
+++ b/core/command/leader/subscriber_test.go
@@ -21,8 +21,12 @@
 	agent   *agent.Agent
 	plan    *attach.Plan
 	session leader.SessionID
-	begun   int // attempts to open a session
-	search  int // number of the search that goes on, 0 while there is a session
+	process int  // number of the present process
+	search  int  // number of the search for a session, which rises at its beginning and at its end
+	begun   int  // attempts to open a session
+	pending bool // the newest attempt is open and not overdue
+	due     int  // number of the attempt that is to begin next
+	cut     bool // nothing passes between the daemon and the replicas
 	snap    *snap.Snapshot
 	inForce map[uint64]clock.Millis
 	lag     clock.Millis // of each goroutine that is to run, in a process that requests saturate
@@ -31,68 +35,91 @@
 func deliveryParams() lease.Params { return lease.NewParams(5*clock.Second, 100, 500, clock.Second) }
 
 func newSubscriber(d *delivery, n int) *subscriber {
-	name := fmt.Sprint("d", n)
-	s := &subscriber{fleet: d, name: name, inForce: map[uint64]clock.Millis{}, snap: snap.New(table.Empty(), 0, 0, 0)}
-	s.agent = agent.New(agent.WithInstance(name, fmt.Sprint("z", n%5), name), agent.WithRandom(d.rand.Uint64),
+	s := &subscriber{fleet: d, name: fmt.Sprint("d", n), inForce: map[uint64]clock.Millis{}}
+	s.start()
+	return s
+}
+
+// start starts a process of the daemon.
+func (s *subscriber) start() {
+	d := s.fleet
+	s.process++
+	s.snap = snap.New(table.Empty(), 0, 0, 0)
+	s.agent = agent.New(agent.WithInstance(s.name, "z", s.name), agent.WithRandom(d.rand.Uint64),
 		agent.WithLeaseParams(deliveryParams()), agent.WithLastingRules())
 	s.plan = attach.New(attach.WithFleetSize(func() int { return s.agent.Table().MemberCount() }),
 		attach.WithRandom(func(limit clock.Millis) clock.Millis { return d.randomUpTo(limit - 1) }))
-	s.search = 1
-	d.after(d.randomUpTo(300), func() { s.attempt(1) })
-	d.after(1, s.scheduleTick)
-	return s
+	s.schedule(d.randomUpTo(300))
+	process := s.process
+	d.after(1, func() { s.scheduleTick(process) })
 }
 
-func (s *subscriber) scheduleTick() {
+func (s *subscriber) scheduleTick(process int) {
+	if process != s.process {
+		return
+	}
 	if s.agent.NextTick() <= s.fleet.now {
 		s.step(agent.Ticked{})
 	}
-	s.fleet.after(max(1, s.agent.NextTick().Sub(s.fleet.now))+s.lag, s.scheduleTick)
+	s.fleet.after(max(1, s.agent.NextTick().Sub(s.fleet.now))+s.lag, func() { s.scheduleTick(process) })
 }
 
-// attempt asks one replica for a session. One without power does not answer, and the next attempt begins beside it.
-func (s *subscriber) attempt(search int) {
-	if search != s.search {
-		return
-	}
+// schedule sets when the next attempt to open a session begins, in place of the time set before.
+func (s *subscriber) schedule(delay clock.Millis) {
+	s.due++
+	due := s.due
+	s.fleet.after(delay, func() {
+		if due == s.due {
+			s.attempt()
+		}
+	})
+}
+
+// attempt asks one replica for a session. One without power does not answer, nor does any to a daemon that is cut off,
+// and the next attempt begins beside it.
+func (s *subscriber) attempt() {
 	d := s.fleet
 	s.begun++
-	number, address := s.begun, s.plan.Next(replicaAddresses())
-	ended := false
+	s.pending = true
+	number, search, address := s.begun, s.search, s.plan.Next(replicaAddresses())
 	d.after(attach.OverdueAfter, func() {
-		if !ended && search == s.search && number == s.begun {
-			d.after(s.plan.Overdue(), func() { s.attempt(search) })
+		if s.pending && number == s.begun && search == s.search {
+			s.pending = false
+			s.schedule(s.plan.Overdue())
 		}
 	})
 	replica := 0
 	_, _ = fmt.Sscan(address, &replica)
 	switch {
-	case d.down[replica]:
+	case d.down[replica] || s.cut:
 	case replica != d.leading:
-		d.after(linkDelay+handshakeSteps*s.lag, func() {
-			ended = true
-			if search == s.search {
-				d.after(s.plan.End(address, attach.NewRedirected(d.leaderAddress())), func() { s.attempt(search) })
-			}
-		})
+		d.after(linkDelay+handshakeSteps*s.lag, func() { s.redirected(search, number, address) })
 	default:
-		d.work(sessionMicros, func() {
-			d.after(handshakeSteps*s.lag, func() {
-				ended = true
-				s.open(search)
-			})
-		})
+		d.work(sessionMicros, func() { d.after(handshakeSteps*s.lag, func() { s.open(search) }) })
+	}
+}
+
+// redirected takes the leader's address from a replica, as link.finder does.
+func (s *subscriber) redirected(search, number int, address string) {
+	if search != s.search {
+		return
+	}
+	delay := s.plan.End(address, attach.NewRedirected(s.fleet.leaderAddress()))
+	if number == s.begun || !s.pending {
+		s.pending = false
+		s.schedule(delay)
 	}
 }
 
 // open begins the session unless another attempt was faster, or the leader is gone.
 func (s *subscriber) open(search int) {
 	d := s.fleet
-	if search != s.search || d.leader == nil {
+	if search != s.search || d.leader == nil || s.cut {
 		return
 	}
 	d.lastID++
-	s.session, s.search = d.lastID, 0
+	s.due++
+	s.session, s.search, s.pending = d.lastID, s.search+1, false
 	d.sessions[s.session] = s
 	d.step(leader.NewSessionOpened(s.session))
 	s.step(agent.Connected{})
@@ -102,13 +129,27 @@
 	if s.session == 0 {
 		return
 	}
+	s.endSession()
+	s.step(agent.Disconnected{})
+	s.schedule(s.plan.End("", attach.NewServed("")))
+}
+
+// endSession ends the session at the leader, unless it is gone.
+func (s *subscriber) endSession() {
 	d, id := s.fleet, s.session
-	s.session, s.search = 0, s.begun+1
+	s.session = 0
+	s.search++
 	delete(d.sessions, id)
 	d.step(leader.NewSessionClosed(id))
-	s.step(agent.Disconnected{})
-	search := s.search
-	d.after(s.plan.End("", attach.NewServed("")), func() { s.attempt(search) })
+}
+
+// restart replaces the process by one that knows nothing.
+func (s *subscriber) restart() {
+	if s.session != 0 {
+		s.endSession()
+	}
+	s.search++
+	s.start()
 }
 
 func (s *subscriber) step(e agent.Event) {
@@ -142,9 +183,16 @@
 		if !slices.Contains(f.Addresses(), o.name) {
 			continue
 		}
+		process := s.process
 		d.after(linkDelay+messageSteps*(s.lag+o.lag), func() {
 			e := agent.AnswerRules(f, o.snap, d.now)
-			d.after(linkDelay+messageSteps*s.lag, func() { s.step(e) })
+			d.after(linkDelay+messageSteps*s.lag, func() {
+				if process == s.process {
+					before := s.snap.Table().Rules().Version()
+					s.step(e)
+					d.byMembers += int(min(1, s.snap.Table().Rules().Version()-before))
+				}
+			})
 		})
 	}
 }
@@ -154,12 +202,23 @@
 	if v < last {
 		s.fleet.fail("%s goes back from version %d to %d", s.name, last, v)
 	}
+	s.checkConfirmation(next)
 	for n := last + 1; n <= v; n++ {
 		s.inForce[n] = s.fleet.now
 	}
 	s.snap = next
 }
 
+// checkConfirmation requires that rules which were confirmed at an instant were the newest ones then.
+func (s *subscriber) checkConfirmation(next *snap.Snapshot) {
+	v := next.Table().Rules().Version()
+	for _, a := range s.fleet.accepted {
+		if a.at < next.RulesConfirmed() && a.version > v {
+			s.fleet.fail("%s has version %d confirmed at %d, but version %d was accepted at %d", s.name, v, next.RulesConfirmed(), a.version, a.at)
+		}
+	}
+}
+
 // since returns when the daemon had a version or a later one, or now if it has none yet.
 func (s *subscriber) since(a acceptance) clock.Millis {
 	if at, ok := s.inForce[a.version]; ok {
@@ -171,7 +230,7 @@
 func (s *subscriber) report(e leader.Event) {
 	d, id := s.fleet, s.session
 	d.after(linkDelay+messageSteps*s.lag, func() {
-		if _, ok := d.sessions[id]; ok {
+		if _, ok := d.sessions[id]; ok && !s.cut {
 			d.work(messageMicros, func() { d.step(e) })
 		}
 	})
