Let requests that time out not end a hold-off

Cause: a request without a reply counted as one without a hold-off, so each timeout at the saturated owner let all requests of that daemon through again. Only replies of the owner count now. TestTimeoutsDoNotOpenTheValve fails without the change.

--- a/verbenad/command/relay/valve.go
+++ b/verbenad/command/relay/valve.go
@@ -37,15 +37,36 @@
 	return nil, false
 }
 
-// record takes the hold-off of a reply.
+// record takes the hold-off of a reply of the owner. A request without one, since it timed out or the owner was not
+// reached, changes nothing: an owner without processor time answers late.
 func (v *valve) record(owner table.Incarnation, reply call.Reply) {
-	holdOff, now := clock.Millis(0), v.clock.Now()
-	if f, failed := reply.(call.Failure); failed {
-		if r, refused := f.Outcome().(result.Refused); refused {
-			holdOff = r.HoldOff()
-		}
+	holdOff, replied := holdOffOf(reply)
+	if !replied {
+		return
 	}
+	now := v.clock.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.valve.Record(owner, holdOff, now)
 }
+
+// holdOffOf returns the hold-off in a reply, and whether the owner has replied.
+func holdOffOf(reply call.Reply) (clock.Millis, bool) {
+	f, failed := reply.(call.Failure)
+	if !failed {
+		return 0, true
+	}
+	r, refused := f.Outcome().(result.Refused)
+	if !refused {
+		return 0, false
+	}
+	switch r.Reason() {
+	case result.Overloaded, result.Shed, result.NotHeld, result.NotOwner:
+		return r.HoldOff(), true
+	case result.BadRequest, result.UnknownService, result.UnknownRoute, result.TooLarge, result.HeadTooLarge, result.Expired,
+		result.TimedOut, result.Interrupted, result.Truncated, result.Mismatched, result.LeaseLapsed, result.Cancelled,
+		result.NotReady, result.NoOwner, result.NoTarget, result.Leaving, result.Unreachable:
+		return r.HoldOff(), r.HoldOff() > 0
+	}
+	return 0, false
+}
--- a/verbenad/command/relay/valve_test.go
+++ b/verbenad/command/relay/valve_test.go
@@ -18,13 +18,19 @@
 // saturatedOwner refuses requests with a hold-off until it is relieved, and counts those that reach it.
 type saturatedOwner struct {
 	relieved atomic.Bool
+	late     atomic.Bool // requests time out, or do not reach the owner
 	asked    atomic.Int32
 }
 
 const testHoldOff = 200 * clock.Millisecond
 
 func (o *saturatedOwner) Send(context.Context, string, call.Request) call.Reply {
-	o.asked.Add(1)
+	if n := o.asked.Add(1); o.late.Load() {
+		if n%2 == 0 {
+			return call.Refuse(result.Unreachable)
+		}
+		return call.Unknown(result.TimedOut)
+	}
 	if o.relieved.Load() {
 		return emptyResponse()
 	}
@@ -56,3 +62,17 @@
 	is.True(sendKey(r, s)) // all requests pass again
 	is.True(sendKey(r, s))
 }
+
+// TestTimeoutsDoNotOpenTheValve guards against an owner that gets all requests again because it has so little processor
+// time that those which reach it time out.
+func TestTimeoutsDoNotOpenTheValve(t *testing.T) {
+	is := is.New(t)
+	o := &saturatedOwner{}
+	r, s, _ := newKeyedRelay(o)
+	is.True(!sendKey(r, s))
+	o.late.Store(true)
+	for end := time.Now().Add(4 * testHoldOff.Duration()); time.Now().Before(end); {
+		is.True(!sendKey(r, s))
+	}
+	is.True(o.asked.Load() <= 9) // one in each hold-off, which is 100 ms at least
+}
