--- a/core/command/press/press.go
+++ b/core/command/press/press.go
@@ -20,20 +20,20 @@
 	MaxHoldOff = 1600 * clock.Millisecond
 )
 
-// Gauge is the owner's side: it follows how long its goroutines wait. It is not safe for concurrent use.
-type Gauge struct{ holdOff clock.Millis }
+// Controller is the owner's side: it follows how long its goroutines wait. It is not safe for concurrent use.
+type Controller struct{ holdOff clock.Millis }
 
 // Record takes the latency of the last interval and returns the hold-off from now on, 0 for none. The hold-off doubles
 // while the process is saturated, and shrinks by an eighth when it is not.
-func (g *Gauge) Record(latency clock.Millis) clock.Millis {
+func (c *Controller) Record(latency clock.Millis) clock.Millis {
 	switch {
 	case latency >= SaturatedLatency:
-		g.holdOff = min(MaxHoldOff, max(MinHoldOff, 2*g.holdOff))
+		c.holdOff = min(MaxHoldOff, max(MinHoldOff, 2*c.holdOff))
 	case latency <= IdleLatency:
-		g.holdOff = g.holdOff * 7 / 8
-		if g.holdOff < MinHoldOff/2 {
-			g.holdOff = 0
+		c.holdOff = c.holdOff * 7 / 8
+		if c.holdOff < MinHoldOff/2 {
+			c.holdOff = 0
 		}
 	}
-	return g.holdOff
+	return c.holdOff
 }
--- a/core/command/press/press_test.go
+++ b/core/command/press/press_test.go
@@ -20,19 +20,19 @@
 	is := is.New(t)
 	const daemons, interval, capacity, perSecond, target = 280, 200 * clock.Millisecond, 500, 1500, 33
 	random := rand.New(rand.NewPCG(1, 1))
-	var valves []*press.Valve
+	var throttles []*press.Throttle
 	for range daemons {
-		valves = append(valves, press.NewValve(func(limit clock.Millis) clock.Millis { return clock.Millis(random.Int64N(int64(limit))) }))
+		throttles = append(throttles, press.NewThrottle(func(limit clock.Millis) clock.Millis { return clock.Millis(random.Int64N(int64(limit))) }))
 	}
-	gauge, holdOff, passed := press.Gauge{}, clock.Millis(0), 0
+	controller, holdOff, passed := press.Controller{}, clock.Millis(0), 0
 	saturated, intervals, least := 0, 0, perSecond
 	inSecond := 0
 	for now := clock.Millis(0); now < 20*clock.Second; now++ {
 		for range perSecond / int(clock.Second) {
-			passed += pass(valves[random.IntN(daemons)], random.IntN(10) == 0, holdOff, now)
+			passed += pass(throttles[random.IntN(daemons)], random.IntN(10) == 0, holdOff, now)
 		}
 		if random.IntN(2) == 0 { // half a request in each millisecond
-			passed += pass(valves[random.IntN(daemons)], random.IntN(10) == 0, holdOff, now)
+			passed += pass(throttles[random.IntN(daemons)], random.IntN(10) == 0, holdOff, now)
 		}
 		if now%interval == interval-1 {
 			latency := clock.Millis(5)
@@ -46,7 +46,7 @@
 				}
 			}
 			inSecond += passed
-			passed, holdOff = 0, gauge.Record(latency)
+			passed, holdOff = 0, controller.Record(latency)
 		}
 		if now%clock.Second == clock.Second-1 {
 			least = min(least, inSecond)
@@ -58,8 +58,8 @@
 }
 
 // pass returns 1 if a request passes to the owner, which serves one in ten and refuses the others with its hold-off.
-func pass(v *press.Valve, served bool, holdOff, now clock.Millis) int {
-	if _, kept := v.Check(owner, now).(press.Kept); kept {
+func pass(v *press.Throttle, served bool, holdOff, now clock.Millis) int {
+	if _, kept := v.Check(owner, now).(press.HeldOff); kept {
 		return 0
 	}
 	if served {
@@ -69,32 +69,32 @@
 	return 1
 }
 
-// TestValveOpensWithTheNextReply guards against an owner that gets no requests for as long as it was once saturated.
-func TestValveOpensWithTheNextReply(t *testing.T) {
+// TestHoldOffEndsWithTheNextReply guards against an owner that gets no requests for as long as it was once saturated.
+func TestHoldOffEndsWithTheNextReply(t *testing.T) {
 	is := is.New(t)
-	v := press.NewValve(func(clock.Millis) clock.Millis { return 0 })
-	is.Equal(v.Check(owner, 0), press.Passed{})
+	v := press.NewThrottle(func(clock.Millis) clock.Millis { return 0 })
+	is.Equal(v.Check(owner, 0), press.Admitted{})
 	v.Record(owner, 400, 0)
-	k, kept := v.Check(owner, 50).(press.Kept)
+	k, kept := v.Check(owner, 50).(press.HeldOff)
 	is.True(kept)
 	is.Equal(k.Left(), 150*clock.Millisecond)
-	is.Equal(v.Check(owner+1, 50), press.Passed{})
-	is.Equal(v.Check(owner, 200), press.Passed{})
-	_, kept = v.Check(owner, 201).(press.Kept)
+	is.Equal(v.Check(owner+1, 50), press.Admitted{})
+	is.Equal(v.Check(owner, 200), press.Admitted{})
+	_, kept = v.Check(owner, 201).(press.HeldOff)
 	is.True(kept) // until the one that passed is answered
 	v.Record(owner, 0, 210)
-	is.Equal(v.Check(owner, 211), press.Passed{})
+	is.Equal(v.Check(owner, 211), press.Admitted{})
 }
 
-// TestOwnersThatAreGoneAreForgotten guards against a valve that is full of owners that were restarted long ago.
+// TestOwnersThatAreGoneAreForgotten guards against a throttle that is full of owners that were restarted long ago.
 func TestOwnersThatAreGoneAreForgotten(t *testing.T) {
 	is := is.New(t)
-	v := press.NewValve(func(clock.Millis) clock.Millis { return 0 })
+	v := press.NewThrottle(func(clock.Millis) clock.Millis { return 0 })
 	const many = 5000
 	for i := range table.Incarnation(many) {
 		v.Record(i+1, 100, 0)
 	}
 	v.Record(many+1, 100, clock.Minute)
-	_, kept := v.Check(many+1, clock.Minute).(press.Kept)
+	_, kept := v.Check(many+1, clock.Minute).(press.HeldOff)
 	is.True(kept)
 }
--- a/verbenad/command/relay/attempt.go
+++ b/verbenad/command/relay/attempt.go
@@ -36,7 +36,7 @@
 	if m.Incarnation() == s.Self() {
 		return send(), nil
 	}
-	if refusal, kept := t.relay.valve.check(m.Incarnation()); kept {
+	if refusal, kept := t.relay.throttle.check(m.Incarnation()); kept {
 		t.relay.meter.Add("held_off", 1)
 		return refusal, nil
 	}
@@ -48,7 +48,7 @@
 	case breaker.Admitted:
 		reply = send()
 		t.relay.breakers.record(k, v, reply)
-		t.relay.valve.record(m.Incarnation(), reply)
+		t.relay.throttle.record(m.Incarnation(), reply)
 	}
 	return reply, nil
 }
--- a/verbenad/command/relay/relay.go
+++ b/verbenad/command/relay/relay.go
@@ -47,7 +47,7 @@
 	budgets       sync.Map   // service name to *budget.Budget
 	balancer      *balancer
 	breakers      *breakers
-	valve         *valve
+	throttle      *throttle
 }
 
 // Option configures a Relay.
@@ -89,7 +89,7 @@
 	}
 	r.balancer = newBalancer(r.clock)
 	r.breakers = newBreakers(r.clock)
-	r.valve = newValve(r.clock)
+	r.throttle = newThrottle(r.clock)
 	r.index.Store(route.NewIndex(r.store.Load().Table()))
 	return r
 }
--- a/verbenad/command/relay/valve.go
+++ b/verbenad/command/relay/throttle.go
@@ -11,27 +11,27 @@
 	"verbenabank/core/state/table"
 )
 
-// valve keeps requests for keys from owners that have too little processor time. It is safe for concurrent use.
-type valve struct {
+// throttle keeps requests for keys from owners that have too little processor time. It is safe for concurrent use.
+type throttle struct {
 	clock *clock.Clock
 
-	mu    sync.Mutex
-	valve *press.Valve
+	mu       sync.Mutex
+	throttle *press.Throttle
 }
 
-func newValve(c *clock.Clock) *valve {
-	return &valve{clock: c, valve: press.NewValve(func(limit clock.Millis) clock.Millis { return rand.N(limit) })}
+func newThrottle(c *clock.Clock) *throttle {
+	return &throttle{clock: c, throttle: press.NewThrottle(func(limit clock.Millis) clock.Millis { return rand.N(limit) })}
 }
 
 // check returns the refusal of a request that is kept from the owner, and whether it is.
-func (v *valve) check(owner table.Incarnation) (call.Reply, bool) {
-	now := v.clock.Now()
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	switch d := v.valve.Check(owner, now).(type) {
-	case press.Passed:
+func (t *throttle) check(owner table.Incarnation) (call.Reply, bool) {
+	now := t.clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch d := t.throttle.Check(owner, now).(type) {
+	case press.Admitted:
 		return nil, false
-	case press.Kept:
+	case press.HeldOff:
 		return call.NewFailure(result.NewRefused(result.Overloaded, d.Left())), true
 	}
 	return nil, false
@@ -39,15 +39,15 @@
 
 // record takes the hold-off of a reply of the owner. A request without one, since it timed out or the owner was not
 // reached, changes nothing: an owner without processor time answers late.
-func (v *valve) record(owner table.Incarnation, reply call.Reply) {
+func (t *throttle) record(owner table.Incarnation, reply call.Reply) {
 	holdOff, replied := holdOffOf(reply)
 	if !replied {
 		return
 	}
-	now := v.clock.Now()
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.valve.Record(owner, holdOff, now)
+	now := t.clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.throttle.Record(owner, holdOff, now)
 }
 
 // holdOffOf returns the hold-off in a reply, and whether the owner has replied.
--- a/verbenad/command/relay/valve_test.go
+++ b/verbenad/command/relay/throttle_test.go
@@ -63,9 +63,9 @@
 	is.True(sendKey(r, s))
 }
 
-// TestTimeoutsDoNotOpenTheValve guards against an owner that gets all requests again because it has so little processor
+// TestTimeoutsDoNotEndAHoldOff guards against an owner that gets all requests again because it has so little processor
 // time that those which reach it time out.
-func TestTimeoutsDoNotOpenTheValve(t *testing.T) {
+func TestTimeoutsDoNotEndAHoldOff(t *testing.T) {
 	is := is.New(t)
 	o := &saturatedOwner{}
 	r, s, _ := newKeyedRelay(o)
--- a/verbenad/command/serve/waits.go
+++ b/verbenad/command/serve/waits.go
@@ -19,7 +19,7 @@
 func (d *Daemon) measureWaits() {
 	t := time.NewTicker(waitsInterval)
 	defer t.Stop()
-	monitor, gauge := sched.New(), press.Gauge{}
+	monitor, controller := sched.New(), press.Controller{}
 	for saturated := false; ; {
 		select {
 		case <-d.ctx.Done():
@@ -28,7 +28,7 @@
 		}
 		latency := monitor.TakeLatency()
 		schedLatency.Set(int64(latency))
-		holdOff := gauge.Record(latency)
+		holdOff := controller.Record(latency)
 		d.owner.SetHoldOff(holdOff)
 		if saturated != (holdOff > 0) {
 			saturated = holdOff > 0
