Set down the interfaces for hard load: backlogs on replies, terms of service

Change: load.Backlog travels from the owner's daemon on each response and each failure; nothing uses it yet. Result: tests of hop, wire, jsonc and relay pass; no decision changed.

--- a/core/wire/hopmsg/hopmsg.go
+++ b/core/wire/hopmsg/hopmsg.go
@@ -7,6 +7,7 @@
 
 	"verbenabank/core/clock"
 	"verbenabank/core/state/call"
+	"verbenabank/core/state/load"
 	"verbenabank/core/state/result"
 	"verbenabank/core/state/table"
 	"verbenabank/core/wire/wirepb"
@@ -59,13 +60,14 @@
 // EncodeResponseHead returns the first message of a response.
 func EncodeResponseHead(r call.Response) *wirepb.AnswerPart {
 	return &wirepb.AnswerPart{Part: &wirepb.AnswerPart_Head{Head: &wirepb.AnswerHead{
-		Status: uint32(r.Status()), Headers: encodeFields(r.Fields()), ContentLength: r.Length(),
+		Status: uint32(r.Status()), Headers: encodeFields(r.Fields()), ContentLength: r.Length(), Backlog: encodeBacklog(r.Backlog()),
 	}}}
 }
 
 // DecodeResponse returns the response with the head h and the body, which the caller has to close.
 func DecodeResponse(h *wirepb.AnswerHead, body io.ReadCloser) call.Response {
-	return call.NewResponse(int(h.GetStatus()), decodeFields(h.GetHeaders()), body, h.GetContentLength())
+	return call.NewResponse(int(h.GetStatus()), decodeFields(h.GetHeaders()), body, h.GetContentLength()).
+		WithBacklog(decodeBacklog(h.GetBacklog()))
 }
 
 // EncodeResponseChunk returns a message with the next part of a response body. It does not copy p.
@@ -81,9 +83,9 @@
 
 // EncodeFailure returns the message that ends an attempt without a complete response. An outcome
 // of result.Answered is reported as interrupted.
-func EncodeFailure(o result.Outcome) *wirepb.AnswerPart {
-	f := &wirepb.Failure{}
-	switch o := o.(type) {
+func EncodeFailure(failure call.Failure) *wirepb.AnswerPart {
+	f := &wirepb.Failure{Backlog: encodeBacklog(failure.Backlog())}
+	switch o := failure.Outcome().(type) {
 	case result.Refused:
 		f.NotRun, f.Reason, f.RetryAfterMs, f.Sent = true, string(o.Reason()), int64(o.RetryAfter()), o.Sent()
 		f.HoldOffMs = int64(o.HoldOff())
@@ -96,9 +98,13 @@
 	return &wirepb.AnswerPart{Part: &wirepb.AnswerPart_Failure{Failure: f}}
 }
 
-// DecodeFailure returns the outcome in a failure message: result.Refused if the request certainly
+// DecodeFailure returns the failure in a message: its outcome is result.Refused if the request certainly
 // did not run, else result.Unknown.
-func DecodeFailure(f *wirepb.Failure) result.Outcome {
+func DecodeFailure(f *wirepb.Failure) call.Failure {
+	return call.NewFailure(decodeOutcome(f)).WithBacklog(decodeBacklog(f.GetBacklog()))
+}
+
+func decodeOutcome(f *wirepb.Failure) result.Outcome {
 	if f.GetNotRun() {
 		o := result.NewRefused(result.Reason(f.GetReason()), clock.Millis(f.GetRetryAfterMs())).
 			WithTargetLoad(result.NewTargetLoad(int(f.GetRunning()), int(f.GetWaiting()), clock.Millis(f.GetMeanMs()))).
@@ -126,3 +132,30 @@
 	}
 	return out
 }
+
+func encodeBacklog(b load.Backlog) *wirepb.Backlog {
+	if !b.Known() {
+		return nil
+	}
+	return &wirepb.Backlog{
+		Slots: clamp(b.Slots()), Running: clamp(b.Running()), Waiting: clamp(b.Waiting()),
+		WorkMs: clamp(int(b.Work())), MeanMs: clamp(int(b.MeanTime())),
+		ColdMs: clamp(int(b.Cold().Left())), ColdAdmits: clamp(b.Cold().Admits()),
+	}
+}
+
+func decodeBacklog(b *wirepb.Backlog) load.Backlog {
+	if b == nil {
+		return load.Backlog{}
+	}
+	return load.NewBacklog(bounded(b.GetSlots()), bounded(b.GetRunning()), bounded(b.GetWaiting())).
+		WithWork(clock.Millis(bounded(b.GetWorkMs())), clock.Millis(bounded(b.GetMeanMs()))).
+		WithCold(load.NewColdStart(clock.Millis(bounded(b.GetColdMs())), bounded(b.GetColdAdmits())))
+}
+
+// maxFigure bounds each figure of a backlog, so that it has at most four bytes on the wire and no sum overflows.
+const maxFigure = 1<<28 - 1
+
+func clamp(n int) uint32 { return uint32(max(0, min(n, maxFigure))) }
+
+func bounded(n uint32) int { return int(min(n, maxFigure)) }
--- a/verbenad/adapt/hop/exchange.go
+++ b/verbenad/adapt/hop/exchange.go
@@ -53,7 +53,7 @@
 		return hopmsg.DecodeResponse(p.Head, &responseBody{exchange: e})
 	case *wirepb.AnswerPart_Failure:
 		e.cancel()
-		return call.NewFailure(hopmsg.DecodeFailure(p.Failure))
+		return hopmsg.DecodeFailure(p.Failure)
 	default:
 		e.cancel()
 		return call.Unknown(result.Interrupted)
--- a/verbenad/adapt/hop/server.go
+++ b/verbenad/adapt/hop/server.go
@@ -63,9 +63,9 @@
 	case call.Response:
 		return sendResponse(stream, reply)
 	case call.Failure:
-		return stream.Send(hopmsg.EncodeFailure(reply.Outcome()))
+		return stream.Send(hopmsg.EncodeFailure(reply))
 	}
-	return stream.Send(hopmsg.EncodeFailure(result.NewUnknown(result.Interrupted)))
+	return stream.Send(hopmsg.EncodeFailure(call.Unknown(result.Interrupted)))
 }
 
 // sendResponse sends the response and the mark of its end, or the reason why it is incomplete.
@@ -86,7 +86,7 @@
 			return stream.Send(hopmsg.EncodeResponseEnd())
 		}
 		if err != nil {
-			return stream.Send(hopmsg.EncodeFailure(result.NewUnknown(call.ReasonOf(err))))
+			return stream.Send(hopmsg.EncodeFailure(call.Unknown(call.ReasonOf(err))))
 		}
 	}
 }
--- a/verbenad/command/owner/owner.go
+++ b/verbenad/command/owner/owner.go
@@ -159,6 +159,14 @@
 	return cells, load.NewTargetStats(int(o.announcedSlots.Load()), o.limiter.MeanServiceTime(), o.limiter.Waiting())
 }
 
+// Backlog returns what the target has left to do, as this daemon counts it.
+func (o *Owner) Backlog() load.Backlog {
+	slots := int(o.announcedSlots.Load())
+	l := o.limiter.TargetLoad()
+	return load.NewBacklog(slots, l.Running(), l.Waiting()).
+		WithWork(l.MeanTime()*clock.Millis(l.Running()+l.Waiting()), l.MeanTime())
+}
+
 // InFlight returns the tracker of in-flight requests.
 func (o *Owner) InFlight() *flight.Tracker { return o.inFlight }
 
@@ -191,10 +199,10 @@
 	switch reply := reply.(type) {
 	case call.Response:
 		b := &leasedBody{exchange: x, status: reply.Status(), body: reply.Body()}
-		return call.NewResponse(reply.Status(), reply.Fields(), b, reply.Length())
+		return reply.WithBody(b).WithBacklog(o.Backlog())
 	case call.Failure:
 		x.finish(reply.Outcome())
-		return o.withHoldOff(reply)
+		return o.withHoldOff(reply).WithBacklog(o.Backlog())
 	}
 	return call.Unknown(result.Interrupted)
 }
--- a/verbenad/command/relay/balancer.go
+++ b/verbenad/command/relay/balancer.go
@@ -86,7 +86,7 @@
 		switch reply := reply.(type) {
 		case call.Response:
 			body := &trackedBody{ReadCloser: reply.Body(), attempt: a, completed: responseSample(reply, latency)}
-			return call.NewResponse(reply.Status(), reply.Fields(), body, reply.Length())
+			return reply.WithBody(body)
 		case call.Failure:
 			a.record(failureSample(reply.Outcome(), latency))
 			a.end()
--- a/verbenad/state/config/options.go
+++ b/verbenad/state/config/options.go
@@ -71,3 +71,6 @@
 
 // WithLastingRules sets whether the last known rules stay valid while no leader can be reached.
 func WithLastingRules(lasting bool) Option { return func(s *Settings) { s.lastingRules = lasting } }
+
+// WithTerms sets the terms of service of the deployment.
+func WithTerms(names []string) Option { return func(s *Settings) { s.terms = slices.Clone(names) } }
--- a/verbenad/state/config/settings.go
+++ b/verbenad/state/config/settings.go
@@ -27,6 +27,7 @@
 	linkMbps          float64
 	openNetwork       bool
 	lastingRules      bool
+	terms             []string
 	logLevel          Level
 	logFormat         Format
 }
@@ -99,6 +100,10 @@
 // reached for newer ones.
 func (s Settings) LastingRules() bool { return s.lastingRules }
 
+// HasTerm reports whether the settings list a term of service. The program that runs the daemon decides which features
+// a term turns on; the daemon itself gives terms no meaning.
+func (s Settings) HasTerm(name string) bool { return slices.Contains(s.terms, name) }
+
 // LogLevel returns the least severe level that is logged.
 func (s Settings) LogLevel() Level { return s.logLevel }
 
