Drain availability zones: orders of operators in the replicated log

Cause: operators could not ask that nothing more be sent to the targets of a zone; the platform's call was answered 404.

Members of a drained zone are no candidates of pooled services and get no keys; the daemon beside a target refuses requests without a key at once, and keys from a bound on that counts from its last answered renewal (zone_drain_ms). Orders that linger at an instance can't undo later ones (base version). Zones are remembered when their members are gone, so a proper order is not refused. Admin calls PUT and DELETE /zones/ZONE/drain, the platform's names for them in platform/, status, metric, log line, pages.

A service whose targets are all in drained zones refuses at once with the reason zone-drained.

--- a/core/command/agent/agent.go
+++ b/core/command/agent/agent.go
@@ -30,6 +30,7 @@
 	maxDrain         clock.Millis // 0 if only the rules limit the drain
 	delivery         grant.Delivery
 	rulesNeverExpire bool // rules stay valid without a lease on them
+	zoneDrain        clock.Millis
 
 	now          clock.Millis
 	connected    bool
@@ -41,6 +42,7 @@
 	nextRenew    clock.Millis
 	joiningSince clock.Millis // when the unanswered join began, 0 if none is open
 	freshness    freshness
+	keysEnd      clock.Millis // from then on no keys are served, since the zone is drained; 0 if it isn't
 	report       load.Report
 	handovers    map[logcmd.Release]handover
 
@@ -112,6 +114,7 @@
 		table:          table.Empty(),
 		params:         lease.DefaultParams(),
 		maxGrantTTL:    DefaultHold,
+		zoneDrain:      DefaultZoneDrain,
 		delivery:       grant.ByCall{},
 		unanswered:     answered{},
 		identification: unidentified{},
@@ -232,7 +235,7 @@
 		rules = never
 	}
 	a.emit(Publish{snap: snap.New(a.table, self, a.holder.End(), rules, snap.WithDraining(a.closedShards()), snap.WithHeldRanges(a.heldRanges()),
-		snap.WithConfirmation(a.group, a.holder.RulesConfirmed()))})
+		snap.WithConfirmation(a.group, a.holder.RulesConfirmed()), snap.WithKeysEnd(a.keysEnd))})
 }
 
 func (a *Agent) rulesOf(service string) (rules.Service, bool) {
--- a/core/command/agent/session.go
+++ b/core/command/agent/session.go
@@ -124,6 +124,7 @@
 		a.freshness.fromLeader = v
 	}
 	a.table = a.withNewestRules(next)
+	a.trackZoneDrain()
 	if a.isServing() && a.hasLeft(a.target) { // it told an earlier process of the daemon
 		a.withdrawn()
 	}
--- /dev/null
+++ b/core/command/agent/zone_test.go
@@ -0,0 +1,44 @@
+package agent
+
+import (
+	"testing"
+
+	"verbenabank/core/clock"
+	"verbenabank/core/command/lease"
+	"verbenabank/core/state/rules"
+	"verbenabank/core/state/table"
+)
+
+// TestKeysOfADrainedZoneAreServedForALimitedTime guards against a daemon that serves keys past the limit since it learned
+// of the drain late, as after a partition: the limit counts from the last renewal that came with an older table.
+func TestKeysOfADrainedZoneAreServedForALimitedTime(t *testing.T) {
+	h := newHarness(t)
+	h.agent = New(WithInstance("i", "z", "a"), WithRandom(func() uint64 { h.random++; return h.random }), WithZoneDrain(400))
+	h.becomeMember()
+	confirmed := h.agent.holder.LastGranted()
+	h.now = confirmed + 300
+	h.update(table.NewZoneDrainSet("z", true))
+	h.is.True(h.snap.Drained())
+	h.is.True(!h.snap.KeysClosed(confirmed + 399))
+	h.is.True(h.snap.KeysClosed(confirmed + 400))
+	h.now += lease.RenewInterval
+	h.step(Ticked{})
+	h.answerRenewal()
+	h.update(table.NewZoneDrainSet("y", true))
+	h.is.True(h.snap.KeysClosed(confirmed + 400)) // later renewals don't extend it
+	h.update(table.NewZoneDrainSet("z", false))
+	h.is.True(!h.snap.Drained() && !h.snap.KeysClosed(h.now+clock.Minute))
+}
+
+// TestRestartedDaemonOfADrainedZoneServesNoKeys guards against a daemon that learns of an old drain with its first table
+// and takes it for a new one.
+func TestRestartedDaemonOfADrainedZoneServesNoKeys(t *testing.T) {
+	h := newHarness(t)
+	h.step(NewAnnounced(service, "t", "boot"))
+	h.step(Connected{})
+	j, _ := find[SendJoin](h)
+	h.step(NewTableUpdated(true, 0, 9, []table.Change{
+		table.NewRulesSet(rules.New(3, "d", rules.NewService(service))), table.NewMemberSet(j.Member()), table.NewZoneDrainSet("z", true),
+	}))
+	h.is.True(h.snap.Drained() && h.snap.KeysClosed(h.now))
+}
--- a/core/command/apply/apply.go
+++ b/core/command/apply/apply.go
@@ -17,10 +17,10 @@
 // Changes returns the changes from the previous table to the new one, in order.
 func (e Changed) Changes() []table.Change { return e.changes }
 
-// Decided is the verdict on a proposed configuration.
+// Decided is the verdict on a proposal of an operator: a configuration, or the drain of a zone.
 type Decided struct{ verdict fleet.Verdict }
 
-// Verdict says whether the configuration is in force now, and if not, why.
+// Verdict says whether what was proposed is in force now, and if not, why.
 func (e Decided) Verdict() fleet.Verdict { return e.verdict }
 
 // Rejected says that the command changed nothing, since the state that it was meant for has
@@ -88,6 +88,8 @@
 		t.addOverride(c)
 	case logcmd.RemoveOverride:
 		t.removeOverride(c)
+	case logcmd.SetZoneDrain:
+		t.setZoneDrain(c)
 	}
 }
 
--- a/core/command/apply/errors.go
+++ b/core/command/apply/errors.go
@@ -11,6 +11,7 @@
 	StaleEpoch          Kind = "the shard has a different epoch"
 	UnexpectedOwnership Kind = "the ownership state of the shard does not match the command"
 	MemberLeaving       Kind = "the member is leaving"
+	ZoneDrained         Kind = "the zone of the member is drained"
 	WrongService        Kind = "the member has no target of the service"
 	NotKeyed            Kind = "the service is not keyed"
 	NotPlaced           Kind = "the key is not placed alone"
--- a/core/command/apply/member.go
+++ b/core/command/apply/member.go
@@ -19,6 +19,9 @@
 		return
 	}
 	t.change(table.NewMemberSet(m))
+	if _, known := t.fleet.Zone(m.Zone()); !known {
+		t.options = append(t.options, fleet.WithZones(fleet.NewZone(m.Zone(), 0)))
+	}
 	t.record(fleet.Control, "member "+m.Instance(), "", formatIncarnation(m.Incarnation()), "joined")
 	t.removePredecessors(m)
 }
--- a/core/command/apply/owner.go
+++ b/core/command/apply/owner.go
@@ -42,7 +42,7 @@
 }
 
 // release makes the successor the owner of a moving shard, or leaves the shard vacant if the
-// successor is gone or leaving.
+// successor is gone or leaving, or its zone is drained.
 func (t *transition) release(c logcmd.Release) {
 	h, ok := t.table().Ownership(c.Service(), c.Shard()).(table.Moving)
 	if !ok {
@@ -54,7 +54,7 @@
 		return
 	}
 	m, ok := t.table().Member(h.To())
-	if _, leaving := m.Phase().(table.Leaving); !ok || leaving {
+	if !ok || !t.mayOwn(m) {
 		t.setOwnership(c.Service(), c.Shard(), table.NewVacant(h.Epoch()))
 		return
 	}
@@ -126,6 +126,10 @@
 		t.reject(op, MemberLeaving)
 		return false
 	}
+	if t.table().ZoneDrained(m.Zone()) {
+		t.reject(op, ZoneDrained)
+		return false
+	}
 	return true
 }
 
--- a/core/command/apply/span.go
+++ b/core/command/apply/span.go
@@ -44,7 +44,7 @@
 }
 
 // releaseSpan makes the successor the owner of moving keys. The keys become vacant if the
-// successor is gone or leaving, or if their owner releases them without a move.
+// successor is gone or leaving or in a drained zone, or if their owner releases them without a move.
 func (t *transition) releaseSpan(c logcmd.ReleaseSpan) {
 	p, _ := t.table().SpanAt(c.Service(), c.First())
 	if p.Ownership().Epoch() != c.Epoch() || !p.Covers(c.First(), c.Last()) {
@@ -59,7 +59,7 @@
 		t.recordSpan(c.Service(), c.First(), c.Last(), t.instanceOf(h.Owner()), "", "given back")
 	case table.Moving:
 		m, ok := t.table().Member(h.To())
-		if _, leaving := m.Phase().(table.Leaving); !ok || leaving {
+		if !ok || !t.mayOwn(m) {
 			t.setSpan(c.Service(), c.First(), c.Last(), table.NewVacant(h.Epoch()))
 			return
 		}
--- a/core/command/leader/leader.go
+++ b/core/command/leader/leader.go
@@ -195,6 +195,8 @@
 		case table.OverrideRemoved:
 			l.collector.KeyReturned(c.Key(), l.baseRange(c.Service(), c.Key()))
 		case table.RulesSet:
+		case table.ZoneDrainSet:
+			l.trackZoneDrain(c)
 		}
 	}
 	l.history.add(l.fleet.Table().Version(), changes)
@@ -229,6 +231,10 @@
 			addOwners(involved, c.Ownership())
 		case table.SpanSet:
 			addOwners(involved, c.Span().Ownership())
+		case table.ZoneDrainSet:
+			for _, m := range l.fleet.Table().MembersIn(c.Zone()) {
+				involved[m.Incarnation()] = true
+			}
 		case table.MemberRemoved, table.TargetLeft, table.OverrideSet, table.OverrideRemoved, table.RulesSet:
 		}
 	}
@@ -242,6 +248,16 @@
 	}
 }
 
+// trackZoneDrain lets the members of a zone that is taken back warm up from now on.
+func (l *Leader) trackZoneDrain(c table.ZoneDrainSet) {
+	if c.Drained() {
+		return
+	}
+	for _, m := range l.fleet.Table().MembersIn(c.Zone()) {
+		l.collector.MemberReturned(m.Incarnation(), l.now)
+	}
+}
+
 // addOwners adds the members that own keys, or to which they move.
 func addOwners(set map[table.Incarnation]bool, o table.Ownership) {
 	switch o := o.(type) {
--- a/core/command/leader/plan.go
+++ b/core/command/leader/plan.go
@@ -90,7 +90,7 @@
 		return proposalKey{member: c.Incarnation()}
 	case logcmd.SetPhase:
 		return proposalKey{member: c.Incarnation()}
-	case logcmd.SetRules:
+	case logcmd.SetRules, logcmd.SetZoneDrain:
 	}
 	return proposalKey{}
 }
--- a/core/command/lease/holder.go
+++ b/core/command/lease/holder.go
@@ -14,6 +14,8 @@
 	rulesEnd clock.Millis
 	// confirmed is the latest time at which the rules were certainly the newest ones, 0 if there is none.
 	confirmed clock.Millis
+	// granted is when the newest answered renewal was sent, 0 if there is none.
+	granted clock.Millis
 }
 
 // NewHolder returns a holder without a lease.
@@ -46,6 +48,7 @@
 	h.end = max(h.end, sent.Add(ttl-h.params.margin))
 	h.rulesEnd = max(h.rulesEnd, sent.Add(rulesTTL-h.params.margin))
 	h.confirmed = max(h.confirmed, sent)
+	h.granted = max(h.granted, sent)
 }
 
 // RecordConfirmation extends the lease on the rules, which were the newest ones at an instant according to another
@@ -80,5 +83,9 @@
 // RulesConfirmed returns when the rules were last known to be the newest ones, 0 if never.
 func (h *Holder) RulesConfirmed() clock.Millis { return h.confirmed }
 
+// LastGranted returns when the newest renewal that the leader has answered was sent, 0 if there is none. What the
+// control group had accepted by then was sent to the daemon before the answer.
+func (h *Holder) LastGranted() clock.Millis { return h.granted }
+
 // RulesEnd returns when the rules may have become out of date.
 func (h *Holder) RulesEnd() clock.Millis { return h.rulesEnd }
--- a/core/command/stats/collector.go
+++ b/core/command/stats/collector.go
@@ -76,6 +76,13 @@
 	co.hotKeys[i] = map[string]load.KeyHistory{}
 }
 
+// MemberReturned restarts the warm-up of a member whose zone is no longer drained, as if it had joined at now.
+func (co *Collector) MemberReturned(i table.Incarnation, now clock.Millis) {
+	if co.Knows(i) {
+		co.joined[i] = now
+	}
+}
+
 // MemberLeft removes a member. The load of its shards is kept for their next owner.
 func (co *Collector) MemberLeft(i table.Incarnation) {
 	delete(co.members, i)
--- a/core/query/place/place.go
+++ b/core/query/place/place.go
@@ -76,7 +76,7 @@
 }
 
 // assign grants a vacant shard to the least loaded member, and moves a shard there if its owner
-// is leaving or gone.
+// is leaving or gone or in a drained zone.
 func (p *planner) assign(sh *shard) {
 	switch h := sh.ownership.(type) {
 	case table.Vacant:
--- a/core/query/place/planner.go
+++ b/core/query/place/planner.go
@@ -89,6 +89,9 @@
 func (p *planner) addMembers() {
 	warming := 0
 	for _, m := range p.table.MembersOf(p.service.Name()) {
+		if p.table.ZoneDrained(m.Zone()) {
+			continue
+		}
 		switch m.Phase().(type) {
 		case table.Leaving:
 			continue
--- a/core/query/ranges/ranges.go
+++ b/core/query/ranges/ranges.go
@@ -84,6 +84,9 @@
 func (p *planner) addMembers() {
 	known, sum := 0, 0.0
 	for _, m := range p.table.MembersOf(p.service) {
+		if p.table.ZoneDrained(m.Zone()) {
+			continue
+		}
 		switch m.Phase().(type) {
 		case table.Leaving:
 			continue
@@ -205,7 +208,7 @@
 	return settled
 }
 
-// moveOffIneligible moves keys off owners that are leaving or have no target of the service.
+// moveOffIneligible moves keys off owners that are leaving, are in a drained zone or have no target of the service.
 func (p *planner) moveOffIneligible() {
 	var orphaned []keyRange
 	epochs := map[table.Key]table.Epoch{}
--- a/core/query/retry/after.go
+++ b/core/query/retry/after.go
@@ -23,7 +23,8 @@
 	switch o.Reason() {
 	case result.Overloaded, result.Shed:
 		return AfterOverload
-	case result.NotReady, result.NoOwner, result.NotOwner, result.NotHeld, result.NoTarget, result.Leaving, result.Unreachable:
+	case result.NotReady, result.NoOwner, result.NotOwner, result.NotHeld, result.NoTarget, result.Leaving, result.Unreachable,
+		result.ZoneDrained:
 		return AfterUnavailable
 	case result.BadRequest, result.UnknownService, result.UnknownRoute, result.TooLarge, result.HeadTooLarge, result.Expired,
 		result.TimedOut, result.Interrupted, result.Truncated, result.Mismatched, result.LeaseLapsed, result.Cancelled:
--- a/core/query/retry/retry.go
+++ b/core/query/retry/retry.go
@@ -184,7 +184,8 @@
 		}
 		return a.retryAfter(o.RetryAfter())
 	case result.BadRequest, result.UnknownService, result.UnknownRoute, result.TooLarge, result.HeadTooLarge, result.Expired,
-		result.TimedOut, result.Interrupted, result.Truncated, result.Mismatched, result.LeaseLapsed, result.Cancelled:
+		result.TimedOut, result.Interrupted, result.Truncated, result.Mismatched, result.LeaseLapsed, result.Cancelled,
+		result.ZoneDrained:
 		return Stop{}
 	}
 	return Stop{}
--- a/core/query/retry/routed.go
+++ b/core/query/retry/routed.go
@@ -63,7 +63,8 @@
 		}
 		return a.resendElsewhere()
 	case result.BadRequest, result.UnknownService, result.UnknownRoute, result.TooLarge, result.HeadTooLarge, result.Expired,
-		result.TimedOut, result.Interrupted, result.Truncated, result.Mismatched, result.LeaseLapsed, result.Cancelled:
+		result.TimedOut, result.Interrupted, result.Truncated, result.Mismatched, result.LeaseLapsed, result.Cancelled,
+		result.ZoneDrained:
 		return Stop{}
 	}
 	return Stop{}
--- a/core/query/route/route.go
+++ b/core/query/route/route.go
@@ -102,9 +102,11 @@
 // Index is a routing index over one version of the table. It is immutable and safe for
 // concurrent use.
 type Index struct {
-	table  *table.Table
-	pools  map[string]*pool
-	routes map[string][]rules.Route // by host, longest prefix first
+	table *table.Table
+	pools map[string]*pool
+	// drained has the services with members in drained zones that would otherwise accept requests.
+	drained map[string]bool
+	routes  map[string][]rules.Route // by host, longest prefix first
 }
 
 // pool holds the members of one service that accept requests.
@@ -115,18 +117,22 @@
 
 // WithTable returns the index of t. It shares the parts of x that did not change.
 func (x *Index) WithTable(t *table.Table) *Index {
-	if t.SharesMembers(x.table) {
-		return &Index{table: t, pools: x.pools, routes: x.routesByHost(t)}
+	if t.SharesMembers(x.table) && t.SharesDrainedZones(x.table) {
+		return &Index{table: t, pools: x.pools, drained: x.drained, routes: x.routesByHost(t)}
 	}
 	return NewIndex(t)
 }
 
 // NewIndex returns the index of t, built from scratch.
 func NewIndex(t *table.Table) *Index {
-	x := &Index{table: t, pools: map[string]*pool{}}
+	x := &Index{table: t, pools: map[string]*pool{}, drained: map[string]bool{}}
 	x.routes = x.routesByHost(t)
 	for _, m := range t.Members() {
-		if m.Service() != "" && acceptsRequests(m.Phase()) {
+		switch {
+		case m.Service() == "" || !acceptsRequests(m.Phase()):
+		case t.ZoneDrained(m.Zone()):
+			x.drained[m.Service()] = true
+		default:
 			x.add(m)
 		}
 	}
@@ -182,11 +188,20 @@
 func (x *Index) decidePooled(s rules.Service) Decision {
 	p, ok := x.pools[s.Name()]
 	if !ok {
-		return Refuse{reason: result.NoTarget}
+		return Refuse{reason: x.reasonWithoutPool(s.Name())}
 	}
 	return Pooled{service: s, pool: p}
 }
 
+// reasonWithoutPool returns why a service has no members that accept requests. A drain lasts until an operator ends it,
+// so that callers need not wait.
+func (x *Index) reasonWithoutPool(service string) result.Reason {
+	if x.drained[service] {
+		return result.ZoneDrained
+	}
+	return result.NoTarget
+}
+
 func (x *Index) decideKeyed(s rules.Service, k rules.Keyed, a Attributes) Decision {
 	key := keyFrom(k.Source(), a)
 	switch {
@@ -206,12 +221,16 @@
 }
 
 // toOwner sends the request to the owner of its key. During a handover that is still the former
-// owner, which accepts requests until it closes the shard.
+// owner, which accepts requests until it closes the shard. An owner in a drained zone is sent nothing if no other
+// member could take over the key.
 func (x *Index) toOwner(s rules.Service, key string, sh table.Shard, owner table.Incarnation) Decision {
 	m, ok := x.table.Member(owner)
 	if !ok {
 		return Refuse{reason: result.NoOwner}
 	}
+	if _, others := x.pools[s.Name()]; !others && x.table.ZoneDrained(m.Zone()) {
+		return Refuse{reason: result.ZoneDrained}
+	}
 	return Keyed{service: s, key: key, shard: sh, owner: m}
 }
 
--- a/core/state/fleet/fleet.go
+++ b/core/state/fleet/fleet.go
@@ -28,6 +28,7 @@
 	controlRecords   []Record // of changes by the control group itself
 	nextOverride     table.Shard
 	acceptedVersions []AcceptedVersion // newest last
+	zones            []Zone            // sorted by name; never modified in place
 }
 
 // Option sets one part of a State.
--- a/core/state/fleet/verdict.go
+++ b/core/state/fleet/verdict.go
@@ -1,7 +1,7 @@
 package fleet
 
-// Verdict is the decision on a proposed configuration: Accepted, Repeated,
-// Conflict, Older or Invalid.
+// Verdict is the decision on a proposal of an operator, a configuration or the drain of a zone: Accepted,
+// Repeated, Conflict, Older or Invalid.
 type Verdict interface{ verdict() }
 
 // Accepted means that the configuration is now in force.
--- a/core/state/logcmd/logcmd.go
+++ b/core/state/logcmd/logcmd.go
@@ -11,7 +11,7 @@
 type Timestamp int64
 
 // Command is a command for the replicated state machine: Join, Expire, SetPhase, Grant, Move,
-// Release, GrantSpan, MoveSpan, ReleaseSpan, SetRules, AddOverride or RemoveOverride.
+// Release, GrantSpan, MoveSpan, ReleaseSpan, SetRules, AddOverride, RemoveOverride or SetZoneDrain.
 type Command interface{ command() }
 
 // Join makes a daemon a member.
--- a/core/state/result/reason.go
+++ b/core/state/result/reason.go
@@ -18,7 +18,8 @@
 	NoTarget       Reason = "no-target"       // no target of the service can take requests
 	Overloaded     Reason = "overloaded"      // the queue is full, or the wait would exceed the deadline
 	Shed           Reason = "shed"            // the target itself shed the request
-	Leaving        Reason = "leaving"         // the target is shutting down
+	Leaving        Reason = "leaving"         // the target is shutting down, or its zone is drained
+	ZoneDrained    Reason = "zone-drained"    // all targets of the service are in drained zones
 	Unreachable    Reason = "unreachable"     // no connection to the daemon or target
 	Expired        Reason = "expired"         // the deadline passed before the request was sent
 )
--- a/core/state/snap/snap.go
+++ b/core/state/snap/snap.go
@@ -21,6 +21,7 @@
 	heldRanges []HeldRange
 	group      uint64
 	confirmed  clock.Millis
+	keysEnd    clock.Millis
 	superseded chan struct{}
 }
 
@@ -45,6 +46,10 @@
 	return func(s *Snapshot) { s.group, s.confirmed = group, at }
 }
 
+// WithKeysEnd sets from when on this daemon accepts no requests for keys any more since its zone is drained, 0 if it
+// isn't.
+func WithKeysEnd(at clock.Millis) Option { return func(s *Snapshot) { s.keysEnd = at } }
+
 // New returns a snapshot of a daemon that has joined as self (0 if it has not). Its lease
 // on shards expires at leaseEnd, and it may use the rules until rulesEnd, both on its own clock.
 func New(t *table.Table, self table.Incarnation, leaseEnd, rulesEnd clock.Millis, opts ...Option) *Snapshot {
@@ -136,6 +141,16 @@
 	return count
 }
 
+// Drained reports whether the zone of this daemon is drained. Requests without a key are refused then.
+func (s *Snapshot) Drained() bool {
+	m, ok := s.table.Member(s.self)
+	return ok && s.table.ZoneDrained(m.Zone())
+}
+
+// KeysClosed reports whether the zone of this daemon has been drained for so long that it accepts no requests for keys
+// any more, also for keys that it could not hand over.
+func (s *Snapshot) KeysClosed(now clock.Millis) bool { return s.keysEnd > 0 && now >= s.keysEnd }
+
 // RulesValid reports whether the rules are still valid at now.
 func (s *Snapshot) RulesValid(now clock.Millis) bool { return now < s.rulesEnd }
 
--- a/core/state/table/change.go
+++ b/core/state/table/change.go
@@ -8,7 +8,7 @@
 )
 
 // Change is one difference between a table and the next version: RulesSet, MemberSet,
-// MemberRemoved, TargetLeft, OwnershipSet, SpanSet, OverrideSet or OverrideRemoved.
+// MemberRemoved, TargetLeft, OwnershipSet, SpanSet, OverrideSet, OverrideRemoved or ZoneDrainSet.
 type Change interface{ change() }
 
 // RulesSet puts a configuration in force.
@@ -108,7 +108,10 @@
 // With returns a copy of the table at the version, with the changes applied. The receiver
 // is not modified; unchanged parts are shared.
 func (t *Table) With(version uint64, changes ...Change) *Table {
-	next := &Table{version: version, rules: t.rules, members: t.members, services: t.services, targetsLeft: t.targetsLeft}
+	next := &Table{
+		version: version, rules: t.rules, members: t.members, services: t.services, targetsLeft: t.targetsLeft,
+		drainedZones: t.drainedZones,
+	}
 	e := editor{table: next, placementsCopied: map[string]bool{}, pagesCopied: map[pageKey]bool{}}
 	for _, c := range changes {
 		e.apply(c)
@@ -146,6 +149,8 @@
 		p := e.mutablePlacement(c.service)
 		delete(p.dedicated, p.overrides[c.key])
 		delete(p.overrides, c.key)
+	case ZoneDrainSet:
+		e.setZoneDrain(c)
 	}
 }
 
--- a/core/state/table/list.go
+++ b/core/state/table/list.go
@@ -74,6 +74,7 @@
 		list = append(list, NewMemberSet(m))
 	}
 	list = append(list, t.targetsLeftChanges()...)
+	list = append(list, t.drainedZonesChanges()...)
 	for _, n := range t.Services() {
 		for _, o := range t.Overrides(n) {
 			list = append(list, NewOverrideSet(n, o.key, o.shard))
--- a/core/state/table/table.go
+++ b/core/state/table/table.go
@@ -24,11 +24,12 @@
 
 // Table is the routing table at one version.
 type Table struct {
-	version     uint64
-	rules       rules.Rules
-	members     *memberSet
-	services    map[string]placement
-	targetsLeft map[string]uint64 // start times by instance; never modified in place
+	version      uint64
+	rules        rules.Rules
+	members      *memberSet
+	services     map[string]placement
+	targetsLeft  map[string]uint64 // start times by instance; never modified in place
+	drainedZones []string          // sorted; never modified in place
 }
 
 // placement is the ownership state of one service: its hash ranges, its dedicated shards with
--- a/core/wire/codec/codec_test.go
+++ b/core/wire/codec/codec_test.go
@@ -53,9 +53,24 @@
 		logcmd.NewJoin(table.NewMember(9, "k", "z", "c", "s", table.Warming{}).WithTargetStartTime(50)),
 		logcmd.NewSetPhase(9, table.Leaving{}).WithTargetLeft(true),
 		logcmd.NewAddOverride("s", "l"),
+		logcmd.NewSetZoneDrain("z", true, "i", 3),
+		logcmd.NewSetZoneDrain("y", true, "i", 4),
+		logcmd.NewSetZoneDrain("z", false, "j", 17),
 	}
 }
 
+// TestSnapshotWithoutZones restores a snapshot of a release that had no drained zones.
+func TestSnapshotWithoutZones(t *testing.T) {
+	is := is.New(t)
+	f, _ := apply.Apply(fleet.New(), 1, 42, logcmd.NewJoin(table.NewMember(7, "i", "z", "a", "s", table.Warming{})))
+	m := EncodeStateMessage(f, true)
+	m.Zones = nil
+	got, err := newCodec().DecodeStateMessage(m)
+	is.NoErr(err)
+	is.Equal(got.Zones(), []fleet.Zone{fleet.NewZone("z", 0)})
+	is.Equal(len(got.Table().DrainedZones()), 0)
+}
+
 func TestCommandsRoundTrip(t *testing.T) {
 	is := is.New(t)
 	c := newCodec()
@@ -91,6 +106,8 @@
 	is.Equal(got.Audit(), want.Audit())
 	is.Equal(got.Origin(), want.Origin())
 	is.Equal(got.NextOverride(), want.NextOverride())
+	is.Equal(got.Zones(), want.Zones())
+	is.Equal(got.Table().DrainedZones(), []string{"y"})
 }
 
 // TestRestoredReplicaStaysConsistent restores the state from a snapshot before each command. A
--- a/core/wire/codec/command.go
+++ b/core/wire/codec/command.go
@@ -55,6 +55,8 @@
 		return encodeOverrideCommand(&wirepb.OverrideRecord{Service: c.Service(), Key: c.Key()})
 	case logcmd.RemoveOverride:
 		return encodeOverrideCommand(&wirepb.OverrideRecord{Service: c.Service(), Key: c.Key(), Gone: true})
+	case logcmd.SetZoneDrain:
+		return &wirepb.Command{Command: &wirepb.Command_ZoneDrain{ZoneDrain: EncodeZoneDrain(c)}}
 	}
 	return nil
 }
@@ -146,6 +148,8 @@
 			return logcmd.NewRemoveOverride(x.Override.GetService(), x.Override.GetKey()), nil
 		}
 		return logcmd.NewAddOverride(x.Override.GetService(), x.Override.GetKey()), nil
+	case *wirepb.Command_ZoneDrain:
+		return DecodeZoneDrain(x.ZoneDrain)
 	}
 	return nil, newError("command", Missing, nil)
 }
--- a/core/wire/codec/state.go
+++ b/core/wire/codec/state.go
@@ -18,6 +18,7 @@
 		Changes:      EncodeChanges(f.Table().Changes()),
 		Origin:       &wirepb.Proposal{Instance: f.Origin().Instance(), Folder: f.Origin().Folder()},
 		NextOverride: uint32(f.NextOverride()),
+		Zones:        encodeZones(f.Zones()),
 	}
 	for _, k := range f.AcceptedVersions() {
 		m.Accepted = append(m.Accepted, &wirepb.Configuration{Version: k.Version(), Digest: k.Digest()})
@@ -62,10 +63,12 @@
 	for _, k := range m.GetAccepted() {
 		accepted = append(accepted, fleet.NewAcceptedVersion(k.GetVersion(), k.GetDigest()))
 	}
+	t := table.Empty().With(m.GetTableVersion(), changes...)
 	return fleet.New(
 		fleet.WithAccepted(accepted...),
 		fleet.WithIndex(m.GetIndex()),
-		fleet.WithTable(table.Empty().With(m.GetTableVersion(), changes...)),
+		fleet.WithTable(t),
+		fleet.WithZones(decodeZones(m.GetZones(), t)...),
 		fleet.WithOrigin(fleet.NewOrigin(m.GetOrigin().GetInstance(), m.GetOrigin().GetFolder())),
 		fleet.WithRecords(decodeAuditRecords(m.GetAudit())...),
 		fleet.WithNextOverride(table.Shard(m.GetNextOverride())),
--- a/core/wire/codec/table.go
+++ b/core/wire/codec/table.go
@@ -34,6 +34,8 @@
 		return encodeOverrideChange(&wirepb.OverrideRecord{Service: c.Service(), Key: c.Key(), Shard: uint32(c.Shard())})
 	case table.OverrideRemoved:
 		return encodeOverrideChange(&wirepb.OverrideRecord{Service: c.Service(), Key: c.Key(), Gone: true})
+	case table.ZoneDrainSet:
+		return &wirepb.TableChange{Change: &wirepb.TableChange_ZoneDrain{ZoneDrain: &wirepb.ZoneDrain{Zone: c.Zone(), Drained: c.Drained()}}}
 	}
 	return nil
 }
@@ -142,6 +144,8 @@
 			return table.NewOverrideRemoved(o.GetService(), o.GetKey()), nil
 		}
 		return table.NewOverrideSet(o.GetService(), o.GetKey(), table.Shard(o.GetShard())), nil
+	case *wirepb.TableChange_ZoneDrain:
+		return table.NewZoneDrainSet(x.ZoneDrain.GetZone(), x.ZoneDrain.GetDrained()), nil
 	}
 	return nil, newError("table change", Missing, nil)
 }
--- a/verbenad/adapt/jsonc/sections.go
+++ b/verbenad/adapt/jsonc/sections.go
@@ -61,7 +61,7 @@
 }
 
 // timing reads the lease parameters, the longest TTL of a grant that the target accepts, the
-// longest drain and the grace period of a shutdown.
+// longest drain, the grace period of a shutdown and the time for the drain of a zone.
 func (l loader) timing() config.Option {
 	r, _ := l.Object("lease")
 	r.RejectUnknown(withDurations(nil, "span", "margin", "renew", "rules")...)
@@ -76,7 +76,8 @@
 	if t.LeaseTTL() == 0 && l.Has("lease") {
 		l.AddFault("lease", "must have span_ms")
 	}
-	return config.WithTimings(t.WithLimits(duration(l.Reader, "hold", minDuration), l.drain(), duration(l.Reader, "grace", minDuration)))
+	return config.WithTimings(t.WithLimits(duration(l.Reader, "hold", minDuration), l.drain(), duration(l.Reader, "grace", minDuration)).
+		WithZoneDrain(duration(l.Reader, "zone_drain", minDuration)))
 }
 
 // drain reads the longest drain. Unlike a missing value, 0 allows no new requests at all.
--- a/verbenad/adapt/link/client.go
+++ b/verbenad/adapt/link/client.go
@@ -38,12 +38,24 @@
 // ctx ends or 10 s pass first, the error is Undecided. Retrying after a lost reply
 // is safe, since a configuration that is already in force is accepted again.
 func (c *Client) Propose(ctx context.Context, a logcmd.SetRules) (fleet.Verdict, error) {
+	m := codec.EncodeProposal(a)
+	return c.decide(ctx, "offer", func(ctx context.Context, r wirepb.ControlClient) (*wirepb.Verdict, error) { return r.Offer(ctx, m) })
+}
+
+// SetZoneDrain drains a zone or ends its drain, and retries until a leader has decided on it. If ctx ends or 10 s pass
+// first, the error is Undecided. Retrying after a lost reply is safe, since a repeated command changes nothing.
+func (c *Client) SetZoneDrain(ctx context.Context, a logcmd.SetZoneDrain) (fleet.Verdict, error) {
+	m := codec.EncodeZoneDrain(a)
+	return c.decide(ctx, "drain zone", func(ctx context.Context, r wirepb.ControlClient) (*wirepb.Verdict, error) { return r.DrainZone(ctx, m) })
+}
+
+// decide makes a proposal until a leader has decided on it, ctx ends or proposeTimeout has passed.
+func (c *Client) decide(ctx context.Context, op string, propose func(context.Context, wirepb.ControlClient) (*wirepb.Verdict, error)) (fleet.Verdict, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	m := codec.EncodeProposal(a)
 	var verdict fleet.Verdict
 	ok := c.callLeader(ctx, func(ctx context.Context, r wirepb.ControlClient) (string, bool) {
-		v, err := r.Offer(ctx, m)
+		v, err := propose(ctx, r)
 		decided := false
 		if err == nil {
 			verdict, decided = codec.DecodeVerdict(v)
@@ -54,7 +66,7 @@
 		return v.GetLeader(), false
 	})
 	if !ok {
-		return nil, &Error{op: "offer", kind: Undecided, cause: ctx.Err()}
+		return nil, &Error{op: op, kind: Undecided, cause: ctx.Err()}
 	}
 	return verdict, nil
 }
--- a/verbenad/adapt/link/server.go
+++ b/verbenad/adapt/link/server.go
@@ -107,8 +107,23 @@
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
+	return s.decide(ctx, func(reply func(ctrl.ProposalResult)) ctrl.Event { return ctrl.NewProposed(proposal, reply) })
+}
+
+// DrainZone proposes the drain of a zone, or its end, and returns the leader's decision. On another replica the result
+// is undecided and names the leader, if it is known.
+func (s *Server) DrainZone(ctx context.Context, m *wirepb.ZoneDrain) (*wirepb.Verdict, error) {
+	proposal, err := codec.DecodeZoneDrain(m)
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	return s.decide(ctx, func(reply func(ctrl.ProposalResult)) ctrl.Event { return ctrl.NewZoneDrainProposed(proposal, reply) })
+}
+
+// decide posts the event for a proposal and waits for its result.
+func (s *Server) decide(ctx context.Context, newEvent func(reply func(ctrl.ProposalResult)) ctrl.Event) (*wirepb.Verdict, error) {
 	results := make(chan ctrl.ProposalResult, 1)
-	s.loop.Post(ctrl.NewProposed(proposal, func(r ctrl.ProposalResult) { results <- r }))
+	s.loop.Post(newEvent(func(r ctrl.ProposalResult) { results <- r }))
 	select {
 	case <-ctx.Done():
 		return nil, status.FromContextError(ctx.Err()).Err()
--- a/verbenad/command/ctrl/agent.go
+++ b/verbenad/command/ctrl/agent.go
@@ -80,6 +80,7 @@
 func (l *Loop) publishSnapshot(s *snap.Snapshot) {
 	previous := l.snapshots.Load()
 	l.snapshots.Publish(s)
+	l.logDrainedZones(previous, s)
 	fields := logrus.Fields{
 		"self": incarnation(s.Self()), "table": s.Table().Version(), "rules": s.Table().Rules().Version(),
 		"lease_left_ms": int64(max(0, s.LeaseEnd()-l.clock.Now())),
--- a/verbenad/command/ctrl/ctrl.go
+++ b/verbenad/command/ctrl/ctrl.go
@@ -100,7 +100,7 @@
 	switch e.(type) {
 	case PeerMessage, Persisted, DiskFailed:
 		return l.urgent
-	case AgentEvent, SessionOpened, SessionClosed, LeaderEvent, Proposed, SnapshotTaken, TransferRequested, ReadRequested:
+	case AgentEvent, SessionOpened, SessionClosed, LeaderEvent, Proposed, ZoneDrainProposed, SnapshotTaken, TransferRequested, ReadRequested:
 		return l.events
 	}
 	return l.events
@@ -208,6 +208,8 @@
 		l.stepLeader(e.inner)
 	case Proposed:
 		l.proposeRules(e)
+	case ZoneDrainProposed:
+		l.proposeZoneDrain(e)
 	case SnapshotTaken:
 		l.stepNode(raft.NewSnapshotTaken(peer.Index(e.index), e.data))
 	case DiskFailed:
--- a/verbenad/command/ctrl/event.go
+++ b/verbenad/command/ctrl/event.go
@@ -76,6 +76,17 @@
 	return Proposed{proposal: p, reply: reply}
 }
 
+// ZoneDrainProposed asks the group to drain a zone or to end its drain.
+type ZoneDrainProposed struct {
+	proposal logcmd.SetZoneDrain
+	reply    func(ProposalResult)
+}
+
+// NewZoneDrainProposed returns the event for a proposal. reply is called once, from the control goroutine.
+func NewZoneDrainProposed(p logcmd.SetZoneDrain, reply func(ProposalResult)) ZoneDrainProposed {
+	return ZoneDrainProposed{proposal: p, reply: reply}
+}
+
 // SnapshotTaken carries the encoded fleet state after the log entry at an index.
 type SnapshotTaken struct {
 	index uint64
@@ -124,6 +135,7 @@
 func (SessionClosed) event()     {}
 func (LeaderEvent) event()       {}
 func (Proposed) event()          {}
+func (ZoneDrainProposed) event() {}
 func (SnapshotTaken) event()     {}
 func (DiskFailed) event()        {}
 func (TransferRequested) event() {}
--- a/verbenad/command/ctrl/replica.go
+++ b/verbenad/command/ctrl/replica.go
@@ -17,7 +17,7 @@
 const snapshotInterval = 4096
 
 // pendingRequest is a request to the replicated log whose result has not arrived yet:
-// leaderConfirmation, pendingProposal or pendingRead. The log returns its token with the result.
+// leaderConfirmation, pendingProposal, pendingRead or pendingZone. The log returns its token with the result.
 type pendingRequest interface{ pendingRequest() }
 
 // leaderConfirmation waits for a quorum to confirm that this replica leads. The leader asked for it
@@ -30,8 +30,12 @@
 // pendingRead waits for a quorum to confirm that this replica leads, before it reads the state.
 type pendingRead struct{ reply func(ReadResult) }
 
+// pendingZone is a proposal for a zone that this replica doesn't know.
+type pendingZone ZoneDrainProposed
+
 func (leaderConfirmation) pendingRequest() {}
 func (pendingRead) pendingRequest()        {}
+func (pendingZone) pendingRequest()        {}
 func (pendingProposal) pendingRequest()    {}
 
 // stepNode passes an event to the Raft node and carries out the effects. Events that are caused by
@@ -140,7 +144,7 @@
 			l.log.WithError(e.Err()).Debug("ctrl: command rejected")
 		case apply.Decided:
 			r, _ := l.fleet.NewestRecord()
-			l.log.WithFields(logrus.Fields{"author": r.Author(), "from": r.From(), "to": r.To()}).Info("ctrl: rules " + r.Outcome())
+			l.log.WithFields(logrus.Fields{"author": r.Author(), "from": r.From(), "to": r.To()}).Info("ctrl: " + r.Subject() + " " + r.Outcome())
 		case apply.Changed:
 			countShardMoves(e.Changes())
 		}
@@ -205,6 +209,8 @@
 		l.stepLeader(leader.NewConfirmed(p.token))
 	case pendingRead:
 		p.reply(Confirmed{fleet: l.fleet})
+	case pendingZone:
+		l.decideUnknownZone(p)
 	case pendingProposal:
 	}
 }
@@ -224,6 +230,8 @@
 		l.stepLeader(leader.NewUnconfirmed(p.token))
 	case pendingRead:
 		p.reply(Unconfirmed{leader: l.leaderAddress()})
+	case pendingZone:
+		p.reply(Undecided{leader: l.leaderAddress()})
 	}
 }
 
--- a/verbenad/command/entry/respond.go
+++ b/verbenad/command/entry/respond.go
@@ -77,7 +77,7 @@
 		return fasthttp.StatusGatewayTimeout
 	case result.NotReady, result.NoOwner, result.NotOwner, result.NoTarget, result.Overloaded, result.Shed,
 		result.Leaving, result.Unreachable, result.Interrupted, result.Truncated, result.LeaseLapsed, result.Cancelled, result.NotHeld,
-		result.Mismatched:
+		result.Mismatched, result.ZoneDrained:
 		return fallback
 	}
 	return fallback
--- a/verbenad/command/owner/owner.go
+++ b/verbenad/command/owner/owner.go
@@ -258,6 +258,9 @@
 	}
 	switch k := service.Kind().(type) {
 	case rules.Keyed:
+		if s.KeysClosed(now) {
+			return admission{}, result.Leaving
+		}
 		if s.Table().ShardOf(r.Service(), r.Key(), k.Shards()) != r.Shard() {
 			return admission{}, result.NotOwner
 		}
@@ -281,8 +284,11 @@
 	if !ok {
 		return admission{}, result.BadRequest
 	}
-	epoch, held := s.OwnsKey(service.Name(), n, o.clock.Now())
+	now := o.clock.Now()
+	epoch, held := s.OwnsKey(service.Name(), n, now)
 	switch {
+	case s.KeysClosed(now):
+		return admission{}, result.Leaving
 	case epoch == 0:
 		return admission{}, result.NotOwner
 	case !held:
@@ -298,6 +304,9 @@
 	if !ok || m.Service() != service.Name() {
 		return admission{}, result.NotOwner
 	}
+	if s.Drained() {
+		return admission{}, result.Leaving
+	}
 	switch m.Phase().(type) {
 	case table.Leaving:
 		return admission{}, result.Leaving
--- a/verbenad/command/relay/breakers.go
+++ b/verbenad/command/relay/breakers.go
@@ -51,7 +51,7 @@
 		return breaker.Served{}
 	case result.BadRequest, result.UnknownService, result.UnknownRoute, result.TooLarge, result.HeadTooLarge, result.Expired,
 		result.TimedOut, result.Interrupted, result.Truncated, result.Mismatched, result.LeaseLapsed, result.Cancelled,
-		result.NotReady, result.NoOwner, result.NoTarget, result.Leaving, result.Unreachable:
+		result.NotReady, result.NoOwner, result.NoTarget, result.Leaving, result.Unreachable, result.ZoneDrained:
 		return breaker.Unclear{}
 	}
 	return breaker.Unclear{}
--- a/verbenad/command/relay/throttle.go
+++ b/verbenad/command/relay/throttle.go
@@ -65,7 +65,7 @@
 		return r.HoldOff(), true
 	case result.BadRequest, result.UnknownService, result.UnknownRoute, result.TooLarge, result.HeadTooLarge, result.Expired,
 		result.TimedOut, result.Interrupted, result.Truncated, result.Mismatched, result.LeaseLapsed, result.Cancelled,
-		result.NotReady, result.NoOwner, result.NoTarget, result.Leaving, result.Unreachable:
+		result.NotReady, result.NoOwner, result.NoTarget, result.Leaving, result.Unreachable, result.ZoneDrained:
 		return r.HoldOff(), r.HoldOff() > 0
 	}
 	return 0, false
--- a/verbenad/command/serve/metric.go
+++ b/verbenad/command/serve/metric.go
@@ -37,6 +37,7 @@
 		"verbenad.control_members":      func(d *Daemon) int64 { s, _ := d.loop.View().Status(); return int64(s.Members().VoterCount()) },
 		"verbenad.control_role":         func(d *Daemon) int64 { return roleNumber(d.loop.View()) },
 		"verbenad.members":              func(d *Daemon) int64 { return int64(len(d.snapshots.Load().Table().Members())) },
+		"verbenad.zones_drained":        func(d *Daemon) int64 { return int64(len(d.snapshots.Load().Table().DrainedZones())) },
 		"verbenad.keys_held":            func(d *Daemon) int64 { return int64(d.snapshots.Load().HeldKeys()) },
 		"verbenad.heap_bytes":           func(*Daemon) int64 { var m runtime.MemStats; runtime.ReadMemStats(&m); return int64(m.HeapAlloc) },
 		"verbenad.log_lines_dropped":    func(d *Daemon) int64 { return d.droppedLogLines() },
--- a/verbenad/command/serve/options.go
+++ b/verbenad/command/serve/options.go
@@ -51,6 +51,8 @@
 	HeartbeatRejected(problem string)
 	// Propose proposes a configuration until it is decided or ctx ends.
 	Propose(ctx context.Context, r logcmd.SetRules) (fleet.Verdict, error)
+	// SetZoneDrain drains a zone or ends its drain. It returns when that is decided or ctx ends.
+	SetZoneDrain(ctx context.Context, zone string, drained bool) (fleet.Verdict, error)
 	// Rules returns the rules in force, confirmed by a quorum after the call began. Version 0 means
 	// that there are none.
 	Rules(ctx context.Context) (rules.Rules, error)
@@ -72,6 +74,13 @@
 	return d.controlClient.Propose(ctx, r)
 }
 
+// SetZoneDrain asks the control group to drain a zone or to end its drain, until it is decided or ctx ends. The order
+// counts as based on the newest table that this process knows.
+func (d *Daemon) SetZoneDrain(ctx context.Context, zone string, drained bool) (fleet.Verdict, error) {
+	base := max(d.snapshots.Load().Table().Version(), d.loop.View().Fleet().Table().Version())
+	return d.controlClient.SetZoneDrain(ctx, logcmd.NewSetZoneDrain(zone, drained, d.Instance(), base))
+}
+
 // Rules returns the rules in force, confirmed by a quorum after the call began. Version 0 means that
 // there are none.
 func (d *Daemon) Rules(ctx context.Context) (rules.Rules, error) { return d.controlClient.Rules(ctx) }
--- a/verbenad/command/serve/serve.go
+++ b/verbenad/command/serve/serve.go
@@ -31,6 +31,7 @@
 	"verbenabank/verbenad/command/entry"
 	"verbenabank/verbenad/command/notice"
 	"verbenabank/verbenad/command/owner"
+	"verbenabank/verbenad/command/zones"
 	"verbenabank/verbenad/query/admin"
 	"verbenabank/verbenad/state/config"
 )
@@ -201,6 +202,7 @@
 	n := notice.New(d.post, notice.WithOnHeartbeat(d.target.RecordHeartbeat), notice.WithLog(d.logger()))
 	d.lifecycle.notice = n
 	n.Register(d.admin)
+	zones.New(d.SetZoneDrain).Register(d.admin)
 	s := d.settings.Load()
 	a := admin.New(admin.WithInstance(s.Instance(), s.Zone()), admin.WithStopping(d.stopping.Load),
 		admin.WithState(d.clock, d.snapshots, d.loop.View), admin.WithAudit(d.audit))
--- a/verbenad/command/serve/traffic.go
+++ b/verbenad/command/serve/traffic.go
@@ -123,8 +123,8 @@
 // answered in that time ends the session with the leader.
 const renewTimeoutIntervals = 2
 
-// drainMargin is how long before the end of a target's drain time its daemon stops admitting requests
-// for it, so that those admitted before still reach it.
+// drainMargin is how long before the end of a target's drain time, or of the time that a zone has to be drained, a daemon
+// stops admitting requests for its target, so that those admitted before still reach it.
 const drainMargin = 300 * clock.Millisecond
 
 // agentOptions returns the options of the agent. Settings that are 0 keep the agent's defaults.
@@ -140,6 +140,9 @@
 	if s.Timings().MaxDrain() > 0 {
 		options = append(options, agent.WithMaxDrain(max(1, s.Timings().MaxDrain()-drainMargin)))
 	}
+	if s.Timings().ZoneDrain() > 0 {
+		options = append(options, agent.WithZoneDrain(max(1, s.Timings().ZoneDrain()-drainMargin)))
+	}
 	if s.LastingRules() {
 		options = append(options, agent.WithLastingRules())
 	}
--- a/verbenad/query/admin/status.go
+++ b/verbenad/query/admin/status.go
@@ -24,13 +24,14 @@
 		Digest   string    `json:"rules_digest"`
 		Table    uint64    `json:"table_version"`
 		Control  *control  `json:"control,omitempty"`
+		Drained  []string  `json:"drained_zones"`
 		Members  []member  `json:"members"`
 		Services []service `json:"services"`
 	}{
 		Instance: a.instance, Zone: a.zone, Self: formatIncarnation(s.Self()),
 		Lease: int64(max(0, s.LeaseEnd().Sub(now))), Rules: int64(max(0, s.RulesEnd().Sub(now))),
 		Version: t.Rules().Version(), Digest: t.Rules().Digest(), Table: t.Version(),
-		Control: a.control(), Members: members(t), Services: services(t),
+		Control: a.control(), Drained: append([]string{}, t.DrainedZones()...), Members: members(t), Services: services(t),
 	}
 	return c.JSON(status)
 }
--- a/verbenad/state/config/timings.go
+++ b/verbenad/state/config/timings.go
@@ -48,6 +48,7 @@
 	maxHold       clock.Millis
 	maxDrain      clock.Millis
 	stopGrace     clock.Millis
+	zoneDrain     clock.Millis
 }
 
 // NewTimings returns the TTL of leases, the margin for clock differences over that time, and the interval
@@ -69,6 +70,15 @@
 	return t
 }
 
+// WithZoneDrain sets within which time requests to the targets of a zone end once it is drained.
+func (t Timings) WithZoneDrain(limit clock.Millis) Timings {
+	t.zoneDrain = limit
+	return t
+}
+
+// ZoneDrain returns within which time requests to the targets of a zone end once it is drained.
+func (t Timings) ZoneDrain() clock.Millis { return t.zoneDrain }
+
 // RulesTTL returns how long the rules may be used from the sending of an answered renewal.
 func (t Timings) RulesTTL() clock.Millis { return t.rulesTTL }
 
