Test the bound of zone drains under random faults

The simulation of agents and leaders drains zones and takes them back while leaders are deposed and daemons freeze, restart and lose their sessions, with clocks that differ by 4%.

--- a/core/command/leader/daemon_test.go
+++ b/core/command/leader/daemon_test.go
@@ -48,7 +48,7 @@
 // start starts or restarts the daemon. Nothing of the process before is left.
 func (d *daemon) start() {
 	d.generation++
-	d.agent = agent.New(agent.WithInstance(d.name, "z", d.name), agent.WithRandom(d.sim.rand.Uint64))
+	d.agent = agent.New(agent.WithInstance(d.name, d.zone(), d.name), agent.WithRandom(d.sim.rand.Uint64), agent.WithZoneDrain(zoneDrainLimit))
 	d.snap = snap.New(table.Empty(), 0, 0, 0)
 	d.inFlight, d.onDrained = map[table.Shard]int{}, map[table.Shard][]func(){}
 	d.requests = map[*inFlightRequest]bool{}
@@ -60,6 +60,9 @@
 	d.sim.after(d.sim.randomUpTo(20), func() { d.startRequests(gen) })
 }
 
+// zone returns the zone of the daemon, one of two.
+func (d *daemon) zone() string { return zones[int(d.name[1]-'0')%len(zones)] }
+
 func (d *daemon) localTime() clock.Millis {
 	return clock.Millis(float64(d.sim.now)*d.clockRate) + 1_000_000
 }
--- a/core/command/leader/simulation_test.go
+++ b/core/command/leader/simulation_test.go
@@ -121,6 +121,8 @@
 	served       int
 	faults       int
 	grants       int
+	drainedSince map[string]clock.Millis // zones whose drain is committed
+	lateKeys     int                     // times that a daemon had closed keys which it still owned
 }
 
 // leaderNode is one leader; it may be deposed without knowing it yet.
@@ -134,7 +136,7 @@
 }
 
 func newSimulation(seed uint64, f mutation, daemons int) *simulation {
-	sm := &simulation{timeline: timeline{rand: rand.New(rand.NewPCG(seed, 1))}, mutation: f, state: fleet.New(), owners: map[string]table.Incarnation{}}
+	sm := &simulation{timeline: timeline{rand: rand.New(rand.NewPCG(seed, 1))}, mutation: f, state: fleet.New(), owners: map[string]table.Incarnation{}, drainedSince: map[string]clock.Millis{}}
 	r := rules.New(1, "d", rules.NewService(service, rules.WithKind(rules.NewKeyed(rules.NewPathSegment(2), shards)), rules.WithWarmUp(0)))
 	sm.commit(logcmd.NewSetRules(r, "i", "f"))
 	sm.elect()
@@ -257,6 +259,7 @@
 		if !ok {
 			continue
 		}
+		sm.checkDrained(s, d)
 		if owner != nil {
 			sm.fail("shard %d is owned by %s and %s", s, owner.name, d.name)
 		}
--- a/core/command/leader/zone_test.go
+++ b/core/command/leader/zone_test.go
@@ -16,6 +16,63 @@
 	"verbenabank/core/state/table"
 )
 
+// zones are the zones of the simulated daemons, zoneDrainLimit for how long they serve keys after a drain. The check
+// allows for their clocks.
+var zones = []string{"even", "odd"}
+
+const (
+	zoneDrainLimit = clock.Second
+	zoneDrainCheck = zoneDrainLimit * 105 / 100
+)
+
+// changeZones drains a zone or takes it back, and schedules itself.
+func (sm *simulation) changeZones() {
+	z := zones[sm.rand.IntN(len(zones))]
+	drained := !sm.state.Table().ZoneDrained(z)
+	sm.commit(logcmd.NewSetZoneDrain(z, drained, "i", uint64(len(sm.log))))
+	if drained {
+		sm.drainedSince[z] = sm.now
+	} else {
+		delete(sm.drainedSince, z)
+	}
+	sm.after(200+sm.randomUpTo(4000), sm.changeZones)
+}
+
+// checkDrained checks that a daemon that owns a shard accepts no requests for it any more if its zone has been drained
+// for too long.
+func (sm *simulation) checkDrained(s table.Shard, d *daemon) {
+	since, drained := sm.drainedSince[d.zone()]
+	switch {
+	case !drained || sm.now.Sub(since) < zoneDrainCheck:
+	case d.snap.KeysClosed(d.localTime()):
+		sm.lateKeys++
+	default:
+		sm.fail("%s serves shard %d %d ms after its zone was drained", d.name, s, sm.now.Sub(since))
+	}
+}
+
+// TestKeysOfADrainedZoneEndUnderFaults plays random faults while zones are drained and taken back: leaders are deposed,
+// daemons freeze, restart and lose their sessions, and clocks differ. No daemon serves a key for longer than the limit
+// after a drain was committed, however late it learns of it, and no shard has two owners.
+func TestKeysOfADrainedZoneEndUnderFaults(t *testing.T) {
+	served, grants, late := 0, 0, 0
+	for seed := range uint64(20) {
+		sm := newSimulation(seed, noMutation, 4)
+		sm.after(1500, sm.injectFault)
+		sm.after(1500, sm.changeOverrides)
+		sm.after(1500, sm.changeZones)
+		sm.run(runDuration)
+		if sm.violation != "" {
+			t.Fatalf("seed %d: %s", seed, sm.violation)
+		}
+		served, grants, late = served+sm.served, grants+sm.grants, late+sm.lateKeys
+	}
+	t.Logf("%d requests, %d grants, %d checks of keys that could not be handed over in time", served, grants, late)
+	if served < 5000 || late == 0 {
+		t.Error("too little happened to prove anything")
+	}
+}
+
 // zoneGroup is a control group that commits what its leader proposes at once.
 type zoneGroup struct {
 	leader  *leader.Leader
