Place keys by service times that are averaged over more requests

Cause: the service time of a target in a report is a moving average of about 8 requests, off by a quarter where requests differ as widely as their mean. Utilizations are compared with a tolerance of 0.12, so keys moved for noise, also to targets that only looked fast.

--- a/core/command/leader/leader.go
+++ b/core/command/leader/leader.go
@@ -51,6 +51,7 @@
 	proposedAt     map[proposalKey]clock.Millis // when a command was last proposed
 	joinProposedAt map[table.Incarnation]clock.Millis
 	params         lease.Params
+	capacityWindow clock.Millis
 	collector      *stats.Collector
 	nextPlan       clock.Millis
 	lastPlan       clock.Millis
@@ -83,6 +84,12 @@
 // WithLeaseParams sets the lease parameters.
 func WithLeaseParams(p lease.Params) Option { return func(l *Leader) { l.params = p } }
 
+// WithCapacityWindow averages the service times of targets of ordered services over the requests of a window, in
+// milliseconds, before keys are placed by them. By default they are taken as reported.
+func WithCapacityWindow(window clock.Millis) Option {
+	return func(l *Leader) { l.capacityWindow = window }
+}
+
 // New returns the leader of the control group with the given ID, elected at now. All entries of
 // earlier terms must have been applied to f.
 func New(now clock.Millis, group uint64, f *fleet.State, opts ...Option) *Leader {
@@ -95,12 +102,12 @@
 		proposedAt:     map[proposalKey]clock.Millis{},
 		joinProposedAt: map[table.Incarnation]clock.Millis{},
 		params:         lease.DefaultParams(),
-		collector:      stats.New(now),
 		nextPlan:       now,
 	}
 	for _, o := range opts {
 		o(l)
 	}
+	l.collector = stats.New(now, stats.WithCapacityWindow(l.capacityWindow))
 	l.leases = lease.NewTracker(now, f.Table().Members(), lease.WithParams(l.params))
 	l.seedCollector()
 	return l
--- a/core/command/stats/cells.go
+++ b/core/command/stats/cells.go
@@ -19,7 +19,7 @@
 // ignored.
 func (co *Collector) RecordCells(i table.Incarnation, service string, spans []table.Span, r load.Report, now clock.Millis) {
 	if r.TargetStats().Slots() > 0 {
-		co.targetStats[i] = r.TargetStats()
+		co.targetStats[i] = co.averageStats(i, r, now)
 	}
 	last, known := co.cellsReportedAt[i]
 	if known && now.Sub(last) < reportInterval/4 {
--- a/core/command/stats/collector.go
+++ b/core/command/stats/collector.go
@@ -25,6 +25,20 @@
 	targetStats     map[table.Incarnation]load.TargetStats
 	cellsReportedAt map[table.Incarnation]clock.Millis // last accepted report of cells
 	spanMovedAt     map[string]clock.Millis            // last change of owner of any span, by service
+	capacityWindow  clock.Millis                       // 0 to take the service times of targets as reported
+	serviceTimes    map[table.Incarnation]serviceTime  // of targets, averaged over capacityWindow
+}
+
+// CapacityWindow is a window for WithCapacityWindow: that of the request rates, with which capacities are compared.
+const CapacityWindow clock.Millis = cellDecayMs
+
+// Option sets one property of a Collector.
+type Option func(*Collector)
+
+// WithCapacityWindow averages the service times of targets of ordered services over the requests of a window, in
+// milliseconds. A report alone covers few requests, and their service times differ widely.
+func WithCapacityWindow(window clock.Millis) Option {
+	return func(co *Collector) { co.capacityWindow = window }
 }
 
 // member holds what the reports of one member refer to.
@@ -49,8 +63,8 @@
 }
 
 // New returns a collector without members that observes load from now on.
-func New(now clock.Millis) *Collector {
-	return &Collector{
+func New(now clock.Millis, opts ...Option) *Collector {
+	co := &Collector{
 		startedAt:       now,
 		members:         map[table.Incarnation]*member{},
 		joined:          map[table.Incarnation]clock.Millis{},
@@ -65,7 +79,12 @@
 		targetStats:     map[table.Incarnation]load.TargetStats{},
 		cellsReportedAt: map[table.Incarnation]clock.Millis{},
 		spanMovedAt:     map[string]clock.Millis{},
+		serviceTimes:    map[table.Incarnation]serviceTime{},
+	}
+	for _, o := range opts {
+		o(co)
 	}
+	return co
 }
 
 // MemberJoined adds a member that was first seen at now.
@@ -89,6 +108,7 @@
 	delete(co.joined, i)
 	delete(co.hotKeys, i)
 	delete(co.targetStats, i)
+	delete(co.serviceTimes, i)
 	delete(co.cellsReportedAt, i)
 }
 
--- a/verbenad/command/ctrl/ctrl.go
+++ b/verbenad/command/ctrl/ctrl.go
@@ -55,6 +55,7 @@
 	logStore      LogStore
 	fleet         *fleet.State
 	leader        *leader.Leader
+	leaderOptions []leader.Option
 	sessions      map[leader.SessionID]Session
 	pending       map[uint64]pendingRequest
 	lastToken     uint64
--- a/verbenad/command/ctrl/leader.go
+++ b/verbenad/command/ctrl/leader.go
@@ -19,7 +19,8 @@
 // startLeading creates the leader from the current fleet state.
 func (l *Loop) startLeading() {
 	electionsWon.Add(1)
-	l.leader = leader.New(l.clock.Now(), l.group(), l.fleet, leader.WithLeaseParams(l.leaseParams))
+	options := append([]leader.Option{leader.WithLeaseParams(l.leaseParams)}, l.leaderOptions...)
+	l.leader = leader.New(l.clock.Now(), l.group(), l.fleet, options...)
 }
 
 // stopLeading discards the leader and redirects all daemons to the new one.
--- a/verbenad/command/ctrl/options.go
+++ b/verbenad/command/ctrl/options.go
@@ -5,6 +5,7 @@
 
 	"verbenabank/core/clock"
 	"verbenabank/core/command/agent"
+	"verbenabank/core/command/leader"
 	"verbenabank/core/command/lease"
 	"verbenabank/core/command/raft"
 	"verbenabank/core/state/fleet"
@@ -51,6 +52,11 @@
 // WithLifecycleObserver sets the observer of target release, shutdown and failure.
 func WithLifecycleObserver(o LifecycleObserver) Option { return func(l *Loop) { l.observer = o } }
 
+// WithLeaderOptions sets further options of the leader that this replica may become.
+func WithLeaderOptions(opts ...leader.Option) Option {
+	return func(l *Loop) { l.leaderOptions = opts }
+}
+
 // WithReplica makes the process a control replica. The node must have been created from the stored
 // log; f is the fleet state before any entry is applied or a snapshot restored.
 func WithReplica(n *raft.Node, f *fleet.State, p PeerTransport, s LogStore) Option {
--- a/verbenad/command/serve/options.go
+++ b/verbenad/command/serve/options.go
@@ -6,6 +6,8 @@
 	"github.com/gofiber/fiber/v3"
 
 	"verbenabank/core/command/agent"
+	"verbenabank/core/command/leader"
+	"verbenabank/core/command/stats"
 	"verbenabank/core/state/fleet"
 	"verbenabank/core/state/grant"
 	"verbenabank/core/state/logcmd"
@@ -33,6 +35,14 @@
 	return func(d *Daemon) { d.targetDialect, d.grantDialect = x, g }
 }
 
+// WithAveragedCapacity places the keys of ordered services by service times that are averaged over the requests of a
+// window, if this daemon leads the control group.
+func WithAveragedCapacity() Option {
+	return func(d *Daemon) {
+		d.leaderOptions = append(d.leaderOptions, leader.WithCapacityWindow(stats.CapacityWindow))
+	}
+}
+
 // WithDroppedLogLines sets the function that returns the number of dropped log lines, for the gauge.
 func WithDroppedLogLines(f func() int64) Option { return func(d *Daemon) { d.droppedLogLines = f } }
 
--- a/verbenad/command/serve/serve.go
+++ b/verbenad/command/serve/serve.go
@@ -15,6 +15,7 @@
 
 	"verbenabank/core/clock"
 	"verbenabank/core/command/agent"
+	"verbenabank/core/command/leader"
 	"verbenabank/core/state/logcmd"
 	"verbenabank/core/state/rules"
 	"verbenabank/core/state/snap"
@@ -52,6 +53,7 @@
 	targetDialect   owner.Dialect
 	grantDialect    grants.Dialect
 	registerAdmin   func(r fiber.Router, api AdminAPI)
+	leaderOptions   []leader.Option
 	stopping        atomic.Bool
 	droppedLogLines func() int64
 	clock           *clock.Clock
@@ -179,7 +181,7 @@
 		if err != nil {
 			return err
 		}
-		options = append(options, o)
+		options = append(options, o, ctrl.WithLeaderOptions(d.leaderOptions...))
 	}
 	d.loop = ctrl.New(options...)
 	return nil
