Give the keys of a zone that is taken back to its members little by little

Cause: keys came back by rebalancing, which brings a member to the mean utilization with one move. Change: in core/query/ranges the members that a leader has seen return may use a share of their capacity that grows from a tenth to the whole over the warm-up time. Decisions about all other members are unchanged.

--- a/core/command/stats/collector.go
+++ b/core/command/stats/collector.go
@@ -14,6 +14,7 @@
 	startedAt       clock.Millis
 	members         map[table.Incarnation]*member
 	joined          map[table.Incarnation]clock.Millis
+	returned        map[table.Incarnation]clock.Millis // after a drain of their zone
 	shardStats      map[load.ShardRef]load.ShardStats
 	owners          map[load.ShardRef]owner
 	overrides       map[serviceKey]load.ShardRef
@@ -68,6 +69,7 @@
 		startedAt:       now,
 		members:         map[table.Incarnation]*member{},
 		joined:          map[table.Incarnation]clock.Millis{},
+		returned:        map[table.Incarnation]clock.Millis{},
 		shardStats:      map[load.ShardRef]load.ShardStats{},
 		owners:          map[load.ShardRef]owner{},
 		overrides:       map[serviceKey]load.ShardRef{},
@@ -98,7 +100,7 @@
 // MemberReturned restarts the warm-up of a member whose zone is no longer drained, as if it had joined at now.
 func (co *Collector) MemberReturned(i table.Incarnation, now clock.Millis) {
 	if co.Knows(i) {
-		co.joined[i] = now
+		co.joined[i], co.returned[i] = now, now
 	}
 }
 
@@ -106,6 +108,7 @@
 func (co *Collector) MemberLeft(i table.Incarnation) {
 	delete(co.members, i)
 	delete(co.joined, i)
+	delete(co.returned, i)
 	delete(co.hotKeys, i)
 	delete(co.targetStats, i)
 	delete(co.serviceTimes, i)
@@ -188,7 +191,7 @@
 // View returns the current statistics. It shares memory with the collector, so it is invalid after
 // the next call that changes them.
 func (co *Collector) View() load.View {
-	return load.NewView(load.WithObservedSince(co.startedAt, co.loadOnsets), load.WithJoined(co.joined), load.WithShardStats(co.shardStats), load.WithHotKeys(co.hotKeys),
+	return load.NewView(load.WithObservedSince(co.startedAt, co.loadOnsets), load.WithJoined(co.joined), load.WithReturned(co.returned), load.WithShardStats(co.shardStats), load.WithHotKeys(co.hotKeys),
 		load.WithCellRates(co.cellRates, co.spanMovedAt), load.WithTargetStats(co.targetStats))
 }
 
--- a/core/query/ranges/ranges.go
+++ b/core/query/ranges/ranges.go
@@ -31,6 +31,8 @@
 	// idleCellRate is added to the rate of every cell, in requests per second, so that keys
 	// without requests are distributed too.
 	idleCellRate = 0.001
+	// minReturnShare is the fraction of its capacity that a member may use right after a drain of its zone.
+	minReturnShare = 0.1
 )
 
 // planner plans one service. A cell is a group of load.CellKeys neighboring keys that are
@@ -39,6 +41,7 @@
 	table         *table.Table
 	view          load.View
 	service       string
+	warmUp        clock.Millis
 	keyCount      int
 	now           clock.Millis
 	cellRates     []float64
@@ -63,7 +66,7 @@
 // there is nothing to grant and nothing to move off ineligible owners.
 func Plan(t *table.Table, v load.View, s rules.Service, o rules.Ordered, now clock.Millis) []logcmd.Command {
 	p := &planner{
-		table: t, view: v, service: s.Name(), keyCount: o.Keys(), now: now,
+		table: t, view: v, service: s.Name(), warmUp: s.WarmUp(), keyCount: o.Keys(), now: now,
 		cellRates: v.CellRates(s.Name()), eligible: map[table.Incarnation]*member{},
 	}
 	p.addMembers()
@@ -108,12 +111,23 @@
 		if m.cost == 0 {
 			m.cost = defaultCost
 		}
+		m.cost /= p.shareOf(m.member)
 	}
 	for _, s := range p.table.Spans(p.service) {
 		p.attribute(s)
 	}
 }
 
+// shareOf returns the fraction of its capacity that a member may use. For a member whose zone is no longer drained it grows
+// over the warm-up time, so that its keys come back little by little; all others may use the whole.
+func (p *planner) shareOf(m table.Member) float64 {
+	returned := p.view.Returned(m.Incarnation())
+	if _, warming := m.Phase().(table.Warming); !warming || returned == 0 || p.warmUp <= 0 {
+		return 1
+	}
+	return min(max(float64(p.now.Sub(returned))/float64(p.warmUp), minReturnShare), 1)
+}
+
 // attribute adds the request rate of a span to its owner, or to its next owner while it moves.
 func (p *planner) attribute(s table.Span) {
 	var i table.Incarnation
--- a/core/state/load/view.go
+++ b/core/state/load/view.go
@@ -11,6 +11,7 @@
 	observedSince        clock.Millis
 	serviceObservedSince map[string]clock.Millis
 	joined               map[table.Incarnation]clock.Millis
+	returned             map[table.Incarnation]clock.Millis
 	shardStats           map[ShardRef]ShardStats
 	hotKeys              map[table.Incarnation]map[string]KeyHistory
 	cellRates            map[string][]float64
@@ -33,6 +34,11 @@
 	return func(v *View) { v.joined = joined }
 }
 
+// WithReturned sets when members were taken back whose zone had been drained.
+func WithReturned(returned map[table.Incarnation]clock.Millis) ViewOption {
+	return func(v *View) { v.returned = returned }
+}
+
 // WithShardStats sets the statistics of the shards.
 func WithShardStats(stats map[ShardRef]ShardStats) ViewOption {
 	return func(v *View) { v.shardStats = stats }
@@ -61,6 +67,9 @@
 // Joined returns when the leader first saw the member.
 func (v View) Joined(i table.Incarnation) clock.Millis { return v.joined[i] }
 
+// Returned returns when the member was taken back after a drain of its zone, 0 if the leader has seen no such drain end.
+func (v View) Returned(i table.Incarnation) clock.Millis { return v.returned[i] }
+
 // ShardStats returns the statistics of a shard, and whether there are any.
 func (v View) ShardStats(r ShardRef) (ShardStats, bool) {
 	s, ok := v.shardStats[r]
