Let a repeated order for a zone count as its last one

Cause: an operator's drain that no instance answers, followed by its end, which is acknowledged since the zone isn't drained, could still be applied afterwards by the instance that was called first. Change: a repeated order moves the zone's last order to its index, and a table change that changes nothing carries the version to all daemons; an order from before it that would change the zone is answered 503. Members restart their warm-up only if the take-back set them to Warming.

--- a/core/command/apply/zone.go
+++ b/core/command/apply/zone.go
@@ -6,25 +6,26 @@
 	"verbenabank/core/state/table"
 )
 
-// setZoneDrain drains a zone or ends its drain. A repeated command changes nothing, so that operators may repeat it.
-// Members that get requests and keys again warm up, as those that join do.
+// setZoneDrain drains a zone or ends its drain. Operators may repeat a command. A repeated one counts as the last order for
+// the zone too, and is sent on as a change that changes nothing: whoever is called next must know of it, and a command
+// that was called for before must not undo it. Members that get requests and keys again warm up, as those that join do.
 func (t *transition) setZoneDrain(c logcmd.SetZoneDrain) {
 	author, subject := c.Instance()+":operator", "zone "+c.Zone()
 	from, to := drainLabel(t.table().ZoneDrained(c.Zone())), drainLabel(c.Drained())
 	last, _ := t.fleet.Zone(c.Zone())
-	if t.table().ZoneDrained(c.Zone()) == c.Drained() {
-		t.effects = append(t.effects, Decided{verdict: fleet.Repeated{}})
-		t.record(author, subject, from, to, "accepted again")
-		return
-	}
-	if last.DrainChanged() > c.Base() {
+	if last.DrainChanged() > c.Base() && t.table().ZoneDrained(c.Zone()) != c.Drained() {
 		t.effects = append(t.effects, Decided{verdict: fleet.NewOlder(last.DrainChanged())})
 		t.record(author, subject, from, to, "ignored: a later order has been accepted")
 		return
 	}
-	t.effects = append(t.effects, Decided{verdict: fleet.Accepted{}})
 	t.options = append(t.options, fleet.WithZones(fleet.NewZone(c.Zone(), t.index)))
 	t.change(table.NewZoneDrainSet(c.Zone(), c.Drained()))
+	if t.table().ZoneDrained(c.Zone()) == c.Drained() {
+		t.effects = append(t.effects, Decided{verdict: fleet.Repeated{}})
+		t.record(author, subject, from, to, "accepted again")
+		return
+	}
+	t.effects = append(t.effects, Decided{verdict: fleet.Accepted{}})
 	t.record(author, subject, from, to, "accepted")
 	if c.Drained() {
 		return
--- a/core/command/apply/zone_test.go
+++ b/core/command/apply/zone_test.go
@@ -19,12 +19,15 @@
 	fx := newFixture(t)
 	called := fx.index
 	fx.is.Equal(fx.setDrain(true, called), fleet.Accepted{})
-	before := fx.fleet.Table()
 	fx.is.Equal(fx.setDrain(true, called), fleet.Repeated{})
-	fx.is.Equal(fx.fleet.Table(), before)
+	fx.is.Equal(fx.fleet.Table().DrainedZones(), []string{"z"})
 	fx.is.Equal(fx.setDrain(false, fx.index), fleet.Accepted{})
 	fx.is.Equal(fx.setDrain(true, called), fleet.NewOlder(fx.index-1))
 	fx.is.True(!fx.fleet.Table().ZoneDrained("z"))
+	called = fx.index
+	fx.is.Equal(fx.setDrain(false, fx.index), fleet.Repeated{}) // of a drain that hasn't come yet
+	fx.is.Equal(fx.setDrain(true, called), fleet.NewOlder(fx.index-1))
+	fx.is.Equal(fx.setDrain(true, fx.fleet.Table().Version()), fleet.Accepted{})
 }
 
 // TestDrainedMembersGetNoKeys covers commands that were proposed before the drain, and members that are taken back: those
--- a/core/command/leader/leader.go
+++ b/core/command/leader/leader.go
@@ -201,9 +201,7 @@
 			l.collector.KeyPlaced(c.Key(), l.baseRange(c.Service(), c.Key()), load.NewShardRef(c.Service(), c.Shard()))
 		case table.OverrideRemoved:
 			l.collector.KeyReturned(c.Key(), l.baseRange(c.Service(), c.Key()))
-		case table.RulesSet:
-		case table.ZoneDrainSet:
-			l.trackZoneDrain(c)
+		case table.RulesSet, table.ZoneDrainSet:
 		}
 	}
 	l.history.add(l.fleet.Table().Version(), changes)
@@ -255,16 +253,6 @@
 	}
 }
 
-// trackZoneDrain lets the members of a zone that is taken back warm up from now on.
-func (l *Leader) trackZoneDrain(c table.ZoneDrainSet) {
-	if c.Drained() {
-		return
-	}
-	for _, m := range l.fleet.Table().MembersIn(c.Zone()) {
-		l.collector.MemberReturned(m.Incarnation(), l.now)
-	}
-}
-
 // addOwners adds the members that own keys, or to which they move.
 func addOwners(set map[table.Incarnation]bool, o table.Ownership) {
 	switch o := o.(type) {
@@ -281,5 +269,9 @@
 	if !l.collector.Knows(i) {
 		l.collector.MemberJoined(m, l.now)
 		l.leases.RecordRenewal(i, l.now)
+		return
+	}
+	if _, warming := m.Phase().(table.Warming); warming { // again, after a drain of its zone
+		l.collector.MemberReturned(i, l.now)
 	}
 }
--- a/core/state/fleet/zone.go
+++ b/core/state/fleet/zone.go
@@ -15,7 +15,8 @@
 	drainChanged uint64
 }
 
-// NewZone returns the zone whose drain began or ended last at the log index drainChanged, 0 if it was never drained.
+// NewZone returns the zone whose last order for a drain, or its end, was accepted at the log index drainChanged, 0 if there
+// was none.
 func NewZone(name string, drainChanged uint64) Zone {
 	return Zone{name: name, drainChanged: drainChanged}
 }
@@ -23,7 +24,7 @@
 // Name returns the name of the zone.
 func (z Zone) Name() string { return z.name }
 
-// DrainChanged returns the log index at which the drain of the zone began or ended last, 0 if it was never drained.
+// DrainChanged returns the log index of the last accepted order for a drain of the zone or its end, 0 if there was none.
 func (z Zone) DrainChanged() uint64 { return z.drainChanged }
 
 // WithZones adds zones or replaces them. Beyond ZoneLimit only zones whose drain has changed are added.
