--- a/core/command/press/press_test.go
+++ b/core/command/press/press_test.go
@@ -98,3 +98,18 @@
 	_, kept := v.Check(many+1, clock.Minute).(press.HeldOff)
 	is.True(kept)
 }
+
+// TestHoldOffOfAnotherProcessIsBounded guards against an owner whose reply asks for years: it would get no requests any
+// more.
+func TestHoldOffOfAnotherProcessIsBounded(t *testing.T) {
+	is := is.New(t)
+	throttle := press.NewThrottle(func(limit clock.Millis) clock.Millis { return limit - 1 })
+	throttle.Record(owner, 1<<50, 0)
+	_, held := throttle.Check(owner, press.MaxHoldOff).(press.HeldOff)
+	is.True(held)
+	_, admitted := throttle.Check(owner, 2*press.MaxHoldOff).(press.Admitted)
+	is.True(admitted)
+	throttle.Record(owner, -5, 0)
+	_, admitted = throttle.Check(owner, 0).(press.Admitted)
+	is.True(admitted)
+}
--- a/core/command/press/throttle.go
+++ b/core/command/press/throttle.go
@@ -55,11 +55,13 @@
 	return Admitted{}
 }
 
-// Record takes the hold-off in an owner's latest reply, 0 for none: an owner that serves requests asks for none.
+// Record takes the hold-off in an owner's latest reply, 0 for none: an owner that serves requests asks for none. It
+// counts as MaxHoldOff at most.
 func (t *Throttle) Record(owner table.Incarnation, holdOff, now clock.Millis) {
+	holdOff = min(holdOff, MaxHoldOff)
 	s, ok := t.owners[owner]
 	switch {
-	case holdOff == 0:
+	case holdOff <= 0:
 		delete(t.owners, owner)
 	case ok:
 		s.holdOff = holdOff
--- a/core/state/snap/snap.go
+++ b/core/state/snap/snap.go
@@ -73,6 +73,14 @@
 // RulesConfirmed returns when the rules were last known to be the newest ones, 0 if never.
 func (s *Snapshot) RulesConfirmed() clock.Millis { return s.confirmed }
 
+// RulesAge returns for how long the rules have not been confirmed as the newest ones, 0 if they never were.
+func (s *Snapshot) RulesAge(now clock.Millis) clock.Millis {
+	if s.confirmed == 0 {
+		return 0
+	}
+	return now.Sub(s.confirmed)
+}
+
 // Superseded returns a channel that is closed when a newer snapshot is published.
 func (s *Snapshot) Superseded() <-chan struct{} { return s.superseded }
 
--- a/review/standin/judge.go
+++ b/review/standin/judge.go
@@ -197,6 +197,10 @@
 func (j *judge) checkLeft(s *server) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if s.leftAt.Load() == 0 {
+		j.breach("DRAIN: the exit of server %s was never acknowledged", s.id)
+		return
+	}
 	late, inTouch := s.reached[0].Load(), s.reached[1].Load()
 	j.record.print("requests that reached %s later than %v after its ack: %d, later than %v: %d", s.id, drainTime, late, inTouchAfter, inTouch)
 	if inTouch > 0 {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -7,6 +7,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"sync"
 	"syscall"
@@ -394,8 +395,10 @@
 // and a heartbeat arrives that the server had sent before. The server goes on serving, as the page allows.
 func playLeft(f *fleet, trouble bool) {
 	const (
-		servesOn = 12 * time.Second
-		every    = 25 * time.Millisecond
+		servesOn         = 12 * time.Second
+		exitCalls        = 20 // until one is acknowledged
+		betweenExitCalls = 500 * time.Millisecond
+		every            = 25 * time.Millisecond
 	)
 	stop, ended := make(chan struct{}), make(chan struct{})
 	go func() {
@@ -413,9 +416,7 @@
 	f.record.print("all control machines are killed")
 	time.Sleep(200 * time.Millisecond)
 	s.silent.Store(true)
-	status := m.leave(s.id, s.born)
-	s.leftAt.Store(time.Now().UnixMilli())
-	f.record.print("server %s says that it exits: %d", s.id, status)
+	m.sayExit(s)
 	m.kill()
 	if err := m.start(); err != nil {
 		f.notRun = err
@@ -430,8 +431,21 @@
 		_ = c.start()
 	}
 	f.record.print("control machines are started")
+	for i := 0; s.leftAt.Load() == 0 && i < exitCalls; i++ {
+		time.Sleep(betweenExitCalls)
+		m.sayExit(s)
+	}
 	time.Sleep(servesOn)
 	close(stop)
 	<-ended
 	f.judge.checkLeft(s)
 }
+
+// sayExit lets the server say that it exits, and records when that is acknowledged.
+func (m *machine) sayExit(s *server) {
+	status := m.leave(s.id, s.born)
+	if status >= http.StatusOK && status < http.StatusMultipleChoices {
+		s.leftAt.Store(time.Now().UnixMilli())
+	}
+	m.fleet.record.print("server %s says that it exits: %d", s.id, status)
+}
--- a/verbenad/command/ctrl/agent.go
+++ b/verbenad/command/ctrl/agent.go
@@ -6,7 +6,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"verbenabank/core/clock"
 	"verbenabank/core/command/agent"
 	"verbenabank/core/command/hold"
 	"verbenabank/core/state/snap"
@@ -91,19 +90,11 @@
 	if s.Table().Rules().Version() != previous.Table().Rules().Version() {
 		fields["was_rules"] = previous.Table().Rules().Version()
 		fields["source"] = l.rulesSource
-		fields["unconfirmed_ms"] = unconfirmed(previous, l.clock.Now())
+		fields["unconfirmed_ms"] = int64(previous.RulesAge(l.clock.Now()))
 		l.log.WithFields(fields).Info("ctrl: rules in force")
 	}
 }
 
-// unconfirmed returns for how many milliseconds the rules of a snapshot have not been confirmed, 0 if they never were.
-func unconfirmed(s *snap.Snapshot, now clock.Millis) int64 {
-	if s.RulesConfirmed() == 0 {
-		return 0
-	}
-	return int64(now.Sub(s.RulesConfirmed()))
-}
-
 // askRules asks other members for newer rules. The answers are posted from other goroutines.
 func (l *Loop) askRules(f agent.AskRules) {
 	if l.members != nil {
--- a/verbenad/command/serve/metric.go
+++ b/verbenad/command/serve/metric.go
@@ -25,7 +25,7 @@
 	gauges := map[string]func(*Daemon) int64{
 		"verbenad.lease_left_ms":        func(d *Daemon) int64 { return int64(max(0, d.snapshots.Load().LeaseEnd().Sub(d.clock.Now()))) },
 		"verbenad.rules_left_ms":        func(d *Daemon) int64 { return int64(max(0, d.snapshots.Load().RulesEnd().Sub(d.clock.Now()))) },
-		"verbenad.rules_unconfirmed_ms": func(d *Daemon) int64 { return unconfirmedMs(d) },
+		"verbenad.rules_unconfirmed_ms": func(d *Daemon) int64 { return int64(d.snapshots.Load().RulesAge(d.clock.Now())) },
 		"verbenad.rules_version":        func(d *Daemon) int64 { return int64(d.snapshots.Load().Table().Rules().Version()) },
 		"verbenad.table_version":        func(d *Daemon) int64 { return int64(d.snapshots.Load().Table().Version()) },
 		"verbenad.shards_owned":         func(d *Daemon) int64 { return int64(ownedShards(d)) },
@@ -48,15 +48,6 @@
 	}
 }
 
-// unconfirmedMs returns for how long the rules have not been confirmed as the newest ones, 0 if they never were.
-func unconfirmedMs(d *Daemon) int64 {
-	at := d.snapshots.Load().RulesConfirmed()
-	if at == 0 {
-		return 0
-	}
-	return int64(d.clock.Now().Sub(at))
-}
-
 // Values of the gauge verbenad.control_role.
 const (
 	roleNone = iota
