Keep the last backlog of each target at the daemon that sends to it

Replies between daemons carry the backlog of their target, and nothing kept it. backlog.Table keeps the last report of each target with its age, drains it toward the mean of the reports, adds what this daemon has sent since, and forgets it after 10 s. At most 1024 targets are known. Not used for decisions yet.

--- /dev/null
+++ b/core/command/backlog/backlog.go
@@ -0,0 +1,173 @@
+// Package backlog keeps the last backlog that each target reported, and estimates what the target has left to do now.
+//
+// A report ages: other daemons send requests too, and the target goes on working. So the estimate moves from the
+// reported work to the mean of earlier reports, at the rate at which the target works, and what this daemon has
+// sent since the report is added. Deciding by old figures as if they were new makes all daemons pick the same target
+// (M. Mitzenmacher, "How Useful Is Old Information?", 2000).
+package backlog
+
+import (
+	"maps"
+	"math"
+	"sync"
+
+	"verbenabank/core/clock"
+	"verbenabank/core/state/load"
+	"verbenabank/core/state/table"
+)
+
+const (
+	// MaxAge is how long a report is used.
+	MaxAge = 10 * clock.Second
+	// MaxTargets is the maximum number of targets that a Table knows.
+	MaxTargets = 1024
+	// meanAge is the time constant of the mean of the reports of one target.
+	meanAge = 2 * clock.Second
+	// drift is the rate at which the estimate moves from the last report to the mean of the reports, as a fraction of
+	// the rate at which the target works: the work that others send makes up for the rest.
+	drift = 0.25
+	// maxWork limits the work of one report per slot, in milliseconds, so that a false report cannot keep requests
+	// away for longer than until the next one.
+	maxWork = 60_000
+	// sweepInterval is the least time between two removals of targets that are no longer used.
+	sweepInterval = clock.Second
+)
+
+// Table holds the last report of each target. It is safe for concurrent use.
+type Table struct {
+	mu      sync.Mutex
+	targets map[table.Incarnation]*target
+	sweepAt clock.Millis
+}
+
+// target is what is known of one target. Work is in milliseconds of one slot.
+type target struct {
+	last         load.Backlog
+	at           clock.Millis // when last arrived, 0 if no report did
+	meanWork     float64
+	meanRequests float64
+	sentWork     float64 // of the requests sent since the last report that are still in flight
+	sent         int     // number of these requests
+	inFlight     int
+	usedAt       clock.Millis
+}
+
+// New returns a table without reports.
+func New() *Table { return &Table{targets: map[table.Incarnation]*target{}} }
+
+// Record replaces the last report of the target by one that arrived at now. A report that is not known is ignored.
+func (t *Table) Record(i table.Incarnation, b load.Backlog, now clock.Millis) {
+	if !b.Known() {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	x := t.target(i, now)
+	if x == nil {
+		return
+	}
+	weight := 1.0
+	if x.fresh(now) {
+		weight = 1 - math.Exp(-float64(max(1, now-x.at))/float64(meanAge))
+	}
+	x.meanWork += weight * (work(b) - x.meanWork)
+	x.meanRequests += weight * (float64(b.Running()+b.Waiting()) - x.meanRequests)
+	x.last, x.at, x.sentWork, x.sent = b, now, 0, 0
+}
+
+// Sent is a request that this daemon has sent to a target. Done must be called with it when the request has ended.
+type Sent struct {
+	target table.Incarnation
+	cost   float64
+	at     clock.Millis
+}
+
+// Sent counts a request of an expected service time in milliseconds as sent to the target.
+func (t *Table) Sent(i table.Incarnation, cost float64, now clock.Millis) Sent {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if x := t.target(i, now); x != nil {
+		x.inFlight++
+		x.sent++
+		x.sentWork += cost
+	}
+	return Sent{target: i, cost: cost, at: now}
+}
+
+// Done counts a request as ended.
+func (t *Table) Done(s Sent, now clock.Millis) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	x, ok := t.targets[s.target]
+	if !ok || x.inFlight == 0 {
+		return
+	}
+	x.inFlight--
+	x.usedAt = now
+	if s.at >= x.at && x.sent > 0 {
+		x.sent--
+		x.sentWork = max(0, x.sentWork-s.cost)
+	}
+}
+
+// Expected returns what the target is expected to have left to do at now.
+func (t *Table) Expected(i table.Incarnation, now clock.Millis) Expected {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	x, ok := t.targets[i]
+	if !ok {
+		return Expected{}
+	}
+	return x.expected(now)
+}
+
+// Len returns the number of targets that the table knows.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.targets)
+}
+
+// target returns the entry of a target, a new one if there is none, nil if the table is full.
+func (t *Table) target(i table.Incarnation, now clock.Millis) *target {
+	x, ok := t.targets[i]
+	if !ok {
+		if len(t.targets) >= MaxTargets && now >= t.sweepAt {
+			t.sweepAt = now + sweepInterval
+			maps.DeleteFunc(t.targets, func(_ table.Incarnation, x *target) bool { return x.inFlight == 0 && now-x.usedAt > MaxAge })
+		}
+		if len(t.targets) >= MaxTargets {
+			return nil
+		}
+		x = &target{}
+		t.targets[i] = x
+	}
+	x.usedAt = now
+	return x
+}
+
+func (x *target) fresh(now clock.Millis) bool { return x.last.Known() && now-x.at <= MaxAge }
+
+func (x *target) expected(now clock.Millis) Expected {
+	e := Expected{inFlight: x.inFlight, sent: x.sent, work: x.sentWork, requests: float64(x.sent)}
+	if !x.fresh(now) {
+		return e
+	}
+	age := float64(max(0, now-x.at))
+	moved := drift * age * float64(x.last.Slots())
+	mean := float64(max(1, x.last.MeanTime()))
+	e.last, e.age = x.last, now-x.at
+	e.work += toward(work(x.last), x.meanWork, moved)
+	e.requests += toward(float64(x.last.Running()+x.last.Waiting()), x.meanRequests, moved/mean)
+	return e
+}
+
+// toward returns a value moved toward another one by at most distance.
+func toward(from, to, distance float64) float64 {
+	if from < to {
+		return min(to, from+distance)
+	}
+	return max(to, from-distance)
+}
+
+func work(b load.Backlog) float64 { return min(float64(b.Work()), maxWork*float64(b.Slots())) }
