Pick pooled targets by expected completion: backlogs, request costs, zones

An entry picked by its own requests in flight and latencies, of which it has few per target, without the cost of the request. picker.ExpectedWork compares the expected completion at random near and any targets: way, work left by the last backlog, cost by class over speed, corrected by the error of earlier predictions. The owner sums up the work left from learned costs and weighs in Server-Load.

--- a/core/command/backlog/backlog.go
+++ b/core/command/backlog/backlog.go
@@ -29,6 +29,17 @@
 	// maxWork limits the work of one report per slot, in milliseconds, so that a false report cannot keep requests
 	// away for longer than until the next one.
 	maxWork = 60_000
+	// maxCorrection limits the factor by which estimates for one target are corrected.
+	maxCorrection = 32.0
+	// comparisons is the number of requests over which predictions are compared with what came.
+	comparisons = 8.0
+	// usualRequests is the number of requests of usual duration that are added to those in flight.
+	usualRequests = 3.0
+	// tolerance is how far the mean of the requests may exceed the prediction without a correction, as a fraction of it.
+	tolerance = 0.5
+	// correctionAge is how long a target without requests keeps its correction, which falls linearly: it cannot show
+	// that it has recovered.
+	correctionAge = 5 * clock.Second
 	// sweepInterval is the least time between two removals of targets that are no longer used.
 	sweepInterval = clock.Second
 )
@@ -49,7 +60,12 @@
 	sentWork     float64 // of the requests sent since the last report that are still in flight
 	sent         int     // number of these requests
 	inFlight     int
+	openSince    float64 // sum of the instants at which the requests in flight were sent
+	openExpected float64 // sum of their predicted times
 	usedAt       clock.Millis
+
+	predictionError float64 // moving average of the time of a request over the predicted one as of comparedAt
+	comparedAt      clock.Millis
 }
 
 // New returns a table without reports.
@@ -80,18 +96,46 @@
 	target table.Incarnation
 	cost   float64
 	at     clock.Millis
+
+	predicted float64 // time in milliseconds until its response
+}
+
+// Replied corrects the estimates for the target by a request that was answered at now: if its requests take longer
+// than predicted, the reports are false or something else delays them.
+func (t *Table) Replied(s Sent, now clock.Millis) { t.compare(s, now, false) }
+
+// Overdue corrects the estimates by a request that was not answered by now.
+func (t *Table) Overdue(s Sent, now clock.Millis) { t.compare(s, now, true) }
+
+func (t *Table) compare(s Sent, now clock.Millis, atLeast bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	x, ok := t.targets[s.target]
+	if !ok || s.predicted <= 0 {
+		return
+	}
+	r := min(float64(now-s.at)/s.predicted, maxCorrection)
+	before := x.decayedError(now)
+	if atLeast && r < before {
+		return
+	}
+	x.predictionError, x.comparedAt = before+(r-before)/comparisons, now
 }
 
 // Sent counts a request of an expected service time in milliseconds as sent to the target.
 func (t *Table) Sent(i table.Incarnation, cost float64, now clock.Millis) Sent {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	s := Sent{target: i, cost: cost, at: now, predicted: cost}
 	if x := t.target(i, now); x != nil {
+		s.predicted += x.expected(now).Wait()
 		x.inFlight++
+		x.openSince += float64(now)
+		x.openExpected += s.predicted
 		x.sent++
 		x.sentWork += cost
 	}
-	return Sent{target: i, cost: cost, at: now}
+	return s
 }
 
 // Done counts a request as ended.
@@ -103,6 +147,8 @@
 		return
 	}
 	x.inFlight--
+	x.openSince -= float64(s.at)
+	x.openExpected = max(0, x.openExpected-s.predicted)
 	x.usedAt = now
 	if s.at >= x.at && x.sent > 0 {
 		x.sent--
@@ -148,8 +194,26 @@
 
 func (x *target) fresh(now clock.Millis) bool { return x.last.Known() && now-x.at <= MaxAge }
 
+// decayedError returns the prediction error, 1 if there were no comparisons lately.
+func (x *target) decayedError(now clock.Millis) float64 {
+	if x.comparedAt == 0 {
+		return 1
+	}
+	return 1 + (x.predictionError-1)*max(0, 1-float64(now-x.comparedAt)/float64(correctionAge))
+}
+
+// overdue returns by how much the requests in flight together exceed their predicted times. Some more requests of usual
+// duration are added, so that a single long one says little.
+func (x *target) overdue(now clock.Millis) float64 {
+	if x.inFlight == 0 || x.openExpected == 0 {
+		return 0
+	}
+	n := float64(x.inFlight)
+	return min(maxCorrection, (n*float64(now)-x.openSince)/(x.openExpected*(1+usualRequests/n)))
+}
+
 func (x *target) expected(now clock.Millis) Expected {
-	e := Expected{inFlight: x.inFlight, sent: x.sent, work: x.sentWork, requests: float64(x.sent)}
+	e := Expected{inFlight: x.inFlight, sent: x.sent, work: x.sentWork, requests: float64(x.sent), correction: max(1, x.decayedError(now)-tolerance, x.overdue(now)-tolerance)}
 	if !x.fresh(now) {
 		return e
 	}
--- a/core/command/backlog/expected.go
+++ b/core/command/backlog/expected.go
@@ -5,6 +5,9 @@
 	"verbenabank/core/state/load"
 )
 
+// assumedSlots is the number of slots of a target without a fresh report, for the requests of this daemon.
+const assumedSlots = 4
+
 // Expected is what a target is expected to have left to do.
 type Expected struct {
 	last     load.Backlog
@@ -13,6 +16,8 @@
 	requests float64
 	sent     int
 	inFlight int
+
+	correction float64
 }
 
 // Known reports whether a report of the target is fresh enough. Without one, only the requests of this daemon are
@@ -40,14 +45,17 @@
 // InFlight returns the number of requests of this daemon in flight at the target.
 func (e Expected) InFlight() int { return e.inFlight }
 
+// Correction returns the factor, at least 1, by which requests at the target have lately taken longer than predicted.
+func (e Expected) Correction() float64 { return max(1, e.correction) }
+
 // Wait returns the expected time in milliseconds until a slot of the target becomes free for one more request. It is
 // the work left divided over the slots, weighted by how full they are: the fuller they are, the more likely is a wait
 // though a slot was free when the report was made.
 func (e Expected) Wait() float64 {
+	slots := float64(e.Slots())
 	if !e.Known() {
-		return 0
+		slots = assumedSlots
 	}
-	slots := float64(e.Slots())
 	occupied := min(1, e.requests/slots)
 	return e.work / slots * occupied * occupied
 }
--- a/core/command/eject/eject.go
+++ b/core/command/eject/eject.go
@@ -235,7 +235,7 @@
 	case table.Leaving:
 		share = 0
 	}
-	return picker.NewStats(p.inFlight, p.cost(now), share)
+	return picker.NewStats(p.inFlight, p.cost(now), share).WithErrorRate(p.decayedErrorRate(now))
 }
 
 // maxErrorRate caps the error rate in the cost of a target: targets above it are treated alike.
--- a/core/query/picker/picker.go
+++ b/core/query/picker/picker.go
@@ -23,6 +23,8 @@
 	inFlight int
 	latency  float64
 	share    float64
+
+	errorRate float64
 }
 
 // NewStats returns the statistics of a target: the requests of this daemon in flight there, their
@@ -32,6 +34,15 @@
 	return Stats{inFlight: inFlight, latency: latency, share: share}
 }
 
+// WithErrorRate sets the share of requests that the target fails, from 0 to 1.
+func (s Stats) WithErrorRate(rate float64) Stats {
+	s.errorRate = rate
+	return s
+}
+
+// ErrorRate returns the share of requests that the target fails, from 0 to 1.
+func (s Stats) ErrorRate() float64 { return s.errorRate }
+
 // InFlight returns the number of requests of this daemon in flight at the target.
 func (s Stats) InFlight() int { return s.inFlight }
 
--- a/core/query/route/route.go
+++ b/core/query/route/route.go
@@ -80,6 +80,16 @@
 // modify the slice.
 func (p Pooled) InZone(zone string) []table.Member { return p.pool.byZone[zone] }
 
+// Only returns a list with the candidate of that incarnation, an empty one if it is none. The caller must not modify it.
+func (p Pooled) Only(i table.Incarnation) []table.Member {
+	for k := range p.pool.all {
+		if p.pool.all[k].Incarnation() == i {
+			return p.pool.all[k : k+1]
+		}
+	}
+	return nil
+}
+
 // Candidate returns the candidate with the given incarnation, and whether there is one.
 func (p Pooled) Candidate(i table.Incarnation) (table.Member, bool) {
 	at := slices.IndexFunc(p.pool.all, func(m table.Member) bool { return m.Incarnation() == i })
--- a/core/state/call/call.go
+++ b/core/state/call/call.go
@@ -116,6 +116,14 @@
 // Length returns the declared length of the body in bytes, -1 if it is unknown.
 func (r Request) Length() int64 { return r.length }
 
+// BodyLength returns the declared length of the body in bytes, 0 if there is no body, -1 if the length is unknown.
+func (r Request) BodyLength() int64 {
+	if r.body == nil {
+		return 0
+	}
+	return r.length
+}
+
 // Body returns the body, nil if there is none.
 func (r Request) Body() io.Reader { return r.body }
 
--- a/core/state/load/backlog.go
+++ b/core/state/load/backlog.go
@@ -11,6 +11,7 @@
 	work     clock.Millis
 	meanTime clock.Millis
 	cold     ColdStart
+	served   clock.Millis
 }
 
 // NewBacklog returns the backlog of a target with the number of slots, of running and of waiting requests.
@@ -31,6 +32,15 @@
 	return b
 }
 
+// WithServed sets the service time of the request that is answered, in milliseconds.
+func (b Backlog) WithServed(took clock.Millis) Backlog {
+	b.served = took
+	return b
+}
+
+// Served returns the service time in milliseconds of the request that is answered, 0 if it did not run or failed.
+func (b Backlog) Served() clock.Millis { return b.served }
+
 // Known reports whether the backlog was reported at all.
 func (b Backlog) Known() bool { return b.slots > 0 }
 
--- a/core/wire/hopmsg/hopmsg.go
+++ b/core/wire/hopmsg/hopmsg.go
@@ -141,6 +141,7 @@
 		Slots: clamp(b.Slots()), Running: clamp(b.Running()), Waiting: clamp(b.Waiting()),
 		WorkMs: clamp(int(b.Work())), MeanMs: clamp(int(b.MeanTime())),
 		ColdMs: clamp(int(b.Cold().Left())), ColdAdmits: clamp(b.Cold().Admits()),
+		ServedMs: clamp(int(b.Served())),
 	}
 }
 
@@ -150,7 +151,8 @@
 	}
 	return load.NewBacklog(bounded(b.GetSlots()), bounded(b.GetRunning()), bounded(b.GetWaiting())).
 		WithWork(clock.Millis(bounded(b.GetWorkMs())), clock.Millis(bounded(b.GetMeanMs()))).
-		WithCold(load.NewColdStart(clock.Millis(bounded(b.GetColdMs())), bounded(b.GetColdAdmits())))
+		WithCold(load.NewColdStart(clock.Millis(bounded(b.GetColdMs())), bounded(b.GetColdAdmits()))).
+		WithServed(clock.Millis(bounded(b.GetServedMs())))
 }
 
 // maxFigure bounds each figure of a backlog, so that it has at most four bytes on the wire and no sum overflows.
--- a/verbenad/adapt/jsonc/jsonc.go
+++ b/verbenad/adapt/jsonc/jsonc.go
@@ -11,6 +11,8 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"verbenabank/core/clock"
+	"verbenabank/core/query/picker"
 	"verbenabank/core/wire/jtree"
 	"verbenabank/verbenad/state/config"
 )
@@ -62,7 +64,7 @@
 
 func (l loader) options() []config.Option {
 	l.RejectUnknown(withDurations([]string{"instance", "zone", "listen", "replicas", "seeds", "secret_file", "open_network", "control", "tls",
-		"configuration_folder", "log", "target", "lease", "retries", "lasting_rules", "link_mbps", "terms"}, "hold", "drain", "grace")...)
+		"configuration_folder", "log", "target", "lease", "retries", "lasting_rules", "link_mbps", "terms", "balancing"}, "hold", "drain", "grace")...)
 	opts := []config.Option{config.WithName(l.name("instance"), l.name("zone")), l.authentication(), l.timing(), l.retries(), l.target()}
 	opts = append(opts, config.WithLastingRules(l.Bool("lasting_rules", false)), config.WithLinkMbps(l.Float("link_mbps", 0, maxLinkMbps, 0)))
 	opts = append(opts, config.WithTerms(l.Strings("terms", nil)))
@@ -76,9 +78,21 @@
 	if l.Has("configuration_folder") {
 		opts = append(opts, config.WithConfigFolder(l.path(l.Reader, "configuration_folder")))
 	}
+	if l.Has("balancing") {
+		opts = append(opts, l.balancing())
+	}
 	return append(opts, l.log())
 }
 
+// maxZoneCost is the highest cost of the way to another zone, in milliseconds.
+const maxZoneCost = 10_000
+
+func (l loader) balancing() config.Option {
+	r, _ := l.Object("balancing")
+	r.RejectUnknown("zone_cost_ms")
+	return config.WithZoneCost(clock.Millis(r.Int("zone_cost_ms", 0, maxZoneCost, int64(picker.DefaultZoneCost))))
+}
+
 func (l loader) name(field string) string {
 	name := l.String(field, "")
 	if !namePattern.MatchString(name) {
--- a/verbenad/command/entry/entry.go
+++ b/verbenad/command/entry/entry.go
@@ -66,6 +66,11 @@
 	return func(e *Server) { e.instance = name; e.addRelayOption(relay.WithZone(zone)) }
 }
 
+// WithRelayOptions adds options of the relay.
+func WithRelayOptions(opts ...relay.Option) Option {
+	return func(e *Server) { e.relayOptions = append(e.relayOptions, opts...) }
+}
+
 func (e *Server) addRelayOption(o relay.Option) { e.relayOptions = append(e.relayOptions, o) }
 
 // New returns a server that accepts nothing until Serve is called.
--- a/verbenad/command/owner/dialect.go
+++ b/verbenad/command/owner/dialect.go
@@ -75,6 +75,13 @@
 	Classify(a call.Response, r call.Request, i AttemptInfo) Classification
 }
 
+// LoadDialect is implemented by a Dialect whose targets report their own load.
+type LoadDialect interface {
+	// TargetReport returns what a response says of the load of its target, and whether it says anything. The error is
+	// returned for a report that is not valid.
+	TargetReport(a call.Response) (TargetReport, bool, error)
+}
+
 // nativeDialect uses the Verbena header fields.
 type nativeDialect struct{}
 
--- a/verbenad/command/owner/exchange.go
+++ b/verbenad/command/owner/exchange.go
@@ -12,6 +12,7 @@
 
 	"verbenabank/core/clock"
 	"verbenabank/core/command/admit"
+	"verbenabank/core/command/cost"
 	"verbenabank/core/state/call"
 	"verbenabank/core/state/result"
 	"verbenabank/core/state/rules"
@@ -59,6 +60,7 @@
 	deadline          clock.Millis
 	enteredAt         clock.Millis
 	leave             func()
+	work              *cost.Ticket // nil until the request asks for a slot of the target
 	admission         admission
 	hasSlot           bool
 	submitted         bool
@@ -118,6 +120,7 @@
 
 // acquireSlot waits for a slot of the target and reports whether the request may go on.
 func (x *exchange) acquireSlot(ctx context.Context, s rules.Service) (call.Failure, bool) {
+	x.work = x.owner.work.Enter(cost.NewClass(x.request.Service(), x.request.Class(), x.request.Method(), x.request.BodyLength()))
 	failure, held := x.enqueue(ctx, s, x.owner.limiter, x.owner.slots(s), x.enteredAt+x.request.LatencyGoal())
 	x.hasSlot = held
 	return failure, failure.Outcome() == nil
@@ -298,6 +301,9 @@
 // counts as service time; a request that was never sent has none.
 func (x *exchange) releaseSlot() {
 	now := x.owner.clock.Now()
+	if x.work != nil {
+		x.owner.work.Leave(x.work, now)
+	}
 	switch {
 	case x.hasSlot && x.sentAt > 0:
 		x.owner.meter.ObservePhase("target", now-x.sentAt)
--- a/verbenad/command/owner/extend.go
+++ b/verbenad/command/owner/extend.go
@@ -79,6 +79,7 @@
 	x.owner.mu.Lock()
 	defer x.owner.mu.Unlock()
 	x.admission, x.announcedLeaseEnd, x.sentAt = a, a.leaseEnd, x.owner.clock.Now()
+	x.owner.work.Start(x.work, x.sentAt)
 	if x.targetChecksLease() {
 		x.owner.extendOnRenewal[x] = struct{}{}
 	}
--- a/verbenad/command/owner/owner.go
+++ b/verbenad/command/owner/owner.go
@@ -14,6 +14,7 @@
 
 	"verbenabank/core/clock"
 	"verbenabank/core/command/admit"
+	"verbenabank/core/command/cost"
 	"verbenabank/core/command/topk"
 	"verbenabank/core/state/call"
 	"verbenabank/core/state/load"
@@ -51,6 +52,8 @@
 	inFlight       *flight.Tracker
 	limiter        *admit.Limiter
 	bodies         bodyLimiter
+	work           *cost.Work
+	report         targetReport
 	closed         atomic.Bool
 	holdOff        atomic.Int64 // in ms
 	attempts       atomic.Uint64
@@ -87,6 +90,7 @@
 		inFlight:        flight.New(),
 		limiter:         newLimiter(),
 		bodies:          bodyLimiter{limiter: newLimiter()},
+		work:            cost.NewWork(),
 		meter:           meter.ForPart("owner"),
 		hotKeys:         topk.New(HotCounters),
 		cells:           map[int]uint64{},
@@ -161,10 +165,13 @@
 
 // Backlog returns what the target has left to do, as this daemon counts it.
 func (o *Owner) Backlog() load.Backlog {
-	slots := int(o.announcedSlots.Load())
+	slots, now := int(o.announcedSlots.Load()), o.clock.Now()
 	l := o.limiter.TargetLoad()
-	return load.NewBacklog(slots, l.Running(), l.Waiting()).
-		WithWork(l.MeanTime()*clock.Millis(l.Running()+l.Waiting()), l.MeanTime())
+	left, mean := o.work.Left(now)
+	if mean == 0 {
+		mean = l.MeanTime()
+	}
+	return o.report.weighed(load.NewBacklog(slots, l.Running(), l.Waiting()).WithWork(left, mean), now)
 }
 
 // InFlight returns the tracker of in-flight requests.
@@ -199,7 +206,7 @@
 	switch reply := reply.(type) {
 	case call.Response:
 		b := &leasedBody{exchange: x, status: reply.Status(), body: reply.Body()}
-		return reply.WithBody(b).WithBacklog(o.Backlog())
+		return reply.WithBody(b).WithBacklog(o.Backlog().WithServed(x.recordServed(reply)))
 	case call.Failure:
 		x.finish(reply.Outcome())
 		return o.withHoldOff(reply).WithBacklog(o.Backlog())
--- a/verbenad/command/relay/attempt.go
+++ b/verbenad/command/relay/attempt.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"verbenabank/core/command/balance"
 	"verbenabank/core/command/breaker"
+	"verbenabank/core/command/cost"
 	"verbenabank/core/query/route"
 	"verbenabank/core/state/call"
 	"verbenabank/core/state/result"
@@ -60,16 +62,28 @@
 	if t.tried == nil {
 		t.tried = map[table.Incarnation]bool{}
 	}
-	m, ok := t.relay.balancer.pick(d, t.preferred(s, d), t.tried)
+	r := t.workRequest(s, d)
+	m, ok := t.relay.balancer.pick(d, t.preferred(s, d), t.tried, r)
 	if !ok {
 		return call.Refuse(result.NoTarget)
 	}
 	t.tried[m.Incarnation()] = true
-	done := t.relay.balancer.startAttempt(d.Service().Name(), m)
+	done := t.relay.balancer.startAttempt(d.Service().Name(), m, r)
 	reply := t.forward(s, m, t.attemptRequest(call.WithMember(m.Incarnation())))
 	return done(reply)
 }
 
+// workRequest returns the request with its candidates as the estimator of work knows them.
+func (t *task) workRequest(s *snap.Snapshot, d route.Pooled) balance.Request {
+	q, length := t.request, int64(0)
+	if q.body != nil {
+		length = q.body.length
+	}
+	return balance.NewRequest(cost.NewClass(q.service.Name(), q.class, q.method, length), length).
+		WithGoal(q.latencyGoal-t.relay.clock.Now()).
+		WithCandidates(t.relay.zone, d.Only(s.Self()), d.InZone(t.relay.zone), d.Candidates())
+}
+
 // largeBodyBytes is the body size above which the cost of the network hop outweighs differences in
 // load between targets.
 const largeBodyBytes = 8 << 10
--- a/verbenad/command/relay/balancer.go
+++ b/verbenad/command/relay/balancer.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"verbenabank/core/clock"
+	"verbenabank/core/command/balance"
 	"verbenabank/core/command/eject"
 	"verbenabank/core/query/picker"
 	"verbenabank/core/query/route"
@@ -17,7 +18,9 @@
 // balancer selects targets of pooled services and tracks their latency and failures, so that
 // targets that fail often are ejected for a while. It is safe for concurrent use.
 type balancer struct {
-	clock *clock.Clock
+	clock  *clock.Clock
+	policy picker.Policy
+	work   *balance.Estimator
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -29,13 +32,13 @@
 	candidates []table.Member
 }
 
-func newBalancer(c *clock.Clock) *balancer {
-	return &balancer{clock: c, pools: map[string]*pool{}}
+func newBalancer(c *clock.Clock, p picker.Policy, w *balance.Estimator) *balancer {
+	return &balancer{clock: c, policy: p, work: w, pools: map[string]*pool{}}
 }
 
 // pick returns a candidate that was not tried and is not ejected, one of preferred unless another
 // is far less loaded. If there is none, it picks among all candidates by load alone.
-func (b *balancer) pick(d route.Pooled, preferred []table.Member, tried map[table.Incarnation]bool) (table.Member, bool) {
+func (b *balancer) pick(d route.Pooled, preferred []table.Member, tried map[table.Incarnation]bool, r balance.Request) (table.Member, bool) {
 	now := b.clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -47,6 +50,13 @@
 		return k.View(m, d.Service().WarmUp(), now)
 	}
 	all := d.Candidates()
+	switch p := b.policy.(type) {
+	case picker.ExpectedWork:
+		if m, ok := b.work.Pick(p, r, stats, now, rand.IntN); ok {
+			return m, true
+		}
+	case picker.LeastLatency:
+	}
 	if m, ok := picker.Pick(preferred, all, stats, rand.IntN); ok {
 		return m, true
 	}
@@ -74,14 +84,16 @@
 // startAttempt counts an attempt at m as in flight. The returned function must be called with the
 // reply. It records a failure at once; for a response it returns one whose body records the
 // outcome at its end, and which stops counting as in flight when the body is closed.
-func (b *balancer) startAttempt(service string, m table.Member) func(call.Reply) call.Reply {
+func (b *balancer) startAttempt(service string, m table.Member, r balance.Request) func(call.Reply) call.Reply {
 	start := b.clock.Now()
 	b.mu.Lock()
 	k := b.pools[service].tracker
 	k.Begin(m.Incarnation())
 	b.mu.Unlock()
 	a := &poolAttempt{balancer: b, tracker: k, member: m.Incarnation(), start: start}
+	a.sent = b.work.Send(m.Incarnation(), r.Class(), start)
 	return func(reply call.Reply) call.Reply {
+		b.work.Record(a.sent, reply, b.clock.Now())
 		latency := b.clock.Now() - start
 		switch reply := reply.(type) {
 		case call.Response:
@@ -135,6 +147,7 @@
 	tracker  *eject.Tracker
 	member   table.Incarnation
 	start    clock.Millis
+	sent     balance.Sent
 	endOnce  sync.Once
 }
 
@@ -154,6 +167,7 @@
 		a.balancer.mu.Lock()
 		defer a.balancer.mu.Unlock()
 		a.tracker.End(a.member)
+		a.balancer.work.End(a.sent, a.balancer.clock.Now())
 	})
 }
 
--- a/verbenad/command/relay/relay.go
+++ b/verbenad/command/relay/relay.go
@@ -11,10 +11,13 @@
 	"sync/atomic"
 
 	"verbenabank/core/clock"
+	"verbenabank/core/command/balance"
 	"verbenabank/core/command/budget"
+	"verbenabank/core/query/picker"
 	"verbenabank/core/query/retry"
 	"verbenabank/core/query/route"
 	"verbenabank/core/state/call"
+	"verbenabank/core/state/load"
 	"verbenabank/core/state/rules"
 	"verbenabank/core/state/snap"
 	"verbenabank/verbenad/command/meter"
@@ -45,6 +48,9 @@
 	index         atomic.Pointer[route.Index]
 	indexMu       sync.Mutex // held while an index is built, so that concurrent requests build it once
 	budgets       sync.Map   // service name to *budget.Budget
+	policyOfPools picker.Policy
+	work          *balance.Estimator
+	workOptions   []balance.Option
 	balancer      *balancer
 	breakers      *breakers
 	throttle      *throttle
@@ -78,16 +84,26 @@
 // settings.
 func WithRetryPercent(percent int) Option { return func(r *Relay) { r.retryPercent = percent } }
 
+// WithBalancing sets how targets of pooled services are picked; the default is picker.LeastLatency.
+func WithBalancing(p picker.Policy) Option { return func(r *Relay) { r.policyOfPools = p } }
+
+// WithOwnBacklog sets the function that returns the backlog of the target on this instance.
+func WithOwnBacklog(f func() load.Backlog) Option {
+	return func(r *Relay) { r.workOptions = append(r.workOptions, balance.WithOwnBacklog(f)) }
+}
+
 // WithMeter sets the meter that counts retries and exhausted budgets.
 func WithMeter(m *meter.Meter) Option { return func(r *Relay) { r.meter = m } }
 
 // New returns a relay. It reads the table of the current snapshot at once.
 func New(opts ...Option) *Relay {
-	r := &Relay{clock: clock.New(), policy: retry.IfSafe{}, meter: meter.ForPart("entry"), retryPercent: -1}
+	r := &Relay{clock: clock.New(), policy: retry.IfSafe{}, meter: meter.ForPart("entry"), retryPercent: -1,
+		policyOfPools: picker.LeastLatency{}}
 	for _, o := range opts {
 		o(r)
 	}
-	r.balancer = newBalancer(r.clock)
+	r.work = balance.New(r.workOptions...)
+	r.balancer = newBalancer(r.clock, r.policyOfPools, r.work)
 	r.breakers = newBreakers(r.clock)
 	r.throttle = newThrottle(r.clock)
 	r.index.Store(route.NewIndex(r.store.Load().Table()))
--- a/verbenad/command/serve/options.go
+++ b/verbenad/command/serve/options.go
@@ -6,6 +6,7 @@
 	"github.com/gofiber/fiber/v3"
 
 	"verbenabank/core/command/agent"
+	"verbenabank/core/query/picker"
 	"verbenabank/core/state/fleet"
 	"verbenabank/core/state/grant"
 	"verbenabank/core/state/logcmd"
@@ -41,6 +42,10 @@
 	return func(d *Daemon) { d.registerAdmin = register }
 }
 
+// WithBalancing sets how targets of pooled services are picked, by default by the latency that each daemon measures. A
+// balancing in the settings takes precedence.
+func WithBalancing(p picker.Policy) Option { return func(d *Daemon) { d.balancing = p } }
+
 // AdminAPI is the interface of a daemon for handlers of the admin server. Its methods are safe for
 // concurrent use.
 type AdminAPI interface {
--- a/verbenad/command/serve/serve.go
+++ b/verbenad/command/serve/serve.go
@@ -15,6 +15,7 @@
 
 	"verbenabank/core/clock"
 	"verbenabank/core/command/agent"
+	"verbenabank/core/query/picker"
 	"verbenabank/core/state/logcmd"
 	"verbenabank/core/state/rules"
 	"verbenabank/core/state/snap"
@@ -50,6 +51,7 @@
 	callerDialect   front.Dialect
 	targetDialect   owner.Dialect
 	grantDialect    grants.Dialect
+	balancing       picker.Policy
 	registerAdmin   func(r fiber.Router, api AdminAPI)
 	stopping        atomic.Bool
 	droppedLogLines func() int64
@@ -86,6 +88,7 @@
 	d := &Daemon{clock: clock.New(), log: log, ctx: ctx, snapshots: snap.NewStore(), lifecycle: newLifecycle()}
 	d.settings.Store(&s)
 	d.droppedLogLines = func() int64 { return 0 }
+	d.balancing = picker.LeastLatency{}
 	d.parseRules = func(content []byte) (rules.Rules, error) { return confjs.Decode("rules", content) }
 	for _, o := range opts {
 		o(d)
--- a/verbenad/command/serve/traffic.go
+++ b/verbenad/command/serve/traffic.go
@@ -8,6 +8,7 @@
 	"verbenabank/core/command/agent"
 	"verbenabank/core/command/budget"
 	"verbenabank/core/command/lease"
+	"verbenabank/core/query/picker"
 	"verbenabank/core/query/retry"
 	"verbenabank/core/state/rules"
 	"verbenabank/verbenad/adapt/detect"
@@ -85,7 +86,7 @@
 	switch {
 	case d.callersPort == nil:
 	case d.callerDialect == nil:
-		d.entry = entry.New(entry.WithClock(d.clock), entry.WithStore(d.snapshots), entry.WithLocal(d.owner),
+		d.entry = entry.New(entry.WithRelayOptions(d.balancingOptions()...), entry.WithClock(d.clock), entry.WithStore(d.snapshots), entry.WithLocal(d.owner),
 			entry.WithRemote(d.hopClient), entry.WithInstance(s.Instance(), s.Zone()))
 	default:
 		options := []relay.Option{
@@ -95,11 +96,21 @@
 		if r := s.RetryBudget(); r.Window() > 0 {
 			options = append(options, relay.WithRetryBudget(budget.WithAllowance(r.Allowance(), r.Window())), relay.WithRetryPercent(retryPercent(r.Ratio())))
 		}
+		options = append(options, d.balancingOptions()...)
 		d.front = front.New(front.WithClock(d.clock), front.WithRelay(relay.New(options...)), front.WithDialect(d.callerDialect),
 			front.WithLog(d.logger()), front.WithLocalService(func() string { return d.settings.Load().LocalTarget().Service() }))
 	}
 }
 
+// balancingOptions returns the options of the relay for the choice of targets of pooled services.
+func (d *Daemon) balancingOptions() []relay.Option {
+	policy := d.balancing
+	if cost, ok := d.settings.Load().ZoneCost(); ok {
+		policy = picker.NewExpectedWork(cost)
+	}
+	return []relay.Option{relay.WithBalancing(policy), relay.WithOwnBacklog(d.owner.Backlog)}
+}
+
 // retryBudgetShare is the part of the fleet's retry ratio that daemons use. The rest is headroom for
 // requests that the users count later than the daemons do.
 const retryBudgetShare = 0.9
--- a/verbenad/state/config/options.go
+++ b/verbenad/state/config/options.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"slices"
+
+	"verbenabank/core/clock"
 )
 
 // Option sets one property of Settings.
@@ -74,3 +76,7 @@
 
 // WithTerms sets the terms of service of the deployment.
 func WithTerms(names []string) Option { return func(s *Settings) { s.terms = slices.Clone(names) } }
+
+// WithZoneCost turns on the balancing of pooled services by expected work, and sets the cost of the way to another zone
+// in milliseconds.
+func WithZoneCost(cost clock.Millis) Option { return func(s *Settings) { s.zoneCost = Some(cost) } }
--- a/verbenad/state/config/settings.go
+++ b/verbenad/state/config/settings.go
@@ -5,6 +5,8 @@
 import (
 	"net/netip"
 	"slices"
+
+	"verbenabank/core/clock"
 )
 
 // Settings are the validated settings of a daemon. They are immutable and safe for concurrent use.
@@ -28,6 +30,7 @@
 	openNetwork       bool
 	lastingRules      bool
 	terms             []string
+	zoneCost          Optional[clock.Millis]
 	logLevel          Level
 	logFormat         Format
 }
@@ -104,6 +107,10 @@
 // a term turns on; the daemon itself gives terms no meaning.
 func (s Settings) HasTerm(name string) bool { return slices.Contains(s.terms, name) }
 
+// ZoneCost returns the cost of the way to another zone in milliseconds, for the balancing by expected work, and whether
+// the settings ask for it.
+func (s Settings) ZoneCost() (clock.Millis, bool) { return s.zoneCost.value, s.zoneCost.set }
+
 // LogLevel returns the least severe level that is logged.
 func (s Settings) LogLevel() Level { return s.logLevel }
 
