--- a/core/command/balance/balance.go
+++ b/core/command/balance/balance.go
@@ -50,7 +50,7 @@
 
 // Send counts a request as sent to the target. End must be called with it when the request has ended.
 func (e *Estimator) Send(i table.Incarnation, c cost.Class, now clock.Millis) Sent {
-	return Sent{target: i, class: c, sent: e.backlogs.Sent(i, e.costs.Time(i, c), now)}
+	return Sent{target: i, class: c, sent: e.backlogs.Sent(i, e.costs.Time(i, e.costs.Estimate(c)), now)}
 }
 
 // Record takes over what the reply says of its target, and corrects later predictions by the error of this one. The
@@ -83,14 +83,15 @@
 	if e.ownBacklog != nil && len(r.own) > 0 {
 		e.backlogs.Record(r.own[0].Incarnation(), e.ownBacklog(), now)
 	}
-	zoneCost := r.zoneCost(float64(p.ZoneCost()), e.costs.Mean(r.class))
+	expected := e.costs.Estimate(r.class)
+	zoneCost := r.zoneCost(float64(p.ZoneCost()), expected.Mean())
 	return picker.PickEarliest(r.own, r.near, r.all, func(m *table.Member) picker.Prospect {
 		s := statsOf(*m)
 		if s.Share() <= 0 {
 			return picker.Prospect{}
 		}
 		x := e.backlogs.Expected(m.Incarnation(), now)
-		time := e.costs.Time(m.Incarnation(), r.class) * x.Correction()
+		time := e.costs.Time(m.Incarnation(), expected) * x.Correction()
 		return picker.NewProspect(x.Wait()*x.Correction(), time, x.Known()).
 			WithWay(r.way(m, zoneCost)).WithHealth(s.ErrorRate(), s.Share())
 	}, randIntN)
--- a/core/command/cost/cost.go
+++ b/core/command/cost/cost.go
@@ -23,8 +23,10 @@
 	MaxTargets = 1024
 	// InitialTime is the assumed cost of a request in milliseconds before the first measurement.
 	InitialTime = 20.0
-	// MinSpeed and MaxSpeed limit the speed of a target.
-	MinSpeed, MaxSpeed = 0.05, 8.0
+	// MinSpeed is the lowest speed of a target.
+	MinSpeed = 0.05
+	// MaxSpeed is the highest speed of a target.
+	MaxSpeed = 8.0
 	// priorSamples is the weight of the mean of the service in that of a class, and of speed 1 in that of a target, in
 	// requests.
 	priorSamples = 2.0
@@ -140,30 +142,40 @@
 	return max(mean-run, mean/2)
 }
 
-// Time returns the expected service time in milliseconds of a request of the class at the target.
-func (m *Model) Time(i table.Incarnation, c Class) float64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	mean := m.mean(c)
-	return mean / m.relativeSpeed(i, c, mean)
+// Estimate is the expected cost of requests of one class at one instant, for comparisons between targets.
+type Estimate struct {
+	mean float64
+	all  speed
 }
 
-// Speed returns the speed of a target of the service of the class, 1 if it is not known.
-func (m *Model) Speed(i table.Incarnation, c Class) float64 {
+// Mean returns the expected cost in milliseconds.
+func (e Estimate) Mean() float64 { return e.mean }
+
+// Estimate returns the expected cost of a request of the class.
+func (m *Model) Estimate(c Class) Estimate {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.relativeSpeed(i, c, m.mean(c))
+	e := Estimate{mean: m.mean(c)}
+	if s, ok := m.services[c.service]; ok {
+		e.all = s.all
+	}
+	return e
 }
 
-func (m *Model) relativeSpeed(i table.Incarnation, c Class, mean float64) float64 {
-	x, known := m.speeds[i]
-	s, ok := m.services[c.service]
-	if !known || !ok {
+// Speed returns the speed of a target of the service of the estimate, 1 if it is not known.
+func (m *Model) Speed(i table.Incarnation, e Estimate) float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	x, ok := m.speeds[i]
+	if !ok || e.all.measured == 0 {
 		return 1
 	}
-	return x.relative(&s.all, mean)
+	return x.relative(&e.all, e.mean)
 }
 
+// Time returns the expected service time in milliseconds at the target.
+func (m *Model) Time(i table.Incarnation, e Estimate) float64 { return e.mean / m.Speed(i, e) }
+
 // Classes returns the number of classes with a distribution.
 func (m *Model) Classes() int {
 	m.mu.Lock()
--- a/core/command/cost/cost_test.go
+++ b/core/command/cost/cost_test.go
@@ -36,7 +36,7 @@
 		m.Observe(table.Incarnation(i+1), c, heavyTailed(r, mean)/speeds[i], 0)
 	}
 	costs := m.Mean(long) / m.Mean(short)
-	fastest := m.Speed(3, long) / m.Speed(1, long)
+	fastest := m.Speed(3, m.Estimate(long)) / m.Speed(1, m.Estimate(long))
 	t.Logf("cost ratio %.2f (4.5), speed ratio %.2f (2.67), tail %.0f ms of a mean of %.0f ms", costs, fastest, m.Quantile(long, 0.99), m.Mean(long))
 	is.True(costs > 3.5 && costs < 5.5)
 	is.True(fastest > 1.9 && fastest < 3.5)
--- a/core/command/cost/work.go
+++ b/core/command/cost/work.go
@@ -50,12 +50,14 @@
 func (w *Work) Answered(t *Ticket, now clock.Millis) clock.Millis {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if t.done || t.started == 0 {
+	if t.started == 0 {
 		return 0
 	}
-	t.done = true
 	took := now - t.started
-	w.model.Observe(local, t.class, float64(took), now)
+	if !t.done {
+		t.done = true
+		w.model.Observe(local, t.class, float64(took), now)
+	}
 	return took
 }
 
@@ -68,8 +70,8 @@
 	if t.done || t.started == 0 {
 		return
 	}
-	t.done = true
-	if took := float64(now - t.started); took > w.model.Time(local, t.class) {
+	if took := float64(now - t.started); took > w.model.Time(local, w.model.Estimate(t.class)) {
+		t.done = true
 		w.model.Observe(local, t.class, took, now)
 	}
 }
@@ -81,13 +83,14 @@
 	defer w.mu.Unlock()
 	var sum, times float64
 	for t := range w.tickets {
-		time := w.model.Time(local, t.class)
+		e := w.model.Estimate(t.class)
+		time := w.model.Time(local, e)
 		times += time
 		if t.started == 0 {
 			sum += time
 			continue
 		}
-		slow := time / w.model.Mean(t.class)
+		slow := time / e.Mean()
 		sum += w.model.Remaining(t.class, float64(now-t.started)/slow) * slow
 	}
 	if len(w.tickets) > 0 {
--- a/verbenad/adapt/jsonc/jsonc_test.go
+++ b/verbenad/adapt/jsonc/jsonc_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/matryer/is"
 
+	"verbenabank/core/clock"
+	"verbenabank/core/query/picker"
 	"verbenabank/verbenad/state/config"
 )
 
@@ -77,6 +79,7 @@
 		{"secret missing", `"secret",`, `"secreta",`, ":10: secret_file: names a file that cannot be read"},
 		{"level", `"info"`, `"loud"`, ":13: log.level: must be"},
 		{"truncated", `"log"`, `"log`, ":13: column "},
+		{"balancing", `"log"`, `"balancing": {"zone_cost_ms": -1}, "log"`, ":13: balancing.zone_cost_ms: must be"},
 		{"tls", `"log"`, `"tls": {"certificate": "secret", "key": "secret"}, "log"`, ":13: tls.authority: must be a path"},
 	}
 	for _, c := range cases {
@@ -95,6 +98,21 @@
 	}
 }
 
+func TestBalancingHasDefaultZoneCost(t *testing.T) {
+	is := is.New(t)
+	for text, want := range map[string]clock.Millis{`{}`: picker.DefaultZoneCost, `{"zone_cost_ms": 20}`: 20} {
+		s, err := Load(writeSettings(t, strings.Replace(designPageSettings(t), `"log"`, `"balancing": `+text+`, "log"`, 1)))
+		is.NoErr(err)
+		got, ok := s.ZoneCost()
+		is.True(ok)
+		is.Equal(got, want)
+	}
+	s, err := Load(writeSettings(t, designPageSettings(t)))
+	is.NoErr(err)
+	_, ok := s.ZoneCost()
+	is.True(!ok)
+}
+
 func TestRefusesSecretsThatAreWorldReadableOrShort(t *testing.T) {
 	is := is.New(t)
 	path := writeSettings(t, designPageSettings(t))
--- a/verbenad/command/relay/attempt.go
+++ b/verbenad/command/relay/attempt.go
@@ -68,6 +68,9 @@
 		return call.Refuse(result.NoTarget)
 	}
 	t.tried[m.Incarnation()] = true
+	if m.Zone() != t.relay.zone {
+		t.relay.meter.Add("other_zone", 1)
+	}
 	done := t.relay.balancer.startAttempt(d.Service().Name(), m, r)
 	reply := t.forward(s, m, t.attemptRequest(call.WithMember(m.Incarnation())))
 	return done(reply)
--- a/verbenad/command/relay/relay_test.go
+++ b/verbenad/command/relay/relay_test.go
@@ -9,9 +9,11 @@
 	"github.com/matryer/is"
 
 	"verbenabank/core/clock"
+	"verbenabank/core/query/picker"
 	"verbenabank/core/query/retry"
 	"verbenabank/core/query/route"
 	"verbenabank/core/state/call"
+	"verbenabank/core/state/load"
 	"verbenabank/core/state/result"
 	"verbenabank/core/state/rules"
 	"verbenabank/core/state/snap"
@@ -132,3 +134,38 @@
 	t.Logf("%d of %d requests went to the target with truncated responses", l.localCalls, requests)
 	is.True(l.localCalls < requests/20)
 }
+
+// TestBacklogsCountOnlyIfAsked has targets that take no time, of which three report long queues: the requests are balanced
+// as before unless expected work decides.
+func TestBacklogsCountOnlyIfAsked(t *testing.T) {
+	is := is.New(t)
+	remoteShare := func(opts ...relay.Option) float64 {
+		b := load.NewBacklog(4, 4, 100).WithWork(10_400, 100)
+		f := &fakeDaemons{}
+		busy := &busyDaemons{f, b}
+		r, s := newRelay(f, append(opts, relay.WithRemote(busy))...)
+		f.reply = emptyResponse
+		const requests = 400
+		for range requests {
+			served, ok := r.Run(context.Background(), relay.NewRequest(s, route.ResolvedAttributes(service, ""), clock.New().Now()+5000)).Reply().(call.Response)
+			is.True(ok)
+			_, _ = io.Copy(io.Discard, served.Body())
+			is.NoErr(served.Body().Close())
+		}
+		return float64(f.remoteCalls) / requests
+	}
+	before, after := remoteShare(), remoteShare(relay.WithBalancing(picker.NewExpectedWork(picker.DefaultZoneCost)))
+	t.Logf("share of the three busy targets: %.2f by latency, %.2f by expected work", before, after)
+	is.True(before > 0.6)
+	is.True(after < 0.2)
+}
+
+// busyDaemons are the remote daemons of fakeDaemons with a backlog on each reply.
+type busyDaemons struct {
+	*fakeDaemons
+	backlog load.Backlog
+}
+
+func (b *busyDaemons) Send(ctx context.Context, address string, r call.Request) call.Reply {
+	return b.fakeDaemons.Send(ctx, address, r).(call.Response).WithBacklog(b.backlog)
+}
