--- a/core/command/balance/balance_test.go
+++ b/core/command/balance/balance_test.go
@@ -1,13 +1,19 @@
 package balance_test
 
 import (
+	"runtime"
+	"strconv"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"verbenabank/core/clock"
+	"verbenabank/core/command/balance"
+	"verbenabank/core/command/cost"
 	"verbenabank/core/query/picker"
+	"verbenabank/core/state/call"
 	"verbenabank/core/state/load"
+	"verbenabank/core/state/table"
 )
 
 // zones returns the zones of targets, n in each of the named ones.
@@ -103,3 +109,24 @@
 		})
 	}
 }
+
+// TestMemoryAt300Daemons fills an estimator with 300 targets and the most classes.
+func TestMemoryAt300Daemons(t *testing.T) {
+	is := is.New(t)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	e := balance.New()
+	for i := range table.Incarnation(300) {
+		for k := range 4 {
+			sent := e.Send(i+1, cost.NewClass(service, strconv.Itoa(int(i)), "GET", 1<<(10+2*k)), 1)
+			b := load.NewBacklog(slots, 3, 0).WithWork(300, 100).WithServed(100)
+			e.Record(sent, call.NewResponse(200, nil, nil, 0).WithBacklog(b), 2)
+			e.End(sent, 2)
+		}
+	}
+	runtime.ReadMemStats(&after)
+	allocated := after.TotalAlloc - before.TotalAlloc
+	t.Logf("%d kB", allocated/1024)
+	is.Equal(e.Costs().Classes(), cost.MaxClasses)
+	is.True(allocated < 2<<20)
+}
--- a/verbenad/command/relay/attempt.go
+++ b/verbenad/command/relay/attempt.go
@@ -33,7 +33,11 @@
 func (t *task) attemptKeyed(s *snap.Snapshot, d route.Keyed) (reply call.Reply, served <-chan struct{}) {
 	m := d.Owner()
 	send := func() call.Reply {
-		return t.forward(s, m, t.attemptRequest(call.WithKey(d.Key(), d.Shard()), call.WithMember(m.Incarnation())))
+		sent := t.relay.work.Send(m.Incarnation(), t.costClass(), t.relay.clock.Now())
+		reply := t.forward(s, m, t.attemptRequest(call.WithKey(d.Key(), d.Shard()), call.WithMember(m.Incarnation())))
+		t.relay.work.Record(sent, reply, t.relay.clock.Now())
+		t.relay.work.End(sent, t.relay.clock.Now())
+		return reply
 	}
 	if m.Incarnation() == s.Self() {
 		return send(), nil
@@ -78,15 +82,16 @@
 
 // workRequest returns the request with its candidates as the estimator of work knows them.
 func (t *task) workRequest(s *snap.Snapshot, d route.Pooled) balance.Request {
-	q, length := t.request, int64(0)
-	if q.body != nil {
-		length = q.body.length
-	}
-	return balance.NewRequest(cost.NewClass(q.service.Name(), q.class, q.method, length), length).
-		WithGoal(q.latencyGoal-t.relay.clock.Now()).
+	return balance.NewRequest(t.costClass(), t.request.bodyLength()).
+		WithGoal(t.request.latencyGoal-t.relay.clock.Now()).
 		WithCandidates(t.relay.zone, d.Only(s.Self()), d.InZone(t.relay.zone), d.Candidates())
 }
 
+// costClass returns the class of the request by its likely cost.
+func (t *task) costClass() cost.Class {
+	return cost.NewClass(t.request.service.Name(), t.request.class, t.request.method, t.request.bodyLength())
+}
+
 // largeBodyBytes is the body size above which the cost of the network hop outweighs differences in
 // load between targets.
 const largeBodyBytes = 8 << 10
--- a/verbenad/command/relay/request.go
+++ b/verbenad/command/relay/request.go
@@ -69,5 +69,13 @@
 // Method returns the method that WithMessage set.
 func (q Request) Method() string { return q.method }
 
+// bodyLength returns the announced length of the body in bytes, 0 without a body, -1 if it is unknown.
+func (q Request) bodyLength() int64 {
+	if q.body == nil {
+		return 0
+	}
+	return q.body.length
+}
+
 // Deadline returns the instant, on the relay's clock, by which the request must be answered.
 func (q Request) Deadline() clock.Millis { return q.deadline }
