--- a/core/command/cost/cost_test.go
+++ b/core/command/cost/cost_test.go
@@ -86,7 +86,12 @@
 	for range 100 {
 		run(100, true)
 	}
-	waiting := w.Enter(c)
+	waiting, twice := w.Enter(c), w.Enter(c)
+	w.Start(twice, now)
+	w.Start(twice, now)
+	w.Leave(twice, now)
+	w.Leave(twice, now)
+	w.Start(twice, now)
 	usual, _ := w.Left(now)
 	for range 50 {
 		run(3, false) // an error that came fast
--- a/core/command/cost/work.go
+++ b/core/command/cost/work.go
@@ -16,35 +16,50 @@
 	model *Model
 
 	mu      sync.Mutex
-	tickets map[*Ticket]struct{}
+	waiting map[Class]int
+	running map[*Ticket]struct{}
 }
 
 // NewWork returns the work left of a target without requests.
-func NewWork() *Work { return &Work{model: New(), tickets: map[*Ticket]struct{}{}} }
+func NewWork() *Work { return &Work{model: New(), waiting: map[Class]int{}, running: map[*Ticket]struct{}{}} }
 
 // Ticket is one request, waiting until Start and running from then on.
 type Ticket struct {
 	class   Class
 	started clock.Millis // 0 while it waits
 	done    bool         // its time was recorded
+	left    bool
 }
 
 // Enter adds a waiting request of the class.
 func (w *Work) Enter(c Class) *Ticket {
-	t := &Ticket{class: c}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.tickets[t] = struct{}{}
-	return t
+	w.waiting[c]++
+	return &Ticket{class: c}
 }
 
-// Start records that the target runs the request from now on.
+// Start records that the target runs the request from now on. A second call, after another connection was needed, replaces
+// the first.
 func (w *Work) Start(t *Ticket, now clock.Millis) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if t.left {
+		return
+	}
+	if t.started == 0 {
+		w.stopWaiting(t.class)
+		w.running[t] = struct{}{}
+	}
 	t.started = now
 }
 
+func (w *Work) stopWaiting(c Class) {
+	if w.waiting[c]--; w.waiting[c] <= 0 {
+		delete(w.waiting, c)
+	}
+}
+
 // Answered records the time that the request took, and returns it. It must be called only for requests that the
 // target has run without an error: others say little about the cost.
 func (w *Work) Answered(t *Ticket, now clock.Millis) clock.Millis {
@@ -66,8 +81,16 @@
 func (w *Work) Leave(t *Ticket, now clock.Millis) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	delete(w.tickets, t)
-	if t.done || t.started == 0 {
+	if t.left {
+		return
+	}
+	t.left = true
+	if t.started == 0 {
+		w.stopWaiting(t.class)
+		return
+	}
+	delete(w.running, t)
+	if t.done {
 		return
 	}
 	if took := float64(now - t.started); took > w.model.Time(local, w.model.Estimate(t.class)) {
@@ -82,19 +105,21 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var sum, times float64
-	for t := range w.tickets {
+	n := len(w.running)
+	for c, waiting := range w.waiting {
+		time := w.model.Time(local, w.model.Estimate(c))
+		sum += time * float64(waiting)
+		times += time * float64(waiting)
+		n += waiting
+	}
+	for t := range w.running {
 		e := w.model.Estimate(t.class)
-		time := w.model.Time(local, e)
-		times += time
-		if t.started == 0 {
-			sum += time
-			continue
-		}
-		slow := time / e.Mean()
-		sum += w.model.Remaining(t.class, float64(now-t.started)/slow) * slow
+		speed := w.model.Speed(local, e)
+		sum += w.model.Remaining(t.class, float64(now-t.started)*speed) / speed
+		times += e.Mean() / speed
 	}
-	if len(w.tickets) > 0 {
-		mean = clock.Millis(times / float64(len(w.tickets)))
+	if n == 0 {
+		return 0, 0
 	}
-	return clock.Millis(sum), mean
+	return clock.Millis(sum), clock.Millis(times / float64(n))
 }
