--- a/verbenad/command/relay/attempt.go
+++ b/verbenad/command/relay/attempt.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"verbenabank/core/command/balance"
 	"verbenabank/core/command/breaker"
+	"verbenabank/core/command/cost"
 	"verbenabank/core/query/route"
 	"verbenabank/core/state/call"
 	"verbenabank/core/state/result"
@@ -31,7 +33,11 @@
 func (t *task) attemptKeyed(s *snap.Snapshot, d route.Keyed) (reply call.Reply, served <-chan struct{}) {
 	m := d.Owner()
 	send := func() call.Reply {
-		return t.forward(s, m, t.attemptRequest(call.WithKey(d.Key(), d.Shard()), call.WithMember(m.Incarnation())))
+		sent := t.relay.work.Send(m.Incarnation(), t.costClass(), t.relay.clock.Now())
+		reply := t.forward(s, m, t.attemptRequest(call.WithKey(d.Key(), d.Shard()), call.WithMember(m.Incarnation())))
+		t.relay.work.Record(sent, reply, t.relay.clock.Now())
+		t.relay.work.End(sent, t.relay.clock.Now())
+		return reply
 	}
 	if m.Incarnation() == s.Self() {
 		return send(), nil
@@ -60,16 +66,32 @@
 	if t.tried == nil {
 		t.tried = map[table.Incarnation]bool{}
 	}
-	m, ok := t.relay.balancer.pick(d, t.preferred(s, d), t.tried)
+	r := t.workRequest(s, d)
+	m, ok := t.relay.balancer.pick(d, t.preferred(s, d), t.tried, r)
 	if !ok {
 		return call.Refuse(result.NoTarget)
 	}
 	t.tried[m.Incarnation()] = true
-	done := t.relay.balancer.startAttempt(d.Service().Name(), m)
+	if m.Zone() != t.relay.zone {
+		t.relay.meter.Add("other_zone", 1)
+	}
+	done := t.relay.balancer.startAttempt(d.Service().Name(), m, r)
 	reply := t.forward(s, m, t.attemptRequest(call.WithMember(m.Incarnation())))
 	return done(reply)
 }
 
+// workRequest returns the request with its candidates as the estimator of work knows them.
+func (t *task) workRequest(s *snap.Snapshot, d route.Pooled) balance.Request {
+	return balance.NewRequest(t.costClass(), t.request.bodyLength()).
+		WithGoal(t.request.latencyGoal-t.relay.clock.Now()).
+		WithCandidates(t.relay.zone, d.Only(s.Self()), d.InZone(t.relay.zone), d.Candidates())
+}
+
+// costClass returns the class of the request by its likely cost.
+func (t *task) costClass() cost.Class {
+	return cost.NewClass(t.request.service.Name(), t.request.class, t.request.method, t.request.bodyLength())
+}
+
 // largeBodyBytes is the body size above which the cost of the network hop outweighs differences in
 // load between targets.
 const largeBodyBytes = 8 << 10
