Let calls of running requests go first and new requests yield to the callee's room

Owners now learn which classes are calls from the services of the instances where they enter, rank them first, and tell their senders which share of new requests has room; a gate at the caller's daemon admits as many new requests as its calls have room for (additive increase, multiplicative decrease), and entries refuse the rest without a trip.

--- a/core/state/call/call.go
+++ b/core/state/call/call.go
@@ -42,6 +42,7 @@
 	repeatable  bool
 	class       string
 	remoteBody  bool
+	origin      string
 }
 
 // Option sets one property of a Request.
@@ -70,6 +71,9 @@
 // take about the same time, so that their service time is estimated together.
 func WithClass(name string) Option { return func(r *Request) { r.class = name } }
 
+// WithOrigin sets the service of the instance where the request entered, "" if it is not told.
+func WithOrigin(service string) Option { return func(r *Request) { r.origin = service } }
+
 // WithMember sets the member whose target is to run the request.
 func WithMember(i table.Incarnation) Option { return func(r *Request) { r.incarnation = i } }
 
@@ -142,5 +146,8 @@
 // Repeatable reports whether the request may run more than once.
 func (r Request) Repeatable() bool { return r.repeatable }
 
+// Origin returns the service of the instance where the request entered, "" if it is not known.
+func (r Request) Origin() string { return r.origin }
+
 // Class returns the class of requests with about the same service time, "" if there is none.
 func (r Request) Class() string { return r.class }
--- a/core/state/load/backlog.go
+++ b/core/state/load/backlog.go
@@ -11,6 +11,7 @@
 	work     clock.Millis
 	meanTime clock.Millis
 	cold     ColdStart
+	room     Room
 }
 
 // NewBacklog returns the backlog of a target with the number of slots, of running and of waiting requests.
@@ -31,6 +32,15 @@
 	return b
 }
 
+// WithRoom sets the room for new requests.
+func (b Backlog) WithRoom(r Room) Backlog {
+	b.room = r
+	return b
+}
+
+// Room returns the room for new requests, the zero value if there is enough.
+func (b Backlog) Room() Room { return b.room }
+
 // Known reports whether the backlog was reported at all.
 func (b Backlog) Known() bool { return b.slots > 0 }
 
--- a/core/state/result/result.go
+++ b/core/state/result/result.go
@@ -65,6 +65,12 @@
 // RetryAfter returns how long to wait before a retry, 0 if the refusal names no time.
 func (r Refused) RetryAfter() clock.Millis { return r.retryAfter }
 
+// WithRetryAfter returns the refusal with another time that the caller should wait before it retries.
+func (r Refused) WithRetryAfter(d clock.Millis) Refused {
+	r.retryAfter = d
+	return r
+}
+
 // WithSent returns the refusal by a target that did receive the request.
 func (r Refused) WithSent() Refused {
 	r.sent = true
--- a/core/wire/hopmsg/hopmsg.go
+++ b/core/wire/hopmsg/hopmsg.go
@@ -20,7 +20,7 @@
 		Service: r.Service(), Method: r.Method(), Uri: r.URI(), Headers: encodeFields(r.Fields()),
 		Key: r.Key(), Shard: uint32(r.Shard()), Incarnation: uint64(r.Incarnation()), ContentLength: contentLength(r),
 		Id: r.ID(), Priority: uint32(r.Priority()), AimMs: int64(r.LatencyGoal()), Repeatable: r.Repeatable(), Class: r.Class(),
-		Waits: awaitsInvite,
+		Waits: awaitsInvite, Origin: r.Origin(),
 	}}}
 }
 
@@ -49,7 +49,7 @@
 		call.WithKey(h.GetKey(), table.Shard(h.GetShard())),
 		call.WithMember(table.Incarnation(h.GetIncarnation())),
 		call.WithID(h.GetId()), call.WithPolicy(int(h.GetPriority()), clock.Millis(h.GetAimMs()), h.GetRepeatable()),
-		call.WithClass(h.GetClass()),
+		call.WithClass(h.GetClass()), call.WithOrigin(h.GetOrigin()),
 	}
 	if h.GetContentLength() != 0 {
 		opts = append(opts, call.WithBody(body, h.GetContentLength()), call.WithRemoteBody(h.GetWaits()))
@@ -141,6 +141,7 @@
 		Slots: clamp(b.Slots()), Running: clamp(b.Running()), Waiting: clamp(b.Waiting()),
 		WorkMs: clamp(int(b.Work())), MeanMs: clamp(int(b.MeanTime())),
 		ColdMs: clamp(int(b.Cold().Left())), ColdAdmits: clamp(b.Cold().Admits()),
+		Called: b.Room().Called(), ShortPercent: clamp(fullShare - b.Room().Share()), RoomPriority: clamp(b.Room().Priority()),
 	}
 }
 
@@ -150,7 +151,19 @@
 	}
 	return load.NewBacklog(bounded(b.GetSlots()), bounded(b.GetRunning()), bounded(b.GetWaiting())).
 		WithWork(clock.Millis(bounded(b.GetWorkMs())), clock.Millis(bounded(b.GetMeanMs()))).
-		WithCold(load.NewColdStart(clock.Millis(bounded(b.GetColdMs())), bounded(b.GetColdAdmits())))
+		WithCold(load.NewColdStart(clock.Millis(bounded(b.GetColdMs())), bounded(b.GetColdAdmits()))).
+		WithRoom(decodeRoom(b))
+}
+
+// fullShare is the share of all requests in percent.
+const fullShare = 100
+
+func decodeRoom(b *wirepb.Backlog) load.Room {
+	r := load.NewRoom(bounded(b.GetRoomPriority()), fullShare-min(fullShare, bounded(b.GetShortPercent())))
+	if b.GetCalled() {
+		return r.ForCall()
+	}
+	return r
 }
 
 // maxFigure bounds each figure of a backlog, so that it has at most four bytes on the wire and no sum overflows.
--- a/verbenad/command/owner/exchange.go
+++ b/verbenad/command/owner/exchange.go
@@ -12,6 +12,7 @@
 
 	"verbenabank/core/clock"
 	"verbenabank/core/command/admit"
+	"verbenabank/core/command/room"
 	"verbenabank/core/state/call"
 	"verbenabank/core/state/result"
 	"verbenabank/core/state/rules"
@@ -68,6 +69,7 @@
 	announcedLeaseEnd clock.Millis // the last lease end sent to the target
 	cancel            context.CancelFunc
 	lapsed            atomic.Bool
+	arrival           room.Arrival // nil if all requests compete alike
 }
 
 // run sends the request to the target. Serve calls finish after a failure; after a response the leasedBody
@@ -78,6 +80,9 @@
 		return call.Refuse(reason)
 	}
 	x.owner.countKey(x.request, a.service)
+	if failure, ok := x.arrive(); !ok {
+		return failure
+	}
 	if failure, ok := x.prefetchBody(ctx, a.service); !ok {
 		return failure
 	}
@@ -120,6 +125,7 @@
 func (x *exchange) acquireSlot(ctx context.Context, s rules.Service) (call.Failure, bool) {
 	failure, held := x.enqueue(ctx, s, x.owner.limiter, x.owner.slots(s), x.enteredAt+x.request.LatencyGoal())
 	x.hasSlot = held
+	x.recordDecision(failure)
 	return failure, failure.Outcome() == nil
 }
 
@@ -131,8 +137,9 @@
 	wait := x.maxQueueWait(s)
 	r, maxStay := admit.NewRequest(x.deadline, wait), wait
 	if x.request.LatencyGoal() > 0 {
-		maxStay = limiter.MaxQueueTime(x.request.Class(), now, x.deadline)
-		r = r.WithPriority(x.request.Priority(), goal, maxStay).WithClass(x.request.Class())
+		p := room.NewPlace(x.request.Priority(), wait, limiter.MaxQueueTime(x.request.Class(), now, x.deadline)).For(x.arrival, x.deadline-now)
+		maxStay = p.Stay()
+		r = admit.NewRequest(x.deadline, p.Wait()).WithPriority(p.Rank(), goal, maxStay).WithClass(x.request.Class())
 	}
 	t := limiter.Submit(now, r, admit.NewLimits(slots, s.QueueLength(), wait))
 	select {
--- a/verbenad/command/owner/owner.go
+++ b/verbenad/command/owner/owner.go
@@ -25,6 +25,7 @@
 	"verbenabank/verbenad/command/flight"
 	"verbenabank/verbenad/command/meter"
 	"verbenabank/verbenad/command/reqlog"
+	"verbenabank/verbenad/command/rooms"
 )
 
 // HotCounters is the number of counters for hot keys. A key with at least 1/HotCounters of the
@@ -55,6 +56,7 @@
 	holdOff        atomic.Int64 // in ms
 	attempts       atomic.Uint64
 	meter          *meter.Meter
+	rooms          *rooms.Rooms  // nil to let all requests compete alike
 	log            *logrus.Entry // nil for no request log
 	requestLog     *reqlog.Logger
 
@@ -113,6 +115,9 @@
 // WithDialect sets the dialect of the target, by default that of the Verbena header fields.
 func WithDialect(d Dialect) Option { return func(o *Owner) { o.dialect = d } }
 
+// WithRooms sets what decides between calls of other targets and new requests; without it they compete alike.
+func WithRooms(r *rooms.Rooms) Option { return func(o *Owner) { o.rooms = r } }
+
 // WithQueueOrder sets the order in which queued requests are admitted.
 func WithQueueOrder(x admit.Order) Option {
 	return func(o *Owner) {
@@ -199,10 +204,10 @@
 	switch reply := reply.(type) {
 	case call.Response:
 		b := &leasedBody{exchange: x, status: reply.Status(), body: reply.Body()}
-		return reply.WithBody(b).WithBacklog(o.Backlog())
+		return reply.WithBody(b).WithBacklog(x.backlog())
 	case call.Failure:
 		x.finish(reply.Outcome())
-		return o.withHoldOff(reply).WithBacklog(o.Backlog())
+		return o.withHoldOff(reply).WithBacklog(x.backlog())
 	}
 	return call.Unknown(result.Interrupted)
 }
--- a/verbenad/command/relay/attempt.go
+++ b/verbenad/command/relay/attempt.go
@@ -15,6 +15,9 @@
 	if !s.RulesValid(t.relay.clock.Now()) {
 		return call.Refuse(result.NotReady), nil
 	}
+	if refusal, turned := t.refuseAtEntry(); turned {
+		return refusal, nil
+	}
 	switch d := t.relay.Index(s).Decide(t.request.attributes).(type) {
 	case route.Refuse:
 		return call.Refuse(d.Reason()), nil
@@ -89,7 +92,7 @@
 func (t *task) attemptRequest(opts ...call.Option) call.Request {
 	q := t.request
 	opts = append(opts, call.WithFields(q.fields), call.WithID(q.id), call.WithClass(q.class),
-		call.WithPolicy(q.priority, max(1, q.latencyGoal-t.relay.clock.Now()), q.repeatable))
+		call.WithPolicy(q.priority, max(1, q.latencyGoal-t.relay.clock.Now()), q.repeatable), call.WithOrigin(t.origin()))
 	if q.body != nil {
 		opts = append(opts, call.WithBody(q.body.newReader(), q.body.length))
 	}
@@ -100,8 +103,12 @@
 func (t *task) forward(s *snap.Snapshot, m table.Member, r call.Request) call.Reply {
 	t.attempts++
 	t.instance = m.Instance()
+	var reply call.Reply
 	if m.Incarnation() == s.Self() {
-		return t.relay.local.Serve(t.ctx, r)
+		reply = t.relay.local.Serve(t.ctx, r)
+	} else {
+		reply = t.relay.remote.Send(t.ctx, m.Address(), r)
 	}
-	return t.relay.remote.Send(t.ctx, m.Address(), r)
+	t.learnRoom(reply)
+	return reply
 }
--- a/verbenad/command/relay/relay.go
+++ b/verbenad/command/relay/relay.go
@@ -18,6 +18,7 @@
 	"verbenabank/core/state/rules"
 	"verbenabank/core/state/snap"
 	"verbenabank/verbenad/command/meter"
+	"verbenabank/verbenad/command/rooms"
 )
 
 // Local serves requests for the target on the same instance as this daemon.
@@ -48,6 +49,7 @@
 	balancer      *balancer
 	breakers      *breakers
 	throttle      *throttle
+	rooms         *rooms.Rooms // nil to refuse nothing at the entry for lack of room
 }
 
 // Option configures a Relay.
@@ -78,6 +80,9 @@
 // settings.
 func WithRetryPercent(percent int) Option { return func(r *Relay) { r.retryPercent = percent } }
 
+// WithRooms sets what decides about room at targets; without it no request is refused at the entry for lack of room.
+func WithRooms(x *rooms.Rooms) Option { return func(r *Relay) { r.rooms = x } }
+
 // WithMeter sets the meter that counts retries and exhausted budgets.
 func WithMeter(m *meter.Meter) Option { return func(r *Relay) { r.meter = m } }
 
--- /dev/null
+++ b/verbenad/command/relay/room.go
@@ -0,0 +1,70 @@
+package relay
+
+import (
+	"verbenabank/core/clock"
+	"verbenabank/core/state/call"
+	"verbenabank/core/state/load"
+	"verbenabank/core/state/result"
+	"verbenabank/verbenad/command/rooms"
+)
+
+// entryRetryAfter is the least time after which a request returns that was refused at the entry.
+const entryRetryAfter = 100 * clock.Millisecond
+
+// origin returns the service of the target on this instance, "" if requests don't tell it.
+func (t *task) origin() string {
+	if t.relay.rooms == nil {
+		return ""
+	}
+	s := t.relay.store.Load()
+	m, ok := s.Table().Member(s.Self())
+	if !ok {
+		return ""
+	}
+	return m.Service()
+}
+
+// refuseAtEntry refuses a request that the targets of its class would refuse, without a trip.
+func (t *task) refuseAtEntry() (call.Reply, bool) {
+	if t.relay.rooms == nil || !t.relay.rooms.Refuses(t.request.class, t.request.id) {
+		return nil, false
+	}
+	t.turnedAway = true
+	return call.NewFailure(result.NewRefused(result.Overloaded, entryRetryAfter)), true
+}
+
+// learnRoom takes the room that a reply names.
+func (t *task) learnRoom(reply call.Reply) {
+	if t.relay.rooms == nil {
+		return
+	}
+	switch reply := reply.(type) {
+	case call.Response:
+		t.learn(reply.Backlog(), false)
+	case call.Failure:
+		r, refused := reply.Outcome().(result.Refused)
+		t.learn(reply.Backlog(), refused && r.Reason() == result.Overloaded)
+	}
+}
+
+func (t *task) learn(b load.Backlog, refused bool) {
+	if b.Known() {
+		t.turnedAway = t.relay.rooms.Learn(t.request.class, t.request.id, b.Room(), refused)
+	}
+}
+
+// recordEnd counts the outcome of a call of the local target; nil is a response.
+func (t *task) recordEnd(o result.Outcome) {
+	if t.relay.rooms != nil {
+		t.relay.rooms.End(t.request.class, o)
+	}
+}
+
+// spreadOut spreads the return of callers that are refused for lack of room.
+func (t *task) spreadOut(o result.Outcome) result.Outcome {
+	r, refused := o.(result.Refused)
+	if t.relay.rooms == nil || !refused {
+		return o
+	}
+	return rooms.SpreadOut(r)
+}
--- a/verbenad/command/relay/task.go
+++ b/verbenad/command/relay/task.go
@@ -43,6 +43,7 @@
 	alternatives bool                       // more than one target could serve the request
 	firstUnknown result.Outcome             // nil while no attempt may have run
 	instance     string                     // instance of the last attempt
+	turnedAway   bool                       // all targets of the class would refuse the request
 }
 
 // Run serves a request and returns the reply of the last attempt. ctx must end at the deadline and
@@ -64,11 +65,14 @@
 		reply, served := t.attempt(s)
 		f, failed := reply.(call.Failure)
 		if !failed {
+			t.recordEnd(nil)
 			return reply
 		}
 		o := t.withBodyError(f.Outcome())
-		if !t.prepareRetry(s, served, o) {
-			return call.NewFailure(t.finalOutcome(o))
+		if t.turnedAway || !t.prepareRetry(s, served, o) {
+			o = t.finalOutcome(o)
+			t.recordEnd(o)
+			return call.NewFailure(t.spreadOut(o))
 		}
 	}
 }
--- /dev/null
+++ b/verbenad/command/rooms/rooms.go
@@ -0,0 +1,183 @@
+// Package rooms applies the decisions of core/command/room in a daemon. The owner and the relay share one Rooms: the
+// calls of the local target pass the relay of the same daemon that admits new requests to that target.
+package rooms
+
+import (
+	"math/rand/v2"
+	"sync"
+
+	"verbenabank/core/clock"
+	"verbenabank/core/command/room"
+	"verbenabank/core/state/call"
+	"verbenabank/core/state/load"
+	"verbenabank/core/state/result"
+	"verbenabank/verbenad/command/meter"
+)
+
+const (
+	// maxCalls is the number of classes that are remembered as calls of the local target.
+	maxCalls = 256
+	// spread is the time over which callers return after a refusal, besides the time that the refusal names.
+	spread = 400 * clock.Millisecond
+)
+
+// Rooms decides which requests compete for the room of targets. It is safe for concurrent use.
+type Rooms struct {
+	clock *clock.Clock
+	meter *meter.Meter
+
+	mu      sync.Mutex
+	origins *room.Origins
+	demand  *room.Demand
+	gate    *room.Gate
+	levels  *room.Levels
+	calls   map[string]bool // classes of calls of the local target
+}
+
+// Option configures Rooms.
+type Option func(*Rooms)
+
+// WithClock sets the clock; the default is a new clock.
+func WithClock(c *clock.Clock) Option { return func(r *Rooms) { r.clock = c } }
+
+// WithMeter sets the meter that counts calls and refusals.
+func WithMeter(m *meter.Meter) Option { return func(r *Rooms) { r.meter = m } }
+
+// New returns Rooms that admit everything until they learn otherwise.
+func New(opts ...Option) *Rooms {
+	r := &Rooms{
+		clock: clock.New(), meter: meter.ForPart("room"), origins: room.NewOrigins(), demand: room.NewDemand(),
+		gate: room.NewGate(), levels: room.NewLevels(), calls: map[string]bool{},
+	}
+	for _, f := range opts {
+		f(r)
+	}
+	r.meter.RegisterGauge("admitted_percent", "", func() float64 { return float64(r.admitted()) })
+	return r
+}
+
+// admitted returns the percentage of new requests of the lowest priority that the gate admits.
+func (r *Rooms) admitted() int {
+	now := r.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.gate.Share(lowest, now)
+}
+
+// lowest is a priority below all others.
+const lowest = 1 << 20
+
+// Arrive classifies a request for the local target and counts it.
+func (r *Rooms) Arrive(q call.Request) room.Arrival {
+	now := r.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if q.Origin() != "" {
+		r.origins.Record(q.Class(), q.Origin())
+	}
+	switch {
+	case r.origins.IsCall(q.Class()):
+		r.meter.Add("calls", 1)
+		return room.Call{}
+	case !r.gate.Admits(q.ID(), q.Priority(), now):
+		r.meter.Add("turned_away", 1)
+		return room.Turned{}
+	}
+	return room.Outer{}
+}
+
+// Decided counts whether the local target had room for a new request.
+func (r *Rooms) Decided(q call.Request, admitted bool) {
+	now := r.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.demand.Record(q.Priority(), admitted, now)
+}
+
+// Room returns what the reply to a request tells its sender.
+func (r *Rooms) Room(q call.Request, a room.Arrival) load.Room {
+	now := r.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch a.(type) {
+	case room.Call:
+		priority, share := r.demand.Share(now)
+		return load.NewRoom(priority, share).ForCall()
+	case room.Outer, room.Turned:
+		return load.NewRoom(q.Priority(), r.gate.Share(q.Priority(), now))
+	}
+	return load.Room{}
+}
+
+// Refuses reports whether a request that entered at this daemon is refused at once: the targets of its class admit too
+// small a share.
+func (r *Rooms) Refuses(class, id string) bool {
+	now := r.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.levels.Admits(class, id, now) {
+		return false
+	}
+	r.meter.Add("refused_at_entry", 1)
+	return true
+}
+
+// Learn takes the room that a reply named to this daemon, and reports whether a refusal is final: other targets of the
+// class would refuse the request too.
+func (r *Rooms) Learn(class, id string, told load.Room, refused bool) (final bool) {
+	now := r.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if told.Called() {
+		if len(r.calls) < maxCalls {
+			r.calls[class] = true
+		}
+		if told.Share() < room.Full {
+			r.gate.RecordShare(told.Priority(), told.Share(), now)
+		}
+		return false
+	}
+	r.levels.Record(class, told.Share(), now)
+	return refused && !r.levels.Admits(class, id, now)
+}
+
+// End counts the outcome of a request that entered at this daemon, if it is a call of the local target.
+func (r *Rooms) End(class string, o result.Outcome) {
+	now := r.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.calls[class] {
+		return
+	}
+	lost := lacksRoom(o)
+	if lost {
+		r.meter.Add("calls_refused", 1)
+	}
+	r.gate.RecordCall(lost, now)
+}
+
+// lacksRoom reports whether a call failed for lack of room; nil is a response.
+func lacksRoom(o result.Outcome) bool {
+	f, refused := o.(result.Refused)
+	if !refused {
+		return false
+	}
+	switch f.Reason() {
+	case result.Overloaded, result.Shed, result.Expired:
+		return true
+	case result.BadRequest, result.UnknownService, result.UnknownRoute, result.TooLarge, result.HeadTooLarge, result.TimedOut,
+		result.Interrupted, result.Truncated, result.Mismatched, result.LeaseLapsed, result.Cancelled, result.NotReady,
+		result.NoOwner, result.NotOwner, result.NotHeld, result.NoTarget, result.Leaving, result.Unreachable:
+		return false
+	}
+	return false
+}
+
+// SpreadOut returns the refusal with a time after which the caller returns that differs from one caller to the next, so
+// that those refused together don't return together.
+func SpreadOut(o result.Refused) result.Refused {
+	if !lacksRoom(o) {
+		return o
+	}
+	return o.WithRetryAfter(o.RetryAfter() + rand.N(spread))
+}
--- a/verbenad/command/serve/options.go
+++ b/verbenad/command/serve/options.go
@@ -13,6 +13,7 @@
 	"verbenabank/verbenad/adapt/front"
 	"verbenabank/verbenad/adapt/grants"
 	"verbenabank/verbenad/command/owner"
+	"verbenabank/verbenad/command/rooms"
 )
 
 // Option configures a Daemon.
@@ -33,6 +34,10 @@
 	return func(d *Daemon) { d.targetDialect, d.grantDialect = x, g }
 }
 
+// WithRooms lets calls of targets that run a request go before new requests, and limits new requests at targets whose
+// calls have too little room.
+func WithRooms() Option { return func(d *Daemon) { d.rooms = rooms.New(rooms.WithClock(d.clock)) } }
+
 // WithDroppedLogLines sets the function that returns the number of dropped log lines, for the gauge.
 func WithDroppedLogLines(f func() int64) Option { return func(d *Daemon) { d.droppedLogLines = f } }
 
--- a/verbenad/command/serve/serve.go
+++ b/verbenad/command/serve/serve.go
@@ -31,6 +31,7 @@
 	"verbenabank/verbenad/command/entry"
 	"verbenabank/verbenad/command/notice"
 	"verbenabank/verbenad/command/owner"
+	"verbenabank/verbenad/command/rooms"
 	"verbenabank/verbenad/query/admin"
 	"verbenabank/verbenad/state/config"
 )
@@ -66,6 +67,7 @@
 	owner         *owner.Owner
 	entry         *entry.Server
 	front         *front.Server
+	rooms         *rooms.Rooms // nil to let all requests compete alike
 	seeds         *link.Addresses
 	hopClient     *hop.Client
 	uplink        *link.Uplink
--- a/verbenad/command/serve/traffic.go
+++ b/verbenad/command/serve/traffic.go
@@ -31,7 +31,7 @@
 	d.buildTargetClients()
 	options := []owner.Option{
 		owner.WithClock(d.clock), owner.WithStore(d.snapshots), owner.WithTarget(d.target), owner.WithExtender(x),
-		owner.WithLog(d.logger()), owner.WithLink(d.settings.Load().LinkMbps(), hop.WindowBytes),
+		owner.WithLog(d.logger()), owner.WithLink(d.settings.Load().LinkMbps(), hop.WindowBytes), owner.WithRooms(d.rooms),
 	}
 	if d.targetDialect != nil {
 		options = append(options, owner.WithDialect(d.targetDialect), owner.WithQueueOrder(admit.CostAware{}))
@@ -90,7 +90,7 @@
 	default:
 		options := []relay.Option{
 			relay.WithClock(d.clock), relay.WithStore(d.snapshots), relay.WithLocal(d.owner), relay.WithRemote(d.hopClient),
-			relay.WithZone(s.Zone()), relay.WithRetry(retry.Routed{}),
+			relay.WithZone(s.Zone()), relay.WithRetry(retry.Routed{}), relay.WithRooms(d.rooms),
 		}
 		if r := s.RetryBudget(); r.Window() > 0 {
 			options = append(options, relay.WithRetryBudget(budget.WithAllowance(r.Allowance(), r.Window())), relay.WithRetryPercent(retryPercent(r.Ratio())))
