Refuse at the entry while few targets have room, and let calls wait for theirs

Refused calls waste their parents: calls may now wait for half of the time to their deadline, also in a standing queue; their number is bounded by the slots of the targets that make them. Outer requests are refused when they would miss their latency goal. The share that a called target reports counts attempts, since throttled requests try fewer targets.

--- a/core/command/admit/order.go
+++ b/core/command/admit/order.go
@@ -134,7 +134,7 @@
 // maxPredictedWait returns the longest wait that a new request may expect. Once the queue is
 // standing, a longer queue serves no more requests and makes all of them later.
 func (lm *Limiter) maxPredictedWait(t *Ticket, now clock.Millis) clock.Millis {
-	if !lm.isCostAware() || len(lm.waiting) == 0 || now-lm.nonEmptySince <= standingThreshold {
+	if !lm.isCostAware() || t.request.firm || len(lm.waiting) == 0 || now-lm.nonEmptySince <= standingThreshold {
 		return t.request.maxPredictedWait
 	}
 	return min(t.request.maxPredictedWait, max(minStandingWait, t.request.maxPredictedWait/standingWaitDivisor))
@@ -143,7 +143,7 @@
 // shouldShed reports whether a request that would be answered at the instant done misses its
 // soft deadline while enough work is waiting ahead of it.
 func (lm *Limiter) shouldShed(t *Ticket, done, now clock.Millis) bool {
-	if !lm.isCostAware() || done <= t.request.softDeadline || !lm.queueIsStanding(now) {
+	if !lm.isCostAware() || t.request.firm || done <= t.request.softDeadline || !lm.queueIsStanding(now) {
 		return false
 	}
 	ahead := clock.Millis(0)
--- a/core/command/admit/request.go
+++ b/core/command/admit/request.go
@@ -13,6 +13,7 @@
 	priority         int
 	softDeadline     clock.Millis
 	class            string
+	firm             bool
 }
 
 // NewRequest returns a request that must be answered by the deadline, an instant, and that is
@@ -34,6 +35,13 @@
 	return r
 }
 
+// Firm exempts the request from the rules of a standing queue: it may expect its whole wait, and is not rejected for being
+// late. It is for requests whose number in the queue is bounded elsewhere, such as the calls of running requests.
+func (r Request) Firm() Request {
+	r.firm = true
+	return r
+}
+
 // Decision is the outcome of an admission request: Admitted or Refused.
 type Decision interface{ decision() }
 
--- a/core/command/room/demand.go
+++ b/core/command/room/demand.go
@@ -43,8 +43,7 @@
 }
 
 // Share returns the highest priority whose requests the target has too little room for, and the percentage of them
-// that are served. A request that is refused is tried at a second target, so it counts as refused if both refuse. The
-// share is Full if there is room for all.
+// that find room at the first try. The share is Full if there is room for all.
 func (d *Demand) Share(now clock.Millis) (priority, share int) {
 	if now >= d.windowEnd+demandWindow {
 		return 0, Full
@@ -54,7 +53,7 @@
 		if t.total() < minDemand || t.refused*minDemand < t.total() {
 			continue
 		}
-		return p, Full - Full*t.refused*t.refused/(t.total()*t.total())
+		return p, Full * t.admitted / t.total()
 	}
 	return 0, Full
 }
--- a/core/command/room/place.go
+++ b/core/command/room/place.go
@@ -26,6 +26,11 @@
 	// remains.
 	callWaitDivisor = 2
 	minCallWait     = 50 * clock.Millisecond
+	// An outer request may wait for what its latency goal leaves after serviceNumerator/serviceDenominator mean service
+	// times, since many take longer than the mean, and for minOuterWait if less remains.
+	serviceNumerator   = 3
+	serviceDenominator = 2
+	minOuterWait       = 20 * clock.Millisecond
 )
 
 // Place is the place of a request in the queue of a target.
@@ -33,6 +38,8 @@
 	rank int
 	wait clock.Millis
 	stay clock.Millis
+	goal clock.Millis // time left to the latency goal
+	mean clock.Millis // service time of the class
 }
 
 // NewPlace returns the place of a request of the priority that is refused if its expected wait exceeds wait or its
@@ -41,9 +48,16 @@
 	return Place{rank: priority, wait: wait, stay: stay}
 }
 
+// WithGoal sets the time that is left to the latency goal, and the mean service time of the request's class.
+func (p Place) WithGoal(left, serviceTime clock.Millis) Place {
+	p.goal, p.mean = left, serviceTime
+	return p
+}
+
 // For returns the place of an arrival whose deadline is left milliseconds away; without an arrival it stays as it is.
-// Calls go first, and may wait while they can be done by their deadline. Outer requests leave the queue after the wait
-// that they may expect, however often they were overtaken: holding them longer delays the refusal and their return.
+// Calls go first, and may wait while they can be done by their deadline. Outer requests are
+// refused if they would miss their latency goal, and leave the queue when they do, however often they were overtaken:
+// holding them longer delays the refusal and their return.
 func (p Place) For(a Arrival, left clock.Millis) Place {
 	if a == nil {
 		return p
@@ -52,7 +66,8 @@
 	case Call:
 		p.rank, p.wait = callRank, max(minCallWait, left/callWaitDivisor)
 	case Outer, Turned:
-		p.stay = min(p.stay, p.wait)
+		p.wait = min(p.wait, max(minOuterWait, p.goal-p.mean*serviceNumerator/serviceDenominator))
+		p.stay = min(p.stay, max(p.wait, p.goal-p.mean))
 	}
 	return p
 }
@@ -60,6 +75,10 @@
 // Rank returns the priority in the queue; 0 is the highest of requests that are no calls.
 func (p Place) Rank() int { return p.rank }
 
+// Firm reports whether the request is exempt from the rules of a standing queue, as calls are: no more of them wait than
+// the targets that make them have slots.
+func (p Place) Firm() bool { return p.rank == callRank }
+
 // Wait returns the longest wait that the request may expect.
 func (p Place) Wait() clock.Millis { return p.wait }
 
--- a/verbenad/command/owner/exchange.go
+++ b/verbenad/command/owner/exchange.go
@@ -137,9 +137,13 @@
 	wait := x.maxQueueWait(s)
 	r, maxStay := admit.NewRequest(x.deadline, wait), wait
 	if x.request.LatencyGoal() > 0 {
-		p := room.NewPlace(x.request.Priority(), wait, limiter.MaxQueueTime(x.request.Class(), now, x.deadline)).For(x.arrival, x.deadline-now)
+		p := room.NewPlace(x.request.Priority(), wait, limiter.MaxQueueTime(x.request.Class(), now, x.deadline)).
+			WithGoal(goal-now, limiter.ClassServiceTime(x.request.Class())).For(x.arrival, x.deadline-now)
 		maxStay = p.Stay()
 		r = admit.NewRequest(x.deadline, p.Wait()).WithPriority(p.Rank(), goal, maxStay).WithClass(x.request.Class())
+		if p.Firm() {
+			r = r.Firm()
+		}
 	}
 	t := limiter.Submit(now, r, admit.NewLimits(slots, s.QueueLength(), wait))
 	select {
--- a/verbenad/command/relay/attempt.go
+++ b/verbenad/command/relay/attempt.go
@@ -59,6 +59,9 @@
 // attemptPooled makes one attempt at a member of a pooled service, preferably at one that was not
 // tried yet.
 func (t *task) attemptPooled(s *snap.Snapshot, d route.Pooled) call.Reply {
+	if refusal, throttled := t.throttleAtEntry(); throttled {
+		return refusal
+	}
 	t.alternatives = len(d.Candidates()) > 1
 	if t.tried == nil {
 		t.tried = map[table.Incarnation]bool{}
--- a/verbenad/command/relay/room.go
+++ b/verbenad/command/relay/room.go
@@ -33,6 +33,15 @@
 	return call.NewFailure(result.NewRefused(result.Overloaded, entryRetryAfter)), true
 }
 
+// throttleAtEntry refuses an attempt at a pooled service of which few targets have room, without a trip.
+func (t *task) throttleAtEntry() (call.Reply, bool) {
+	if t.relay.rooms == nil || !t.relay.rooms.Throttles(t.request.class) {
+		return nil, false
+	}
+	t.turnedAway = true
+	return call.NewFailure(result.NewRefused(result.Overloaded, entryRetryAfter)), true
+}
+
 // learnRoom takes the room that a reply names.
 func (t *task) learnRoom(reply call.Reply) {
 	if t.relay.rooms == nil {
--- a/verbenad/command/rooms/rooms.go
+++ b/verbenad/command/rooms/rooms.go
@@ -26,12 +26,13 @@
 	clock *clock.Clock
 	meter *meter.Meter
 
-	mu      sync.Mutex
-	origins *room.Origins
-	demand  *room.Demand
-	gate    *room.Gate
-	levels  *room.Levels
-	calls   map[string]bool // classes of calls of the local target
+	mu       sync.Mutex
+	origins  *room.Origins
+	demand   *room.Demand
+	gate     *room.Gate
+	levels   *room.Levels
+	throttle *room.Throttle
+	calls    map[string]bool // classes of calls of the local target
 }
 
 // Option configures Rooms.
@@ -47,7 +48,7 @@
 func New(opts ...Option) *Rooms {
 	r := &Rooms{
 		clock: clock.New(), meter: meter.ForPart("room"), origins: room.NewOrigins(), demand: room.NewDemand(),
-		gate: room.NewGate(), levels: room.NewLevels(), calls: map[string]bool{},
+		gate: room.NewGate(), levels: room.NewLevels(), throttle: room.NewThrottle(), calls: map[string]bool{},
 	}
 	for _, f := range opts {
 		f(r)
@@ -122,12 +123,27 @@
 	return true
 }
 
+// Throttles reports whether an attempt of a request that may go to any target of its service is refused at once, since
+// few targets have room. Calls are never refused so.
+func (r *Rooms) Throttles(class string) bool {
+	now := r.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.calls[class] || !r.throttle.Refuses(class, rand.Float64(), now) {
+		return false
+	}
+	r.throttle.Record(class, false, now)
+	r.meter.Add("throttled", 1)
+	return true
+}
+
 // Learn takes the room that a reply named to this daemon, and reports whether a refusal is final: other targets of the
 // class would refuse the request too.
 func (r *Rooms) Learn(class, id string, told load.Room, refused bool) (final bool) {
 	now := r.clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.throttle.Record(class, !refused, now)
 	if told.Called() {
 		if len(r.calls) < maxCalls {
 			r.calls[class] = true
