--- a/core/command/cost/work.go
+++ b/core/command/cost/work.go
@@ -21,7 +21,9 @@
 }
 
 // NewWork returns the work left of a target without requests.
-func NewWork() *Work { return &Work{model: New(), waiting: map[Class]int{}, running: map[*Ticket]struct{}{}} }
+func NewWork() *Work {
+	return &Work{model: New(), waiting: map[Class]int{}, running: map[*Ticket]struct{}{}}
+}
 
 // Ticket is one request, waiting until Start and running from then on.
 type Ticket struct {
--- a/core/state/load/backlog.go
+++ b/core/state/load/backlog.go
@@ -12,6 +12,7 @@
 	meanTime clock.Millis
 	cold     ColdStart
 	served   clock.Millis
+	room     Room
 }
 
 // NewBacklog returns the backlog of a target with the number of slots, of running and of waiting requests.
@@ -41,6 +42,15 @@
 // Served returns the service time in milliseconds of the request that is answered, 0 if it did not run or failed.
 func (b Backlog) Served() clock.Millis { return b.served }
 
+// WithRoom sets the room for new requests.
+func (b Backlog) WithRoom(r Room) Backlog {
+	b.room = r
+	return b
+}
+
+// Room returns the room for new requests, the zero value if there is enough.
+func (b Backlog) Room() Room { return b.room }
+
 // Known reports whether the backlog was reported at all.
 func (b Backlog) Known() bool { return b.slots > 0 }
 
--- a/verbenad/command/relay/attempt.go
+++ b/verbenad/command/relay/attempt.go
@@ -17,6 +17,9 @@
 	if !s.RulesValid(t.relay.clock.Now()) {
 		return call.Refuse(result.NotReady), nil
 	}
+	if refusal, turned := t.refuseAtEntry(); turned {
+		return refusal, nil
+	}
 	switch d := t.relay.Index(s).Decide(t.request.attributes).(type) {
 	case route.Refuse:
 		return call.Refuse(d.Reason()), nil
@@ -62,6 +65,9 @@
 // attemptPooled makes one attempt at a member of a pooled service, preferably at one that was not
 // tried yet.
 func (t *task) attemptPooled(s *snap.Snapshot, d route.Pooled) call.Reply {
+	if refusal, throttled := t.throttleAtEntry(); throttled {
+		return refusal
+	}
 	t.alternatives = len(d.Candidates()) > 1
 	if t.tried == nil {
 		t.tried = map[table.Incarnation]bool{}
@@ -111,7 +117,7 @@
 func (t *task) attemptRequest(opts ...call.Option) call.Request {
 	q := t.request
 	opts = append(opts, call.WithFields(q.fields), call.WithID(q.id), call.WithClass(q.class),
-		call.WithPolicy(q.priority, max(1, q.latencyGoal-t.relay.clock.Now()), q.repeatable))
+		call.WithPolicy(q.priority, max(1, q.latencyGoal-t.relay.clock.Now()), q.repeatable), call.WithOrigin(t.origin()))
 	if q.body != nil {
 		opts = append(opts, call.WithBody(q.body.newReader(), q.body.length))
 	}
@@ -122,8 +128,12 @@
 func (t *task) forward(s *snap.Snapshot, m table.Member, r call.Request) call.Reply {
 	t.attempts++
 	t.instance = m.Instance()
+	var reply call.Reply
 	if m.Incarnation() == s.Self() {
-		return t.relay.local.Serve(t.ctx, r)
+		reply = t.relay.local.Serve(t.ctx, r)
+	} else {
+		reply = t.relay.remote.Send(t.ctx, m.Address(), r)
 	}
-	return t.relay.remote.Send(t.ctx, m.Address(), r)
+	t.learnRoom(reply)
+	return reply
 }
