Bound the requests to cold targets at their daemon

Cause: a target that has just started or lost its caches fails above a low rate, and each entry ramps up its own share only, so the sum has no bound.

Change: the daemon beside a target counts what it has sent since the target was last known to be warm, and refuses what would exceed the bound in any second. Heartbeats and health answers say whether a target is cold. Replies between daemons carry it, entries reduce their share, and warming owners of ordered keys get fewer keys. Services without a rate for cold targets are routed as before.

--- a/core/command/agent/effect.go
+++ b/core/command/agent/effect.go
@@ -11,7 +11,7 @@
 )
 
 // Effect is an action that the agent requests: Publish, SendJoin, SendRenew, SendLeave,
-// SendGone, AwaitQuiesced, AwaitShardDrained, AwaitAllDrained, UseTarget, SendCall, IdentifyTarget, AnswerHeartbeat,
+// SendGone, AwaitQuiesced, AwaitShardDrained, AwaitAllDrained, UseTarget, ReportCold, SendCall, IdentifyTarget, AnswerHeartbeat,
 // AskRules, RulesLapsed, RulesRenewed, DrainTarget, DropTarget, Reconnect, TargetReleased, InvariantViolated or Stopped. Effects are
 // carried out in order.
 type Effect interface{ effect() }
@@ -149,6 +149,18 @@
 // Slots returns how many requests the target runs at once, 0 if the rules decide.
 func (e UseTarget) Slots() int { return e.slots }
 
+// ReportCold reports for how long the named target stays cold.
+type ReportCold struct {
+	name string
+	left clock.Millis
+}
+
+// Name returns the name of the target.
+func (e ReportCold) Name() string { return e.name }
+
+// Left returns for how long the target stays cold, 0 if it is warm.
+func (e ReportCold) Left() clock.Millis { return e.left }
+
 // SendCall sends the target a call that grants or releases keys. The result is reported with a
 // CallEnded event.
 type SendCall struct{ call hold.Call }
@@ -241,3 +253,4 @@
 func (AskRules) effect()          {}
 func (RulesLapsed) effect()       {}
 func (RulesRenewed) effect()      {}
+func (ReportCold) effect()        {}
--- a/core/command/agent/heartbeat.go
+++ b/core/command/agent/heartbeat.go
@@ -26,6 +26,8 @@
 	sequence  uint64
 	slots     int
 	phase     TargetPhase
+	coldTime  clock.Millis
+	coldKnown bool
 }
 
 // TargetPhase is the life-cycle phase in a heartbeat: Accepting, Retiring or Exiting.
@@ -64,6 +66,15 @@
 	return h
 }
 
+// WithColdTime adds for how long the target stays cold, 0 if it is warm.
+func (h Heartbeat) WithColdTime(left clock.Millis) Heartbeat {
+	h.coldTime, h.coldKnown = left, true
+	return h
+}
+
+// ColdTime returns for how long the target stays cold, and whether that is known.
+func (h Heartbeat) ColdTime() (clock.Millis, bool) { return h.coldTime, h.coldKnown }
+
 // Name returns the name of the target.
 func (h Heartbeat) Name() string { return h.name }
 
@@ -111,6 +122,7 @@
 		a.lastHeard = heardTarget{name: h.name, startTime: h.startTime}
 	}
 	a.lastHeard.lastSequence, a.lastHeard.heardAt = max(a.lastHeard.lastSequence, h.sequence), a.now
+	defer a.reportCold(h)
 	switch h.phase.(type) {
 	case Accepting:
 		if !a.lastHeard.retiring {
@@ -168,3 +180,10 @@
 	text := a.instance + "\x00" + t.name + "\x00" + strconv.FormatUint(t.startTime, 36)
 	return max(1, xxhash.Sum64String(text))
 }
+
+// reportCold passes on whether the target in use is cold.
+func (a *Agent) reportCold(h Heartbeat) {
+	if h.coldKnown && a.target.service != "" && a.target.name == h.name {
+		a.emit(ReportCold{name: h.name, left: h.coldTime})
+	}
+}
--- a/core/command/eject/eject.go
+++ b/core/command/eject/eject.go
@@ -98,6 +98,8 @@
 	samples             int
 	consecutiveFailures int
 	ejections           int // since the last recovery
+	coldUntil           clock.Millis
+	fullUntil           clock.Millis // while cold it takes no further requests
 }
 
 // Tracker tracks the health of the targets of one service. It is not safe for concurrent use.
@@ -285,7 +287,7 @@
 	if now < p.backoffUntil {
 		share *= backoffShare
 	}
-	return share
+	return share * p.coldShare(now)
 }
 
 // ramp grows linearly from minShare to 1 over the duration.
--- a/core/query/ranges/ranges.go
+++ b/core/query/ranges/ranges.go
@@ -42,6 +42,7 @@
 	keyCount      int
 	now           clock.Millis
 	cellRates     []float64
+	coldRate      float64 // requests per second that a cold target takes, 0 for any number
 	members       []*member
 	eligible      map[table.Incarnation]*member
 	movesInFlight int
@@ -63,7 +64,7 @@
 // there is nothing to grant and nothing to move off ineligible owners.
 func Plan(t *table.Table, v load.View, s rules.Service, o rules.Ordered, now clock.Millis) []logcmd.Command {
 	p := &planner{
-		table: t, view: v, service: s.Name(), keyCount: o.Keys(), now: now,
+		table: t, view: v, service: s.Name(), keyCount: o.Keys(), now: now, coldRate: s.ColdRate(),
 		cellRates: v.CellRates(s.Name()), eligible: map[table.Incarnation]*member{},
 	}
 	p.addMembers()
@@ -105,6 +106,9 @@
 		if m.cost == 0 {
 			m.cost = defaultCost
 		}
+		if _, warming := m.member.Phase().(table.Warming); warming && p.coldRate > 0 {
+			m.cost = max(m.cost, 1/p.coldRate)
+		}
 	}
 	for _, s := range p.table.Spans(p.service) {
 		p.attribute(s)
--- a/core/state/rules/options.go
+++ b/core/state/rules/options.go
@@ -60,3 +60,9 @@
 
 // WithWeights sets the weights of the objectives of placement.
 func WithWeights(weights Weights) Option { return func(s *Service) { s.weights = weights } }
+
+// WithColdStart sets how many requests per second a target takes while it is cold, 0 for any number, and for how long it
+// stays cold after its start.
+func WithColdStart(rate float64, d clock.Millis) Option {
+	return func(s *Service) { s.coldRate, s.coldTime = rate, d }
+}
--- a/core/state/rules/service.go
+++ b/core/state/rules/service.go
@@ -53,6 +53,9 @@
 	hotKeys    int
 
 	weights Weights
+
+	coldRate float64
+	coldTime clock.Millis
 }
 
 // Option sets one property of a Service.
@@ -138,3 +141,10 @@
 
 // Weights returns the weights of the objectives of placement.
 func (s Service) Weights() Weights { return s.weights }
+
+// ColdRate returns how many requests per second a target takes that has just started or lost its caches, 0 if it takes
+// any number.
+func (s Service) ColdRate() float64 { return s.coldRate }
+
+// ColdTime returns for how long a target stays cold after its start, 0 if that is not known.
+func (s Service) ColdTime() clock.Millis { return s.coldTime }
--- a/verbenad/adapt/flood/grants_test.go
+++ b/verbenad/adapt/flood/grants_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"verbenabank/core/clock"
 	"verbenabank/core/command/hold"
 	"verbenabank/verbenad/adapt/grants"
 )
@@ -93,3 +94,5 @@
 	is.True(f.sent.Load() < maxSentBytes)
 	// The growth of memory is only logged here.
 }
+
+func (grantDialect) ColdTime(func(name string) string) (clock.Millis, bool) { return 0, false }
--- a/verbenad/adapt/grants/grants.go
+++ b/verbenad/adapt/grants/grants.go
@@ -14,6 +14,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"verbenabank/core/clock"
 	"verbenabank/core/command/hold"
 	"verbenabank/core/state/rules"
 	"verbenabank/core/state/table"
@@ -52,6 +53,9 @@
 	// ProcessName returns the name of the process that answered a health request, from the header fields of
 	// the response, "" if it does not say it.
 	ProcessName(field func(name string) string) string
+	// ColdTime returns for how long the process that answered a health request stays cold, 0 if it is warm, and
+	// whether the response says it.
+	ColdTime(field func(name string) string) (clock.Millis, bool)
 }
 
 // Client is a client of one process of the target at a time. It is safe for concurrent use.
--- a/verbenad/adapt/grants/process_test.go
+++ b/verbenad/adapt/grants/process_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"verbenabank/core/clock"
 	"verbenabank/core/command/hold"
 	"verbenabank/verbenad/adapt/grants"
 )
@@ -160,3 +161,5 @@
 	calls, _ = p.counts()
 	is.Equal(calls, 1)
 }
+
+func (dialect) ColdTime(func(name string) string) (clock.Millis, bool) { return 0, false }
--- a/verbenad/adapt/jsonc/jsonc.go
+++ b/verbenad/adapt/jsonc/jsonc.go
@@ -62,9 +62,10 @@
 
 func (l loader) options() []config.Option {
 	l.RejectUnknown(withDurations([]string{"instance", "zone", "listen", "replicas", "seeds", "secret_file", "open_network", "control", "tls",
-		"configuration_folder", "log", "target", "lease", "retries", "lasting_rules", "link_mbps", "terms"}, "hold", "drain", "grace")...)
+		"configuration_folder", "log", "target", "lease", "retries", "lasting_rules", "link_mbps", "cold_start", "terms"}, "hold", "drain", "grace")...)
 	opts := []config.Option{config.WithName(l.name("instance"), l.name("zone")), l.authentication(), l.timing(), l.retries(), l.target()}
 	opts = append(opts, config.WithLastingRules(l.Bool("lasting_rules", false)), config.WithLinkMbps(l.Float("link_mbps", 0, maxLinkMbps, 0)))
+	opts = append(opts, l.coldStart())
 	opts = append(opts, config.WithTerms(l.Strings("terms", nil)))
 	opts = append(opts, l.addresses()...)
 	if l.Has("control") {
--- a/verbenad/adapt/jsonc/sections.go
+++ b/verbenad/adapt/jsonc/sections.go
@@ -99,6 +99,19 @@
 		r.Float("allowance", 0, math.MaxInt32, 0), duration(r, "window", minDuration)))
 }
 
+// Highest values of the bound on requests to cold targets.
+const (
+	maxColdOvershoot = 100
+	maxColdSlack     = 10000
+)
+
+// coldStart reads how many requests a cold target may get in a second.
+func (l loader) coldStart() config.Option {
+	r, _ := l.Object("cold_start")
+	r.RejectUnknown("overshoot", "slack")
+	return config.WithColdBound(config.NewColdBound(r.Float("overshoot", 0, maxColdOvershoot, 1), r.Float("slack", 0, maxColdSlack, 0)))
+}
+
 // target reads the service and the address of the local target, so that the daemon knows them
 // before the target announces itself.
 func (l loader) target() config.Option {
--- a/verbenad/adapt/link/uplink.go
+++ b/verbenad/adapt/link/uplink.go
@@ -98,7 +98,7 @@
 	case agent.SendGone:
 		return codec.EncodeGone(e)
 	case agent.Publish, agent.AwaitQuiesced, agent.AwaitShardDrained, agent.AwaitAllDrained, agent.UseTarget, agent.DrainTarget, agent.DropTarget,
-		agent.Reconnect, agent.TargetReleased, agent.InvariantViolated, agent.Stopped, agent.SendCall, agent.AnswerHeartbeat, agent.AskRules, agent.RulesLapsed, agent.RulesRenewed, agent.IdentifyTarget:
+		agent.Reconnect, agent.TargetReleased, agent.InvariantViolated, agent.Stopped, agent.SendCall, agent.AnswerHeartbeat, agent.AskRules, agent.RulesLapsed, agent.RulesRenewed, agent.IdentifyTarget, agent.ReportCold:
 	}
 	return nil
 }
--- a/verbenad/command/ctrl/agent.go
+++ b/verbenad/command/ctrl/agent.go
@@ -45,6 +45,8 @@
 	case agent.UseTarget:
 		l.log.WithField("address", f.Address()).Info("ctrl: target is up")
 		l.target.Use(f)
+	case agent.ReportCold:
+		l.target.ReportCold(f)
 	case agent.SendCall:
 		id := f.Call().ID()
 		l.target.SendCall(f.Call(), func(r hold.Result) { l.Post(NewAgentEvent(agent.NewCallEnded(id, r))) })
--- a/verbenad/command/ctrl/ports.go
+++ b/verbenad/command/ctrl/ports.go
@@ -52,6 +52,8 @@
 type Target interface {
 	// Use directs traffic to a target.
 	Use(t agent.UseTarget)
+	// ReportCold records for how long the target stays cold.
+	ReportCold(r agent.ReportCold)
 	// Drain stops sending requests to the target. Requests in flight continue.
 	Drain()
 	// Drop also cancels the requests in flight.
--- a/verbenad/command/owner/exchange.go
+++ b/verbenad/command/owner/exchange.go
@@ -61,6 +61,7 @@
 	leave             func()
 	admission         admission
 	hasSlot           bool
+	inColdGate        bool
 	submitted         bool
 	releaseOnce       sync.Once // guards the release of a request that was submitted to the target
 	sentAt            clock.Millis
@@ -78,6 +79,10 @@
 		return call.Refuse(reason)
 	}
 	x.owner.countKey(x.request, a.service)
+	if failure, ok := x.enterColdGate(ctx, a.service); !ok {
+		return failure
+	}
+	defer x.leaveColdGate()
 	if failure, ok := x.prefetchBody(ctx, a.service); !ok {
 		return failure
 	}
@@ -108,6 +113,9 @@
 	if reason != "" {
 		return call.Request{}, reason
 	}
+	if reason := x.passColdGate(a.service); reason != "" {
+		return call.Request{}, reason
+	}
 	x.assignID()
 	x.recordDispatch(a)
 	r := x.request
--- a/verbenad/command/owner/owner.go
+++ b/verbenad/command/owner/owner.go
@@ -51,6 +51,7 @@
 	inFlight       *flight.Tracker
 	limiter        *admit.Limiter
 	bodies         bodyLimiter
+	cold           *coldGate
 	closed         atomic.Bool
 	holdOff        atomic.Int64 // in ms
 	attempts       atomic.Uint64
@@ -87,6 +88,7 @@
 		inFlight:        flight.New(),
 		limiter:         newLimiter(),
 		bodies:          bodyLimiter{limiter: newLimiter()},
+		cold:            newColdGate(),
 		meter:           meter.ForPart("owner"),
 		hotKeys:         topk.New(HotCounters),
 		cells:           map[int]uint64{},
@@ -99,6 +101,7 @@
 	for _, f := range opts {
 		f(o)
 	}
+	o.cold.start(o)
 	if o.log != nil {
 		o.requestLog = reqlog.New(o.clock, o.log, "owner")
 	}
@@ -134,7 +137,9 @@
 // SetTarget sets the name of the target and how many requests it runs at once, 0 to use the
 // number of slots in the rules.
 func (o *Owner) SetTarget(name string, slots int) {
-	o.targetName.Store(&name)
+	if previous := o.targetName.Swap(&name); previous != nil && *previous != "" && *previous != name {
+		o.cold.replace()
+	}
 	o.announcedSlots.Store(int64(slots))
 }
 
@@ -164,7 +169,8 @@
 	slots := int(o.announcedSlots.Load())
 	l := o.limiter.TargetLoad()
 	return load.NewBacklog(slots, l.Running(), l.Waiting()).
-		WithWork(l.MeanTime()*clock.Millis(l.Running()+l.Waiting()), l.MeanTime())
+		WithWork(l.MeanTime()*clock.Millis(l.Running()+l.Waiting()), l.MeanTime()).
+		WithCold(o.cold.state())
 }
 
 // InFlight returns the tracker of in-flight requests.
--- a/verbenad/command/relay/balancer.go
+++ b/verbenad/command/relay/balancer.go
@@ -10,6 +10,7 @@
 	"verbenabank/core/query/picker"
 	"verbenabank/core/query/route"
 	"verbenabank/core/state/call"
+	"verbenabank/core/state/load"
 	"verbenabank/core/state/result"
 	"verbenabank/core/state/table"
 )
@@ -83,6 +84,7 @@
 	a := &poolAttempt{balancer: b, tracker: k, member: m.Incarnation(), start: start}
 	return func(reply call.Reply) call.Reply {
 		latency := b.clock.Now() - start
+		a.recordCold(reply)
 		switch reply := reply.(type) {
 		case call.Response:
 			body := &trackedBody{ReadCloser: reply.Body(), attempt: a, completed: responseSample(reply, latency)}
@@ -148,6 +150,23 @@
 	a.tracker.Record(a.member, s, a.balancer.clock.Now())
 }
 
+// recordCold records what the reply says about a cold start of the target.
+func (a *poolAttempt) recordCold(reply call.Reply) {
+	var l load.Backlog
+	switch reply := reply.(type) {
+	case call.Response:
+		l = reply.Backlog()
+	case call.Failure:
+		l = reply.Backlog()
+	}
+	if !l.Known() {
+		return
+	}
+	a.balancer.mu.Lock()
+	defer a.balancer.mu.Unlock()
+	a.tracker.RecordCold(a.member, l.Cold(), a.balancer.clock.Now())
+}
+
 // end stops counting the attempt as in flight.
 func (a *poolAttempt) end() {
 	a.endOnce.Do(func() {
--- a/verbenad/command/serve/options.go
+++ b/verbenad/command/serve/options.go
@@ -49,6 +49,8 @@
 	Heartbeat(h agent.Heartbeat) (grant.Answer, bool)
 	// HeartbeatRejected logs that a heartbeat was not valid.
 	HeartbeatRejected(problem string)
+	// ColdTimeRejected counts a heartbeat whose cold time is not valid. The rest of it is used.
+	ColdTimeRejected()
 	// Propose proposes a configuration until it is decided or ctx ends.
 	Propose(ctx context.Context, r logcmd.SetRules) (fleet.Verdict, error)
 	// Rules returns the rules in force, confirmed by a quorum after the call began. Version 0 means
@@ -67,6 +69,9 @@
 // HeartbeatRejected logs that a heartbeat was not valid.
 func (d *Daemon) HeartbeatRejected(problem string) { d.lifecycle.notice.HeartbeatRejected(problem) }
 
+// ColdTimeRejected counts a heartbeat whose cold time is not valid.
+func (d *Daemon) ColdTimeRejected() { d.owner.RejectColdTime() }
+
 // Propose proposes a configuration to the control group until it is decided or ctx ends.
 func (d *Daemon) Propose(ctx context.Context, r logcmd.SetRules) (fleet.Verdict, error) {
 	return d.controlClient.Propose(ctx, r)
--- a/verbenad/command/serve/target.go
+++ b/verbenad/command/serve/target.go
@@ -82,6 +82,16 @@
 	l.watcher.Watch(t.Address())
 }
 
+// ReportCold records for how long the target stays cold.
+func (l *localTarget) ReportCold(r agent.ReportCold) {
+	if r.Name() == l.current.Name() {
+		l.owner.ReportCold(r.Left())
+	}
+}
+
+// AskCold asks the target for how long it stays cold; done gets its answer.
+func (l *localTarget) AskCold(done func(left clock.Millis, ok bool)) { l.grantClient.AskCold(done) }
+
 // Drain sends no new requests to the target. Those in flight go on, and it can still be asked to release keys.
 func (l *localTarget) Drain() {
 	l.setCurrent(agent.UseTarget{})
--- a/verbenad/command/serve/traffic.go
+++ b/verbenad/command/serve/traffic.go
@@ -7,6 +7,7 @@
 	"verbenabank/core/command/admit"
 	"verbenabank/core/command/agent"
 	"verbenabank/core/command/budget"
+	"verbenabank/core/command/cold"
 	"verbenabank/core/command/lease"
 	"verbenabank/core/query/retry"
 	"verbenabank/core/state/rules"
@@ -31,6 +32,7 @@
 	d.buildTargetClients()
 	options := []owner.Option{
 		owner.WithClock(d.clock), owner.WithStore(d.snapshots), owner.WithTarget(d.target), owner.WithExtender(x),
+		owner.WithColdBound(cold.NewBound(d.settings.Load().ColdBound().Overshoot(), d.settings.Load().ColdBound().Slack()), d.target),
 		owner.WithLog(d.logger()), owner.WithLink(d.settings.Load().LinkMbps(), hop.WindowBytes),
 	}
 	if d.targetDialect != nil {
--- a/verbenad/state/config/options.go
+++ b/verbenad/state/config/options.go
@@ -74,3 +74,6 @@
 
 // WithTerms sets the terms of service of the deployment.
 func WithTerms(names []string) Option { return func(s *Settings) { s.terms = slices.Clone(names) } }
+
+// WithColdBound sets how many requests a cold target may get in a second.
+func WithColdBound(b ColdBound) Option { return func(s *Settings) { s.coldBound = b } }
--- a/verbenad/state/config/settings.go
+++ b/verbenad/state/config/settings.go
@@ -25,6 +25,7 @@
 	timings           Timings
 	retryBudget       RetryBudget
 	linkMbps          float64
+	coldBound         ColdBound
 	openNetwork       bool
 	lastingRules      bool
 	terms             []string
@@ -34,7 +35,7 @@
 
 // New returns settings with opts applied. By default, logs are plain text from level info on.
 func New(opts ...Option) Settings {
-	s := Settings{logLevel: LevelInfo, logFormat: Plain{}}
+	s := Settings{logLevel: LevelInfo, logFormat: Plain{}, coldBound: NewColdBound(1, 0)}
 	for _, o := range opts {
 		o(&s)
 	}
@@ -89,6 +90,9 @@
 // RetryBudget returns the retry budget of the fleet. It is not set if its window is 0.
 func (s Settings) RetryBudget() RetryBudget { return s.retryBudget }
 
+// ColdBound returns how many requests a cold target may get in a second.
+func (s Settings) ColdBound() ColdBound { return s.coldBound }
+
 // LinkMbps returns the bandwidth of the instance's network link in Mbit/s, 0 if it is not known.
 func (s Settings) LinkMbps() float64 { return s.linkMbps }
 
--- a/verbenad/state/config/timings.go
+++ b/verbenad/state/config/timings.go
@@ -111,3 +111,20 @@
 
 // Window returns the length of the window in milliseconds, 0 if no budget is set.
 func (r RetryBudget) Window() clock.Millis { return r.window }
+
+// ColdBound is how many requests a cold target may get in a second.
+type ColdBound struct {
+	overshoot float64
+	slack     float64
+}
+
+// NewColdBound returns a bound of overshoot times the rate that a cold target takes, and slack requests on top.
+func NewColdBound(overshoot, slack float64) ColdBound {
+	return ColdBound{overshoot: overshoot, slack: slack}
+}
+
+// Overshoot returns the multiple of the rate that a cold target takes.
+func (b ColdBound) Overshoot() float64 { return b.overshoot }
+
+// Slack returns the number of requests on top.
+func (b ColdBound) Slack() float64 { return b.slack }
--- a/vscale/command/fake/traffic.go
+++ b/vscale/command/fake/traffic.go
@@ -50,4 +50,5 @@
 func (noTraffic) SendCall(_ hold.Call, done func(hold.Result)) { done(hold.Done{}) }
 
 // Identify says that the process at the target's address is not known.
+func (noTraffic) ReportCold(agent.ReportCold)             {}
 func (noTraffic) Identify(done func(string, hold.Result)) { done("", hold.Unreached{}) }
