--- a/verbenad/adapt/grants/cold.go
+++ b/verbenad/adapt/grants/cold.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return 0, s.unidentified(err)
 	}
-	resp, err := s.client.Do(req)
+	resp, err := s.asker.Do(req)
 	if err != nil {
 		return 0, err
 	}
--- a/verbenad/adapt/grants/process.go
+++ b/verbenad/adapt/grants/process.go
@@ -42,6 +42,7 @@
 	onConnRefused func()
 	transport     *http.Transport
 	client        *http.Client
+	asker         *http.Client // for questions that name the process in their answers
 	open          atomic.Int64 // connections that lead to the process, or may
 }
 
@@ -52,11 +53,18 @@
 		MaxResponseHeaderBytes: maxHeaderBytes, DialContext: s.dial,
 	}
 	s.client = &http.Client{Transport: s.transport}
+	s.asker = &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout, DisableCompression: true,
+		MaxResponseHeaderBytes: maxHeaderBytes, DialContext: s.dialUnidentified,
+	}}
 	return s
 }
 
 // close closes the idle connections. Calls in flight continue.
-func (s *session) close() { s.transport.CloseIdleConnections() }
+func (s *session) close() {
+	s.transport.CloseIdleConnections()
+	s.asker.CloseIdleConnections()
+}
 
 // ended reports whether an error of a call shows that the process has ended: nothing listens at its address any
 // more, or another process does, and no connection to it is left.
@@ -109,6 +117,17 @@
 	return err
 }
 
+// dialUnidentified opens a connection to whatever listens at the address of the process. It says nothing about the end
+// of the process.
+func (s *session) dialUnidentified(ctx context.Context, _, _ string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	c, err := d.DialContext(ctx, "tcp", s.process.address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		s.onConnRefused()
+	}
+	return c, err
+}
+
 // connect opens a connection to whatever listens at the address. It counts as one to the process until it is
 // closed, also while it is not known to lead there.
 func (s *session) connect(ctx context.Context) (net.Conn, error) {
