--- a/verbenad/command/owner/exchange.go
+++ b/verbenad/command/owner/exchange.go
@@ -64,6 +64,7 @@
 	work              *cost.Ticket // nil until the request asks for a slot of the target
 	admission         admission
 	hasSlot           bool
+	inColdGate        bool
 	submitted         bool
 	releaseOnce       sync.Once // guards the release of a request that was submitted to the target
 	sentAt            clock.Millis
@@ -85,6 +86,10 @@
 	if failure, ok := x.arrive(); !ok {
 		return failure
 	}
+	if failure, ok := x.enterColdGate(ctx, a.service); !ok {
+		return failure
+	}
+	defer x.leaveColdGate()
 	if failure, ok := x.prefetchBody(ctx, a.service); !ok {
 		return failure
 	}
@@ -115,6 +120,9 @@
 	if reason != "" {
 		return call.Request{}, reason
 	}
+	if reason := x.passColdGate(a.service); reason != "" {
+		return call.Request{}, reason
+	}
 	x.assignID()
 	x.recordDispatch(a)
 	r := x.request
--- a/verbenad/command/owner/owner.go
+++ b/verbenad/command/owner/owner.go
@@ -55,6 +55,7 @@
 	bodies         bodyLimiter
 	work           *cost.Work
 	report         targetReport
+	cold           *coldGate
 	closed         atomic.Bool
 	holdOff        atomic.Int64 // in ms
 	attempts       atomic.Uint64
@@ -93,6 +94,7 @@
 		limiter:         newLimiter(),
 		bodies:          bodyLimiter{limiter: newLimiter()},
 		work:            cost.NewWork(),
+		cold:            newColdGate(),
 		meter:           meter.ForPart("owner"),
 		hotKeys:         topk.New(HotCounters),
 		cells:           map[int]uint64{},
@@ -105,6 +107,7 @@
 	for _, f := range opts {
 		f(o)
 	}
+	o.cold.start(o)
 	if o.log != nil {
 		o.requestLog = reqlog.New(o.clock, o.log, "owner")
 	}
@@ -143,7 +146,9 @@
 // SetTarget sets the name of the target and how many requests it runs at once, 0 to use the
 // number of slots in the rules.
 func (o *Owner) SetTarget(name string, slots int) {
-	o.targetName.Store(&name)
+	if previous := o.targetName.Swap(&name); previous != nil && *previous != "" && *previous != name {
+		o.cold.replace()
+	}
 	o.announcedSlots.Store(int64(slots))
 }
 
@@ -176,7 +181,7 @@
 	if mean == 0 {
 		mean = l.MeanTime()
 	}
-	return o.report.weighed(load.NewBacklog(slots, l.Running(), l.Waiting()).WithWork(left, mean), now)
+	return o.report.weighed(load.NewBacklog(slots, l.Running(), l.Waiting()).WithWork(left, mean), now).WithCold(o.cold.state())
 }
 
 // InFlight returns the tracker of in-flight requests.
--- a/verbenad/command/relay/balancer.go
+++ b/verbenad/command/relay/balancer.go
@@ -11,6 +11,7 @@
 	"verbenabank/core/query/picker"
 	"verbenabank/core/query/route"
 	"verbenabank/core/state/call"
+	"verbenabank/core/state/load"
 	"verbenabank/core/state/result"
 	"verbenabank/core/state/table"
 )
@@ -95,6 +96,7 @@
 	return func(reply call.Reply) call.Reply {
 		b.work.Record(a.sent, reply, b.clock.Now())
 		latency := b.clock.Now() - start
+		a.recordCold(reply)
 		switch reply := reply.(type) {
 		case call.Response:
 			body := &trackedBody{ReadCloser: reply.Body(), attempt: a, completed: responseSample(reply, latency)}
@@ -161,6 +163,23 @@
 	a.tracker.Record(a.member, s, a.balancer.clock.Now())
 }
 
+// recordCold records what the reply says about a cold start of the target.
+func (a *poolAttempt) recordCold(reply call.Reply) {
+	var l load.Backlog
+	switch reply := reply.(type) {
+	case call.Response:
+		l = reply.Backlog()
+	case call.Failure:
+		l = reply.Backlog()
+	}
+	if !l.Known() {
+		return
+	}
+	a.balancer.mu.Lock()
+	defer a.balancer.mu.Unlock()
+	a.tracker.RecordCold(a.member, l.Cold(), a.balancer.clock.Now())
+}
+
 // end stops counting the attempt as in flight.
 func (a *poolAttempt) end() {
 	a.endOnce.Do(func() {
--- a/verbenad/command/serve/options.go
+++ b/verbenad/command/serve/options.go
@@ -59,6 +59,8 @@
 	Heartbeat(h agent.Heartbeat) (grant.Answer, bool)
 	// HeartbeatRejected logs that a heartbeat was not valid.
 	HeartbeatRejected(problem string)
+	// ColdTimeRejected counts a heartbeat whose cold time is not valid. The rest of it is used.
+	ColdTimeRejected()
 	// Propose proposes a configuration until it is decided or ctx ends.
 	Propose(ctx context.Context, r logcmd.SetRules) (fleet.Verdict, error)
 	// SetZoneDrain drains a zone or ends its drain. It returns when that is decided or ctx ends.
@@ -79,6 +81,9 @@
 // HeartbeatRejected logs that a heartbeat was not valid.
 func (d *Daemon) HeartbeatRejected(problem string) { d.lifecycle.notice.HeartbeatRejected(problem) }
 
+// ColdTimeRejected counts a heartbeat whose cold time is not valid.
+func (d *Daemon) ColdTimeRejected() { d.owner.RejectColdTime() }
+
 // Propose proposes a configuration to the control group until it is decided or ctx ends.
 func (d *Daemon) Propose(ctx context.Context, r logcmd.SetRules) (fleet.Verdict, error) {
 	return d.controlClient.Propose(ctx, r)
--- a/verbenad/command/serve/traffic.go
+++ b/verbenad/command/serve/traffic.go
@@ -7,6 +7,7 @@
 	"verbenabank/core/command/admit"
 	"verbenabank/core/command/agent"
 	"verbenabank/core/command/budget"
+	"verbenabank/core/command/cold"
 	"verbenabank/core/command/lease"
 	"verbenabank/core/query/picker"
 	"verbenabank/core/query/retry"
@@ -33,6 +34,7 @@
 	options := []owner.Option{
 		owner.WithClock(d.clock), owner.WithStore(d.snapshots), owner.WithTarget(d.target), owner.WithExtender(x),
 		owner.WithLog(d.logger()), owner.WithLink(d.settings.Load().LinkMbps(), hop.WindowBytes), owner.WithRooms(d.rooms),
+		owner.WithColdBound(cold.NewBound(d.settings.Load().ColdBound().Overshoot(), d.settings.Load().ColdBound().Slack()), d.target),
 	}
 	if d.targetDialect != nil {
 		options = append(options, owner.WithDialect(d.targetDialect), owner.WithQueueOrder(admit.CostAware{}))
--- a/verbenad/state/config/options.go
+++ b/verbenad/state/config/options.go
@@ -80,3 +80,6 @@
 // WithZoneCost turns on the balancing of pooled services by expected work, and sets the cost of the way to another zone
 // in milliseconds.
 func WithZoneCost(cost clock.Millis) Option { return func(s *Settings) { s.zoneCost = Some(cost) } }
+
+// WithColdBound sets how many requests a cold target may get in a second.
+func WithColdBound(b ColdBound) Option { return func(s *Settings) { s.coldBound = b } }
