Let a share below 1 count as that share of the choices; make the simulation repeatable

The share divided the expected completion. Among nine candidates a target with half a share then got nothing, and all of its load at the end of its ramp, at every entry at once. Now it takes part in as many choices: with a share of 0.2 and the earliest completion of 10 it gets 1530 of 10000 requests.

The work left was summed up in the order of a map, so that runs of the simulation differed; lists make it repeatable.

--- a/core/command/backlog/backlog.go
+++ b/core/command/backlog/backlog.go
@@ -40,6 +40,8 @@
 	// correctionAge is how long a target without requests keeps its correction, which falls linearly: it cannot show
 	// that it has recovered.
 	correctionAge = 5 * clock.Second
+	// assumedSlots is the number of slots of a target without a fresh report, for the requests of this daemon.
+	assumedSlots = 4.0
 	// sweepInterval is the least time between two removals of targets that are no longer used.
 	sweepInterval = clock.Second
 )
@@ -86,7 +88,7 @@
 	if x.fresh(now) {
 		weight = 1 - math.Exp(-float64(max(1, now-x.at))/float64(meanAge))
 	}
-	x.meanWork += weight * (work(b) - x.meanWork)
+	x.meanWork += weight * (workOf(b) - x.meanWork)
 	x.meanRequests += weight * (float64(b.Running()+b.Waiting()) - x.meanRequests)
 	x.last, x.at, x.sentWork, x.sent = b, now, 0, 0
 }
@@ -128,7 +130,7 @@
 	defer t.mu.Unlock()
 	s := Sent{target: i, cost: cost, at: now, predicted: cost}
 	if x := t.target(i, now); x != nil {
-		s.predicted += x.expected(now).Wait()
+		s.predicted += x.wait(now)
 		x.inFlight++
 		x.openSince += float64(now)
 		x.openExpected += s.predicted
@@ -167,6 +169,19 @@
 	return x.expected(now)
 }
 
+// Wait returns the expected time until a slot of the target becomes free, with the correction, and whether a report of
+// the target is fresh enough. It is Expected(i, now).Wait() x Expected(i, now).Correction() in one step.
+func (t *Table) Wait(i table.Incarnation, now clock.Millis) (wait, correction float64, known bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	x, ok := t.targets[i]
+	if !ok {
+		return 0, 1, false
+	}
+	correction = x.correction(now)
+	return x.wait(now) * correction, correction, x.fresh(now)
+}
+
 // Len returns the number of targets that the table knows.
 func (t *Table) Len() int {
 	t.mu.Lock()
@@ -212,20 +227,43 @@
 	return min(maxCorrection, (n*float64(now)-x.openSince)/(x.openExpected*(1+usualRequests/n)))
 }
 
+// correction returns the factor by which estimates for the target are corrected.
+func (x *target) correction(now clock.Millis) float64 {
+	return max(1, x.decayedError(now)-tolerance, x.overdue(now)-tolerance)
+}
+
 func (x *target) expected(now clock.Millis) Expected {
-	e := Expected{inFlight: x.inFlight, sent: x.sent, work: x.sentWork, requests: float64(x.sent), correction: max(1, x.decayedError(now)-tolerance, x.overdue(now)-tolerance)}
-	if !x.fresh(now) {
-		return e
-	}
-	age := float64(max(0, now-x.at))
-	moved := drift * age * float64(x.last.Slots())
-	mean := float64(max(1, x.last.MeanTime()))
-	e.last, e.age = x.last, now-x.at
-	e.work += toward(work(x.last), x.meanWork, moved)
-	e.requests += toward(float64(x.last.Running()+x.last.Waiting()), x.meanRequests, moved/mean)
+	e := Expected{inFlight: x.inFlight, sent: x.sent, correction: x.correction(now), wait: x.wait(now)}
+	e.work, e.requests = x.left(now)
+	if x.fresh(now) {
+		e.last, e.age = x.last, now-x.at
+	}
 	return e
 }
 
+// left returns the expected work left and the expected number of requests.
+func (x *target) left(now clock.Millis) (work, requests float64) {
+	work, requests = x.sentWork, float64(x.sent)
+	if !x.fresh(now) {
+		return work, requests
+	}
+	moved := drift * float64(max(0, now-x.at)) * float64(x.last.Slots())
+	work += toward(workOf(x.last), x.meanWork, moved)
+	requests += toward(float64(x.last.Running()+x.last.Waiting()), x.meanRequests, moved/float64(max(1, x.last.MeanTime())))
+	return work, requests
+}
+
+// wait returns the expected time until a slot becomes free.
+func (x *target) wait(now clock.Millis) float64 {
+	slots := assumedSlots
+	if x.fresh(now) {
+		slots = float64(x.last.Slots())
+	}
+	work, requests := x.left(now)
+	occupied := min(1, requests/slots)
+	return work / slots * occupied * occupied
+}
+
 // toward returns a value moved toward another one by at most distance.
 func toward(from, to, distance float64) float64 {
 	if from < to {
@@ -234,4 +272,4 @@
 	return max(to, from-distance)
 }
 
-func work(b load.Backlog) float64 { return min(float64(b.Work()), maxWork*float64(b.Slots())) }
+func workOf(b load.Backlog) float64 { return min(float64(b.Work()), maxWork*float64(b.Slots())) }
--- a/core/command/backlog/expected.go
+++ b/core/command/backlog/expected.go
@@ -5,9 +5,6 @@
 	"verbenabank/core/state/load"
 )
 
-// assumedSlots is the number of slots of a target without a fresh report, for the requests of this daemon.
-const assumedSlots = 4
-
 // Expected is what a target is expected to have left to do.
 type Expected struct {
 	last     load.Backlog
@@ -17,6 +14,7 @@
 	sent     int
 	inFlight int
 
+	wait       float64
 	correction float64
 }
 
@@ -51,11 +49,4 @@
 // Wait returns the expected time in milliseconds until a slot of the target becomes free for one more request. It is
 // the work left divided over the slots, weighted by how full they are: the fuller they are, the more likely is a wait
 // though a slot was free when the report was made.
-func (e Expected) Wait() float64 {
-	slots := float64(e.Slots())
-	if !e.Known() {
-		slots = assumedSlots
-	}
-	occupied := min(1, e.requests/slots)
-	return e.work / slots * occupied * occupied
-}
+func (e Expected) Wait() float64 { return e.wait }
--- a/core/command/balance/balance.go
+++ b/core/command/balance/balance.go
@@ -90,9 +90,8 @@
 		if s.Share() <= 0 {
 			return picker.Prospect{}
 		}
-		x := e.backlogs.Expected(m.Incarnation(), now)
-		time := e.costs.Time(m.Incarnation(), expected) * x.Correction()
-		return picker.NewProspect(x.Wait()*x.Correction(), time, x.Known()).
+		wait, correction, known := e.backlogs.Wait(m.Incarnation(), now)
+		return picker.NewProspect(wait, e.costs.Time(m.Incarnation(), expected)*correction, known).
 			WithWay(r.way(m, zoneCost)).WithHealth(s.ErrorRate(), s.Share())
 	}, randIntN)
 }
--- a/core/command/cost/work.go
+++ b/core/command/cost/work.go
@@ -1,6 +1,7 @@
 package cost
 
 import (
+	"slices"
 	"sync"
 
 	"verbenabank/core/clock"
@@ -16,12 +17,18 @@
 	model *Model
 
 	mu      sync.Mutex
-	waiting map[Class]int
-	running map[*Ticket]struct{}
+	waiting []classCount
+	running []*Ticket
+}
+
+// classCount is the number of waiting requests of a class.
+type classCount struct {
+	class Class
+	n     int
 }
 
 // NewWork returns the work left of a target without requests.
-func NewWork() *Work { return &Work{model: New(), waiting: map[Class]int{}, running: map[*Ticket]struct{}{}} }
+func NewWork() *Work { return &Work{model: New()} }
 
 // Ticket is one request, waiting until Start and running from then on.
 type Ticket struct {
@@ -35,7 +42,11 @@
 func (w *Work) Enter(c Class) *Ticket {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.waiting[c]++
+	if i := w.waitingIndex(c); i >= 0 {
+		w.waiting[i].n++
+	} else {
+		w.waiting = append(w.waiting, classCount{class: c, n: 1})
+	}
 	return &Ticket{class: c}
 }
 
@@ -49,17 +60,22 @@
 	}
 	if t.started == 0 {
 		w.stopWaiting(t.class)
-		w.running[t] = struct{}{}
+		w.running = append(w.running, t)
 	}
 	t.started = now
 }
 
 func (w *Work) stopWaiting(c Class) {
-	if w.waiting[c]--; w.waiting[c] <= 0 {
-		delete(w.waiting, c)
+	i := w.waitingIndex(c)
+	if w.waiting[i].n--; w.waiting[i].n == 0 {
+		w.waiting = slices.Delete(w.waiting, i, i+1)
 	}
 }
 
+func (w *Work) waitingIndex(c Class) int {
+	return slices.IndexFunc(w.waiting, func(x classCount) bool { return x.class == c })
+}
+
 // Answered records the time that the request took, and returns it. It must be called only for requests that the
 // target has run without an error: others say little about the cost.
 func (w *Work) Answered(t *Ticket, now clock.Millis) clock.Millis {
@@ -89,7 +105,9 @@
 		w.stopWaiting(t.class)
 		return
 	}
-	delete(w.running, t)
+	if i := slices.Index(w.running, t); i >= 0 {
+		w.running = slices.Delete(w.running, i, i+1)
+	}
 	if t.done {
 		return
 	}
@@ -106,13 +124,13 @@
 	defer w.mu.Unlock()
 	var sum, times float64
 	n := len(w.running)
-	for c, waiting := range w.waiting {
-		time := w.model.Time(local, w.model.Estimate(c))
-		sum += time * float64(waiting)
-		times += time * float64(waiting)
-		n += waiting
+	for _, c := range w.waiting {
+		time := w.model.Time(local, w.model.Estimate(c.class)) * float64(c.n)
+		sum += time
+		times += time
+		n += c.n
 	}
-	for t := range w.running {
+	for _, t := range w.running {
 		e := w.model.Estimate(t.class)
 		speed := w.model.Speed(local, e)
 		sum += w.model.Remaining(t.class, float64(now-t.started)*speed) / speed
--- a/core/query/picker/earliest.go
+++ b/core/query/picker/earliest.go
@@ -1,6 +1,10 @@
 package picker
 
-import "verbenabank/core/state/table"
+import (
+	"slices"
+
+	"verbenabank/core/state/table"
+)
 
 const (
 	// nearChoices and allChoices are how many random targets near by and anywhere are compared. The figures of targets
@@ -53,16 +57,16 @@
 	if !p.known {
 		wait += min(unknownFactor*usualWait, p.time)
 	}
-	return (p.way + (wait+p.time+p.errorRate*errorPenalty)/success/success) / p.share
+	return p.way + (wait+p.time+p.errorRate*errorPenalty)/success/success
 }
 
 // PickEarliest chooses the member with the earliest expected completion among some random ones of near, a subset of
-// all, some of all, and own, which holds the target of this instance if it is a candidate. Members with share 0 are
-// skipped. It reports false if every share is 0.
+// all, some of all, and own, which holds the target of this instance if it is a candidate. A member with a
+// share below 1 takes part in as many choices. It reports false if every share is 0.
 func PickEarliest(own, near, all []table.Member, prospectOf func(*table.Member) Prospect, randIntN func(n int) int) (table.Member, bool) {
 	var c choice
 	for i := range own[:min(1, len(own))] {
-		c.add(&own[i], prospectOf(&own[i]))
+		c.add(&own[i], prospectOf(&own[i]), randIntN)
 	}
 	c.sample(near, nearChoices, prospectOf, randIntN)
 	c.sample(all, allChoices, prospectOf, randIntN)
@@ -72,21 +76,29 @@
 	return *c.earliest(), true
 }
 
-// choice is the set of members that are compared.
+// choice is the set of members that are compared, and the incarnations of all that were considered.
 type choice struct {
-	members   [1 + nearChoices + allChoices]*table.Member
-	prospects [1 + nearChoices + allChoices]Prospect
-	n         int
+	members     [1 + nearChoices + allChoices]*table.Member
+	prospects   [1 + nearChoices + allChoices]Prospect
+	n           int
+	seen        [1 + 2*maxSamples]table.Incarnation
+	seenMembers int
 }
 
-func (c *choice) add(m *table.Member, p Prospect) {
-	if p.share > 0 {
+// shareSteps is the number of steps in which shares below 1 are told apart.
+const shareSteps = 1000
+
+// add adds the member with a probability of its share.
+func (c *choice) add(m *table.Member, p Prospect, randIntN func(n int) int) {
+	c.seen[c.seenMembers] = m.Incarnation()
+	c.seenMembers++
+	if p.share >= 1 || (p.share > 0 && float64(randIntN(shareSteps)) < p.share*shareSteps) {
 		c.members[c.n], c.prospects[c.n] = m, p
 		c.n++
 	}
 }
 
-// sample adds up to n random members of the list with a share above 0.
+// sample adds up to n random members of the list.
 func (c *choice) sample(list []table.Member, n int, prospectOf func(*table.Member) Prospect, randIntN func(n int) int) {
 	if len(list) == 0 {
 		return
@@ -95,18 +107,13 @@
 	for i := 0; i < maxSamples && c.n-added < n; i++ {
 		m := &list[randIntN(len(list))]
 		if !c.has(m.Incarnation()) {
-			c.add(m, prospectOf(m))
+			c.add(m, prospectOf(m), randIntN)
 		}
 	}
 }
 
 func (c *choice) has(i table.Incarnation) bool {
-	for _, m := range c.members[:c.n] {
-		if m.Incarnation() == i {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(c.seen[:c.seenMembers], i)
 }
 
 func (c *choice) earliest() *table.Member {
--- a/core/query/picker/picker_test.go
+++ b/core/query/picker/picker_test.go
@@ -61,3 +61,34 @@
 	_, ok = picker.Pick(nil, all, func(table.Member) picker.Stats { return picker.NewStats(0, 0, 0) }, random.IntN)
 	is.True(!ok)
 }
+
+// TestShareIsThatOfChoices has one target with a share of 0.2, one of 0, and a slow one, which a share must not hide.
+func TestShareIsThatOfChoices(t *testing.T) {
+	is := is.New(t)
+	all := members("z", 1, 10)
+	random := rand.New(rand.NewPCG(1, 2))
+	prospect := func(m *table.Member) picker.Prospect {
+		switch m.Incarnation() {
+		case 1:
+			return picker.NewProspect(0, 1, true).WithHealth(0, 0.2)
+		case 2:
+			return picker.Prospect{}
+		case 3:
+			return picker.NewProspect(0, 10, true).WithHealth(0.8, 1)
+		}
+		return picker.NewProspect(0, 10, true)
+	}
+	counts := map[table.Incarnation]int{}
+	for range 10_000 {
+		m, ok := picker.PickEarliest(nil, all, all, prospect, random.IntN)
+		is.True(ok)
+		counts[m.Incarnation()]++
+	}
+	t.Logf("share 0.2: %d, ejected: %d, failing: %d of 10000", counts[1], counts[2], counts[3])
+	is.True(counts[1] > 1000 && counts[1] < 2500)
+	is.Equal(counts[2]+counts[3], 0)
+	_, ok := picker.PickEarliest(nil, nil, all[1:2], prospect, random.IntN)
+	is.True(!ok)
+	_, ok = picker.PickEarliest(nil, nil, nil, prospect, random.IntN)
+	is.True(!ok)
+}
