Keep the wait of outer requests, and the gate open for targets that shed by themselves

The wait is as before again, only the stay in the queue ends with the latency goal; refusals by a target itself do not count as lack of room.

--- a/core/command/room/place.go
+++ b/core/command/room/place.go
@@ -26,11 +26,6 @@
 	// remains.
 	callWaitDivisor = 2
 	minCallWait     = 50 * clock.Millisecond
-	// An outer request may wait for what its latency goal leaves after serviceNumerator/serviceDenominator mean service
-	// times, since many take longer than the mean, and for minOuterWait if less remains.
-	serviceNumerator   = 3
-	serviceDenominator = 2
-	minOuterWait       = 20 * clock.Millisecond
 )
 
 // Place is the place of a request in the queue of a target.
@@ -55,9 +50,9 @@
 }
 
 // For returns the place of an arrival whose deadline is left milliseconds away; without an arrival it stays as it is.
-// Calls go first, and may wait while they can be done by their deadline. Outer requests are
-// refused if they would miss their latency goal, and leave the queue when they do, however often they were overtaken:
-// holding them longer delays the refusal and their return.
+// Calls go first, and may wait while they can be done by their deadline. Outer requests leave the
+// queue when they would miss their latency goal, however often they were overtaken: holding them longer delays the
+// refusal and their return.
 func (p Place) For(a Arrival, left clock.Millis) Place {
 	if a == nil {
 		return p
@@ -66,7 +61,6 @@
 	case Call:
 		p.rank, p.wait = callRank, max(minCallWait, left/callWaitDivisor)
 	case Outer, Turned:
-		p.wait = min(p.wait, max(minOuterWait, p.goal-p.mean*serviceNumerator/serviceDenominator))
 		p.stay = min(p.stay, max(p.wait, p.goal-p.mean))
 	}
 	return p
--- a/verbenad/command/rooms/rooms.go
+++ b/verbenad/command/rooms/rooms.go
@@ -165,7 +165,7 @@
 	if !r.calls[class] {
 		return
 	}
-	lost := lacksRoom(o)
+	lost := lacksRoom(o) && !sent(o)
 	if lost {
 		r.meter.Add("calls_refused", 1)
 	}
@@ -189,6 +189,13 @@
 	return false
 }
 
+// sent reports whether a target itself refused the request. A target that refuses while its daemon finds room has a fault,
+// and fewer outer requests would not end it.
+func sent(o result.Outcome) bool {
+	f, refused := o.(result.Refused)
+	return refused && f.Sent()
+}
+
 // SpreadOut returns the refusal with a time after which the caller returns that differs from one caller to the next, so
 // that those refused together don't return together.
 func SpreadOut(o result.Refused) result.Refused {
