--- a/verbenad/command/serve/serve.go
+++ b/verbenad/command/serve/serve.go
@@ -15,6 +15,7 @@
 
 	"verbenabank/core/clock"
 	"verbenabank/core/command/agent"
+	"verbenabank/core/command/leader"
 	"verbenabank/core/query/picker"
 	"verbenabank/core/state/logcmd"
 	"verbenabank/core/state/rules"
@@ -55,6 +56,7 @@
 	grantDialect    grants.Dialect
 	balancing       picker.Policy
 	registerAdmin   func(r fiber.Router, api AdminAPI)
+	leaderOptions   []leader.Option
 	stopping        atomic.Bool
 	droppedLogLines func() int64
 	clock           *clock.Clock
@@ -184,7 +186,7 @@
 		if err != nil {
 			return err
 		}
-		options = append(options, o)
+		options = append(options, o, ctrl.WithLeaderOptions(d.leaderOptions...))
 	}
 	d.loop = ctrl.New(options...)
 	return nil
