Let the way to another zone cost by the bytes of request and response

Each request paid the same for another zone, so that small calls between targets stayed with slow targets near by while the requests that made them held a slot.

--- a/core/command/balance/balance.go
+++ b/core/command/balance/balance.go
@@ -64,6 +64,7 @@
 			e.costs.Observe(s.target, s.class, float64(b.Served()), now)
 		}
 		if !result.NewAnswered(reply.Status()).Failed() {
+			e.costs.ObserveLength(s.class, reply.Length())
 			e.backlogs.Replied(s.sent, now)
 		}
 	case call.Failure:
@@ -84,7 +85,7 @@
 		e.backlogs.Record(r.own[0].Incarnation(), e.ownBacklog(), now)
 	}
 	expected := e.costs.Estimate(r.class)
-	zoneCost := r.zoneCost(float64(p.ZoneCost()), expected.Mean())
+	way := r.wayTo(expected, p.ZoneCost())
 	return picker.PickEarliest(r.own, r.near, r.all, func(m *table.Member) picker.Prospect {
 		s := statsOf(*m)
 		if s.Share() <= 0 {
@@ -92,6 +93,6 @@
 		}
 		wait, correction, known := e.backlogs.Wait(m.Incarnation(), now)
 		return picker.NewProspect(wait, e.costs.Time(m.Incarnation(), expected)*correction, known).
-			WithWay(r.way(m, zoneCost)).WithHealth(s.ErrorRate(), s.Share())
+			WithWay(way.cost(m)).WithHealth(s.ErrorRate(), s.Share())
 	}, randIntN)
 }
--- a/core/command/balance/request.go
+++ b/core/command/balance/request.go
@@ -3,6 +3,7 @@
 import (
 	"verbenabank/core/clock"
 	"verbenabank/core/command/cost"
+	"verbenabank/core/query/picker"
 	"verbenabank/core/state/table"
 )
 
@@ -11,8 +12,8 @@
 	hopCost = 1.0
 	// linkBytes is how many bytes of a body the link of an instance carries in a millisecond.
 	linkBytes = 1 << 10
-	// zoneBytes is how many bytes of a body cost as much on the way to another zone as a request without one.
-	zoneBytes = 16 << 10
+	// overheadBytes is the size of the messages between daemons for one request, without the bodies.
+	overheadBytes = 600
 	// unknownBytes is the assumed size of a body of unknown length.
 	unknownBytes = 64 << 10
 	// goalDivisor is the part of the time to the latency goal, less the expected cost, that the way to another zone may
@@ -55,24 +56,39 @@
 // Class returns the class of the request.
 func (r Request) Class() cost.Class { return r.class }
 
-// zoneCost returns the cost of the way to another zone for a request of the expected cost: at most limit, and less
-// the less time is left for a wait.
-func (r Request) zoneCost(limit, expected float64) float64 {
-	if r.goal == 0 {
-		return limit
+// way is the cost of the ways to targets and back in milliseconds.
+type way struct {
+	own  table.Incarnation // the target of this instance, 0 if it is not a candidate
+	zone string
+	near float64
+	far  float64
+}
+
+// wayTo returns the cost of the ways. The bodies of the request and of the response cross the links of two instances and,
+// in another zone, those between the zones, which carry less. The less time is left for a wait, the less the latter may
+// cost.
+func (r Request) wayTo(expected cost.Estimate, zoneCost clock.Millis) way {
+	bytes := overheadBytes + r.bytes + expected.ResponseLength()
+	w := way{zone: r.zone, near: hopCost + bytes/linkBytes}
+	if len(r.own) > 0 {
+		w.own = r.own[0].Incarnation()
 	}
-	return min(limit, max(0, r.goal-expected)/goalDivisor)
+	between := float64(zoneCost) * bytes / picker.ZoneCostBytes
+	if r.goal > 0 {
+		between = min(between, max(0, r.goal-expected.Mean())/goalDivisor)
+	}
+	w.far = w.near + between
+	return w
 }
 
-// way returns the cost of the way to the member and back in milliseconds. The body crosses the links of two instances
-// and, in another zone, those between the zones, which carry less.
-func (r Request) way(m *table.Member, zoneCost float64) float64 {
-	if len(r.own) > 0 && m.Incarnation() == r.own[0].Incarnation() {
+// cost returns the cost of the way to the member.
+func (w way) cost(m *table.Member) float64 {
+	switch {
+	case m.Incarnation() == w.own:
 		return 0
+	case m.Zone() == w.zone:
+		return w.near
+	default:
+		return w.far
 	}
-	hop := hopCost + r.bytes/linkBytes
-	if m.Zone() == r.zone {
-		return hop
-	}
-	return hop + zoneCost*(1+r.bytes/zoneBytes)
 }
--- a/core/command/balance/sim_test.go
+++ b/core/command/balance/sim_test.go
@@ -144,7 +144,7 @@
 	case picker.LeastLatency:
 		m, _ = picker.Pick(e.near, e.members, stats, s.random.IntN)
 	case picker.ExpectedWork:
-		m, _ = e.work.Pick(p, balance.NewRequest(c, 0).WithCandidates(e.zone, nil, e.near, e.members), stats, now, s.random.IntN)
+		m, _ = e.work.Pick(p, balance.NewRequest(c, picker.ZoneCostBytes).WithCandidates(e.zone, nil, e.near, e.members), stats, now, s.random.IntN)
 	}
 	j := &job{class: c, cost: amount, entry: e, server: s.targets[m.Incarnation()-1], sent: e.work.Send(m.Incarnation(), c, now)}
 	e.tracker.Begin(m.Incarnation())
--- a/core/command/cost/cost.go
+++ b/core/command/cost/cost.go
@@ -113,6 +113,15 @@
 	return s
 }
 
+// ObserveLength records the length in bytes of the body of a response to a request of the class.
+func (m *Model) ObserveLength(c Class, bytes int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if h, ok := m.classes[c]; ok && bytes >= 0 {
+		h.length += (float64(bytes) - h.length) / recentSamples
+	}
+}
+
 // Mean returns the expected cost of a request of the class in milliseconds.
 func (m *Model) Mean(c Class) float64 {
 	m.mu.Lock()
@@ -144,10 +153,14 @@
 
 // Estimate is the expected cost of requests of one class at one instant, for comparisons between targets.
 type Estimate struct {
-	mean float64
-	all  speed
+	mean   float64
+	length float64
+	all    speed
 }
 
+// ResponseLength returns the expected length of the body of the response in bytes.
+func (e Estimate) ResponseLength() float64 { return e.length }
+
 // Mean returns the expected cost in milliseconds.
 func (e Estimate) Mean() float64 { return e.mean }
 
@@ -159,6 +172,9 @@
 	if s, ok := m.services[c.service]; ok {
 		e.all = s.all
 	}
+	if h, ok := m.classes[c]; ok {
+		e.length = h.length
+	}
 	return e
 }
 
--- a/core/command/cost/histogram.go
+++ b/core/command/cost/histogram.go
@@ -23,6 +23,7 @@
 	total   float64
 	sum     float64
 	recent  float64 // moving average over recentSamples
+	length  float64 // the same of the bytes of the response
 }
 
 func bucketOf(cost float64) int {
