Report backlogs of targets that announce no slots

A target that announces no slots had no known backlog, so that nothing but the requests in flight counted for it. The limit that its requests use is reported. A request that a full table did not count is not discounted from another.

--- a/core/command/backlog/backlog.go
+++ b/core/command/backlog/backlog.go
@@ -93,7 +93,8 @@
 	x.last, x.at, x.sentWork, x.sent = b, now, 0, 0
 }
 
-// Sent is a request that this daemon has sent to a target. Done must be called with it when the request has ended.
+// Sent is a request that this daemon has sent to a target. Done must be called with it when the request has ended. The
+// zero value stands for a request that is not counted, since the table was full.
 type Sent struct {
 	target table.Incarnation
 	cost   float64
@@ -128,15 +129,16 @@
 func (t *Table) Sent(i table.Incarnation, cost float64, now clock.Millis) Sent {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := Sent{target: i, cost: cost, at: now, predicted: cost}
-	if x := t.target(i, now); x != nil {
-		s.predicted += x.wait(now)
-		x.inFlight++
-		x.openSince += float64(now)
-		x.openExpected += s.predicted
-		x.sent++
-		x.sentWork += cost
+	x := t.target(i, now)
+	if x == nil {
+		return Sent{}
 	}
+	s := Sent{target: i, cost: cost, at: now, predicted: cost + x.wait(now)}
+	x.inFlight++
+	x.openSince += float64(now)
+	x.openExpected += s.predicted
+	x.sent++
+	x.sentWork += cost
 	return s
 }
 
--- a/verbenad/command/owner/exchange.go
+++ b/verbenad/command/owner/exchange.go
@@ -121,7 +121,9 @@
 // acquireSlot waits for a slot of the target and reports whether the request may go on.
 func (x *exchange) acquireSlot(ctx context.Context, s rules.Service) (call.Failure, bool) {
 	x.work = x.owner.work.Enter(cost.NewClass(x.request.Service(), x.request.Class(), x.request.Method(), x.request.BodyLength()))
-	failure, held := x.enqueue(ctx, s, x.owner.limiter, x.owner.slots(s), x.enteredAt+x.request.LatencyGoal())
+	slots := x.owner.slots(s)
+	x.owner.usedSlots.Store(int64(slots))
+	failure, held := x.enqueue(ctx, s, x.owner.limiter, slots, x.enteredAt+x.request.LatencyGoal())
 	x.hasSlot = held
 	return failure, failure.Outcome() == nil
 }
--- a/verbenad/command/owner/owner.go
+++ b/verbenad/command/owner/owner.go
@@ -48,6 +48,7 @@
 	extender       Extender
 	dialect        Dialect
 	announcedSlots atomic.Int64 // 0 if the target announced none
+	usedSlots      atomic.Int64 // concurrency limit of the last request, 0 before the first one
 	targetName     atomic.Pointer[string]
 	inFlight       *flight.Tracker
 	limiter        *admit.Limiter
@@ -140,6 +141,7 @@
 func (o *Owner) SetTarget(name string, slots int) {
 	o.targetName.Store(&name)
 	o.announcedSlots.Store(int64(slots))
+	o.usedSlots.Store(0)
 }
 
 // slots returns the concurrency limit of the target.
@@ -165,7 +167,10 @@
 
 // Backlog returns what the target has left to do, as this daemon counts it.
 func (o *Owner) Backlog() load.Backlog {
-	slots, now := int(o.announcedSlots.Load()), o.clock.Now()
+	slots, now := int(o.usedSlots.Load()), o.clock.Now()
+	if slots == 0 {
+		slots = int(o.announcedSlots.Load())
+	}
 	l := o.limiter.TargetLoad()
 	left, mean := o.work.Left(now)
 	if mean == 0 {
