Test cold starts: restarts, crowds of entries, services without a rate

A daemon that is started beside a target counts a full second of its predecessor's requests, which the first answer of a warm target lifts.

--- a/core/command/cold/cold.go
+++ b/core/command/cold/cold.go
@@ -26,6 +26,8 @@
 	maxOvertaking = 20 * clock.Millisecond
 	// askAgainAfter is the pause after a question to the target that was not answered.
 	askAgainAfter = 250 * clock.Millisecond
+	// askShare is the share of the limit from which on the target is asked for its state.
+	askShare = 0.85
 	// reserved is the part of the bound that is not used, in requests: questions to the target may count.
 	reserved = 1
 	// maxLimit bounds the memory of a limiter.
@@ -101,9 +103,10 @@
 	return l
 }
 
-// setLimit sets the limit, and counts as many requests at the instant.
-func (l *Limiter) setLimit(limit int, longest, at clock.Millis) {
+// setLimit sets the limit, and counts as many requests that the target received just before now.
+func (l *Limiter) setLimit(limit int, longest, now clock.Millis) {
 	l.longest, l.next = longest, 0
+	at := now - maxOvertaking
 	l.sent = make([]clock.Millis, limit)
 	for i := range l.sent {
 		l.sent[i] = at
@@ -204,7 +207,7 @@
 // Ask reports whether the target is to be asked now whether it is cold, and counts the question as a request. Answered
 // or Failed must follow.
 func (l *Limiter) Ask(now clock.Millis) bool {
-	unknown := l.warmAt == never || l.counted(now)*3 >= len(l.sent)*2
+	unknown := l.warmAt == never || float64(l.counted(now)) >= askShare*float64(len(l.sent))
 	if l.asking || l.isCold(now) || now-l.failedAt < askAgainAfter || !unknown {
 		return false
 	}
--- a/verbenad/command/owner/cold.go
+++ b/verbenad/command/owner/cold.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"verbenabank/core/clock"
 	"verbenabank/core/command/cold"
@@ -169,7 +168,11 @@
 // enterColdGate decides whether the request may wait for a slot of a target that may be cold. If that depends on whether
 // the target is warm, it waits for the answer for a short time.
 func (x *exchange) enterColdGate(ctx context.Context, s rules.Service) (call.Failure, bool) {
-	end := min(x.enteredAt+maxProofWait, x.deadline)
+	if s.ColdRate() <= 0 {
+		return call.Failure{}, true
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(maxProofWait, x.deadline-x.enteredAt).Duration())
+	defer cancel()
 	for {
 		news := x.owner.cold.changed()
 		var v cold.Verdict = cold.Admitted{}
@@ -180,27 +183,15 @@
 		case cold.Refused:
 			return x.refuseCold(v.RetryAfter()), false
 		case cold.Unproven:
-			left := end - x.owner.clock.Now()
-			if left <= 0 || !awaitNews(ctx, news, min(left, v.RetryAfter())) {
+			select {
+			case <-news:
+			case <-ctx.Done():
 				return x.refuseCold(v.RetryAfter()), false
 			}
 		}
 	}
 }
 
-// awaitNews waits for the channel to be closed or the time to pass, and reports false if ctx ended before.
-func awaitNews(ctx context.Context, news <-chan struct{}, limit clock.Millis) bool {
-	timer := time.NewTimer(limit.Duration())
-	defer timer.Stop()
-	select {
-	case <-news:
-	case <-timer.C:
-	case <-ctx.Done():
-		return false
-	}
-	return true
-}
-
 // refuseCold refuses the request, since the target is cold or may be.
 func (x *exchange) refuseCold(retryAfter clock.Millis) call.Failure {
 	x.inColdGate = false
