Ignore late heartbeats as a proof of warm targets, and document cold starts

Heartbeats that waited on the way, at a frozen daemon or in a zone without power, arrive after a silence or together. They say what was true before. Only one that comes in time after another shows that the target is warm; the tests send both kinds.

--- a/core/command/agent/answer_test.go
+++ b/core/command/agent/answer_test.go
@@ -156,3 +156,25 @@
 	h.is.Equal(h.answers()[0].ID(), uint64(5))
 	h.is.Equal(h.answers()[0].Answer(), grant.Nothing{})
 }
+
+// TestColdTimesOfTheTargetInUseAreReported guards against a limit that follows the heartbeats of another target, or late
+// ones.
+func TestColdTimesOfTheTargetInUseAreReported(t *testing.T) {
+	h := newOrderedHarness(t)
+	beat := func(name string, sequence uint64) Heartbeat {
+		return NewHeartbeat(name, 7, sequence, Accepting{}).WithService(orderedService, "1.2.3.4:5", 9).WithID(sequence)
+	}
+	h.step(beat("t", 2))
+	_, ok := find[ReportCold](h)
+	h.is.True(!ok)
+	h.step(beat("t", 4).WithColdTime(900))
+	r, ok := find[ReportCold](h)
+	h.is.True(ok)
+	h.is.Equal(r.Left(), clock.Millis(900))
+	h.step(beat("t", 3).WithColdTime(1700))
+	_, ok = find[ReportCold](h)
+	h.is.True(!ok)
+	h.step(beat("u", 5).WithColdTime(1700))
+	_, ok = find[ReportCold](h)
+	h.is.True(!ok)
+}
--- a/core/command/cold/cold.go
+++ b/core/command/cold/cold.go
@@ -19,9 +19,11 @@
 	// maxSendDelay is how much later than it was counted a request may reach the target.
 	maxSendDelay = 150 * clock.Millisecond
 	// maxReportDelay is how long before its arrival a heartbeat may have been written, unless its target was silent.
-	maxReportDelay = 150 * clock.Millisecond
+	maxReportDelay = 200 * clock.Millisecond
 	// maxSilence is the time without a heartbeat after which the next one may be late and is no proof of a warm target.
 	maxSilence = 1500 * clock.Millisecond
+	// minReportGap is the least time between two heartbeats that count: those that waited on the way arrive together.
+	minReportGap = 400 * clock.Millisecond
 	// maxOvertaking is how much later than a question that was sent after it a request may reach the target.
 	maxOvertaking = 20 * clock.Millisecond
 	// askAgainAfter is the pause after a question to the target that was not answered.
@@ -192,16 +194,18 @@
 func (l *Limiter) isCold(now clock.Millis) bool { return now < l.coldUntil }
 
 // Report records a heartbeat that names the time for which the target stays cold, 0 if it is warm. The heartbeat of a
-// target that was silent may have waited on the way: only Answered shows then that it is warm.
+// target that was silent may have waited on the way: only Answered, or the next one in time, shows then that it is warm.
 func (l *Limiter) Report(left, now clock.Millis) {
-	silent := now-l.heardAt > maxSilence
-	l.heardAt = now
+	gap := now - l.heardAt
 	switch {
 	case left > 0:
 		l.setCold(left, now)
-	case !silent && now-maxReportDelay > l.foundCold:
+	case gap < minReportGap:
+		return
+	case gap <= maxSilence:
 		l.setWarm(now - maxReportDelay)
 	}
+	l.heardAt = now
 }
 
 // Ask reports whether the target is to be asked now whether it is cold, and counts the question as a request. Answered
