Show that crowds of clients exhaust the memory of a daemon

Cause: the limits of callers bound the bytes of a head, a body and an answer, and the requests of one connection, but nothing bounds what they cost in memory, or their sum over connections.

Change: process tests in vload/crowd that start the system's own processes on loopback addresses and press on one of them: heads of 8,000 bytes with 1,989 lines at both fronts and on the path between daemons, heartbeats and configurations of very many parts, answers of very many lines, heads that never end, and answers that nobody reads. They check that the process lives, that VmHWM and open descriptors stay within a machine of 184 MB and 4,100 descriptors, and that an ordinary request is answered afterwards. No product code is changed. make test runs them last, alone. TestSlowHeads covers both fronts.

--- a/Makefile
+++ b/Makefile
@@ -14,11 +14,14 @@
 # The process tests start many processes and check time limits, so they run alone.
 PROCESS := verbenabank/vload/proof
 SOAK := verbenabank/platform/soak
-PACKAGES = $(shell go list $(ALL) | grep -v -e '^$(PROCESS)$$' -e '^$(SOAK)$$')
+# The crowd tests press on processes until these refuse, so they run last and one at a time.
+CROWD := verbenabank/vload/crowd
+PACKAGES = $(shell go list $(ALL) | grep -v -e '^$(PROCESS)$$' -e '^$(SOAK)$$' -e '^$(CROWD)$$')
 
 test: build
 	scripts/tested -count=1 -timeout 300s -p 4 $(PACKAGES)
 	scripts/tested -count=1 -timeout 300s -parallel 4 $(PROCESS)
+	scripts/tested -count=1 -timeout 600s -v $(CROWD)
 
 # Soak test of the platform's daemons. It runs one seed unless SOAK_SEED and SOAK_RUNS are set.
 platform-soak:
