Bound what a process holds for others by a memory budget

Cause: limits counted bytes on the wire for each connection. A header line of three bytes costs hundreds of bytes when parsed, forwarded and sent; pools and idle connections kept the largest arrays; the sum over connections, pipelined requests, answers and forwarded requests had no bound.

Change: core/command/quota decides by dynamic thresholds with a reserve for small amounts; verbenad/command/memory counts connections, heads by lines before they are parsed, bodies, answers and forwarded requests of a process against one budget, a quarter of memory_mb. The soft limit of the runtime is set from it. Large parsed heads are dropped; more than 64 header fields are one text between daemons. The admin port handles large bodies one at a time.

--- a/core/wire/hopmsg/hopmsg.go
+++ b/core/wire/hopmsg/hopmsg.go
@@ -16,8 +16,9 @@
 // EncodeRequestHead returns the first message of a request. If awaitsInvite is set, the body is sent
 // only after the receiver's Invite message, as with "Expect: 100-continue" in HTTP.
 func EncodeRequestHead(r call.Request, awaitsInvite bool) *wirepb.RequestPart {
+	headers, packed := encodeFields(r.Fields())
 	return &wirepb.RequestPart{Part: &wirepb.RequestPart_Head{Head: &wirepb.RequestHead{
-		Service: r.Service(), Method: r.Method(), Uri: r.URI(), Headers: encodeFields(r.Fields()),
+		Service: r.Service(), Method: r.Method(), Uri: r.URI(), Headers: headers, PackedHeaders: packed,
 		Key: r.Key(), Shard: uint32(r.Shard()), Incarnation: uint64(r.Incarnation()), ContentLength: contentLength(r),
 		Id: r.ID(), Priority: uint32(r.Priority()), AimMs: int64(r.LatencyGoal()), Repeatable: r.Repeatable(), Class: r.Class(),
 		Waits: awaitsInvite,
@@ -45,7 +46,7 @@
 // in the head is not 0.
 func DecodeRequest(h *wirepb.RequestHead, body io.Reader) call.Request {
 	opts := []call.Option{
-		call.WithFields(decodeFields(h.GetHeaders())),
+		call.WithFields(decodeFields(h.GetHeaders(), h.GetPackedHeaders())),
 		call.WithKey(h.GetKey(), table.Shard(h.GetShard())),
 		call.WithMember(table.Incarnation(h.GetIncarnation())),
 		call.WithID(h.GetId()), call.WithPolicy(int(h.GetPriority()), clock.Millis(h.GetAimMs()), h.GetRepeatable()),
@@ -59,14 +60,15 @@
 
 // EncodeResponseHead returns the first message of a response.
 func EncodeResponseHead(r call.Response) *wirepb.AnswerPart {
+	headers, packed := encodeFields(r.Fields())
 	return &wirepb.AnswerPart{Part: &wirepb.AnswerPart_Head{Head: &wirepb.AnswerHead{
-		Status: uint32(r.Status()), Headers: encodeFields(r.Fields()), ContentLength: r.Length(), Backlog: encodeBacklog(r.Backlog()),
+		Status: uint32(r.Status()), Headers: headers, PackedHeaders: packed, ContentLength: r.Length(), Backlog: encodeBacklog(r.Backlog()),
 	}}}
 }
 
 // DecodeResponse returns the response with the head h and the body, which the caller has to close.
 func DecodeResponse(h *wirepb.AnswerHead, body io.ReadCloser) call.Response {
-	return call.NewResponse(int(h.GetStatus()), decodeFields(h.GetHeaders()), body, h.GetContentLength()).
+	return call.NewResponse(int(h.GetStatus()), decodeFields(h.GetHeaders(), h.GetPackedHeaders()), body, h.GetContentLength()).
 		WithBacklog(decodeBacklog(h.GetBacklog()))
 }
 
@@ -117,22 +119,6 @@
 	return result.NewUnknown(result.Reason(f.GetReason()))
 }
 
-func encodeFields(list []call.Field) []*wirepb.HeaderField {
-	out := make([]*wirepb.HeaderField, 0, len(list))
-	for _, f := range list {
-		out = append(out, &wirepb.HeaderField{Name: f.Name(), Value: []byte(f.Value())})
-	}
-	return out
-}
-
-func decodeFields(list []*wirepb.HeaderField) []call.Field {
-	out := make([]call.Field, 0, len(list))
-	for _, h := range list {
-		out = append(out, call.NewField(h.GetName(), string(h.GetValue())))
-	}
-	return out
-}
-
 func encodeBacklog(b load.Backlog) *wirepb.Backlog {
 	if !b.Known() {
 		return nil
--- a/verbenad/adapt/front/conn.go
+++ b/verbenad/adapt/front/conn.go
@@ -15,6 +15,7 @@
 
 	"verbenabank/core/state/result"
 	"verbenabank/core/state/rules"
+	"verbenabank/verbenad/command/memory"
 )
 
 // conn is the connection of a caller. One goroutine reads requests from it; each request is served by a
@@ -23,6 +24,7 @@
 	server   *Server
 	net      net.Conn
 	reader   *bufio.Reader
+	share    *memory.Share
 	ctx      context.Context // cancelled when the caller disconnects
 	cancel   context.CancelFunc
 	inFlight atomic.Int32
@@ -40,7 +42,7 @@
 }
 
 func newConn(s *Server, n net.Conn) *conn {
-	c := &conn{server: s, net: n, reader: bufio.NewReaderSize(n, readBufferBytes), slots: make(chan struct{}, MaxPipelined)}
+	c := &conn{server: s, net: n, reader: bufio.NewReaderSize(n, idleBufferBytes), share: s.memory.NewShare(), slots: make(chan struct{}, MaxPipelined)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.lastDone = make(chan struct{})
 	close(c.lastDone)
@@ -49,6 +51,7 @@
 
 func (c *conn) serve() {
 	defer c.server.removeConn(c)
+	defer c.shrinkBuffer()
 	if c.server.catchPanic("read requests", c.readRequests) {
 		c.stopReading(true)
 	}
@@ -69,23 +72,31 @@
 	if !c.awaitRequest(limits) {
 		return false
 	}
-	x := &exchange{conn: c, done: make(chan struct{}), startTime: c.server.clock.Now()}
+	x := &exchange{conn: c, done: make(chan struct{}), startTime: c.server.clock.Now(), memory: c.share.NewTally()}
 	_ = c.net.SetReadDeadline(time.Now().Add(limits.HeaderTimeout().Duration()))
-	err := x.head.Read(c.reader)
+	err := c.receiveHead(x)
+	if err == nil {
+		err = x.head.Read(c.reader)
+	}
 	switch {
 	case err == nil:
+	case errors.Is(err, errNoMemory):
+		return c.rejectHead(x, result.Overloaded)
 	case isHeadTooLarge(err):
 		return c.rejectHead(x, result.HeadTooLarge)
 	case errors.Is(err, os.ErrDeadlineExceeded):
+		x.memory.Close()
 		c.stopReading(c.inFlight.Load() > 0)
 		return false
 	case errors.Is(err, io.EOF), isConnError(err):
+		x.memory.Close()
 		c.cancel()
 		return false
 	default:
 		return c.rejectHead(x, result.BadRequest)
 	}
 	if !c.enqueue(x) {
+		x.memory.Close()
 		return false
 	}
 	return x.start(limits)
@@ -97,6 +108,7 @@
 	if c.reader.Buffered() > 0 {
 		return c.accepting()
 	}
+	c.shrinkBuffer()
 	for {
 		c.mu.Lock()
 		c.awaiting = true
@@ -156,7 +168,11 @@
 
 // rejectHead responds to a request whose head is invalid or too large, and closes the connection.
 func (c *conn) rejectHead(x *exchange, reason result.Reason) bool {
-	return c.enqueue(x) && c.reject(x, reason)
+	if !c.enqueue(x) {
+		x.memory.Close()
+		return false
+	}
+	return c.reject(x, reason)
 }
 
 // reject responds to a request without forwarding it, and closes the connection. It returns false,
@@ -179,6 +195,7 @@
 			c.finish(true)
 			c.cancel()
 		}
+		x.memory.Close()
 		close(x.done)
 		c.inFlight.Add(-1)
 		c.closeIfFinished()
--- a/verbenad/adapt/front/exchange.go
+++ b/verbenad/adapt/front/exchange.go
@@ -19,6 +19,7 @@
 	"verbenabank/core/state/result"
 	"verbenabank/core/state/rules"
 	"verbenabank/verbenad/adapt/head"
+	"verbenabank/verbenad/command/memory"
 	"verbenabank/verbenad/command/relay"
 )
 
@@ -29,6 +30,8 @@
 	prevDone        chan struct{} // closed when the response to the previous request is written
 	done            chan struct{} // closed when the response to this request is written
 	startTime       clock.Millis
+	memory          *memory.Tally // that the request holds
+	expectsContinue bool
 	info            RequestInfo
 	body            *relay.Body
 	responseStarted bool        // part of the response may have been written
@@ -49,6 +52,7 @@
 func (x *exchange) start(limits rules.Limits) bool {
 	c, s := x.conn, x.conn.server
 	x.info = s.dialect.RequestInfo(&x.head)
+	x.expectsContinue = x.head.PeekBytes([]byte("Expect")) != nil
 	source, length := c.bodyReader(&x.head)
 	switch {
 	case !head.WellFormed(&x.head) || len(x.head.Host()) == 0:
@@ -60,7 +64,7 @@
 		return true
 	}
 	read := make(chan struct{})
-	x.body = relay.NewBody(&continueReader{exchange: x, source: source}, length, limits.MaxBodyBytes(), func() { close(read) })
+	x.body = relay.NewBody(&continueReader{exchange: x, source: source}, length, limits.MaxBodyBytes(), func() { close(read) }, relay.WithMemory(x.memory))
 	_ = c.net.SetReadDeadline(time.Now().Add(bodyTimeout))
 	c.startRequest(x, x.serve)
 	select {
@@ -89,8 +93,9 @@
 }
 
 func (b *continueReader) Read(p []byte) (int, error) {
-	if x := b.exchange; !b.started && x.head.PeekBytes([]byte("Expect")) != nil {
+	if x := b.exchange; !b.started && x.expectsContinue {
 		<-x.prevDone
+		_ = x.conn.net.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if _, err := x.conn.net.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return 0, err
 		}
@@ -189,6 +194,7 @@
 		relay.WithMessage(x.info.id, string(x.head.Method()), uri),
 		relay.WithFields(server.dialect.ForwardedFields(endToEndFields(&x.head), server.localService())), relay.WithBody(x.body),
 		relay.WithRoute(r, x.startTime+r.LatencyGoal()))
+	x.dropFields()
 	res := server.relay.Run(ctx, d)
 	x.attempts, x.lastInstance = res.Attempts(), res.Instance()
 	switch reply := res.Reply().(type) {
--- a/verbenad/adapt/front/front.go
+++ b/verbenad/adapt/front/front.go
@@ -20,6 +20,7 @@
 	"verbenabank/core/state/call"
 	"verbenabank/core/state/result"
 	"verbenabank/verbenad/command/crash"
+	"verbenabank/verbenad/command/memory"
 	"verbenabank/verbenad/command/meter"
 	"verbenabank/verbenad/command/relay"
 	"verbenabank/verbenad/command/reqlog"
@@ -32,9 +33,14 @@
 	// MaxConnections is the maximum number of connections of callers. Further ones are closed when they
 	// are accepted.
 	MaxConnections = 2048
-	// readBufferBytes is the size of a connection's read buffer, which limits the size of a request
-	// head.
+	// readBufferBytes is the size of a connection's read buffer while it reads a large head, which limits the size of
+	// a request head. Other heads fit the idle buffer.
 	readBufferBytes = 16<<10 + 512
+	idleBufferBytes = 4 << 10
+	// connBytes is the memory that a connection holds for itself.
+	connBytes = 16 << 10
+	// socketBytes bounds the input of a connection that the kernel keeps until it is read.
+	socketBytes = 64 << 10
 )
 
 // RequestInfo is the metadata in a request head that is meant for the router: the request's id and how long
@@ -81,6 +87,7 @@
 	relay              *relay.Relay
 	dialect            Dialect
 	meter              *meter.Meter
+	memory             *memory.Budget
 	log                *logrus.Entry
 	localService       func() string
 	goroutines         conc.WaitGroup
@@ -114,10 +121,13 @@
 // WithLog sets the logger, by default logrus's standard one.
 func WithLog(e *logrus.Entry) Option { return func(s *Server) { s.log = e } }
 
+// WithMemory sets the budget for what the server holds for callers, by default an unlimited one.
+func WithMemory(b *memory.Budget) Option { return func(s *Server) { s.memory = b } }
+
 // New returns a server without listeners. It accepts connections once Serve is called.
 func New(opts ...Option) *Server {
 	s := &Server{
-		clock: clock.New(), meter: meter.ForPart("entry"), log: logrus.NewEntry(logrus.StandardLogger()),
+		clock: clock.New(), meter: meter.ForPart("entry"), memory: memory.Unlimited(), log: logrus.NewEntry(logrus.StandardLogger()),
 		conns: map[*conn]struct{}{}, localService: func() string { return "" },
 	}
 	s.graceCtx, s.endGrace = context.WithCancel(context.Background())
@@ -159,6 +169,9 @@
 		if err != nil {
 			return err
 		}
+		if t, ok := n.(*net.TCPConn); ok {
+			_ = t.SetReadBuffer(socketBytes)
+		}
 		c := newConn(s, n)
 		if !s.addConn(c) {
 			_ = n.Close()
@@ -168,11 +181,11 @@
 	}
 }
 
-// addConn registers a connection. It reports false if MaxConnections are open.
+// addConn registers a connection. It reports false if MaxConnections are open, or the memory for one more is not granted.
 func (s *Server) addConn(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.conns) >= MaxConnections {
+	if len(s.conns) >= MaxConnections || !c.share.Take(connBytes, "connections") {
 		s.meter.Add("connections_refused", 1)
 		return false
 	}
@@ -184,6 +197,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	c.share.Give(connBytes)
 }
 
 // DisableKeepAlives makes each connection close after its next response ("Connection: close"), so that callers
--- a/verbenad/adapt/front/respond.go
+++ b/verbenad/adapt/front/respond.go
@@ -23,6 +23,11 @@
 	maxBufferedBytes = 64 << 10
 	// streamChunkBytes is the buffer size for larger bodies and those of unknown length.
 	streamChunkBytes = 16 << 10
+	// streamBytes is the memory that a streamed response holds: its chunk, the chunk with its framing, and what was
+	// received ahead from another daemon.
+	streamBytes = 2*streamChunkBytes + 64<<10
+	// writeTimeout bounds the time to write a response that was received completely.
+	writeTimeout = time.Minute
 )
 
 var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
@@ -69,7 +74,11 @@
 // respond forwards the response of a target to the caller.
 func (x *exchange) respond(ctx context.Context, a call.Response) result.Outcome {
 	bodiless := x.head.IsHead() || a.Status() == fasthttp.StatusNoContent || a.Status() == fasthttp.StatusNotModified
-	if !bodiless && (a.Length() < 0 || a.Length() > maxBufferedBytes) {
+	if !x.takeFields(a) {
+		_ = a.Body().Close()
+		return x.fail(result.NewUnknown(result.Interrupted))
+	}
+	if !bodiless && (a.Length() < 0 || a.Length() > maxBufferedBytes || !x.memory.Take(2*a.Length(), "answers")) {
 		return x.stream(ctx, a)
 	}
 	content, err := io.ReadAll(a.Body())
@@ -90,10 +99,25 @@
 	return result.NewAnswered(a.Status())
 }
 
+// takeFields takes the memory for the header fields of a response. A response whose fields are too large to wait for their
+// turn is dropped, unless its turn has come.
+func (x *exchange) takeFields(a call.Response) bool {
+	if len(a.Fields()) <= maxKeptLines || x.memory.Take(fieldsBytes(a.Fields()), "answers") {
+		return true
+	}
+	select {
+	case <-x.prevDone:
+		return true
+	default:
+		return false
+	}
+}
+
 // stream forwards a response body while it is received. If it breaks off, the connection is reset, so
 // that the caller cannot take the response for a complete one.
 func (x *exchange) stream(ctx context.Context, a call.Response) result.Outcome {
 	defer func() { _ = a.Body().Close() }()
+	x.memory.Force(streamBytes)
 	chunk := make([]byte, streamChunkBytes)
 	n, err := io.ReadFull(a.Body(), chunk)
 	if err != nil && err != io.EOF && err != io.ErrUnexpectedEOF {
@@ -211,6 +235,7 @@
 // send writes a complete response; last says that the connection is closed after it.
 func (x *exchange) send(b *bytes.Buffer, last bool) {
 	x.sent.Store(true)
+	_ = x.conn.net.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := x.conn.net.Write(b.Bytes()); err != nil {
 		x.reset(result.Cancelled)
 		return
--- a/verbenad/adapt/hop/server.go
+++ b/verbenad/adapt/hop/server.go
@@ -14,6 +14,7 @@
 	"verbenabank/core/state/snap"
 	"verbenabank/core/wire/hopmsg"
 	"verbenabank/core/wire/wirepb"
+	"verbenabank/verbenad/command/memory"
 )
 
 // Owner serves requests for the shards of this member with the local target.
@@ -29,6 +30,7 @@
 	clock     *clock.Clock
 	snapshots *snap.Store
 	packed    packedRules
+	peers     *peers
 }
 
 // ServerOption sets one property of a Server.
@@ -37,7 +39,7 @@
 // NewServer returns a gRPC service that passes requests to owner. Each is passed on its stream's
 // goroutine, with the stream's context. Without WithRules it knows no rules.
 func NewServer(owner Owner, opts ...ServerOption) *Server {
-	s := &Server{owner: owner, clock: clock.New(), snapshots: snap.NewStore()}
+	s := &Server{owner: owner, clock: clock.New(), snapshots: snap.NewStore(), peers: newPeers(memory.Unlimited())}
 	for _, o := range opts {
 		o(s)
 	}
@@ -55,6 +57,13 @@
 	if h == nil {
 		return status.Error(codes.InvalidArgument, "hop: first part is not a head")
 	}
+	share, release := s.peers.enter(stream.Context())
+	defer release()
+	held := share.NewTally()
+	defer held.Close()
+	if size, fields := hopmsg.HeadSize(h); !held.Take(memory.RequestBytes+memory.HeadBytes(size, fields), "forwarded") {
+		return stream.Send(hopmsg.EncodeFailure(call.Refuse(result.Overloaded)))
+	}
 	b := &requestBody{stream: stream, awaitsInvite: h.GetWaits()}
 	r := hopmsg.DecodeRequest(h, b)
 	reply := s.owner.Serve(stream.Context(), r)
--- a/verbenad/adapt/jsonc/jsonc.go
+++ b/verbenad/adapt/jsonc/jsonc.go
@@ -62,10 +62,10 @@
 
 func (l loader) options() []config.Option {
 	l.RejectUnknown(withDurations([]string{"instance", "zone", "listen", "replicas", "seeds", "secret_file", "open_network", "control", "tls",
-		"configuration_folder", "log", "target", "lease", "retries", "lasting_rules", "link_mbps", "terms"}, "hold", "drain", "grace")...)
+		"configuration_folder", "log", "target", "lease", "retries", "lasting_rules", "link_mbps", "memory_mb", "terms"}, "hold", "drain", "grace")...)
 	opts := []config.Option{config.WithName(l.name("instance"), l.name("zone")), l.authentication(), l.timing(), l.retries(), l.target()}
 	opts = append(opts, config.WithLastingRules(l.Bool("lasting_rules", false)), config.WithLinkMbps(l.Float("link_mbps", 0, maxLinkMbps, 0)))
-	opts = append(opts, config.WithTerms(l.Strings("terms", nil)))
+	opts = append(opts, config.WithTerms(l.Strings("terms", nil)), l.memory())
 	opts = append(opts, l.addresses()...)
 	if l.Has("control") {
 		opts = append(opts, config.WithControl(l.control()))
@@ -90,6 +90,21 @@
 // maxLinkMbps is the highest link rate accepted, in Mbit/s.
 const maxLinkMbps = 1e6
 
+// Bounds of the memory of a process in MB.
+const (
+	minMemoryMB = 64
+	maxMemoryMB = 1 << 20
+)
+
+// memory reads the memory that the process may use. It may have a fraction; 0 is the same as leaving it out.
+func (l loader) memory() config.Option {
+	mb := int64(l.Float("memory_mb", 0, maxMemoryMB, 0))
+	if mb != 0 && mb < minMemoryMB {
+		l.AddFault("memory_mb", fmt.Sprintf("must be 0 or at least %d", minMemoryMB))
+	}
+	return config.WithMemoryMB(mb)
+}
+
 // maxToleratedLosses is the highest number of replica failures that a group may be
 // configured to tolerate.
 const maxToleratedLosses = 10
--- a/verbenad/command/entry/entry.go
+++ b/verbenad/command/entry/entry.go
@@ -14,6 +14,7 @@
 	"verbenabank/core/clock"
 	"verbenabank/core/query/retry"
 	"verbenabank/core/state/snap"
+	"verbenabank/verbenad/command/memory"
 	"verbenabank/verbenad/command/meter"
 	"verbenabank/verbenad/command/relay"
 )
@@ -32,6 +33,7 @@
 	relayOptions []relay.Option
 	instance     string
 	meter        *meter.Meter
+	memory       *memory.Budget
 	app          *fiber.App
 	watchers     conc.WaitGroup
 	shuttingDown atomic.Bool
@@ -66,11 +68,14 @@
 	return func(e *Server) { e.instance = name; e.addRelayOption(relay.WithZone(zone)) }
 }
 
+// WithMemory sets the budget for what the server holds for callers, by default an unlimited one.
+func WithMemory(b *memory.Budget) Option { return func(e *Server) { e.memory = b } }
+
 func (e *Server) addRelayOption(o relay.Option) { e.relayOptions = append(e.relayOptions, o) }
 
 // New returns a server that accepts nothing until Serve is called.
 func New(opts ...Option) *Server {
-	e := &Server{clock: clock.New(), meter: meter.ForPart("entry")}
+	e := &Server{clock: clock.New(), meter: meter.ForPart("entry"), memory: memory.Unlimited()}
 	for _, o := range opts {
 		o(e)
 	}
@@ -81,7 +86,7 @@
 
 // Serve accepts connections from the listener and blocks until Shutdown.
 func (e *Server) Serve(l net.Listener) error {
-	return e.app.Listener(&listener{Listener: l, watchers: &e.watchers},
+	return e.app.Listener(&listener{Listener: l, watchers: &e.watchers, memory: e.memory, meter: e.meter},
 		fiber.ListenConfig{DisableStartupMessage: true})
 }
 
--- a/verbenad/command/entry/handle.go
+++ b/verbenad/command/entry/handle.go
@@ -143,10 +143,18 @@
 	if t.caller != nil {
 		_ = t.caller.SetReadDeadline(t.connDeadline())
 	}
-	t.body = relay.NewBody(stream, max(length, -1), s.MaxBodyBytes(), t.watchCaller)
+	t.body = relay.NewBody(stream, max(length, -1), s.MaxBodyBytes(), t.watchCaller, t.bodyOptions()...)
 	return "", true
 }
 
+// bodyOptions returns the options of the body of the request.
+func (t *task) bodyOptions() []relay.BodyOption {
+	if t.caller == nil {
+		return nil
+	}
+	return []relay.BodyOption{relay.WithMemory(t.caller.request)}
+}
+
 // connDeadline returns the deadline of the request as a time for the deadlines of a net.Conn.
 func (t *task) connDeadline() time.Time {
 	return time.Now().Add((t.deadline - t.server.clock.Now()).Duration())
--- a/verbenad/command/entry/respond.go
+++ b/verbenad/command/entry/respond.go
@@ -10,6 +10,7 @@
 	"verbenabank/core/query/retry"
 	"verbenabank/core/state/call"
 	"verbenabank/core/state/result"
+	"verbenabank/verbenad/command/memory"
 )
 
 // maxBufferedBytes is the largest response that is buffered before its header is sent to the
@@ -91,9 +92,11 @@
 	}
 	bodiless := t.method == fasthttp.MethodHead || a.Status() == fasthttp.StatusNoContent ||
 		a.Status() == fasthttp.StatusNotModified
-	if bodiless || (a.Length() >= 0 && a.Length() <= maxBufferedBytes) {
+	t.force(memory.HeadBytes(0, len(a.Fields())))
+	if bodiless || (a.Length() >= 0 && a.Length() <= maxBufferedBytes && t.take(2*a.Length())) {
 		return t.respondBuffered(a, bodiless)
 	}
+	t.force(streamBytes)
 	t.writeHead(a)
 	t.streaming = true
 	_ = t.http.SetWriteDeadline(t.connDeadline())
@@ -102,6 +105,19 @@
 	return result.NewAnswered(a.Status())
 }
 
+// streamBytes is the memory that a streamed response holds, with what was received ahead from another daemon.
+const streamBytes = 96 << 10
+
+// take takes n bytes for the response and reports whether they are granted.
+func (t *task) take(n int64) bool { return t.caller == nil || t.caller.request.Take(n, "answers") }
+
+// force takes n bytes that the response holds already.
+func (t *task) force(n int64) {
+	if t.caller != nil {
+		t.caller.request.Force(n)
+	}
+}
+
 // respondBuffered reads the target's response to its end before it writes the header.
 func (t *task) respondBuffered(a call.Response, bodiless bool) result.Outcome {
 	content, err := io.ReadAll(a.Body())
--- a/verbenad/command/entry/task.go
+++ b/verbenad/command/entry/task.go
@@ -37,6 +37,10 @@
 // run routes the request and writes the response. The outcome of a streamed response is that of
 // its header.
 func (t *task) run() result.Outcome {
+	if t.caller != nil && !t.caller.beginRequest(&t.http.Request.Header) {
+		t.dropHead()
+		return t.refuse(result.Overloaded)
+	}
 	s, ok := t.server.relay.AwaitSnapshot()
 	if !ok {
 		return t.refuse(result.NotReady)
@@ -48,6 +52,7 @@
 	if reason, ok := t.prepare(service); !ok {
 		return t.refuse(reason)
 	}
+	t.dropHead()
 	v := t.server.relay.Run(t.ctx, relay.NewRequest(service, t.attributes, t.deadline,
 		relay.WithMessage(t.id, t.method, t.uri), relay.WithFields(t.fields), relay.WithBody(t.body),
 		relay.WithRepeatable(t.repeatable)))
@@ -70,6 +75,37 @@
 	if !t.streaming {
 		t.cancel()
 	}
+	t.endRequest()
+}
+
+// endRequest records that the handler has returned.
+func (t *task) endRequest() {
+	if t.caller != nil {
+		t.caller.endRequest()
+	}
+}
+
+// maxKeptLines is the number of header lines up to which the server keeps the parsed form of a head for the next request.
+const maxKeptLines = 64
+
+// dropHead drops the fields of a large parsed head, which the server would keep with the connection. What is left tells
+// the method, the length of the body and whether the connection closes.
+func (t *task) dropHead() {
+	h := &t.http.Request.Header
+	if h.Len() <= maxKeptLines {
+		return
+	}
+	var kept fasthttp.RequestHeader
+	kept.SetMethodBytes(h.Method())
+	kept.SetRequestURIBytes(h.RequestURI())
+	kept.SetHostBytes(h.Host())
+	kept.SetProtocolBytes(h.Protocol())
+	kept.SetContentLength(h.ContentLength())
+	if h.ConnectionClose() {
+		kept.SetConnectionClose()
+	}
+	*h = fasthttp.RequestHeader{}
+	kept.CopyTo(h)
 }
 
 // closeUnread makes the server close the connection after the response, since the caller may have
--- a/verbenad/command/relay/body.go
+++ b/verbenad/command/relay/body.go
@@ -16,6 +16,7 @@
 	length     int64
 	limit      int64
 	onComplete func()
+	memory     Memory // nil if all is granted
 
 	readMu sync.Mutex // held during reads of the source
 
@@ -28,11 +29,28 @@
 	err        *Error
 }
 
+// Memory grants the memory for what is buffered of a body. What is granted is given back with the request.
+type Memory interface {
+	// Take takes n bytes and reports whether they were granted. A refusal is counted by its kind.
+	Take(n int64, kind string) bool
+}
+
+// BodyOption sets one property of a Body.
+type BodyOption func(*Body)
+
+// WithMemory sets what grants the memory for the buffered part of the body. If it refuses, the body is not buffered any
+// more, so that a failed attempt is not repeated. By default all is granted.
+func WithMemory(m Memory) BodyOption { return func(b *Body) { b.memory = m } }
+
 // NewBody returns a body of the announced length in bytes, -1 if it is unknown, that may have at
 // most limit bytes. onComplete is called once, with a lock of the body held, when all of it was
 // read.
-func NewBody(source io.Reader, length, limit int64, onComplete func()) *Body {
-	return &Body{source: source, length: length, limit: limit, onComplete: onComplete}
+func NewBody(source io.Reader, length, limit int64, onComplete func(), opts ...BodyOption) *Body {
+	b := &Body{source: source, length: length, limit: limit, onComplete: onComplete}
+	for _, o := range opts {
+		o(b)
+	}
+	return b
 }
 
 // newReader returns the reader of a new attempt. Readers of earlier attempts fail from then on.
@@ -122,6 +140,18 @@
 	return 0, nil, false
 }
 
+// buffer appends bytes to the replay buffer, or drops it if its memory is not granted. b.mu must be held.
+func (b *Body) buffer(p []byte) {
+	if b.overflowed || len(p) == 0 {
+		return
+	}
+	if b.memory != nil && !b.memory.Take(int64(len(p)), "bodies") {
+		b.overflowed, b.replay = true, nil
+		return
+	}
+	b.replay = append(b.replay, p...)
+}
+
 // record buffers bytes that were read from the source and checks the length of the body.
 func (a *attemptReader) record(p []byte, err error) (int, error) {
 	b := a.body
@@ -129,9 +159,7 @@
 	defer b.mu.Unlock()
 	b.received += int64(len(p))
 	a.offset += int64(len(p))
-	if !b.overflowed {
-		b.replay = append(b.replay, p...)
-	}
+	b.buffer(p)
 	switch {
 	case b.received > b.limit:
 		b.err = newReadError(Oversized, nil)
--- a/verbenad/command/serve/run.go
+++ b/verbenad/command/serve/run.go
@@ -14,8 +14,16 @@
 	"verbenabank/verbenad/state/config"
 )
 
-// maxAdminBodyBytes limits the body of a request to the admin server.
-const maxAdminBodyBytes = 8 << 20
+const (
+	// maxAdminBodyBytes limits the body of a request to the admin server.
+	maxAdminBodyBytes = 8 << 20
+	// adminHeadBytes limits the head of a request to the admin server.
+	adminHeadBytes = 4 << 10
+	// maxAdminConnections limits the connections to the admin server, and to that for readiness checks.
+	maxAdminConnections = 512
+	// readyBodyBytes limits the body of a readiness check.
+	readyBodyBytes = 4 << 10
+)
 
 // Run serves until ctx ends, then shuts down gracefully: the daemon hands over its ownership, finishes
 // the requests in flight, and closes its ports last. If a component fails, it shuts down in the same way
--- a/verbenad/command/serve/serve.go
+++ b/verbenad/command/serve/serve.go
@@ -26,9 +26,11 @@
 	"verbenabank/verbenad/adapt/grants"
 	"verbenabank/verbenad/adapt/hop"
 	"verbenabank/verbenad/adapt/link"
+	"verbenabank/verbenad/adapt/machine"
 	"verbenabank/verbenad/adapt/sock"
 	"verbenabank/verbenad/command/ctrl"
 	"verbenabank/verbenad/command/entry"
+	"verbenabank/verbenad/command/memory"
 	"verbenabank/verbenad/command/notice"
 	"verbenabank/verbenad/command/owner"
 	"verbenabank/verbenad/query/admin"
@@ -61,6 +63,7 @@
 	ctx             context.Context
 	group           conc.WaitGroup
 
+	memory        *memory.Budget
 	snapshots     *snap.Store
 	target        *localTarget
 	owner         *owner.Owner
@@ -85,6 +88,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{clock: clock.New(), log: log, ctx: ctx, snapshots: snap.NewStore(), lifecycle: newLifecycle()}
 	d.settings.Store(&s)
+	d.memory = memory.New(memory.BudgetBytes(ProcessMB(s)))
 	d.droppedLogLines = func() int64 { return 0 }
 	d.parseRules = func(content []byte) (rules.Rules, error) { return confjs.Decode("rules", content) }
 	for _, o := range opts {
@@ -100,6 +104,9 @@
 	return d, d.close, nil
 }
 
+// ProcessMB returns the memory in MB that a process with the settings may use.
+func ProcessMB(s config.Settings) int64 { return memory.ProcessMB(s.MemoryMB(), machine.MemoryMB()) }
+
 // addCleanup adds a function that close calls, in reverse order.
 func (d *Daemon) addCleanup(f func()) { d.cleanup = append(d.cleanup, f) }
 
@@ -192,12 +199,13 @@
 	d.peers = grpc.NewServer(append(d.trust.ServerOptions(), grpc.InitialWindowSize(hop.WindowBytes), grpc.ConnectionTimeout(connectionTimeout),
 		grpc.ChainUnaryInterceptor(d.recoverUnary), grpc.ChainStreamInterceptor(d.recoverStream))...)
 	link.NewServer(d.loop, d.codec, d.logger()).Register(d.peers)
-	wirepb.RegisterHopServer(d.peers, hop.NewServer(d.owner, hop.WithRules(d.clock, d.snapshots)))
+	wirepb.RegisterHopServer(d.peers, hop.NewServer(d.owner, hop.WithRules(d.clock, d.snapshots), hop.WithMemory(d.memory)))
 	d.admin = fiber.New(fiber.Config{
 		AppName: "verbenad", BodyLimit: maxAdminBodyBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		StreamRequestBody: true, ReadBufferSize: adminHeadBytes, Concurrency: maxAdminConnections,
 		Immutable: true, // handlers pass on names that outlive the request
 	})
-	d.admin.Use(d.recoverAdmin)
+	d.admin.Use(d.recoverAdmin, newBodies().receive)
 	n := notice.New(d.post, notice.WithOnHeartbeat(d.target.RecordHeartbeat), notice.WithLog(d.logger()))
 	d.lifecycle.notice = n
 	n.Register(d.admin)
@@ -205,7 +213,9 @@
 	a := admin.New(admin.WithInstance(s.Instance(), s.Zone()), admin.WithStopping(d.stopping.Load),
 		admin.WithState(d.clock, d.snapshots, d.loop.View), admin.WithAudit(d.audit))
 	a.Register(d.admin)
-	d.ready = fiber.New(fiber.Config{AppName: "verbenad", ReadTimeout: readTimeout, IdleTimeout: idleTimeout, Immutable: true})
+	d.ready = fiber.New(fiber.Config{
+		AppName: "verbenad", BodyLimit: readyBodyBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, Concurrency: maxAdminConnections, Immutable: true,
+	})
 	a.RegisterReady(d.ready)
 	if d.registerAdmin != nil {
 		d.registerAdmin(d.admin, d)
--- a/verbenad/command/serve/traffic.go
+++ b/verbenad/command/serve/traffic.go
@@ -86,7 +86,7 @@
 	case d.callersPort == nil:
 	case d.callerDialect == nil:
 		d.entry = entry.New(entry.WithClock(d.clock), entry.WithStore(d.snapshots), entry.WithLocal(d.owner),
-			entry.WithRemote(d.hopClient), entry.WithInstance(s.Instance(), s.Zone()))
+			entry.WithRemote(d.hopClient), entry.WithInstance(s.Instance(), s.Zone()), entry.WithMemory(d.memory))
 	default:
 		options := []relay.Option{
 			relay.WithClock(d.clock), relay.WithStore(d.snapshots), relay.WithLocal(d.owner), relay.WithRemote(d.hopClient),
@@ -96,7 +96,7 @@
 			options = append(options, relay.WithRetryBudget(budget.WithAllowance(r.Allowance(), r.Window())), relay.WithRetryPercent(retryPercent(r.Ratio())))
 		}
 		d.front = front.New(front.WithClock(d.clock), front.WithRelay(relay.New(options...)), front.WithDialect(d.callerDialect),
-			front.WithLog(d.logger()), front.WithLocalService(func() string { return d.settings.Load().LocalTarget().Service() }))
+			front.WithLog(d.logger()), front.WithMemory(d.memory), front.WithLocalService(func() string { return d.settings.Load().LocalTarget().Service() }))
 	}
 }
 
--- a/verbenad/command/start/start.go
+++ b/verbenad/command/start/start.go
@@ -16,6 +16,7 @@
 	"verbenabank/verbenad/adapt/jsonc"
 	"verbenabank/verbenad/adapt/logs"
 	"verbenabank/verbenad/adapt/sigs"
+	"verbenabank/verbenad/command/memory"
 	"verbenabank/verbenad/command/serve"
 	"verbenabank/verbenad/state/config"
 )
@@ -56,6 +57,7 @@
 	defer flush()
 	p := &process{path: path, content: content, signals: signals, log: newLogger(settings, lines)}
 	p.log.WithField("process", os.Getpid()).Info("start: process begins")
+	memory.SetSoftLimit(serve.ProcessMB(settings))
 	code := 0
 	if err := p.run(settings, append(build(settings), serve.WithDroppedLogLines(lines.Dropped))); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/verbenad/state/config/options.go
+++ b/verbenad/state/config/options.go
@@ -66,6 +66,9 @@
 // WithLinkMbps sets the bandwidth of the instance's network link in Mbit/s, 0 if it is not known.
 func WithLinkMbps(mbps float64) Option { return func(s *Settings) { s.linkMbps = mbps } }
 
+// WithMemoryMB sets the memory that the process may use in MB, 0 if it is not known.
+func WithMemoryMB(mb int64) Option { return func(s *Settings) { s.memoryMB = mb } }
+
 // WithOpenNetwork declares the network between the processes as trusted, so that they need no secret.
 func WithOpenNetwork() Option { return func(s *Settings) { s.openNetwork = true } }
 
--- a/verbenad/state/config/settings.go
+++ b/verbenad/state/config/settings.go
@@ -25,6 +25,7 @@
 	timings           Timings
 	retryBudget       RetryBudget
 	linkMbps          float64
+	memoryMB          int64
 	openNetwork       bool
 	lastingRules      bool
 	terms             []string
@@ -92,6 +93,9 @@
 // LinkMbps returns the bandwidth of the instance's network link in Mbit/s, 0 if it is not known.
 func (s Settings) LinkMbps() float64 { return s.linkMbps }
 
+// MemoryMB returns the memory that the process may use in MB, 0 if it is not set.
+func (s Settings) MemoryMB() int64 { return s.memoryMB }
+
 // OpenNetwork reports whether the network between the processes is trusted, so that they need no
 // secret.
 func (s Settings) OpenNetwork() bool { return s.openNetwork }
--- a/vload/crowd/crowd_test.go
+++ b/vload/crowd/crowd_test.go
@@ -77,6 +77,7 @@
 				return
 			}
 			_, _ = io.Copy(io.Discard, a.Body)
+			_ = a.Body.Close()
 			got.add(a.Status)
 		}
 	}
--- a/vload/crowd/fleet_test.go
+++ b/vload/crowd/fleet_test.go
@@ -119,8 +119,8 @@
 	for n := range 3 {
 		h := newHost(t, subnet, n+1)
 		hosts = append(hosts, h)
-		text := fmt.Sprintf(`{"instance": %q, "zone": "z", "replicas": ["127.%d.1.1:8090"], "open_network": true,
-			"lease": {"span_ms": 5000, "margin_ms": 100, "renew_ms": 250}, "log": {"level": "warning", "format": "json"},`, h.name, subnet)
+		text := fmt.Sprintf(`{"instance": %q, "zone": "z", "replicas": ["127.%d.1.1:8090"], "open_network": true, "memory_mb": %d,
+			"lease": {"span_ms": 5000, "margin_ms": 100, "renew_ms": 250}, "log": {"level": "warning", "format": "json"},`, h.name, subnet, machineMB)
 		if n == 0 {
 			h.start("platform", text+fmt.Sprintf(`"listen": {"peers": "%s:8090", "admin": %q}, "control": {"data_folder": "data", "form": true}}`, h.ip, h.admin()))
 			continue
@@ -161,9 +161,9 @@
 				"target": {"slots": 6, "connections": 60}, "deadline_ms": 3000}}}`)
 		}
 		h.startServer()
-		h.start("verbenad", fmt.Sprintf(`{"instance": %q, "zone": "z", "replicas": ["127.%d.1.1:8090"], "open_network": true, %s
+		h.start("verbenad", fmt.Sprintf(`{"instance": %q, "zone": "z", "replicas": ["127.%d.1.1:8090"], "open_network": true, "memory_mb": %d, %s
 			"listen": {"callers": %q, "peers": "%s:8090", "admin": %q}, "log": {"level": "warning", "format": "json"}}`,
-			h.name, subnet, control, h.callers(), h.ip, h.admin()))
+			h.name, subnet, machineMB, control, h.callers(), h.ip, h.admin()))
 		h.announce()
 	}
 	await(t, "each daemon owns keys", func() bool {
