Take no reset for the end of an answer, and no status 000 for 200

Cause: (a) a target that answers an upload at once without a length and resets the connection: the blocked write of the upload takes ECONNRESET from the socket, and the next read returns 0 as after FIN, so the part counted as complete. (b) fasthttp's parser stores 000 as 0 and returns 200 for it; 099 counted as an interim response.

Change: (a) at the end of a body that ends with its connection, if the request is not written completely, TCP_INFO tells whether the connection is closed (reset) or the target has closed its half; only the latter is an end. (b) the status line is checked before it is parsed; a status of another daemon must be from 200 to 999.

--- a/verbenad/adapt/hop/exchange.go
+++ b/verbenad/adapt/hop/exchange.go
@@ -49,6 +49,10 @@
 	}
 	switch p := p.GetPart().(type) {
 	case *wirepb.AnswerPart_Head:
+		if !validStatus(p.Head.GetStatus()) {
+			e.cancel()
+			return call.Unknown(result.Interrupted)
+		}
 		e.responseStarted.Store(true)
 		return hopmsg.DecodeResponse(p.Head, &responseBody{exchange: e})
 	case *wirepb.AnswerPart_Failure:
@@ -60,6 +64,14 @@
 	}
 }
 
+// Bounds of the status of a response that is not an interim one.
+const (
+	minStatus = 200
+	maxStatus = 999
+)
+
+func validStatus(status uint32) bool { return minStatus <= status && status <= maxStatus }
+
 // receiveFirst returns the first part of the response. If the body waits for an invitation, it is sent
 // as soon as that arrives: a request that is refused costs the network no more than its head.
 func (e *exchange) receiveFirst(waits bool) (*wirepb.AnswerPart, error) {
--- a/verbenad/adapt/hop/hop_test.go
+++ b/verbenad/adapt/hop/hop_test.go
@@ -27,13 +27,15 @@
 	return call.Unknown(result.Cancelled)
 }
 
-func startPeer(t *testing.T, o hop.Owner) (string, *grpc.Server) {
+func startPeer(t *testing.T, o hop.Owner) (string, *grpc.Server) { return startPeerWith(t, o) }
+
+func startPeerWith(t *testing.T, o hop.Owner, opts ...hop.ServerOption) (string, *grpc.Server) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	s := grpc.NewServer()
-	wirepb.RegisterHopServer(s, hop.NewServer(o))
+	wirepb.RegisterHopServer(s, hop.NewServer(o, opts...))
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(s.Stop)
 	return l.Addr().String(), s
--- a/verbenad/adapt/target/conn.go
+++ b/verbenad/adapt/target/conn.go
@@ -115,6 +115,25 @@
 	return err == nil && openAndEmpty
 }
 
+// closedByPeer reports whether the peer has closed its sending half and the connection was not reset, and whether that is
+// known.
+func (c *conn) closedByPeer() (closed, known bool) {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false, false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false, false
+	}
+	err = raw.Control(func(fd uintptr) {
+		info, e := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		known = e == nil
+		closed = known && info.State != unix.BPF_TCP_CLOSE
+	})
+	return closed, known && err == nil
+}
+
 // keepAliveMargin is how long before the target's idle time-out a connection is no longer used, so that
 // no request is sent while the target closes it.
 const keepAliveMargin = 500 * time.Millisecond
--- a/verbenad/adapt/target/exchange.go
+++ b/verbenad/adapt/target/exchange.go
@@ -60,7 +60,7 @@
 	var h fasthttp.ResponseHeader
 	h.SetNoDefaultContentType(true)
 	for range 1 + maxInterimResponses {
-		if err := h.Read(x.conn.reader); err != nil {
+		if !peekStatus(x.conn.reader) || h.Read(x.conn.reader) != nil {
 			break
 		}
 		if h.StatusCode() >= fasthttp.StatusOK {
--- a/verbenad/adapt/target/response.go
+++ b/verbenad/adapt/target/response.go
@@ -77,7 +77,11 @@
 		return n, err
 	}
 	if b.remaining == identityLength {
-		return r.Read(p)
+		n, err := r.Read(p)
+		if err == io.EOF && b.exchange.wasReset() {
+			err = io.ErrUnexpectedEOF
+		}
+		return n, err
 	}
 	if b.remaining == 0 {
 		return 0, io.EOF
@@ -128,10 +132,21 @@
 	x.abort()
 }
 
+// wasReset reports whether the end of the input may be that of a connection that was reset. While the request is written,
+// the write may have taken the error of the socket, and a read returns the end of the input as after an orderly close.
+func (x *exchange) wasReset() bool {
+	if x.requestSent() {
+		return false
+	}
+	half, known := x.conn.closedByPeer()
+	return !known || !half
+}
+
 // requestSent reports whether the request was sent completely.
 func (x *exchange) requestSent() bool {
 	select {
 	case err := <-x.uploadResult:
+		x.uploadResult <- err
 		return err == nil
 	default:
 		return false
--- a/verbenad/command/serve/metric.go
+++ b/verbenad/command/serve/metric.go
@@ -39,8 +39,8 @@
 		"verbenad.members":              func(d *Daemon) int64 { return int64(len(d.snapshots.Load().Table().Members())) },
 		"verbenad.keys_held":            func(d *Daemon) int64 { return int64(d.snapshots.Load().HeldKeys()) },
 		"verbenad.heap_bytes":           func(*Daemon) int64 { var m runtime.MemStats; runtime.ReadMemStats(&m); return int64(m.HeapAlloc) },
-		"verbenad.memory_held_bytes":   func(d *Daemon) int64 { return d.memory.Held() },
-		"verbenad.memory_budget_bytes": func(d *Daemon) int64 { return d.memory.Limit() },
+		"verbenad.memory_held_bytes":    func(d *Daemon) int64 { return d.memory.Held() },
+		"verbenad.memory_budget_bytes":  func(d *Daemon) int64 { return d.memory.Limit() },
 		"verbenad.log_lines_dropped":    func(d *Daemon) int64 { return d.droppedLogLines() },
 		"verbenad.sessions":             func(d *Daemon) int64 { return int64(d.loop.View().Sessions()) },
 	}
