--- a/verbenad/state/config/settings.go
+++ b/verbenad/state/config/settings.go
@@ -28,6 +28,7 @@
 	retryBudget       RetryBudget
 	linkMbps          float64
 	coldBound         ColdBound
+	memoryMB          int64
 	openNetwork       bool
 	lastingRules      bool
 	terms             []string
@@ -99,6 +100,9 @@
 // LinkMbps returns the bandwidth of the instance's network link in Mbit/s, 0 if it is not known.
 func (s Settings) LinkMbps() float64 { return s.linkMbps }
 
+// MemoryMB returns the memory that the process may use in MB, 0 if it is not set.
+func (s Settings) MemoryMB() int64 { return s.memoryMB }
+
 // OpenNetwork reports whether the network between the processes is trusted, so that they need no
 // secret.
 func (s Settings) OpenNetwork() bool { return s.openNetwork }
