--- a/verbenad/adapt/jsonc/jsonc.go
+++ b/verbenad/adapt/jsonc/jsonc.go
@@ -11,6 +11,8 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"verbenabank/core/clock"
+	"verbenabank/core/query/picker"
 	"verbenabank/core/wire/jtree"
 	"verbenabank/verbenad/state/config"
 )
@@ -62,10 +64,11 @@
 
 func (l loader) options() []config.Option {
 	l.RejectUnknown(withDurations([]string{"instance", "zone", "listen", "replicas", "seeds", "secret_file", "open_network", "control", "tls",
-		"configuration_folder", "log", "target", "lease", "retries", "lasting_rules", "link_mbps", "terms"}, "hold", "drain", "grace", "zone_drain")...)
+		"configuration_folder", "log", "target", "lease", "retries", "lasting_rules", "link_mbps", "memory_mb", "cold_start", "terms", "balancing"},
+		"hold", "drain", "grace", "zone_drain")...)
 	opts := []config.Option{config.WithName(l.name("instance"), l.name("zone")), l.authentication(), l.timing(), l.retries(), l.target()}
 	opts = append(opts, config.WithLastingRules(l.Bool("lasting_rules", false)), config.WithLinkMbps(l.Float("link_mbps", 0, maxLinkMbps, 0)))
-	opts = append(opts, config.WithTerms(l.Strings("terms", nil)))
+	opts = append(opts, l.coldStart(), l.memory(), config.WithTerms(l.Strings("terms", nil)))
 	opts = append(opts, l.addresses()...)
 	if l.Has("control") {
 		opts = append(opts, config.WithControl(l.control()))
@@ -76,9 +79,21 @@
 	if l.Has("configuration_folder") {
 		opts = append(opts, config.WithConfigFolder(l.path(l.Reader, "configuration_folder")))
 	}
+	if l.Has("balancing") {
+		opts = append(opts, l.balancing())
+	}
 	return append(opts, l.log())
 }
 
+// maxZoneCost is the highest cost of the way to another zone, in milliseconds.
+const maxZoneCost = 10_000
+
+func (l loader) balancing() config.Option {
+	r, _ := l.Object("balancing")
+	r.RejectUnknown("zone_cost_ms")
+	return config.WithZoneCost(clock.Millis(r.Int("zone_cost_ms", 0, maxZoneCost, int64(picker.DefaultZoneCost))))
+}
+
 func (l loader) name(field string) string {
 	name := l.String(field, "")
 	if !namePattern.MatchString(name) {
@@ -90,6 +105,21 @@
 // maxLinkMbps is the highest link rate accepted, in Mbit/s.
 const maxLinkMbps = 1e6
 
+// Bounds of the memory of a process in MB.
+const (
+	minMemoryMB = 64
+	maxMemoryMB = 1 << 20
+)
+
+// memory reads the memory that the process may use. It may have a fraction; 0 is the same as leaving it out.
+func (l loader) memory() config.Option {
+	mb := int64(l.Float("memory_mb", 0, maxMemoryMB, 0))
+	if mb != 0 && mb < minMemoryMB {
+		l.AddFault("memory_mb", fmt.Sprintf("must be 0 or at least %d", minMemoryMB))
+	}
+	return config.WithMemoryMB(mb)
+}
+
 // maxToleratedLosses is the highest number of replica failures that a group may be
 // configured to tolerate.
 const maxToleratedLosses = 10
--- a/verbenad/command/owner/exchange.go
+++ b/verbenad/command/owner/exchange.go
@@ -12,6 +12,8 @@
 
 	"verbenabank/core/clock"
 	"verbenabank/core/command/admit"
+	"verbenabank/core/command/cost"
+	"verbenabank/core/command/room"
 	"verbenabank/core/state/call"
 	"verbenabank/core/state/result"
 	"verbenabank/core/state/rules"
@@ -59,8 +61,10 @@
 	deadline          clock.Millis
 	enteredAt         clock.Millis
 	leave             func()
+	work              *cost.Ticket // nil until the request asks for a slot of the target
 	admission         admission
 	hasSlot           bool
+	inColdGate        bool
 	submitted         bool
 	releaseOnce       sync.Once // guards the release of a request that was submitted to the target
 	sentAt            clock.Millis
@@ -68,6 +72,7 @@
 	announcedLeaseEnd clock.Millis // the last lease end sent to the target
 	cancel            context.CancelFunc
 	lapsed            atomic.Bool
+	arrival           room.Arrival // nil if all requests compete alike
 }
 
 // run sends the request to the target. Serve calls finish after a failure; after a response the leasedBody
@@ -78,6 +83,13 @@
 		return call.Refuse(reason)
 	}
 	x.owner.countKey(x.request, a.service)
+	if failure, ok := x.arrive(); !ok {
+		return failure
+	}
+	if failure, ok := x.enterColdGate(ctx, a.service); !ok {
+		return failure
+	}
+	defer x.leaveColdGate()
 	if failure, ok := x.prefetchBody(ctx, a.service); !ok {
 		return failure
 	}
@@ -108,6 +120,9 @@
 	if reason != "" {
 		return call.Request{}, reason
 	}
+	if reason := x.passColdGate(a.service); reason != "" {
+		return call.Request{}, reason
+	}
 	x.assignID()
 	x.recordDispatch(a)
 	r := x.request
@@ -118,8 +133,12 @@
 
 // acquireSlot waits for a slot of the target and reports whether the request may go on.
 func (x *exchange) acquireSlot(ctx context.Context, s rules.Service) (call.Failure, bool) {
-	failure, held := x.enqueue(ctx, s, x.owner.limiter, x.owner.slots(s), x.enteredAt+x.request.LatencyGoal())
+	x.work = x.owner.work.Enter(cost.NewClass(x.request.Service(), x.request.Class(), x.request.Method(), x.request.BodyLength()))
+	slots := x.owner.slots(s)
+	x.owner.usedSlots.Store(int64(slots))
+	failure, held := x.enqueue(ctx, s, x.owner.limiter, slots, x.enteredAt+x.request.LatencyGoal())
 	x.hasSlot = held
+	x.recordDecision(failure)
 	return failure, failure.Outcome() == nil
 }
 
@@ -131,8 +150,13 @@
 	wait := x.maxQueueWait(s)
 	r, maxStay := admit.NewRequest(x.deadline, wait), wait
 	if x.request.LatencyGoal() > 0 {
-		maxStay = limiter.MaxQueueTime(x.request.Class(), now, x.deadline)
-		r = r.WithPriority(x.request.Priority(), goal, maxStay).WithClass(x.request.Class())
+		p := room.NewPlace(x.request.Priority(), wait, limiter.MaxQueueTime(x.request.Class(), now, x.deadline)).
+			WithGoal(goal-now, limiter.ClassServiceTime(x.request.Class())).For(x.arrival, x.deadline-now)
+		maxStay = p.Stay()
+		r = admit.NewRequest(x.deadline, p.Wait()).WithPriority(p.Rank(), goal, maxStay).WithClass(x.request.Class())
+		if p.Firm() {
+			r = r.Firm()
+		}
 	}
 	t := limiter.Submit(now, r, admit.NewLimits(slots, s.QueueLength(), wait))
 	select {
@@ -298,6 +322,9 @@
 // counts as service time; a request that was never sent has none.
 func (x *exchange) releaseSlot() {
 	now := x.owner.clock.Now()
+	if x.work != nil {
+		x.owner.work.Leave(x.work, now)
+	}
 	switch {
 	case x.hasSlot && x.sentAt > 0:
 		x.owner.meter.ObservePhase("target", now-x.sentAt)
--- a/verbenad/command/owner/owner.go
+++ b/verbenad/command/owner/owner.go
@@ -14,6 +14,7 @@
 
 	"verbenabank/core/clock"
 	"verbenabank/core/command/admit"
+	"verbenabank/core/command/cost"
 	"verbenabank/core/command/topk"
 	"verbenabank/core/state/call"
 	"verbenabank/core/state/load"
@@ -25,6 +26,7 @@
 	"verbenabank/verbenad/command/flight"
 	"verbenabank/verbenad/command/meter"
 	"verbenabank/verbenad/command/reqlog"
+	"verbenabank/verbenad/command/rooms"
 )
 
 // HotCounters is the number of counters for hot keys. A key with at least 1/HotCounters of the
@@ -47,14 +49,19 @@
 	extender       Extender
 	dialect        Dialect
 	announcedSlots atomic.Int64 // 0 if the target announced none
+	usedSlots      atomic.Int64 // concurrency limit of the last request, 0 before the first one
 	targetName     atomic.Pointer[string]
 	inFlight       *flight.Tracker
 	limiter        *admit.Limiter
 	bodies         bodyLimiter
+	work           *cost.Work
+	report         targetReport
+	cold           *coldGate
 	closed         atomic.Bool
 	holdOff        atomic.Int64 // in ms
 	attempts       atomic.Uint64
 	meter          *meter.Meter
+	rooms          *rooms.Rooms  // nil to let all requests compete alike
 	log            *logrus.Entry // nil for no request log
 	requestLog     *reqlog.Logger
 
@@ -87,6 +94,8 @@
 		inFlight:        flight.New(),
 		limiter:         newLimiter(),
 		bodies:          bodyLimiter{limiter: newLimiter()},
+		work:            cost.NewWork(),
+		cold:            newColdGate(),
 		meter:           meter.ForPart("owner"),
 		hotKeys:         topk.New(HotCounters),
 		cells:           map[int]uint64{},
@@ -99,6 +108,7 @@
 	for _, f := range opts {
 		f(o)
 	}
+	o.cold.start(o)
 	if o.log != nil {
 		o.requestLog = reqlog.New(o.clock, o.log, "owner")
 	}
@@ -113,6 +123,9 @@
 // WithDialect sets the dialect of the target, by default that of the Verbena header fields.
 func WithDialect(d Dialect) Option { return func(o *Owner) { o.dialect = d } }
 
+// WithRooms sets what decides between calls of other targets and new requests; without it they compete alike.
+func WithRooms(r *rooms.Rooms) Option { return func(o *Owner) { o.rooms = r } }
+
 // WithQueueOrder sets the order in which queued requests are admitted.
 func WithQueueOrder(x admit.Order) Option {
 	return func(o *Owner) {
@@ -134,8 +147,11 @@
 // SetTarget sets the name of the target and how many requests it runs at once, 0 to use the
 // number of slots in the rules.
 func (o *Owner) SetTarget(name string, slots int) {
-	o.targetName.Store(&name)
+	if previous := o.targetName.Swap(&name); previous != nil && *previous != "" && *previous != name {
+		o.cold.replace()
+	}
 	o.announcedSlots.Store(int64(slots))
+	o.usedSlots.Store(0)
 }
 
 // slots returns the concurrency limit of the target.
@@ -161,10 +177,16 @@
 
 // Backlog returns what the target has left to do, as this daemon counts it.
 func (o *Owner) Backlog() load.Backlog {
-	slots := int(o.announcedSlots.Load())
+	slots, now := int(o.usedSlots.Load()), o.clock.Now()
+	if slots == 0 {
+		slots = int(o.announcedSlots.Load())
+	}
 	l := o.limiter.TargetLoad()
-	return load.NewBacklog(slots, l.Running(), l.Waiting()).
-		WithWork(l.MeanTime()*clock.Millis(l.Running()+l.Waiting()), l.MeanTime())
+	left, mean := o.work.Left(now)
+	if mean == 0 {
+		mean = l.MeanTime()
+	}
+	return o.report.weighed(load.NewBacklog(slots, l.Running(), l.Waiting()).WithWork(left, mean), now).WithCold(o.cold.state())
 }
 
 // InFlight returns the tracker of in-flight requests.
@@ -199,10 +221,10 @@
 	switch reply := reply.(type) {
 	case call.Response:
 		b := &leasedBody{exchange: x, status: reply.Status(), body: reply.Body()}
-		return reply.WithBody(b).WithBacklog(o.Backlog())
+		return reply.WithBody(b).WithBacklog(x.backlog().WithServed(x.recordServed(reply)))
 	case call.Failure:
 		x.finish(reply.Outcome())
-		return o.withHoldOff(reply).WithBacklog(o.Backlog())
+		return o.withHoldOff(reply).WithBacklog(x.backlog())
 	}
 	return call.Unknown(result.Interrupted)
 }
--- a/verbenad/command/relay/attempt.go
+++ b/verbenad/command/relay/attempt.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"verbenabank/core/command/balance"
 	"verbenabank/core/command/breaker"
+	"verbenabank/core/command/cost"
 	"verbenabank/core/query/route"
 	"verbenabank/core/state/call"
 	"verbenabank/core/state/result"
@@ -15,6 +17,9 @@
 	if !s.RulesValid(t.relay.clock.Now()) {
 		return call.Refuse(result.NotReady), nil
 	}
+	if refusal, turned := t.refuseAtEntry(); turned {
+		return refusal, nil
+	}
 	switch d := t.relay.Index(s).Decide(t.request.attributes).(type) {
 	case route.Refuse:
 		return call.Refuse(d.Reason()), nil
@@ -31,7 +36,11 @@
 func (t *task) attemptKeyed(s *snap.Snapshot, d route.Keyed) (reply call.Reply, served <-chan struct{}) {
 	m := d.Owner()
 	send := func() call.Reply {
-		return t.forward(s, m, t.attemptRequest(call.WithKey(d.Key(), d.Shard()), call.WithMember(m.Incarnation())))
+		sent := t.relay.work.Send(m.Incarnation(), t.costClass(), t.relay.clock.Now())
+		reply := t.forward(s, m, t.attemptRequest(call.WithKey(d.Key(), d.Shard()), call.WithMember(m.Incarnation())))
+		t.relay.work.Record(sent, reply, t.relay.clock.Now())
+		t.relay.work.End(sent, t.relay.clock.Now())
+		return reply
 	}
 	if m.Incarnation() == s.Self() {
 		return send(), nil
@@ -56,20 +65,39 @@
 // attemptPooled makes one attempt at a member of a pooled service, preferably at one that was not
 // tried yet.
 func (t *task) attemptPooled(s *snap.Snapshot, d route.Pooled) call.Reply {
+	if refusal, throttled := t.throttleAtEntry(); throttled {
+		return refusal
+	}
 	t.alternatives = len(d.Candidates()) > 1
 	if t.tried == nil {
 		t.tried = map[table.Incarnation]bool{}
 	}
-	m, ok := t.relay.balancer.pick(d, t.preferred(s, d), t.tried)
+	r := t.workRequest(s, d)
+	m, ok := t.relay.balancer.pick(d, t.preferred(s, d), t.tried, r)
 	if !ok {
 		return call.Refuse(result.NoTarget)
 	}
 	t.tried[m.Incarnation()] = true
-	done := t.relay.balancer.startAttempt(d.Service().Name(), m)
+	if m.Zone() != t.relay.zone {
+		t.relay.meter.Add("other_zone", 1)
+	}
+	done := t.relay.balancer.startAttempt(d.Service().Name(), m, r)
 	reply := t.forward(s, m, t.attemptRequest(call.WithMember(m.Incarnation())))
 	return done(reply)
 }
 
+// workRequest returns the request with its candidates as the estimator of work knows them.
+func (t *task) workRequest(s *snap.Snapshot, d route.Pooled) balance.Request {
+	return balance.NewRequest(t.costClass(), t.request.bodyLength()).
+		WithGoal(t.request.latencyGoal-t.relay.clock.Now()).
+		WithCandidates(t.relay.zone, d.Only(s.Self()), d.InZone(t.relay.zone), d.Candidates())
+}
+
+// costClass returns the class of the request by its likely cost.
+func (t *task) costClass() cost.Class {
+	return cost.NewClass(t.request.service.Name(), t.request.class, t.request.method, t.request.bodyLength())
+}
+
 // largeBodyBytes is the body size above which the cost of the network hop outweighs differences in
 // load between targets.
 const largeBodyBytes = 8 << 10
@@ -89,7 +117,7 @@
 func (t *task) attemptRequest(opts ...call.Option) call.Request {
 	q := t.request
 	opts = append(opts, call.WithFields(q.fields), call.WithID(q.id), call.WithClass(q.class),
-		call.WithPolicy(q.priority, max(1, q.latencyGoal-t.relay.clock.Now()), q.repeatable))
+		call.WithPolicy(q.priority, max(1, q.latencyGoal-t.relay.clock.Now()), q.repeatable), call.WithOrigin(t.origin()))
 	if q.body != nil {
 		opts = append(opts, call.WithBody(q.body.newReader(), q.body.length))
 	}
@@ -100,8 +128,12 @@
 func (t *task) forward(s *snap.Snapshot, m table.Member, r call.Request) call.Reply {
 	t.attempts++
 	t.instance = m.Instance()
+	var reply call.Reply
 	if m.Incarnation() == s.Self() {
-		return t.relay.local.Serve(t.ctx, r)
+		reply = t.relay.local.Serve(t.ctx, r)
+	} else {
+		reply = t.relay.remote.Send(t.ctx, m.Address(), r)
 	}
-	return t.relay.remote.Send(t.ctx, m.Address(), r)
+	t.learnRoom(reply)
+	return reply
 }
--- a/verbenad/command/relay/balancer.go
+++ b/verbenad/command/relay/balancer.go
@@ -6,10 +6,12 @@
 	"sync"
 
 	"verbenabank/core/clock"
+	"verbenabank/core/command/balance"
 	"verbenabank/core/command/eject"
 	"verbenabank/core/query/picker"
 	"verbenabank/core/query/route"
 	"verbenabank/core/state/call"
+	"verbenabank/core/state/load"
 	"verbenabank/core/state/result"
 	"verbenabank/core/state/table"
 )
@@ -17,7 +19,9 @@
 // balancer selects targets of pooled services and tracks their latency and failures, so that
 // targets that fail often are ejected for a while. It is safe for concurrent use.
 type balancer struct {
-	clock *clock.Clock
+	clock  *clock.Clock
+	policy picker.Policy
+	work   *balance.Estimator
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -29,13 +33,13 @@
 	candidates []table.Member
 }
 
-func newBalancer(c *clock.Clock) *balancer {
-	return &balancer{clock: c, pools: map[string]*pool{}}
+func newBalancer(c *clock.Clock, p picker.Policy, w *balance.Estimator) *balancer {
+	return &balancer{clock: c, policy: p, work: w, pools: map[string]*pool{}}
 }
 
 // pick returns a candidate that was not tried and is not ejected, one of preferred unless another
 // is far less loaded. If there is none, it picks among all candidates by load alone.
-func (b *balancer) pick(d route.Pooled, preferred []table.Member, tried map[table.Incarnation]bool) (table.Member, bool) {
+func (b *balancer) pick(d route.Pooled, preferred []table.Member, tried map[table.Incarnation]bool, r balance.Request) (table.Member, bool) {
 	now := b.clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -47,6 +51,13 @@
 		return k.View(m, d.Service().WarmUp(), now)
 	}
 	all := d.Candidates()
+	switch p := b.policy.(type) {
+	case picker.ExpectedWork:
+		if m, ok := b.work.Pick(p, r, stats, now, rand.IntN); ok {
+			return m, true
+		}
+	case picker.LeastLatency:
+	}
 	if m, ok := picker.Pick(preferred, all, stats, rand.IntN); ok {
 		return m, true
 	}
@@ -74,15 +85,18 @@
 // startAttempt counts an attempt at m as in flight. The returned function must be called with the
 // reply. It records a failure at once; for a response it returns one whose body records the
 // outcome at its end, and which stops counting as in flight when the body is closed.
-func (b *balancer) startAttempt(service string, m table.Member) func(call.Reply) call.Reply {
+func (b *balancer) startAttempt(service string, m table.Member, r balance.Request) func(call.Reply) call.Reply {
 	start := b.clock.Now()
 	b.mu.Lock()
 	k := b.pools[service].tracker
 	k.Begin(m.Incarnation())
 	b.mu.Unlock()
 	a := &poolAttempt{balancer: b, tracker: k, member: m.Incarnation(), start: start}
+	a.sent = b.work.Send(m.Incarnation(), r.Class(), start)
 	return func(reply call.Reply) call.Reply {
+		b.work.Record(a.sent, reply, b.clock.Now())
 		latency := b.clock.Now() - start
+		a.recordCold(reply)
 		switch reply := reply.(type) {
 		case call.Response:
 			body := &trackedBody{ReadCloser: reply.Body(), attempt: a, completed: responseSample(reply, latency)}
@@ -135,6 +149,7 @@
 	tracker  *eject.Tracker
 	member   table.Incarnation
 	start    clock.Millis
+	sent     balance.Sent
 	endOnce  sync.Once
 }
 
@@ -148,12 +163,30 @@
 	a.tracker.Record(a.member, s, a.balancer.clock.Now())
 }
 
+// recordCold records what the reply says about a cold start of the target.
+func (a *poolAttempt) recordCold(reply call.Reply) {
+	var l load.Backlog
+	switch reply := reply.(type) {
+	case call.Response:
+		l = reply.Backlog()
+	case call.Failure:
+		l = reply.Backlog()
+	}
+	if !l.Known() {
+		return
+	}
+	a.balancer.mu.Lock()
+	defer a.balancer.mu.Unlock()
+	a.tracker.RecordCold(a.member, l.Cold(), a.balancer.clock.Now())
+}
+
 // end stops counting the attempt as in flight.
 func (a *poolAttempt) end() {
 	a.endOnce.Do(func() {
 		a.balancer.mu.Lock()
 		defer a.balancer.mu.Unlock()
 		a.tracker.End(a.member)
+		a.balancer.work.End(a.sent, a.balancer.clock.Now())
 	})
 }
 
--- a/verbenad/command/serve/metric.go
+++ b/verbenad/command/serve/metric.go
@@ -25,7 +25,7 @@
 	gauges := map[string]func(*Daemon) int64{
 		"verbenad.lease_left_ms":        func(d *Daemon) int64 { return int64(max(0, d.snapshots.Load().LeaseEnd().Sub(d.clock.Now()))) },
 		"verbenad.rules_left_ms":        func(d *Daemon) int64 { return int64(max(0, d.snapshots.Load().RulesEnd().Sub(d.clock.Now()))) },
-		"verbenad.rules_unconfirmed_ms": func(d *Daemon) int64 { return unconfirmedMs(d) },
+		"verbenad.rules_unconfirmed_ms": func(d *Daemon) int64 { return int64(d.snapshots.Load().RulesAge(d.clock.Now())) },
 		"verbenad.rules_version":        func(d *Daemon) int64 { return int64(d.snapshots.Load().Table().Rules().Version()) },
 		"verbenad.table_version":        func(d *Daemon) int64 { return int64(d.snapshots.Load().Table().Version()) },
 		"verbenad.shards_owned":         func(d *Daemon) int64 { return int64(ownedShards(d)) },
@@ -40,6 +40,8 @@
 		"verbenad.zones_drained":        func(d *Daemon) int64 { return int64(len(d.snapshots.Load().Table().DrainedZones())) },
 		"verbenad.keys_held":            func(d *Daemon) int64 { return int64(d.snapshots.Load().HeldKeys()) },
 		"verbenad.heap_bytes":           func(*Daemon) int64 { var m runtime.MemStats; runtime.ReadMemStats(&m); return int64(m.HeapAlloc) },
+		"verbenad.memory_held_bytes":    func(d *Daemon) int64 { return d.memory.Held() },
+		"verbenad.memory_budget_bytes":  func(d *Daemon) int64 { return d.memory.Limit() },
 		"verbenad.log_lines_dropped":    func(d *Daemon) int64 { return d.droppedLogLines() },
 		"verbenad.sessions":             func(d *Daemon) int64 { return int64(d.loop.View().Sessions()) },
 	}
@@ -49,15 +51,6 @@
 	}
 }
 
-// unconfirmedMs returns for how long the rules have not been confirmed as the newest ones, 0 if they never were.
-func unconfirmedMs(d *Daemon) int64 {
-	at := d.snapshots.Load().RulesConfirmed()
-	if at == 0 {
-		return 0
-	}
-	return int64(d.clock.Now().Sub(at))
-}
-
 // Values of the gauge verbenad.control_role.
 const (
 	roleNone = iota
--- a/verbenad/command/serve/options.go
+++ b/verbenad/command/serve/options.go
@@ -8,6 +8,7 @@
 	"verbenabank/core/command/agent"
 	"verbenabank/core/command/leader"
 	"verbenabank/core/command/stats"
+	"verbenabank/core/query/picker"
 	"verbenabank/core/state/fleet"
 	"verbenabank/core/state/grant"
 	"verbenabank/core/state/logcmd"
@@ -15,6 +16,7 @@
 	"verbenabank/verbenad/adapt/front"
 	"verbenabank/verbenad/adapt/grants"
 	"verbenabank/verbenad/command/owner"
+	"verbenabank/verbenad/command/rooms"
 )
 
 // Option configures a Daemon.
@@ -35,6 +37,10 @@
 	return func(d *Daemon) { d.targetDialect, d.grantDialect = x, g }
 }
 
+// WithRooms lets calls of targets that run a request go before new requests, and limits new requests at targets whose
+// calls have too little room.
+func WithRooms() Option { return func(d *Daemon) { d.rooms = rooms.New(rooms.WithClock(d.clock)) } }
+
 // WithAveragedCapacity places the keys of ordered services by service times that are averaged over the requests of a
 // window, if this daemon leads the control group.
 func WithAveragedCapacity() Option {
@@ -51,6 +57,10 @@
 	return func(d *Daemon) { d.registerAdmin = register }
 }
 
+// WithBalancing sets how targets of pooled services are picked, by default by the latency that each daemon measures. A
+// balancing in the settings takes precedence.
+func WithBalancing(p picker.Policy) Option { return func(d *Daemon) { d.balancing = p } }
+
 // AdminAPI is the interface of a daemon for handlers of the admin server. Its methods are safe for
 // concurrent use.
 type AdminAPI interface {
@@ -59,6 +69,8 @@
 	Heartbeat(h agent.Heartbeat) (grant.Answer, bool)
 	// HeartbeatRejected logs that a heartbeat was not valid.
 	HeartbeatRejected(problem string)
+	// ColdTimeRejected counts a heartbeat whose cold time is not valid. The rest of it is used.
+	ColdTimeRejected()
 	// Propose proposes a configuration until it is decided or ctx ends.
 	Propose(ctx context.Context, r logcmd.SetRules) (fleet.Verdict, error)
 	// SetZoneDrain drains a zone or ends its drain. It returns when that is decided or ctx ends.
@@ -79,6 +91,9 @@
 // HeartbeatRejected logs that a heartbeat was not valid.
 func (d *Daemon) HeartbeatRejected(problem string) { d.lifecycle.notice.HeartbeatRejected(problem) }
 
+// ColdTimeRejected counts a heartbeat whose cold time is not valid.
+func (d *Daemon) ColdTimeRejected() { d.owner.RejectColdTime() }
+
 // Propose proposes a configuration to the control group until it is decided or ctx ends.
 func (d *Daemon) Propose(ctx context.Context, r logcmd.SetRules) (fleet.Verdict, error) {
 	return d.controlClient.Propose(ctx, r)
--- a/verbenad/command/serve/traffic.go
+++ b/verbenad/command/serve/traffic.go
@@ -7,7 +7,9 @@
 	"verbenabank/core/command/admit"
 	"verbenabank/core/command/agent"
 	"verbenabank/core/command/budget"
+	"verbenabank/core/command/cold"
 	"verbenabank/core/command/lease"
+	"verbenabank/core/query/picker"
 	"verbenabank/core/query/retry"
 	"verbenabank/core/state/rules"
 	"verbenabank/verbenad/adapt/detect"
@@ -31,7 +33,8 @@
 	d.buildTargetClients()
 	options := []owner.Option{
 		owner.WithClock(d.clock), owner.WithStore(d.snapshots), owner.WithTarget(d.target), owner.WithExtender(x),
-		owner.WithLog(d.logger()), owner.WithLink(d.settings.Load().LinkMbps(), hop.WindowBytes),
+		owner.WithLog(d.logger()), owner.WithLink(d.settings.Load().LinkMbps(), hop.WindowBytes), owner.WithRooms(d.rooms),
+		owner.WithColdBound(cold.NewBound(d.settings.Load().ColdBound().Overshoot(), d.settings.Load().ColdBound().Slack()), d.target),
 	}
 	if d.targetDialect != nil {
 		options = append(options, owner.WithDialect(d.targetDialect), owner.WithQueueOrder(admit.CostAware{}))
@@ -85,21 +88,31 @@
 	switch {
 	case d.callersPort == nil:
 	case d.callerDialect == nil:
-		d.entry = entry.New(entry.WithClock(d.clock), entry.WithStore(d.snapshots), entry.WithLocal(d.owner),
-			entry.WithRemote(d.hopClient), entry.WithInstance(s.Instance(), s.Zone()))
+		d.entry = entry.New(entry.WithRelayOptions(d.balancingOptions()...), entry.WithClock(d.clock), entry.WithStore(d.snapshots), entry.WithLocal(d.owner),
+			entry.WithRemote(d.hopClient), entry.WithInstance(s.Instance(), s.Zone()), entry.WithMemory(d.memory))
 	default:
 		options := []relay.Option{
 			relay.WithClock(d.clock), relay.WithStore(d.snapshots), relay.WithLocal(d.owner), relay.WithRemote(d.hopClient),
-			relay.WithZone(s.Zone()), relay.WithRetry(retry.Routed{}),
+			relay.WithZone(s.Zone()), relay.WithRetry(retry.Routed{}), relay.WithRooms(d.rooms),
 		}
 		if r := s.RetryBudget(); r.Window() > 0 {
 			options = append(options, relay.WithRetryBudget(budget.WithAllowance(r.Allowance(), r.Window())), relay.WithRetryPercent(retryPercent(r.Ratio())))
 		}
+		options = append(options, d.balancingOptions()...)
 		d.front = front.New(front.WithClock(d.clock), front.WithRelay(relay.New(options...)), front.WithDialect(d.callerDialect),
-			front.WithLog(d.logger()), front.WithLocalService(func() string { return d.settings.Load().LocalTarget().Service() }))
+			front.WithLog(d.logger()), front.WithMemory(d.memory), front.WithLocalService(func() string { return d.settings.Load().LocalTarget().Service() }))
 	}
 }
 
+// balancingOptions returns the options of the relay for the choice of targets of pooled services.
+func (d *Daemon) balancingOptions() []relay.Option {
+	policy := d.balancing
+	if cost, ok := d.settings.Load().ZoneCost(); ok {
+		policy = picker.NewExpectedWork(cost)
+	}
+	return []relay.Option{relay.WithBalancing(policy), relay.WithOwnBacklog(d.owner.Backlog)}
+}
+
 // retryBudgetShare is the part of the fleet's retry ratio that daemons use. The rest is headroom for
 // requests that the users count later than the daemons do.
 const retryBudgetShare = 0.9
--- a/verbenad/state/config/options.go
+++ b/verbenad/state/config/options.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"slices"
+
+	"verbenabank/core/clock"
 )
 
 // Option sets one property of Settings.
@@ -66,6 +68,9 @@
 // WithLinkMbps sets the bandwidth of the instance's network link in Mbit/s, 0 if it is not known.
 func WithLinkMbps(mbps float64) Option { return func(s *Settings) { s.linkMbps = mbps } }
 
+// WithMemoryMB sets the memory that the process may use in MB, 0 if it is not known.
+func WithMemoryMB(mb int64) Option { return func(s *Settings) { s.memoryMB = mb } }
+
 // WithOpenNetwork declares the network between the processes as trusted, so that they need no secret.
 func WithOpenNetwork() Option { return func(s *Settings) { s.openNetwork = true } }
 
@@ -74,3 +79,10 @@
 
 // WithTerms sets the terms of service of the deployment.
 func WithTerms(names []string) Option { return func(s *Settings) { s.terms = slices.Clone(names) } }
+
+// WithZoneCost turns on the balancing of pooled services by expected work, and sets the cost of the way to another zone
+// in milliseconds.
+func WithZoneCost(cost clock.Millis) Option { return func(s *Settings) { s.zoneCost = Some(cost) } }
+
+// WithColdBound sets how many requests a cold target may get in a second.
+func WithColdBound(b ColdBound) Option { return func(s *Settings) { s.coldBound = b } }
--- a/verbenad/state/config/settings.go
+++ b/verbenad/state/config/settings.go
@@ -5,6 +5,8 @@
 import (
 	"net/netip"
 	"slices"
+
+	"verbenabank/core/clock"
 )
 
 // Settings are the validated settings of a daemon. They are immutable and safe for concurrent use.
@@ -25,16 +27,19 @@
 	timings           Timings
 	retryBudget       RetryBudget
 	linkMbps          float64
+	coldBound         ColdBound
+	memoryMB          int64
 	openNetwork       bool
 	lastingRules      bool
 	terms             []string
+	zoneCost          Optional[clock.Millis]
 	logLevel          Level
 	logFormat         Format
 }
 
 // New returns settings with opts applied. By default, logs are plain text from level info on.
 func New(opts ...Option) Settings {
-	s := Settings{logLevel: LevelInfo, logFormat: Plain{}}
+	s := Settings{logLevel: LevelInfo, logFormat: Plain{}, coldBound: NewColdBound(1, 0)}
 	for _, o := range opts {
 		o(&s)
 	}
@@ -89,9 +94,15 @@
 // RetryBudget returns the retry budget of the fleet. It is not set if its window is 0.
 func (s Settings) RetryBudget() RetryBudget { return s.retryBudget }
 
+// ColdBound returns how many requests a cold target may get in a second.
+func (s Settings) ColdBound() ColdBound { return s.coldBound }
+
 // LinkMbps returns the bandwidth of the instance's network link in Mbit/s, 0 if it is not known.
 func (s Settings) LinkMbps() float64 { return s.linkMbps }
 
+// MemoryMB returns the memory that the process may use in MB, 0 if it is not set.
+func (s Settings) MemoryMB() int64 { return s.memoryMB }
+
 // OpenNetwork reports whether the network between the processes is trusted, so that they need no
 // secret.
 func (s Settings) OpenNetwork() bool { return s.openNetwork }
@@ -104,6 +115,10 @@
 // a term turns on; the daemon itself gives terms no meaning.
 func (s Settings) HasTerm(name string) bool { return slices.Contains(s.terms, name) }
 
+// ZoneCost returns the cost of the way to another zone in milliseconds, for the balancing by expected work, and whether
+// the settings ask for it.
+func (s Settings) ZoneCost() (clock.Millis, bool) { return s.zoneCost.value, s.zoneCost.set }
+
 // LogLevel returns the least severe level that is logged.
 func (s Settings) LogLevel() Level { return s.logLevel }
 
