--- a/verbenad/command/rooms/rooms.go
+++ b/verbenad/command/rooms/rooms.go
@@ -183,7 +183,7 @@
 		return true
 	case result.BadRequest, result.UnknownService, result.UnknownRoute, result.TooLarge, result.HeadTooLarge, result.TimedOut,
 		result.Interrupted, result.Truncated, result.Mismatched, result.LeaseLapsed, result.Cancelled, result.NotReady,
-		result.NoOwner, result.NotOwner, result.NotHeld, result.NoTarget, result.Leaving, result.Unreachable:
+		result.NoOwner, result.NotOwner, result.NotHeld, result.NoTarget, result.Leaving, result.Unreachable, result.ZoneDrained:
 		return false
 	}
 	return false
