Send the header of an upload at once

Cause: the header waited in the buffer of the connection until 16 KiB of the body had come. With a slow upload the request reached the target long after ownership, a zone drain and the bound for cold targets had been checked. Change: the header is flushed before the body is read from its source. Result: TestSlowUploadReachesTheTargetAtOnce, which failed before, passes.

--- a/verbenad/adapt/target/exchange.go
+++ b/verbenad/adapt/target/exchange.go
@@ -76,13 +76,17 @@
 const maxInterimResponses = 1000
 
 // send sends the request header and a small body. A large body is sent by another goroutine while the
-// response is read, since a target may respond before it has read the whole body.
+// response is read, since a target may respond before it has read the whole body. Its header is sent at once, since the
+// decisions of prepare hold for the moment, and the body may arrive slowly.
 func (x *exchange) send() error {
 	if err := x.writeHead(); err != nil {
 		return err
 	}
 	length := x.request.Length()
 	if x.request.Body() != nil && (length < 0 || length > maxInlineBody) {
+		if err := x.conn.writer.Flush(); err != nil {
+			return err
+		}
 		x.streamed = true
 		x.upload.Go(x.streamBody)
 		return nil
