Give the memory of a dropped replay buffer back at once

Cause: a long upload dropped its replay buffer after 192 KB, but the budget counted it until the request ended. About 200 slow uploads used the budget of a small machine up for nothing. Change: Body gives the memory back when it drops the buffer.

--- a/verbenad/command/memory/memory.go
+++ b/verbenad/command/memory/memory.go
@@ -113,5 +113,11 @@
 	t.held.Add(n)
 }
 
+// Give gives back n bytes that the request does not hold any more.
+func (t *Tally) Give(n int64) {
+	t.held.Add(-n)
+	t.share.Give(n)
+}
+
 // Close gives back all that the request holds.
 func (t *Tally) Close() { t.share.Give(t.held.Swap(0)) }
--- a/verbenad/command/relay/body.go
+++ b/verbenad/command/relay/body.go
@@ -29,10 +29,12 @@
 	err        *Error
 }
 
-// Memory grants the memory for what is buffered of a body. What is granted is given back with the request.
+// Memory grants the memory for what is buffered of a body. What is not given back before is given back with the request.
 type Memory interface {
 	// Take takes n bytes and reports whether they were granted. A refusal is counted by its kind.
 	Take(n int64, kind string) bool
+	// Give gives n bytes back.
+	Give(n int64)
 }
 
 // BodyOption sets one property of a Body.
@@ -135,7 +137,7 @@
 		return 0, io.EOF, true
 	}
 	if len(b.replay) >= maxReplayBytes {
-		b.overflowed, b.replay = true, nil
+		b.dropReplay()
 	}
 	return 0, nil, false
 }
@@ -146,12 +148,20 @@
 		return
 	}
 	if b.memory != nil && !b.memory.Take(int64(len(p)), "bodies") {
-		b.overflowed, b.replay = true, nil
+		b.dropReplay()
 		return
 	}
 	b.replay = append(b.replay, p...)
 }
 
+// dropReplay drops the replay buffer for good and gives its memory back. b.mu must be held.
+func (b *Body) dropReplay() {
+	if b.memory != nil {
+		b.memory.Give(int64(len(b.replay)))
+	}
+	b.overflowed, b.replay = true, nil
+}
+
 // record buffers bytes that were read from the source and checks the length of the body.
 func (a *attemptReader) record(p []byte, err error) (int, error) {
 	b := a.body
