Forget after 10 s that a class is a call of the local target

Cause: a relay remembered for ever each class that a reply had once called a call. Daemons learn calls and may be wrong at first, and configurations change; refusals of such a class went on closing the gate of a target that makes no calls. Change: rooms.Rooms keeps an instant for each class, set by each reply that says so; expired classes make room for others.

--- a/core/command/admit/order_test.go
+++ b/core/command/admit/order_test.go
@@ -114,3 +114,35 @@
 	}
 	is.Equal(lm.waiting, []*Ticket{lower, timely[0], timely[1], second}) // only two are ahead of the second
 }
+
+// TestLowestPriorityIsNotStarvedByCalls guards against patient requests that never get a turn while calls and urgent requests
+// wait too: each has waiting requests all the time.
+func TestLowestPriorityIsNotStarvedByCalls(t *testing.T) {
+	is := is.New(t)
+	lm, l := fullLimiter()
+	const call, urgent, patient = -1, 0, 1
+	turns := map[int]int{}
+	waiting := map[int]*Ticket{}
+	for range 100 {
+		for _, p := range []int{call, urgent, patient} {
+			if waiting[p] == nil {
+				r := NewRequest(5*clock.Second, 5*clock.Second).WithPriority(p, 4*clock.Second, 5*clock.Second)
+				if p == call {
+					r = r.Firm()
+				}
+				waiting[p] = lm.Submit(0, r, l)
+			}
+		}
+		lm.Release(0, 100)
+		for p, w := range waiting {
+			if admitted(w) {
+				turns[p]++
+				waiting[p] = nil
+			}
+		}
+	}
+	t.Logf("turns: calls %d, urgent %d, patient %d", turns[call], turns[urgent], turns[patient])
+	is.Equal(turns[call], 80)
+	is.Equal(turns[urgent], 16)
+	is.Equal(turns[patient], 4)
+}
--- a/verbenad/command/rooms/rooms.go
+++ b/verbenad/command/rooms/rooms.go
@@ -3,6 +3,7 @@
 package rooms
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 
@@ -17,6 +18,9 @@
 const (
 	// maxCalls is the number of classes that are remembered as calls of the local target.
 	maxCalls = 256
+	// callLifetime is how long a class counts as calls of the local target after a reply has last said so. The daemons
+	// of the called targets learn which classes are calls, so they may be wrong at first.
+	callLifetime = 10 * clock.Second
 	// spread is the time over which callers return after a refusal, besides the time that the refusal names.
 	spread = 400 * clock.Millisecond
 )
@@ -32,7 +36,7 @@
 	gate     *room.Gate
 	levels   *room.Levels
 	throttle *room.Throttle
-	calls    map[string]bool // classes of calls of the local target
+	calls    map[string]clock.Millis // when classes of calls of the local target end to count as such
 }
 
 // Option configures Rooms.
@@ -48,7 +52,7 @@
 func New(opts ...Option) *Rooms {
 	r := &Rooms{
 		clock: clock.New(), meter: meter.ForPart("room"), origins: room.NewOrigins(), demand: room.NewDemand(),
-		gate: room.NewGate(), levels: room.NewLevels(), throttle: room.NewThrottle(), calls: map[string]bool{},
+		gate: room.NewGate(), levels: room.NewLevels(), throttle: room.NewThrottle(), calls: map[string]clock.Millis{},
 	}
 	for _, f := range opts {
 		f(r)
@@ -129,7 +133,7 @@
 	now := r.clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.calls[class] || !r.throttle.Refuses(class, rand.Float64(), now) {
+	if r.isCall(class, now) || !r.throttle.Refuses(class, rand.Float64(), now) {
 		return false
 	}
 	r.throttle.Record(class, false, now)
@@ -145,9 +149,7 @@
 	defer r.mu.Unlock()
 	r.throttle.Record(class, !refused, now)
 	if told.Called() {
-		if len(r.calls) < maxCalls {
-			r.calls[class] = true
-		}
+		r.rememberCall(class, now)
 		if told.Share() < room.Full {
 			r.gate.RecordShare(told.Priority(), told.Share(), now)
 		}
@@ -157,12 +159,25 @@
 	return refused && !r.levels.Admits(class, id, now)
 }
 
+// rememberCall counts the class as calls of the local target for callLifetime.
+func (r *Rooms) rememberCall(class string, now clock.Millis) {
+	if _, known := r.calls[class]; !known && len(r.calls) >= maxCalls {
+		maps.DeleteFunc(r.calls, func(_ string, until clock.Millis) bool { return now >= until })
+		if len(r.calls) >= maxCalls {
+			return
+		}
+	}
+	r.calls[class] = now + callLifetime
+}
+
+func (r *Rooms) isCall(class string, now clock.Millis) bool { return now < r.calls[class] }
+
 // End counts the outcome of a request that entered at this daemon, if it is a call of the local target.
 func (r *Rooms) End(class string, o result.Outcome) {
 	now := r.clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.calls[class] {
+	if !r.isCall(class, now) {
 		return
 	}
 	lost := lacksRoom(o) && !sent(o)
