Let requests of low priority have turns while calls and urgent requests wait

Cause: every fifth turn went to the best request behind the first rank. With calls as a rank of their own, that was always an urgent request, so patient ones got no turn at all. Change: admit.Limiter counts the turns of firm requests apart; of the turns of the others every fifth still goes to a lower priority. Without firm requests nothing changes. Result: TestLowestPriorityIsNotStarvedByCalls: of 100 turns 80, 20 and 0 before, 80, 16 and 4 now; go test of core/command/admit, verbenad/command/owner and the Goodput tests of verbenad/command/rooms pass.

--- a/core/command/admit/admit.go
+++ b/core/command/admit/admit.go
@@ -48,6 +48,7 @@
 	meanServiceTime   clock.Millis // moving average in 1/1000 ms
 	order             Order
 	topPriorityTurns  int                     // turns of the highest priority since the last one of a lower priority
+	firmTurns         int                     // turns of firm requests since the last one of another while both were waiting
 	classServiceTimes map[string]clock.Millis // moving averages by class in 1/1000 ms
 }
 
--- a/core/command/admit/order.go
+++ b/core/command/admit/order.go
@@ -45,7 +45,7 @@
 )
 
 // lowPriorityInterval is the number of turns of which a lower priority gets one while a
-// higher one is waiting.
+// higher one is waiting, and requests that are not firm get one while firm ones are waiting.
 const lowPriorityInterval = 5
 
 // before reports whether the waiting request w goes before the new request t.
@@ -76,17 +76,47 @@
 	return 0
 }
 
-// cheapestIndex returns the index of the first request of the highest priority, or of a lower
-// priority when it is due for a turn.
+// cheapestIndex returns the index of the request that goes next: the first firm one, or the first of the others when
+// they are due for a turn, so that firm requests take no turns from the lowest priority alone.
 func (lm *Limiter) cheapestIndex(now clock.Millis) int {
+	first, others := -1, false
+	for k, t := range lm.waiting {
+		switch {
+		case !t.request.firm:
+			others = true
+		case first < 0 || lm.less(t, lm.waiting[first], now):
+			first = k
+		}
+	}
+	if first < 0 {
+		return lm.cheapestOther(now)
+	}
+	if !others {
+		lm.firmTurns = 0
+		return first
+	}
+	lm.firmTurns++
+	if lm.firmTurns >= lowPriorityInterval {
+		lm.firmTurns = 0
+		return lm.cheapestOther(now)
+	}
+	return first
+}
+
+// cheapestOther returns the index of the first request of the highest priority that is not firm, or of a lower
+// priority when it is due for a turn.
+func (lm *Limiter) cheapestOther(now clock.Millis) int {
 	top, lower := -1, -1
 	for k, t := range lm.waiting {
+		if t.request.firm {
+			continue
+		}
 		if top < 0 || lm.less(t, lm.waiting[top], now) {
 			top = k
 		}
 	}
 	for k, t := range lm.waiting {
-		if t.request.priority > lm.waiting[top].request.priority && (lower < 0 || lm.less(t, lm.waiting[lower], now)) {
+		if !t.request.firm && t.request.priority > lm.waiting[top].request.priority && (lower < 0 || lm.less(t, lm.waiting[lower], now)) {
 			lower = k
 		}
 	}
--- a/core/command/admit/request.go
+++ b/core/command/admit/request.go
@@ -36,7 +36,8 @@
 }
 
 // Firm exempts the request from the rules of a standing queue: it may expect its whole wait, and is not rejected for being
-// late. It is for requests whose number in the queue is bounded elsewhere, such as the calls of running requests.
+// late. With CostAware it goes before requests that are not firm, which get every fifth turn. It is for requests whose number
+// in the queue is bounded elsewhere, such as the calls of running requests.
 func (r Request) Firm() Request {
 	r.firm = true
 	return r
