Limit what one costly request says of the speed of its target

With a heavy tail the speed of a target at an entry, which sees few of its requests, was off by a third. A request counts at most 2.5 times its expected time for the speed; many in a row still slow it.

The platform's cost of 4 KiB to another zone is 150 ms, at most a third of the time to the goal.

--- a/core/command/balance/request.go
+++ b/core/command/balance/request.go
@@ -18,7 +18,7 @@
 	unknownBytes = 64 << 10
 	// goalDivisor is the part of the time to the latency goal, less the expected cost, that the way to another zone may
 	// cost at most: a target near by is left before its queue makes the request late.
-	goalDivisor = 2
+	goalDivisor = 3
 )
 
 // Request is a request for which a target is to be picked, with its candidates.
--- a/core/command/cost/cost.go
+++ b/core/command/cost/cost.go
@@ -34,6 +34,9 @@
 	speedSamples = 24.0
 	// allSamples is the same for the speed of all targets of a service together.
 	allSamples = 256.0
+	// maxSurprise limits how many times the expected time a request counts for the speed of its target: a costly request
+	// at times does not make it slow, but many in a row do.
+	maxSurprise = 2.5
 	// speedAge is how long a speed is kept without a request.
 	speedAge = 2 * clock.Minute
 	// sweepInterval is the least time between two removals of speeds that are no longer used.
@@ -92,9 +95,14 @@
 	if s == nil {
 		return
 	}
-	s.all.add(expected, took, allSamples)
-	if x := m.speed(i, now); x != nil {
-		x.add(expected, took, speedSamples)
+	x := m.speed(i, now)
+	usual := took
+	if x != nil && s.all.measured > 0 {
+		usual = min(took, maxSurprise*expected/x.relative(&s.all, expected)*s.all.measured/s.all.expected)
+	}
+	s.all.add(expected, usual, allSamples)
+	if x != nil {
+		x.add(expected, usual, speedSamples)
 		v = x.relative(&s.all, expected)
 	}
 	if h := m.histogram(c); h != nil {
