Compare by load when all targets are backed off

When all targets had rejected requests lately, each took part in a tenth of the choices, and often none did; then any target was picked, also in another zone. Now those considered are compared with the completion divided by the share.

--- a/core/query/picker/earliest.go
+++ b/core/query/picker/earliest.go
@@ -1,7 +1,7 @@
 package picker
 
 import (
-	"slices"
+	"math"
 
 	"verbenabank/core/state/table"
 )
@@ -76,35 +76,41 @@
 	return *c.earliest(), true
 }
 
-// choice is the set of members that are compared, and the incarnations of all that were considered.
+// maxConsidered is the most members that are considered for one choice.
+const maxConsidered = 1 + 2*maxSamples
+
+// choice is the set of members that are considered. Those drawn by their share are compared; if there are none, all are.
 type choice struct {
-	members     [1 + nearChoices + allChoices]*table.Member
-	prospects   [1 + nearChoices + allChoices]Prospect
-	n           int
-	seen        [1 + 2*maxSamples]table.Incarnation
-	seenMembers int
+	members   [maxConsidered]*table.Member
+	prospects [maxConsidered]Prospect
+	drawn     [maxConsidered]bool
+	n         int
+	drawnN    int
 }
 
 // shareSteps is the number of steps in which shares below 1 are told apart.
 const shareSteps = 1000
 
-// add adds the member with a probability of its share.
+// add adds the member, which is drawn with a probability of its share.
 func (c *choice) add(m *table.Member, p Prospect, randIntN func(n int) int) {
-	c.seen[c.seenMembers] = m.Incarnation()
-	c.seenMembers++
-	if p.share >= 1 || (p.share > 0 && float64(randIntN(shareSteps)) < p.share*shareSteps) {
-		c.members[c.n], c.prospects[c.n] = m, p
-		c.n++
+	if p.share <= 0 {
+		return
+	}
+	c.members[c.n], c.prospects[c.n] = m, p
+	if p.share >= 1 || float64(randIntN(shareSteps)) < p.share*shareSteps {
+		c.drawn[c.n] = true
+		c.drawnN++
 	}
+	c.n++
 }
 
-// sample adds up to n random members of the list.
+// sample adds random members of the list until n of them are drawn.
 func (c *choice) sample(list []table.Member, n int, prospectOf func(*table.Member) Prospect, randIntN func(n int) int) {
 	if len(list) == 0 {
 		return
 	}
-	added := c.n
-	for i := 0; i < maxSamples && c.n-added < n; i++ {
+	before := c.drawnN
+	for i := 0; i < maxSamples && c.drawnN-before < n; i++ {
 		m := &list[randIntN(len(list))]
 		if !c.has(m.Incarnation()) {
 			c.add(m, prospectOf(m), randIntN)
@@ -113,14 +119,27 @@
 }
 
 func (c *choice) has(i table.Incarnation) bool {
-	return slices.Contains(c.seen[:c.seenMembers], i)
+	for _, m := range c.members[:c.n] {
+		if m.Incarnation() == i {
+			return true
+		}
+	}
+	return false
 }
 
+// earliest returns the drawn member with the earliest completion. If none is drawn, as when all have rejected requests
+// lately, the completion is divided by the share.
 func (c *choice) earliest() *table.Member {
-	usual := c.usualWait()
-	best, least := 0, c.prospects[0].completion(usual)
-	for k := 1; k < c.n; k++ {
-		if v := c.prospects[k].completion(usual); v < least {
+	usual, best, least := c.usualWait(), 0, math.Inf(1)
+	for k := range c.n {
+		v := c.prospects[k].completion(usual)
+		switch {
+		case c.drawnN == 0:
+			v /= c.prospects[k].share
+		case !c.drawn[k]:
+			continue
+		}
+		if v < least {
 			best, least = k, v
 		}
 	}
--- a/core/query/picker/picker_test.go
+++ b/core/query/picker/picker_test.go
@@ -92,3 +92,22 @@
 	_, ok = picker.PickEarliest(nil, nil, nil, prospect, random.IntN)
 	is.True(!ok)
 }
+
+// TestLoadDecidesIfAllAreBackedOff has all targets at the share after a rejection, and one without a queue.
+func TestLoadDecidesIfAllAreBackedOff(t *testing.T) {
+	is := is.New(t)
+	all, random, idle := members("z", 1, 6), rand.New(rand.NewPCG(1, 2)), 0
+	for range 1000 {
+		m, ok := picker.PickEarliest(nil, all, all, func(m *table.Member) picker.Prospect {
+			if m.Incarnation() == 4 {
+				return picker.NewProspect(0, 10, true).WithHealth(0, 0.01)
+			}
+			return picker.NewProspect(500, 10, true).WithHealth(0, 0.01)
+		}, random.IntN)
+		is.True(ok)
+		if m.Incarnation() == 4 {
+			idle++
+		}
+	}
+	is.True(idle > 700)
+}
