--- a/core/command/backlog/backlog.go
+++ b/core/command/backlog/backlog.go
@@ -56,7 +56,11 @@
 // target is what is known of one target. Work is in milliseconds of one slot.
 type target struct {
 	last         load.Backlog
-	at           clock.Millis // when last arrived, 0 if no report did
+	at           clock.Millis // when last arrived
+	slots        float64      // of last, 0 if no report arrived
+	lastWork     float64      // of last
+	lastRequests float64      // of last
+	meanTime     float64      // of last
 	meanWork     float64
 	meanRequests float64
 	sentWork     float64 // of the requests sent since the last report that are still in flight
@@ -88,9 +92,11 @@
 	if x.fresh(now) {
 		weight = 1 - math.Exp(-float64(max(1, now-x.at))/float64(meanAge))
 	}
-	x.meanWork += weight * (workOf(b) - x.meanWork)
-	x.meanRequests += weight * (float64(b.Running()+b.Waiting()) - x.meanRequests)
 	x.last, x.at, x.sentWork, x.sent = b, now, 0, 0
+	x.slots, x.meanTime = float64(b.Slots()), float64(max(1, b.MeanTime()))
+	x.lastWork, x.lastRequests = min(float64(b.Work()), maxWork*x.slots), float64(b.Running()+b.Waiting())
+	x.meanWork += weight * (x.lastWork - x.meanWork)
+	x.meanRequests += weight * (x.lastRequests - x.meanRequests)
 }
 
 // Sent is a request that this daemon has sent to a target. Done must be called with it when the request has ended. The
@@ -209,7 +215,7 @@
 	return x
 }
 
-func (x *target) fresh(now clock.Millis) bool { return x.last.Known() && now-x.at <= MaxAge }
+func (x *target) fresh(now clock.Millis) bool { return x.slots > 0 && now-x.at <= MaxAge }
 
 // decayedError returns the prediction error, 1 if there were no comparisons lately.
 func (x *target) decayedError(now clock.Millis) float64 {
@@ -249,9 +255,9 @@
 	if !x.fresh(now) {
 		return work, requests
 	}
-	moved := drift * float64(max(0, now-x.at)) * float64(x.last.Slots())
-	work += toward(workOf(x.last), x.meanWork, moved)
-	requests += toward(float64(x.last.Running()+x.last.Waiting()), x.meanRequests, moved/float64(max(1, x.last.MeanTime())))
+	moved := drift * float64(max(0, now-x.at)) * x.slots
+	work += toward(x.lastWork, x.meanWork, moved)
+	requests += toward(x.lastRequests, x.meanRequests, moved/x.meanTime)
 	return work, requests
 }
 
@@ -259,7 +265,7 @@
 func (x *target) wait(now clock.Millis) float64 {
 	slots := assumedSlots
 	if x.fresh(now) {
-		slots = float64(x.last.Slots())
+		slots = x.slots
 	}
 	work, requests := x.left(now)
 	occupied := min(1, requests/slots)
@@ -273,5 +279,3 @@
 	}
 	return max(to, from-distance)
 }
-
-func workOf(b load.Backlog) float64 { return min(float64(b.Work()), maxWork*float64(b.Slots())) }
