Let requests that reach the cold bound with a slot wait for their target's answer

Cause: only the check at the entrance of the queue waited until a busy warm target said that it is warm. Requests that entered before were refused when they got their slots, if the bound was reached before the answer; requests for keys then failed at their callers. Result: TestRequestsInTheQueueOfAWarmTargetWaitForItsAnswer failed before and passes.

--- a/verbenad/command/owner/cold.go
+++ b/verbenad/command/owner/cold.go
@@ -171,46 +171,64 @@
 	if s.ColdRate() <= 0 {
 		return call.Failure{}, true
 	}
-	ctx, cancel := context.WithTimeout(ctx, min(maxProofWait, x.deadline-x.enteredAt).Duration())
+	switch v := x.decideCold(ctx, s, (*cold.Limiter).Enter).(type) {
+	case cold.Admitted:
+		x.inColdGate = true
+	case cold.Refused:
+		return x.refuseCold(v.RetryAfter()), false
+	case cold.Unproven:
+		return x.refuseCold(v.RetryAfter()), false
+	}
+	return call.Failure{}, true
+}
+
+// decideCold returns the verdict on the request. If that depends on whether the target is warm, it waits for the answer
+// for a short time.
+func (x *exchange) decideCold(ctx context.Context, s rules.Service, decide func(l *cold.Limiter, now clock.Millis) cold.Verdict) cold.Verdict {
+	ctx, cancel := context.WithTimeout(ctx, min(maxProofWait, x.deadline-x.owner.clock.Now()).Duration())
 	defer cancel()
 	for {
 		news := x.owner.cold.changed()
 		var v cold.Verdict = cold.Admitted{}
-		x.inColdGate = x.owner.cold.with(s, func(l *cold.Limiter, now clock.Millis) { v = l.Enter(now) })
-		switch v := v.(type) {
-		case cold.Admitted:
-			return call.Failure{}, true
-		case cold.Refused:
-			return x.refuseCold(v.RetryAfter()), false
-		case cold.Unproven:
-			select {
-			case <-news:
-			case <-ctx.Done():
-				return x.refuseCold(v.RetryAfter()), false
-			}
+		x.owner.cold.with(s, func(l *cold.Limiter, now clock.Millis) { v = decide(l, now) })
+		if _, unproven := v.(cold.Unproven); !unproven {
+			return v
+		}
+		select {
+		case <-news:
+		case <-ctx.Done():
+			return v
 		}
 	}
 }
 
 // refuseCold refuses the request, since the target is cold or may be.
 func (x *exchange) refuseCold(retryAfter clock.Millis) call.Failure {
-	x.inColdGate = false
 	x.owner.meter.Add("cold_refused", 1)
 	return call.NewFailure(result.NewRefused(result.Overloaded, retryAfter))
 }
 
-// passColdGate counts the request, which is about to be sent, and returns a reason if it must not be sent now.
-func (x *exchange) passColdGate(s rules.Service) result.Reason {
+// passColdGate counts the request, which is about to be sent under the admission, and returns a reason if it must not be
+// sent now. It may wait for the target, so it checks ownership again and returns the newest admission.
+func (x *exchange) passColdGate(ctx context.Context, a admission) (admission, result.Reason) {
 	x.leaveColdGate()
-	var v cold.Verdict = cold.Admitted{}
-	x.owner.cold.with(s, func(l *cold.Limiter, now clock.Millis) { v = l.Send(now) })
+	if a.service.ColdRate() <= 0 {
+		return a, ""
+	}
+	var reason result.Reason
+	v := x.decideCold(ctx, a.service, func(l *cold.Limiter, now clock.Millis) cold.Verdict {
+		if a, reason = x.owner.check(x.request); reason != "" {
+			return cold.Admitted{}
+		}
+		return l.Send(now)
+	})
 	switch v.(type) {
 	case cold.Admitted:
-		return ""
+		return a, reason
 	case cold.Refused, cold.Unproven:
 	}
 	x.owner.meter.Add("cold_refused", 1)
-	return result.Overloaded
+	return a, result.Overloaded
 }
 
 // leaveColdGate ends the wait of a request that entered.
--- a/verbenad/command/owner/cold_test.go
+++ b/verbenad/command/owner/cold_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -20,12 +21,18 @@
 type prober struct {
 	left   clock.Millis
 	silent bool
+	held   chan struct{} // if set, holds back each answer until it can be received from
 	asked  atomic.Int64
 }
 
 func (p *prober) AskCold(done func(left clock.Millis, ok bool)) {
 	p.asked.Add(1)
-	go done(p.left, !p.silent)
+	go func() {
+		if p.held != nil {
+			<-p.held
+		}
+		done(p.left, !p.silent)
+	}()
 }
 
 // newColdFixture returns an owner whose target responds at once, of a service whose cold targets take 13 requests per
@@ -97,6 +104,40 @@
 	is.Equal(f.serveMany(10), 10)
 }
 
+// TestRequestsInTheQueueOfAWarmTargetWaitForItsAnswer sends more requests to a warm target than a cold one takes. They
+// enter at once and reach the bound when they get their slots, while the question to the target is open.
+func TestRequestsInTheQueueOfAWarmTargetWaitForItsAnswer(t *testing.T) {
+	is := is.New(t)
+	p := &prober{held: make(chan struct{})}
+	f := newColdFixture(13, p)
+	first := f.serveAsync(context.Background())
+	p.held <- struct{}{} // the target is warm when the daemon starts
+	is.Equal(<-first, "answered")
+	f.clock.Advance(50 * clock.Millisecond)
+	queued := make(chan struct{})
+	var entered atomic.Int64
+	f.target.onDial = func() {
+		entered.Add(1)
+		<-queued
+	}
+	var answers []<-chan string
+	for range 40 {
+		answers = append(answers, f.serveAsync(context.Background()))
+	}
+	for entered.Load() < 40 {
+		time.Sleep(time.Millisecond)
+	}
+	close(queued)
+	for p.asked.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	f.clock.Advance(50 * clock.Millisecond)
+	close(p.held)
+	for _, a := range answers {
+		is.Equal(<-a, "answered")
+	}
+}
+
 // TestServicesWithoutColdRateAreServedAsBefore sends 200 requests at once to a target of a service whose rules have no
 // rate for cold targets, and which says that it is cold: all are served, and the target is asked nothing.
 func TestServicesWithoutColdRateAreServedAsBefore(t *testing.T) {
--- a/verbenad/command/owner/exchange.go
+++ b/verbenad/command/owner/exchange.go
@@ -99,7 +99,8 @@
 	x.admission = a
 	x.submitted = true
 	x.owner.meter.ObservePhase("queue", x.owner.clock.Now()-x.enteredAt)
-	switch reply := x.owner.target.Send(x.trackOwnership(ctx), call.NewAttempt(x.prepare, x.once(x.release),
+	prepare := func() (call.Request, result.Reason) { return x.prepare(ctx) }
+	switch reply := x.owner.target.Send(x.trackOwnership(ctx), call.NewAttempt(prepare, x.once(x.release),
 		call.WithOnAbandon(x.once(x.releaseAfterLease)), call.WithRequestID(x.request.ID()))).(type) {
 	case call.Response:
 		return x.classify(reply)
@@ -115,12 +116,12 @@
 
 // prepare checks ownership again just before the request is written to the target: the lease may
 // have lapsed while the request was queued or the target was dialed.
-func (x *exchange) prepare() (call.Request, result.Reason) {
+func (x *exchange) prepare(ctx context.Context) (call.Request, result.Reason) {
 	a, reason := x.owner.check(x.request)
-	if reason != "" {
-		return call.Request{}, reason
+	if reason == "" {
+		a, reason = x.passColdGate(ctx, a)
 	}
-	if reason := x.passColdGate(a.service); reason != "" {
+	if reason != "" {
 		return call.Request{}, reason
 	}
 	x.assignID()
