Send the header of a request ahead of a small body that is late

Cause: a body of up to 8 KiB was awaited before the first byte of the request was sent, so that the request reached the target later than its checks were made. Change: the header is sent after 20 ms, if the body has not arrived by then. Result: the new case of TestSlowUploadReachesTheTargetAtOnce failed before and passes.

--- a/verbenad/adapt/target/exchange.go
+++ b/verbenad/adapt/target/exchange.go
@@ -76,8 +76,8 @@
 const maxInterimResponses = 1000
 
 // send sends the request header and a small body. A large body is sent by another goroutine while the
-// response is read, since a target may respond before it has read the whole body. Its header is sent at once, since the
-// decisions of prepare hold for the moment, and the body may arrive slowly.
+// response is read, since a target may respond before it has read the whole body. The header doesn't wait for a body that
+// arrives slowly, since the decisions of prepare hold for the moment.
 func (x *exchange) send() error {
 	if err := x.writeHead(); err != nil {
 		return err
@@ -92,7 +92,7 @@
 		return nil
 	}
 	if x.request.Body() != nil {
-		if err := x.copyBody(); err != nil {
+		if err := x.sendSmallBody(length); err != nil {
 			return err
 		}
 	}
@@ -103,6 +103,33 @@
 	return nil
 }
 
+// sendSmallBody writes a body that has usually been received already. If it has not, the header is sent ahead of it.
+func (x *exchange) sendSmallBody(length int64) error {
+	var mu sync.Mutex // held while the connection is written to
+	received := false
+	timer := time.AfterFunc(maxHeadDelay, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if !received {
+			_ = x.conn.writer.Flush() // an error is returned by the next write again
+		}
+	})
+	content := make([]byte, length)
+	_, err := io.ReadFull(x.request.Body(), content)
+	timer.Stop()
+	mu.Lock()
+	defer mu.Unlock()
+	received = true
+	switch {
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return &Error{op: "send body", kind: ShortBody}
+	case err != nil:
+		return err
+	}
+	_, err = x.conn.writer.Write(content)
+	return err
+}
+
 // streamBody sends the body. If that fails before the response header has arrived, it bounds the wait
 // for the header by responseGrace.
 func (x *exchange) streamBody() {
@@ -145,6 +172,8 @@
 }
 
 const (
+	// maxHeadDelay is how long the header of a request waits for a small body.
+	maxHeadDelay = 20 * time.Millisecond
 	// responseGrace is how long to wait for a response after sending the body has failed.
 	responseGrace = 20 * time.Millisecond
 	// maxInlineBody is the size in bytes of the largest body that is sent before the response is
--- a/verbenad/adapt/target/upload_test.go
+++ b/verbenad/adapt/target/upload_test.go
@@ -17,7 +17,7 @@
 // TestSlowUploadReachesTheTargetAtOnce sends a body whose first byte never arrives. What prepare has decided, such as
 // ownership of the key, holds for the moment: the target gets the header then, not when the body has come.
 func TestSlowUploadReachesTheTargetAtOnce(t *testing.T) {
-	for name, length := range map[string]int64{"known length": 100 << 10, "unknown length": -1} {
+	for name, length := range map[string]int64{"small": 100, "large": 100 << 10, "unknown length": -1} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			l, err := net.Listen("tcp", "127.0.0.1:0")
