--- a/verbenad/command/serve/traffic.go
+++ b/verbenad/command/serve/traffic.go
@@ -22,6 +22,7 @@
 	"verbenabank/verbenad/command/entry"
 	"verbenabank/verbenad/command/owner"
 	"verbenabank/verbenad/command/relay"
+	"verbenabank/verbenad/state/config"
 )
 
 // buildTraffic builds what handles requests: the local target, the owner in front of it, the client for
@@ -140,6 +141,15 @@
 // stops admitting requests for its target, so that those admitted before still reach it.
 const drainMargin = 300 * clock.Millisecond
 
+// zoneDrainLimit returns for how long the daemon admits requests for keys once its zone is drained.
+func zoneDrainLimit(t config.Timings) clock.Millis {
+	limit := t.ZoneDrain()
+	if limit == 0 {
+		limit = agent.DefaultZoneDrain
+	}
+	return max(1, limit-drainMargin)
+}
+
 // agentOptions returns the options of the agent. Settings that are 0 keep the agent's defaults.
 func (d *Daemon) agentOptions() []agent.Option {
 	s := d.settings.Load()
@@ -153,9 +163,7 @@
 	if s.Timings().MaxDrain() > 0 {
 		options = append(options, agent.WithMaxDrain(max(1, s.Timings().MaxDrain()-drainMargin)))
 	}
-	if s.Timings().ZoneDrain() > 0 {
-		options = append(options, agent.WithZoneDrain(max(1, s.Timings().ZoneDrain()-drainMargin)))
-	}
+	options = append(options, agent.WithZoneDrain(zoneDrainLimit(s.Timings())))
 	if s.LastingRules() {
 		options = append(options, agent.WithLastingRules())
 	}
