Pause between questions to a target that may be cold

After a burst the daemon asked again with each answer, about every millisecond at a fast target; each question counts as a request, so the questions alone could keep a warm target at its bound. Change: at least 10 ms pass between two questions (cold.AskPause); requests that wait try again as often.

--- a/core/command/cold/cold.go
+++ b/core/command/cold/cold.go
@@ -13,6 +13,10 @@
 	"verbenabank/core/state/load"
 )
 
+// AskPause is the least time between two questions to the target. An answer says nothing about requests that were sent
+// just before its question, and each question counts as a request.
+const AskPause = 10 * clock.Millisecond
+
 const (
 	// window is the time to which the bound applies.
 	window = clock.Second
@@ -87,6 +91,7 @@
 	coldUntil clock.Millis
 	heardAt   clock.Millis
 	asking    bool
+	askedAt   clock.Millis
 	failedAt  clock.Millis
 }
 
@@ -118,7 +123,7 @@
 
 // forget drops what is known about the target.
 func (l *Limiter) forget() {
-	l.warmAt, l.foundCold, l.coldUntil, l.heardAt, l.failedAt, l.asking = never, never, never, never, never, false
+	l.warmAt, l.foundCold, l.coldUntil, l.heardAt, l.askedAt, l.failedAt, l.asking = never, never, never, never, never, never, false
 }
 
 // Update sets the limit and the longest cold time, if they differ from those set before.
@@ -212,10 +217,10 @@
 // or Failed must follow.
 func (l *Limiter) Ask(now clock.Millis) bool {
 	unknown := l.warmAt == never || float64(l.counted(now)) >= askShare*float64(len(l.sent))
-	if l.asking || l.isCold(now) || now-l.failedAt < askAgainAfter || !unknown {
+	if l.asking || l.isCold(now) || now-l.askedAt < AskPause || now-l.failedAt < askAgainAfter || !unknown {
 		return false
 	}
-	l.asking = true
+	l.asking, l.askedAt = true, now
 	l.count(now)
 	return true
 }
--- a/core/command/cold/cold_test.go
+++ b/core/command/cold/cold_test.go
@@ -160,3 +160,29 @@
 	is.Equal(cold.NewBound(1e300, 1e300).Limit(1e300), 1<<14-1)
 	is.Equal(cold.NewBound(0, 0).Limit(0), 1)
 }
+
+// TestBurstIsFollowedByFewQuestions sends a burst to a warm target that answers within 1 ms. An answer says nothing about
+// the requests just before its question, so that asking again at once would only fill the limit with questions.
+func TestBurstIsFollowedByFewQuestions(t *testing.T) {
+	is := is.New(t)
+	l := cold.New(26, 3000, start)
+	is.True(l.Ask(start))
+	l.Answered(start, 0, start+1)
+	now := start + 50
+	admitted := func() bool {
+		_, ok := l.Send(now).(cold.Admitted)
+		return ok
+	}
+	for admitted() {
+	}
+	questions := 0
+	for !admitted() {
+		if l.Ask(now) {
+			l.Answered(now, 0, now+1)
+			questions++
+		}
+		now++
+	}
+	is.True(questions <= 3)
+	is.True(now < start+100)
+}
--- a/verbenad/command/owner/cold.go
+++ b/verbenad/command/owner/cold.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"verbenabank/core/clock"
 	"verbenabank/core/command/cold"
@@ -194,11 +195,15 @@
 		if _, unproven := v.(cold.Unproven); !unproven {
 			return v
 		}
+		next := time.NewTimer(cold.AskPause.Duration())
 		select {
 		case <-news:
+		case <-next.C: // the target may be asked again
 		case <-ctx.Done():
+			next.Stop()
 			return v
 		}
+		next.Stop()
 	}
 }
 
