Count bodies that an owner reads ahead on a slow link

Cause: on a slow link an owner keeps up to 512 KB of each forwarded body until its request has a slot, outside the memory budget. A body that stalls lets the next one in, so a crowd of slow uploads filled the memory. Change: a forwarded body grants the memory for what is kept of it, from the share of the daemon that sent it. Without memory the rest is read when the request has its slot.

--- a/verbenad/adapt/hop/server.go
+++ b/verbenad/adapt/hop/server.go
@@ -64,7 +64,7 @@
 	if size, fields := hopmsg.HeadSize(h); !held.Take(memory.RequestBytes+memory.HeadBytes(size, fields), "forwarded") {
 		return stream.Send(hopmsg.EncodeFailure(call.Refuse(result.Overloaded)))
 	}
-	b := &requestBody{stream: stream, awaitsInvite: h.GetWaits()}
+	b := &requestBody{stream: stream, memory: held, awaitsInvite: h.GetWaits()}
 	r := hopmsg.DecodeRequest(h, b)
 	reply := s.owner.Serve(stream.Context(), r)
 	b.stopInviting()
@@ -104,12 +104,16 @@
 // read sends it.
 type requestBody struct {
 	stream wirepb.Hop_ForwardServer
+	memory *memory.Tally // that the request holds
 	chunk  []byte
 
 	mu           sync.Mutex // held while the reader sends
 	awaitsInvite bool
 }
 
+// TakeMemory takes n bytes for what is kept of the body, and reports whether they were granted.
+func (b *requestBody) TakeMemory(n int64) bool { return b.memory.Take(n, "bodies") }
+
 // stopInviting is called before the response is sent: from then on only the response is written to
 // the stream, and a body that was not asked for by now is not sent by the client.
 func (b *requestBody) stopInviting() {
--- a/verbenad/adapt/hop/status_test.go
+++ b/verbenad/adapt/hop/status_test.go
@@ -14,6 +14,7 @@
 	"verbenabank/core/state/result"
 	"verbenabank/verbenad/adapt/hop"
 	"verbenabank/verbenad/command/memory"
+	"verbenabank/verbenad/command/owner"
 )
 
 // fixedOwner answers each request with a response.
@@ -85,3 +86,27 @@
 	_, err := io.ReadAll(small.Body())
 	is.NoErr(err)
 }
+
+// bufferingOwner takes memory for a body and reports whether it was granted.
+type bufferingOwner struct{ granted chan bool }
+
+func (o bufferingOwner) Serve(_ context.Context, r call.Request) call.Reply {
+	m, ok := r.Body().(owner.BodyMemory)
+	o.granted <- ok && m.TakeMemory(100<<10)
+	o.granted <- ok && m.TakeMemory(1<<20)
+	return call.Refuse(result.Overloaded)
+}
+
+// TestForwardedBodiesTakeMemory guards against bodies that an owner keeps outside the budget, or that are never given back.
+func TestForwardedBodiesTakeMemory(t *testing.T) {
+	is := is.New(t)
+	b, o := memory.New(1<<20), bufferingOwner{make(chan bool, 2)}
+	address, server := startPeerWith(t, o, hop.WithMemory(b))
+	c, stop := hop.New()
+	defer stop()
+	_ = c.Send(context.Background(), address, call.NewRequest("s", "PUT", "/", call.WithBody(strings.NewReader("x"), 1)))
+	is.True(<-o.granted)
+	is.True(!<-o.granted)
+	server.GracefulStop()
+	is.Equal(b.Held(), int64(0))
+}
--- a/verbenad/command/owner/body.go
+++ b/verbenad/command/owner/body.go
@@ -27,6 +27,22 @@
 	chunkBytes = 32 << 10
 )
 
+// BodyMemory is a request body that grants the memory for what is read of it before its request has a slot. What was granted
+// is given back with the request.
+type BodyMemory interface {
+	// TakeMemory takes n bytes and reports whether they were granted.
+	TakeMemory(n int64) bool
+}
+
+// bufferFactor is the memory that a buffer takes at most for each byte in it, since it doubles when it grows.
+const bufferFactor = 2
+
+// takeBodyMemory takes the memory for n bytes of a body that are kept, and reports whether it is granted.
+func takeBodyMemory(body io.Reader, n int) bool {
+	m, ok := body.(BodyMemory)
+	return !ok || m.TakeMemory(int64(n)*bufferFactor)
+}
+
 // bodyLimiter limits how many request bodies are fetched from other daemons at once, before their
 // requests ask for a slot of the target. One body fills a slow link, and with several of them
 // small and urgent messages would wait behind all.
@@ -74,8 +90,8 @@
 	return call.Failure{}, true
 }
 
-// readBody reads the body, or the first prefetchBytes of it, and returns a reader of the whole. It
-// gives back the slot of the link when done, or as soon as the body stalls for stallTimeout: a
+// readBody reads the body, or the first prefetchBytes of it, and returns a reader of the whole. It reads less if the memory
+// is not granted. It gives back the slot of the link when done, or as soon as the body stalls for stallTimeout: a
 // stalled body must not block others.
 func (x *exchange) readBody() (io.Reader, error) {
 	start, limiter := x.owner.clock.Now(), x.owner.bodies.limiter
@@ -88,7 +104,7 @@
 	defer stall.Stop()
 	var content bytes.Buffer
 	chunk := make([]byte, chunkBytes)
-	for content.Len() < prefetchBytes {
+	for granted := true; granted && content.Len() < prefetchBytes; {
 		n, err := x.request.Body().Read(chunk)
 		_, _ = content.Write(chunk[:n])
 		if err == io.EOF {
@@ -97,6 +113,7 @@
 		if err != nil {
 			return nil, err
 		}
+		granted = takeBodyMemory(x.request.Body(), n)
 		stall.Reset(stallTimeout.Duration())
 	}
 	return io.MultiReader(&content, x.request.Body()), nil
--- a/verbenad/command/owner/body_test.go
+++ b/verbenad/command/owner/body_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -113,3 +114,30 @@
 	ft.proceed <- struct{}{}
 	is.Equal(<-first, "answered")
 }
+
+// boundedBody is an endless body that grants some memory, and counts what is read of it.
+type boundedBody struct {
+	granted, read atomic.Int64
+}
+
+func (b *boundedBody) Read(p []byte) (int, error) {
+	b.read.Add(int64(len(p)))
+	return len(p), nil
+}
+
+func (b *boundedBody) TakeMemory(n int64) bool { return b.granted.Add(-n) >= 0 }
+
+// TestBodiesAreReadAheadWithinTheirMemory guards against uploads of other daemons that fill the memory while they wait for a
+// slot, 512 KB each. Without memory a request waits for its slot with the rest of its body unread.
+func TestBodiesAreReadAheadWithinTheirMemory(t *testing.T) {
+	is := is.New(t)
+	ft, serve := newRemoteBodyServer(slowLink)
+	body := &boundedBody{}
+	body.granted.Store(200 << 10)
+	served := serve(body)
+	<-ft.started
+	t.Logf("%d bytes read ahead", body.read.Load())
+	is.True(body.read.Load() <= 160<<10)
+	ft.proceed <- struct{}{}
+	is.Equal(<-served, "answered")
+}
