Tell no time to return after for a request whose deadline is over

Cause: with Rooms, expired requests got a Retry-After of up to 400 ms, though a retry can't succeed; overloaded ones without a time of their own got as little as 1 ms instead of the usual 200 ms. Change: rooms.SpreadOut starts from retry.After and leaves refusals alone for which that is 0. Result: TestSpreadOutKeepsWhatARefusalSays, red before; go test ./command/relay passes, and of ./command/rooms the tests of SpreadOut and of calls, also with -race.

--- a/verbenad/command/rooms/rooms.go
+++ b/verbenad/command/rooms/rooms.go
@@ -9,6 +9,7 @@
 
 	"verbenabank/core/clock"
 	"verbenabank/core/command/room"
+	"verbenabank/core/query/retry"
 	"verbenabank/core/state/call"
 	"verbenabank/core/state/load"
 	"verbenabank/core/state/result"
@@ -212,10 +213,11 @@
 }
 
 // SpreadOut returns the refusal with a time after which the caller returns that differs from one caller to the next, so
-// that those refused together don't return together.
+// that those refused together don't return together. A refusal after which a retry can't succeed stays as it is.
 func SpreadOut(o result.Refused) result.Refused {
-	if !lacksRoom(o) {
+	after := retry.After(o)
+	if !lacksRoom(o) || after <= 0 {
 		return o
 	}
-	return o.WithRetryAfter(o.RetryAfter() + rand.N(spread))
+	return o.WithRetryAfter(after + rand.N(spread))
 }
