Keep callers and old routes from using up the classes of request costs

Cause: a class was kept for ever, and its method is whatever a caller sends. 256 made-up methods, or enough changes of the routes, left no class of their own for the requests that came later: their costs counted as the mean of their service. Change: unusual methods count as one; when there are too many classes, those without a request for 2 minutes are dropped. Result: TestCallersDoNotUseUpTheClasses, red before; go test of cost (also -race), balance, backlog and picker passes.

--- a/core/command/cost/class.go
+++ b/core/command/cost/class.go
@@ -11,9 +11,18 @@
 }
 
 // NewClass returns the class of a request by its service, route and method, and the length of its body in bytes, -1
-// if it is not known.
+// if it is not known. Methods that are not usual ones count as one, since callers can make up any number of them.
 func NewClass(service, route, method string, length int64) Class {
-	return Class{service: service, route: route, method: method, size: sizeClass(length)}
+	return Class{service: service, route: route, method: usualMethod(method), size: sizeClass(length)}
+}
+
+// usualMethod returns the method if it is a usual one of HTTP, else "".
+func usualMethod(method string) string {
+	switch method {
+	case "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS":
+		return method
+	}
+	return ""
 }
 
 const (
--- a/core/command/cost/cost.go
+++ b/core/command/cost/cost.go
@@ -36,17 +36,20 @@
 	allSamples = 256.0
 	// speedAge is how long a speed is kept without a request.
 	speedAge = 2 * clock.Minute
-	// sweepInterval is the least time between two removals of speeds that are no longer used.
+	// classAge is how long a class is kept without a request when there are too many.
+	classAge = 2 * clock.Minute
+	// sweepInterval is the least time between two removals of speeds, or of classes, that are no longer used.
 	sweepInterval = clock.Second
 )
 
 // Model holds the distributions of costs and the speeds of targets. It is safe for concurrent use.
 type Model struct {
-	mu       sync.Mutex
-	classes  map[Class]*histogram
-	services map[string]*serviceCosts
-	speeds   map[table.Incarnation]*speed
-	sweepAt  clock.Millis
+	mu             sync.Mutex
+	classes        map[Class]*histogram
+	services       map[string]*serviceCosts
+	speeds         map[table.Incarnation]*speed
+	sweepAt        clock.Millis // of speeds
+	sweepClassesAt clock.Millis
 }
 
 // New returns a model without measurements.
@@ -97,7 +100,7 @@
 		x.add(expected, took, speedSamples)
 		v = x.relative(&s.all, expected)
 	}
-	if h := m.histogram(c); h != nil {
+	if h := m.histogram(c, now); h != nil {
 		h.add(took * v)
 	}
 	s.costs.add(took * v)
@@ -213,12 +216,20 @@
 }
 
 // histogram returns the distribution of the class, a new one if there is none, nil if there are too many.
-func (m *Model) histogram(c Class) *histogram {
+func (m *Model) histogram(c Class, now clock.Millis) *histogram {
 	h, ok := m.classes[c]
-	if !ok && len(m.classes) < MaxClasses {
+	if !ok {
+		if len(m.classes) >= MaxClasses && now >= m.sweepClassesAt {
+			m.sweepClassesAt = now + sweepInterval
+			maps.DeleteFunc(m.classes, func(_ Class, h *histogram) bool { return now-h.usedAt > classAge })
+		}
+		if len(m.classes) >= MaxClasses {
+			return nil
+		}
 		h = &histogram{}
 		m.classes[c] = h
 	}
+	h.usedAt = now
 	return h
 }
 
--- a/core/command/cost/cost_test.go
+++ b/core/command/cost/cost_test.go
@@ -70,6 +70,27 @@
 	is.Equal(m.Classes(), cost.MaxClasses)
 }
 
+// TestCallersDoNotUseUpTheClasses guards against callers whose methods leave no class for the requests of others, and against
+// classes that are kept though no request of them came for long, as after a change of the routes.
+func TestCallersDoNotUseUpTheClasses(t *testing.T) {
+	is := is.New(t)
+	m := cost.New()
+	for i := range 1000 {
+		m.Observe(1, cost.NewClass("s", "r", fmt.Sprint("M", i), 0), 50, 0)
+	}
+	is.Equal(m.Classes(), 1)
+	for i := range 1000 {
+		m.Observe(1, cost.NewClass("s", fmt.Sprint(i), "GET", 0), 50, 0)
+	}
+	later := 10 * clock.Minute
+	next := cost.NewClass("s", "next", "GET", 0)
+	for range 100 {
+		m.Observe(1, next, 500, later)
+	}
+	is.Equal(m.Classes(), 1)
+	is.True(m.Quantile(next, 0.5) > 300)
+}
+
 // TestWorkLeftFollowsSlowTarget slows a target 12 times: its work left grows with requests that only time out.
 func TestWorkLeftFollowsSlowTarget(t *testing.T) {
 	is := is.New(t)
--- a/core/command/cost/histogram.go
+++ b/core/command/cost/histogram.go
@@ -1,6 +1,10 @@
 package cost
 
-import "math"
+import (
+	"math"
+
+	"verbenabank/core/clock"
+)
 
 const (
 	// buckets is the number of buckets of a histogram; bucket k holds costs from ratio^k to ratio^(k+1) milliseconds.
@@ -24,6 +28,7 @@
 	sum     float64
 	recent  float64 // moving average over recentSamples
 	length  float64 // the same of the bytes of the response
+	usedAt  clock.Millis
 }
 
 func bucketOf(cost float64) int {
