Admit requests without an ID by the share of a gate

Cause: gates and entries draw by the ID of a request. All requests without one share a draw, so a closed gate admitted all of them: with a share of 25% 1000 of 1000. Change: a gate admits those at regular intervals, entries leave them to the gates, and a refusal is final while the class has less than its full share, so that they are not tried at one gate after the other.

--- a/core/command/room/gate.go
+++ b/core/command/room/gate.go
@@ -30,6 +30,7 @@
 	yieldTo      int
 	reported     int // the lowest share that a called target reported in this interval
 	reportedRank int
+	anonymous    int // sum of the shares of requests without an ID since the last admitted one, in percent
 }
 
 // NewGate returns a gate that admits everything.
@@ -90,8 +91,20 @@
 	return min(Full, share+idle*shareStep)
 }
 
-// Admits reports whether the new request with the ID is among the share that is admitted.
+// Admits reports whether the new request with the ID is among the share that is admitted. Requests without an ID are
+// admitted at regular intervals.
 func (g *Gate) Admits(id string, priority int, now clock.Millis) bool {
 	share := g.Share(priority, now)
-	return share >= Full || draw(id) < share
+	switch {
+	case share >= Full:
+		return true
+	case id != "":
+		return draw(id) < share
+	}
+	g.anonymous += share
+	if g.anonymous < Full {
+		return false
+	}
+	g.anonymous -= Full
+	return true
 }
--- a/core/command/room/levels.go
+++ b/core/command/room/levels.go
@@ -38,10 +38,10 @@
 	l.classes[class] = level{share: next, until: now + levelLifetime}
 }
 
-// Admits reports whether the request with the ID is to be forwarded.
+// Admits reports whether the request with the ID is to be forwarded. Those without an ID are left to the gates.
 func (l *Levels) Admits(class, id string, now clock.Millis) bool {
 	v, ok := l.classes[class]
-	return !ok || now >= v.until || draw(id) < v.share
+	return id == "" || !ok || now >= v.until || draw(id) < v.share
 }
 
 // Share returns the percentage of requests of the class that is forwarded.
--- a/core/command/room/room_test.go
+++ b/core/command/room/room_test.go
@@ -119,3 +119,25 @@
 	is.Equal(outer.Stay(), clock.Millis(120))
 	is.Equal(p.For(room.Call{}, 1000), room.NewPlace(-1, 500, 900))
 }
+
+// TestRequestsWithoutIDAreAdmittedByShare guards against callers that send no ID: drawn by their common ID, all of their
+// requests would be refused as long as a gate is not open, or none.
+func TestRequestsWithoutIDAreAdmittedByShare(t *testing.T) {
+	is := is.New(t)
+	g, l := room.NewGate(), room.NewLevels()
+	now := clock.Millis(1)
+	for range 200 {
+		g.RecordCall(true, now)
+		l.Record("order", 30, now)
+		now += 50
+	}
+	share, admitted := g.Share(0, now), 0
+	for range 1000 {
+		is.True(l.Admits("order", "", now))
+		if g.Admits("", 0, now) {
+			admitted++
+		}
+	}
+	t.Logf("share %d%%, admitted %d of 1000", share, admitted)
+	is.True(admitted >= 10*share-10 && admitted <= 10*share+10)
+}
--- a/verbenad/command/rooms/rooms.go
+++ b/verbenad/command/rooms/rooms.go
@@ -157,7 +157,7 @@
 		return false
 	}
 	r.levels.Record(class, told.Share(), now)
-	return refused && !r.levels.Admits(class, id, now)
+	return refused && (!r.levels.Admits(class, id, now) || (id == "" && r.levels.Share(class, now) < room.Full))
 }
 
 // rememberCall counts the class as calls of the local target for callLifetime.
--- a/verbenad/command/rooms/rooms_test.go
+++ b/verbenad/command/rooms/rooms_test.go
@@ -37,3 +37,13 @@
 	is.True(turned(load.NewRoom(0, room.Full).ForCall()) > 50)
 	is.Equal(turned(load.NewRoom(0, room.Full)), 0)
 }
+
+// TestRefusalWithoutIDIsFinal guards against requests without an ID that are tried at one gate after the other until one
+// admits them.
+func TestRefusalWithoutIDIsFinal(t *testing.T) {
+	is := is.New(t)
+	r := rooms.New()
+	is.True(!r.Learn("order", "", load.NewRoom(0, room.Full), true))
+	is.True(r.Learn("order", "", load.NewRoom(0, 30), true))
+	is.True(!r.Learn("order", "", load.NewRoom(0, 30), false))
+}
