--- a/verbenad/command/rooms/rooms.go
+++ b/verbenad/command/rooms/rooms.go
@@ -9,6 +9,7 @@
 
 	"verbenabank/core/clock"
 	"verbenabank/core/command/room"
+	"verbenabank/core/query/retry"
 	"verbenabank/core/state/call"
 	"verbenabank/core/state/load"
 	"verbenabank/core/state/result"
@@ -156,7 +157,7 @@
 		return false
 	}
 	r.levels.Record(class, told.Share(), now)
-	return refused && !r.levels.Admits(class, id, now)
+	return refused && (!r.levels.Admits(class, id, now) || (id == "" && r.levels.Share(class, now) < room.Full))
 }
 
 // rememberCall counts the class as calls of the local target for callLifetime.
@@ -212,10 +213,11 @@
 }
 
 // SpreadOut returns the refusal with a time after which the caller returns that differs from one caller to the next, so
-// that those refused together don't return together.
+// that those refused together don't return together. A refusal after which a retry can't succeed stays as it is.
 func SpreadOut(o result.Refused) result.Refused {
-	if !lacksRoom(o) {
+	after := retry.After(o)
+	if !lacksRoom(o) || after <= 0 {
 		return o
 	}
-	return o.WithRetryAfter(o.RetryAfter() + rand.N(spread))
+	return o.WithRetryAfter(after + rand.N(spread))
 }
