Reserve slots for calls, and let the gate fall in proportion to lost calls

A call waits for a slot behind requests several times as long: with 5 slots that is longer than the call itself, and the calling target holds a slot meanwhile. As many slots as calls use on average, at most a fifth, now stay free for them.

--- a/core/command/admit/admit.go
+++ b/core/command/admit/admit.go
@@ -49,6 +49,7 @@
 	order             Order
 	topPriorityTurns  int                     // turns of the highest priority since the last one of a lower priority
 	classServiceTimes map[string]clock.Millis // moving averages by class in 1/1000 ms
+	reserve           reserve
 }
 
 // New returns a limiter that starts with the limits; each call that submits a request updates them.
@@ -82,7 +83,10 @@
 	lm.limits = l
 	lm.shedLate(now)
 	lm.fill(now)
-	if lm.inFlight < lm.limits.slots {
+	if t.request.firm {
+		lm.reserve.observe(now)
+	}
+	if lm.hasSlot(t.request.firm, now) {
 		lm.admit(t)
 		return t
 	}
@@ -218,7 +222,11 @@
 // or can no longer meet their deadline.
 func (lm *Limiter) fill(now clock.Millis) {
 	for len(lm.waiting) > 0 && lm.inFlight < lm.limits.slots {
-		t := lm.dequeue(now)
+		only, waiting := lm.onlyFirm(now)
+		if only && !waiting {
+			return
+		}
+		t := lm.dequeue(now, only)
 		if now-t.arrived > t.request.maxQueueTime || now+lm.serviceTime(t.request.class)/1000 >= t.request.deadline {
 			t.ready <- lm.refusal()
 			continue
@@ -227,9 +235,12 @@
 	}
 }
 
-// dequeue removes and returns the request that is next in the queue order.
-func (lm *Limiter) dequeue(now clock.Millis) *Ticket {
+// dequeue removes and returns the request that is next in the queue order, among firm ones only if onlyFirm is set.
+func (lm *Limiter) dequeue(now clock.Millis, onlyFirm bool) *Ticket {
 	i := lm.nextIndex(now)
+	if onlyFirm {
+		i = lm.firmIndex(now)
+	}
 	t := lm.waiting[i]
 	lm.waiting = append(lm.waiting[:i], lm.waiting[i+1:]...)
 	return t
@@ -237,6 +248,9 @@
 
 func (lm *Limiter) admit(t *Ticket) {
 	lm.inFlight++
+	if t.request.firm {
+		lm.reserve.running++
+	}
 	t.ready <- Admitted{}
 }
 
--- a/core/command/room/gate.go
+++ b/core/command/room/gate.go
@@ -8,19 +8,14 @@
 	// minShare is the share that a gate always admits, so that no class is starved.
 	minShare = 25
 	// shareStep is the additive increase of a share per interval, in percent.
-	shareStep = 6
-	// A share is multiplied by lossNumerator/lossDenominator after an interval in which more than one in
-	// lossThreshold calls was refused.
-	lossNumerator   = 4
-	lossDenominator = 5
-	lossThreshold   = 25
+	shareStep = 4
 	// yieldDivisor is the part of the distance to the reported share by which a share falls per interval.
 	yieldDivisor = 3
 )
 
 // Gate limits the new requests of a target that makes calls. Two shares are admitted: that of all new requests falls
-// while calls of the target are refused (additive increase, multiplicative decrease), so that requests that would fail
-// for lack of their calls don't run; that of requests of a lower priority falls to the share of more urgent new
+// by the part of the target's calls that were refused, and rises by a step (additive increase, multiplicative decrease),
+// so that few requests run that fail for lack of their calls; that of requests of a lower priority falls to the share of more urgent new
 // requests that the called targets have room for, so that a patient request doesn't displace an urgent one by its calls.
 type Gate struct {
 	intervalEnd  clock.Millis
@@ -61,11 +56,10 @@
 	if g.intervalEnd > 0 {
 		idle = int(min(Full, (now-g.intervalEnd)/gateInterval))
 	}
-	if g.lost*lossThreshold > g.calls {
-		g.all = max(minShare, g.all*lossNumerator/lossDenominator)
-	} else {
-		g.all = min(Full, g.all+shareStep)
+	if g.lost > 0 {
+		g.all -= g.all * g.lost / g.calls
 	}
+	g.all = max(minShare, min(Full, g.all+shareStep))
 	if g.reported < g.yield {
 		g.yield = max(minShare, g.yield-(g.yield-g.reported+yieldDivisor-1)/yieldDivisor)
 		g.yieldTo = g.reportedRank
--- a/verbenad/command/owner/exchange.go
+++ b/verbenad/command/owner/exchange.go
@@ -70,6 +70,7 @@
 	cancel            context.CancelFunc
 	lapsed            atomic.Bool
 	arrival           room.Arrival // nil if all requests compete alike
+	firm              bool         // the slot is that of a firm request
 }
 
 // run sends the request to the target. Serve calls finish after a failure; after a response the leasedBody
@@ -141,8 +142,8 @@
 			WithGoal(goal-now, limiter.ClassServiceTime(x.request.Class())).For(x.arrival, x.deadline-now)
 		maxStay = p.Stay()
 		r = admit.NewRequest(x.deadline, p.Wait()).WithPriority(p.Rank(), goal, maxStay).WithClass(x.request.Class())
-		if p.Firm() {
-			r = r.Firm()
+		if p.Firm() && limiter == x.owner.limiter {
+			r, x.firm = r.Firm(), true
 		}
 	}
 	t := limiter.Submit(now, r, admit.NewLimits(slots, s.QueueLength(), wait))
@@ -309,6 +310,9 @@
 // counts as service time; a request that was never sent has none.
 func (x *exchange) releaseSlot() {
 	now := x.owner.clock.Now()
+	if x.hasSlot && x.firm {
+		x.owner.limiter.EndFirm()
+	}
 	switch {
 	case x.hasSlot && x.sentAt > 0:
 		x.owner.meter.ObservePhase("target", now-x.sentAt)
--- a/verbenad/command/rooms/goodput_test.go
+++ b/verbenad/command/rooms/goodput_test.go
@@ -265,6 +265,9 @@
 		}
 		begin := m.time.Now()
 		m.run(n, c, deadline, func(ok bool) {
+			if p.Firm() {
+				n.limiter.EndFirm()
+			}
 			n.limiter.ReleaseClass(c.name, m.time.Now(), m.time.Now()-begin)
 			answer(ok, true)
 		})
