Promote calls after half of their latency goal instead of at once

Calls now go first among their priority and overtake more urgent requests only when they would miss half of their goal; the reserve is rounded down.

--- a/core/command/admit/order.go
+++ b/core/command/admit/order.go
@@ -50,8 +50,8 @@
 
 // before reports whether the waiting request w goes before the new request t.
 func (lm *Limiter) before(w, t *Ticket, now clock.Millis) bool {
-	if w.request.priority != t.request.priority {
-		return w.request.priority < t.request.priority
+	if x, y := rank(w, now), rank(t, now); x != y {
+		return x < y
 	}
 	switch lm.order.(type) {
 	case Adaptive:
@@ -86,7 +86,7 @@
 		}
 	}
 	for k, t := range lm.waiting {
-		if t.request.priority > lm.waiting[top].request.priority && (lower < 0 || lm.less(t, lm.waiting[lower], now)) {
+		if rank(t, now) > rank(lm.waiting[top], now) && (lower < 0 || lm.less(t, lm.waiting[lower], now)) {
 			lower = k
 		}
 	}
@@ -102,11 +102,25 @@
 	return top
 }
 
-// less reports whether a goes before b: by priority, then cost, then time from arrival to the
+// promotedRank is before all priorities.
+const promotedRank = -1
+
+// rank returns the priority of a request, before all others for a firm one that has waited for its patience.
+func rank(t *Ticket, now clock.Millis) int {
+	if t.request.firm && now-t.arrived >= t.request.patience {
+		return promotedRank
+	}
+	return t.request.priority
+}
+
+// less reports whether a goes before b: by priority, then firm ones first, then cost, then time from arrival to the
 // soft deadline, then soft deadline.
 func (lm *Limiter) less(a, b *Ticket, now clock.Millis) bool {
-	if a.request.priority != b.request.priority {
-		return a.request.priority < b.request.priority
+	if x, y := rank(a, now), rank(b, now); x != y {
+		return x < y
+	}
+	if a.request.firm != b.request.firm {
+		return a.request.firm
 	}
 	if x, y := lm.cost(a, now), lm.cost(b, now); x != y {
 		return x < y
--- a/core/command/admit/request.go
+++ b/core/command/admit/request.go
@@ -14,6 +14,7 @@
 	softDeadline     clock.Millis
 	class            string
 	firm             bool
+	patience         clock.Millis
 }
 
 // NewRequest returns a request that must be answered by the deadline, an instant, and that is
@@ -36,9 +37,10 @@
 }
 
 // Firm exempts the request from the rules of a standing queue: it may expect its whole wait, and is not rejected for being
-// late. It is for requests whose number in the queue is bounded elsewhere, such as the calls of running requests.
-func (r Request) Firm() Request {
-	r.firm = true
+// late. It goes before others of its priority, and before all once it has waited for patience. It is for requests whose
+// number in the queue is bounded elsewhere, such as the calls of running requests.
+func (r Request) Firm(patience clock.Millis) Request {
+	r.firm, r.patience = true, patience
 	return r
 }
 
--- a/core/command/admit/reserve.go
+++ b/core/command/admit/reserve.go
@@ -30,7 +30,7 @@
 	if r.last == 0 || now-r.last > reserveLifetime {
 		return 0
 	}
-	return min(int(r.mean+0.5), all/reserveDivisor)
+	return min(int(r.mean), all/reserveDivisor)
 }
 
 // hasSlot reports whether a request may take a slot now.
--- a/core/command/admit/reserve_test.go
+++ b/core/command/admit/reserve_test.go
@@ -28,11 +28,11 @@
 		}
 	}
 	now := clock.Millis(1)
-	for range 400 { // four firm requests run at a time
-		for range 4 {
-			is.True(admitted(lm.Submit(now, request(now, -1).Firm(), l)))
+	for range 400 { // five firm requests run at a time
+		for range 5 {
+			is.True(admitted(lm.Submit(now, request(now, 0).Firm(0), l)))
 		}
-		for range 4 {
+		for range 5 {
 			lm.EndFirm()
 			lm.ReleaseClass("c", now, 5)
 		}
@@ -45,7 +45,7 @@
 		}
 	}
 	is.Equal(running, slots-slots/reserveDivisor)
-	is.True(admitted(lm.Submit(now, request(now, -1).Firm(), l)))
+	is.True(admitted(lm.Submit(now, request(now, 0).Firm(0), l)))
 	now += reserveLifetime + 100
 	lm.EndFirm()
 	lm.ReleaseClass("c", now, 5)
--- a/core/command/room/room_test.go
+++ b/core/command/room/room_test.go
@@ -117,5 +117,8 @@
 	is.Equal(outer.Rank(), 2)
 	is.Equal(outer.Wait(), clock.Millis(100))
 	is.Equal(outer.Stay(), clock.Millis(120))
-	is.Equal(p.For(room.Call{}, 1000), room.NewPlace(-1, 500, 900))
+	call := p.WithGoal(150, 40).For(room.Call{}, 1000)
+	is.Equal(call.Wait(), clock.Millis(500))
+	is.Equal(call.Patience(), clock.Millis(35))
+	is.True(call.Firm() && !outer.Firm())
 }
--- a/verbenad/command/owner/exchange.go
+++ b/verbenad/command/owner/exchange.go
@@ -143,7 +143,7 @@
 		maxStay = p.Stay()
 		r = admit.NewRequest(x.deadline, p.Wait()).WithPriority(p.Rank(), goal, maxStay).WithClass(x.request.Class())
 		if p.Firm() && limiter == x.owner.limiter {
-			r, x.firm = r.Firm(), true
+			r, x.firm = r.Firm(p.Patience()), true
 		}
 	}
 	t := limiter.Submit(now, r, admit.NewLimits(slots, s.QueueLength(), wait))
--- a/verbenad/command/rooms/goodput_test.go
+++ b/verbenad/command/rooms/goodput_test.go
@@ -250,7 +250,7 @@
 		WithGoal(q.LatencyGoal(), n.limiter.ClassServiceTime(c.name)).For(arrival, deadline-now)
 	r := admit.NewRequest(deadline, p.Wait()).WithPriority(p.Rank(), now+q.LatencyGoal(), p.Stay()).WithClass(c.name)
 	if p.Firm() {
-		r = r.Firm()
+		r = r.Firm(p.Patience())
 	}
 	w := &queued{ticket: n.limiter.Submit(now, r, admit.NewLimits(modelSlots, 64, rules.DefaultQueueWait))}
 	decided := false
