--- a/verbenad/command/rooms/rooms.go
+++ b/verbenad/command/rooms/rooms.go
@@ -116,7 +116,7 @@
 	now := r.clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.levels.Admits(class, id, now) {
+	if r.calls[class] || r.levels.Admits(class, id, now) {
 		return false
 	}
 	r.meter.Add("refused_at_entry", 1)
