--- a/verbenad/command/rooms/rooms.go
+++ b/verbenad/command/rooms/rooms.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"sync"
 
+	"github.com/sirupsen/logrus"
+
 	"verbenabank/core/clock"
 	"verbenabank/core/command/room"
 	"verbenabank/core/state/call"
@@ -25,6 +27,7 @@
 type Rooms struct {
 	clock *clock.Clock
 	meter *meter.Meter
+	log   *logrus.Entry // nil for no log
 
 	mu       sync.Mutex
 	origins  *room.Origins
@@ -33,6 +36,7 @@
 	levels   *room.Levels
 	throttle *room.Throttle
 	calls    map[string]bool // classes of calls of the local target
+	closed   bool            // the gate is logged as closed
 }
 
 // Option configures Rooms.
@@ -44,6 +48,9 @@
 // WithMeter sets the meter that counts calls and refusals.
 func WithMeter(m *meter.Meter) Option { return func(r *Rooms) { r.meter = m } }
 
+// WithLog sets the log of when the gate of the local target closes and opens.
+func WithLog(e *logrus.Entry) Option { return func(r *Rooms) { r.log = e } }
+
 // New returns Rooms that admit everything until they learn otherwise.
 func New(opts ...Option) *Rooms {
 	r := &Rooms{
@@ -150,6 +157,7 @@
 		}
 		if told.Share() < room.Full {
 			r.gate.RecordShare(told.Priority(), told.Share(), now)
+			r.logGate(now)
 		}
 		return false
 	}
@@ -170,6 +178,7 @@
 		r.meter.Add("calls_refused", 1)
 	}
 	r.gate.RecordCall(lost, now)
+	r.logGate(now)
 }
 
 // lacksRoom reports whether a call failed for lack of room; nil is a response.
@@ -189,6 +198,23 @@
 	return false
 }
 
+// closedBelow is the share under which the gate is logged as closed, until it is open again.
+const closedBelow = 75
+
+// logGate logs that the gate closes or opens.
+func (r *Rooms) logGate(now clock.Millis) {
+	share := r.gate.Share(lowest, now)
+	switch {
+	case r.log == nil:
+	case !r.closed && share < closedBelow:
+		r.closed = true
+		r.log.WithField("admitted_percent", share).Info("rooms: calls of the local target find too little room, fewer new requests are admitted")
+	case r.closed && share >= room.Full:
+		r.closed = false
+		r.log.Info("rooms: calls of the local target find room again, all new requests are admitted")
+	}
+}
+
 // sent reports whether a target itself refused the request. A target that refuses while its daemon finds room has a fault,
 // and fewer outer requests would not end it.
 func sent(o result.Outcome) bool {
--- a/verbenad/command/serve/options.go
+++ b/verbenad/command/serve/options.go
@@ -36,7 +36,9 @@
 
 // WithRooms lets calls of targets that run a request go before new requests, and limits new requests at targets whose
 // calls have too little room.
-func WithRooms() Option { return func(d *Daemon) { d.rooms = rooms.New(rooms.WithClock(d.clock)) } }
+func WithRooms() Option {
+	return func(d *Daemon) { d.rooms = rooms.New(rooms.WithClock(d.clock), rooms.WithLog(d.logger())) }
+}
 
 // WithDroppedLogLines sets the function that returns the number of dropped log lines, for the gauge.
 func WithDroppedLogLines(f func() int64) Option { return func(d *Daemon) { d.droppedLogLines = f } }
