--- a/verbenad/command/owner/arrive.go
+++ b/verbenad/command/owner/arrive.go
@@ -9,7 +9,7 @@
 )
 
 // turnedRetryAfter is the least time after which a request returns that was turned away.
-const turnedRetryAfter = 100 * clock.Millisecond
+const turnedRetryAfter = 20 * clock.Millisecond
 
 // arrive classifies the request, and reports whether it may compete for a slot.
 func (x *exchange) arrive() (call.Failure, bool) {
--- a/verbenad/command/relay/room.go
+++ b/verbenad/command/relay/room.go
@@ -9,7 +9,7 @@
 )
 
 // entryRetryAfter is the least time after which a request returns that was refused at the entry.
-const entryRetryAfter = 100 * clock.Millisecond
+const entryRetryAfter = 20 * clock.Millisecond
 
 // origin returns the service of the target on this instance, "" if requests don't tell it.
 func (t *task) origin() string {
@@ -75,5 +75,5 @@
 	if t.relay.rooms == nil || !refused {
 		return o
 	}
-	return rooms.SpreadOut(r)
+	return rooms.SpreadOut(r, t.request.latencyGoal-t.relay.clock.Now())
 }
--- a/verbenad/command/rooms/goodput_test.go
+++ b/verbenad/command/rooms/goodput_test.go
@@ -103,7 +103,7 @@
 			n.service = "back"
 		}
 		if withRooms {
-			n.rooms = rooms.New(rooms.WithClock(clock.New(clock.WithSource(m.time.Now))))
+			n.rooms = rooms.New(rooms.WithClock(clock.New(clock.WithSource(m.time.Now))), rooms.WithRandom(m.random.Float64))
 		}
 		m.nodes = append(m.nodes, n)
 		m.pools[n.service] = append(m.pools[n.service], n)
--- a/verbenad/command/rooms/rooms.go
+++ b/verbenad/command/rooms/rooms.go
@@ -19,15 +19,18 @@
 const (
 	// maxCalls is the number of classes that are remembered as calls of the local target.
 	maxCalls = 256
-	// spread is the time over which callers return after a refusal, besides the time that the refusal names.
-	spread = 400 * clock.Millisecond
+	// Callers return over the time to their latency goal divided by spreadDivisor after the time that a refusal names,
+	// and over minSpread if less remains: a caller that returns later cannot be answered in time.
+	spreadDivisor = 4
+	minSpread     = 20 * clock.Millisecond
 )
 
 // Rooms decides which requests compete for the room of targets. It is safe for concurrent use.
 type Rooms struct {
-	clock *clock.Clock
-	meter *meter.Meter
-	log   *logrus.Entry // nil for no log
+	clock  *clock.Clock
+	meter  *meter.Meter
+	log    *logrus.Entry // nil for no log
+	random func() float64
 
 	mu       sync.Mutex
 	origins  *room.Origins
@@ -48,13 +51,16 @@
 // WithMeter sets the meter that counts calls and refusals.
 func WithMeter(m *meter.Meter) Option { return func(r *Rooms) { r.meter = m } }
 
+// WithRandom sets the source of random numbers from 0 up to 1 by which attempts are throttled.
+func WithRandom(f func() float64) Option { return func(r *Rooms) { r.random = f } }
+
 // WithLog sets the log of when the gate of the local target closes and opens.
 func WithLog(e *logrus.Entry) Option { return func(r *Rooms) { r.log = e } }
 
 // New returns Rooms that admit everything until they learn otherwise.
 func New(opts ...Option) *Rooms {
 	r := &Rooms{
-		clock: clock.New(), meter: meter.ForPart("room"), origins: room.NewOrigins(), demand: room.NewDemand(),
+		clock: clock.New(), random: rand.Float64, meter: meter.ForPart("room"), origins: room.NewOrigins(), demand: room.NewDemand(),
 		gate: room.NewGate(), levels: room.NewLevels(), throttle: room.NewThrottle(), calls: map[string]bool{},
 	}
 	for _, f := range opts {
@@ -136,7 +142,7 @@
 	now := r.clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.calls[class] || !r.throttle.Refuses(class, rand.Float64(), now) {
+	if r.calls[class] || !r.throttle.Refuses(class, r.random(), now) {
 		return false
 	}
 	r.throttle.Record(class, false, now)
@@ -223,10 +229,10 @@
 }
 
 // SpreadOut returns the refusal with a time after which the caller returns that differs from one caller to the next, so
-// that those refused together don't return together.
-func SpreadOut(o result.Refused) result.Refused {
+// that those refused together don't return together. left is the time to the caller's latency goal.
+func SpreadOut(o result.Refused, left clock.Millis) result.Refused {
 	if !lacksRoom(o) {
 		return o
 	}
-	return o.WithRetryAfter(o.RetryAfter() + rand.N(spread))
+	return o.WithRetryAfter(o.RetryAfter() + rand.N(max(minSpread, left/spreadDivisor)))
 }
