--- a/core/command/admit/order.go
+++ b/core/command/admit/order.go
@@ -45,13 +45,13 @@
 )
 
 // lowPriorityInterval is the number of turns of which a lower priority gets one while a
-// higher one is waiting, and requests that are not firm get one while firm ones are waiting.
+// higher one is waiting.
 const lowPriorityInterval = 5
 
 // before reports whether the waiting request w goes before the new request t.
 func (lm *Limiter) before(w, t *Ticket, now clock.Millis) bool {
-	if w.request.priority != t.request.priority {
-		return w.request.priority < t.request.priority
+	if x, y := rank(w, now), rank(t, now); x != y {
+		return x < y
 	}
 	switch lm.order.(type) {
 	case Adaptive:
@@ -76,13 +76,13 @@
 	return 0
 }
 
-// cheapestIndex returns the index of the request that goes next: the first firm one, or the first of the others when
-// they are due for a turn, so that firm requests take no turns from the lowest priority alone.
+// cheapestIndex returns the index of the request that goes next: the first promoted one, or the first of the others when
+// they are due for a turn, so that promoted requests take no turns from the lowest priority alone.
 func (lm *Limiter) cheapestIndex(now clock.Millis) int {
 	first, others := -1, false
 	for k, t := range lm.waiting {
 		switch {
-		case !t.request.firm:
+		case rank(t, now) != promotedRank:
 			others = true
 		case first < 0 || lm.less(t, lm.waiting[first], now):
 			first = k
@@ -92,31 +92,28 @@
 		return lm.cheapestOther(now)
 	}
 	if !others {
-		lm.firmTurns = 0
+		lm.promotedTurns = 0
 		return first
 	}
-	lm.firmTurns++
-	if lm.firmTurns >= lowPriorityInterval {
-		lm.firmTurns = 0
+	lm.promotedTurns++
+	if lm.promotedTurns >= lowPriorityInterval {
+		lm.promotedTurns = 0
 		return lm.cheapestOther(now)
 	}
 	return first
 }
 
-// cheapestOther returns the index of the first request of the highest priority that is not firm, or of a lower
+// cheapestOther returns the index of the first request of the highest priority that is not promoted, or of a lower
 // priority when it is due for a turn.
 func (lm *Limiter) cheapestOther(now clock.Millis) int {
 	top, lower := -1, -1
 	for k, t := range lm.waiting {
-		if t.request.firm {
-			continue
-		}
-		if top < 0 || lm.less(t, lm.waiting[top], now) {
+		if rank(t, now) != promotedRank && (top < 0 || lm.less(t, lm.waiting[top], now)) {
 			top = k
 		}
 	}
 	for k, t := range lm.waiting {
-		if !t.request.firm && t.request.priority > lm.waiting[top].request.priority && (lower < 0 || lm.less(t, lm.waiting[lower], now)) {
+		if rank(t, now) > rank(lm.waiting[top], now) && (lower < 0 || lm.less(t, lm.waiting[lower], now)) {
 			lower = k
 		}
 	}
@@ -132,11 +129,25 @@
 	return top
 }
 
-// less reports whether a goes before b: by priority, then cost, then time from arrival to the
+// promotedRank is before all priorities.
+const promotedRank = -1
+
+// rank returns the priority of a request, before all others for a firm one that has waited for its patience.
+func rank(t *Ticket, now clock.Millis) int {
+	if t.request.firm && now-t.arrived >= t.request.patience {
+		return promotedRank
+	}
+	return t.request.priority
+}
+
+// less reports whether a goes before b: by priority, then firm ones first, then cost, then time from arrival to the
 // soft deadline, then soft deadline.
 func (lm *Limiter) less(a, b *Ticket, now clock.Millis) bool {
-	if a.request.priority != b.request.priority {
-		return a.request.priority < b.request.priority
+	if x, y := rank(a, now), rank(b, now); x != y {
+		return x < y
+	}
+	if a.request.firm != b.request.firm {
+		return a.request.firm
 	}
 	if x, y := lm.cost(a, now), lm.cost(b, now); x != y {
 		return x < y
--- a/core/command/admit/order_test.go
+++ b/core/command/admit/order_test.go
@@ -128,7 +128,7 @@
 			if waiting[p] == nil {
 				r := NewRequest(5*clock.Second, 5*clock.Second).WithPriority(p, 4*clock.Second, 5*clock.Second)
 				if p == call {
-					r = r.Firm()
+					r = r.Firm(0)
 				}
 				waiting[p] = lm.Submit(0, r, l)
 			}
--- a/verbenad/command/rooms/goodput_test.go
+++ b/verbenad/command/rooms/goodput_test.go
@@ -103,7 +103,7 @@
 			n.service = "back"
 		}
 		if withRooms {
-			n.rooms = rooms.New(rooms.WithClock(clock.New(clock.WithSource(m.time.Now))))
+			n.rooms = rooms.New(rooms.WithClock(clock.New(clock.WithSource(m.time.Now))), rooms.WithRandom(m.random.Float64))
 		}
 		m.nodes = append(m.nodes, n)
 		m.pools[n.service] = append(m.pools[n.service], n)
@@ -250,7 +250,7 @@
 		WithGoal(q.LatencyGoal(), n.limiter.ClassServiceTime(c.name)).For(arrival, deadline-now)
 	r := admit.NewRequest(deadline, p.Wait()).WithPriority(p.Rank(), now+q.LatencyGoal(), p.Stay()).WithClass(c.name)
 	if p.Firm() {
-		r = r.Firm()
+		r = r.Firm(p.Patience())
 	}
 	w := &queued{ticket: n.limiter.Submit(now, r, admit.NewLimits(modelSlots, 64, rules.DefaultQueueWait))}
 	decided := false
@@ -265,6 +265,9 @@
 		}
 		begin := m.time.Now()
 		m.run(n, c, deadline, func(ok bool) {
+			if p.Firm() {
+				n.limiter.EndFirm()
+			}
 			n.limiter.ReleaseClass(c.name, m.time.Now(), m.time.Now()-begin)
 			answer(ok, true)
 		})
--- a/verbenad/command/rooms/rooms.go
+++ b/verbenad/command/rooms/rooms.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"sync"
 
+	"github.com/sirupsen/logrus"
+
 	"verbenabank/core/clock"
 	"verbenabank/core/command/room"
 	"verbenabank/core/query/retry"
@@ -22,14 +24,18 @@
 	// callLifetime is how long a class counts as calls of the local target after a reply has last said so. The daemons
 	// of the called targets learn which classes are calls, so they may be wrong at first.
 	callLifetime = 10 * clock.Second
-	// spread is the time over which callers return after a refusal, besides the time that the refusal names.
-	spread = 400 * clock.Millisecond
+	// Callers return over the time to their latency goal divided by spreadDivisor after the time that a refusal names,
+	// and over minSpread if less remains: a caller that returns later cannot be answered in time.
+	spreadDivisor = 4
+	minSpread     = 20 * clock.Millisecond
 )
 
 // Rooms decides which requests compete for the room of targets. It is safe for concurrent use.
 type Rooms struct {
-	clock *clock.Clock
-	meter *meter.Meter
+	clock  *clock.Clock
+	meter  *meter.Meter
+	log    *logrus.Entry // nil for no log
+	random func() float64
 
 	mu       sync.Mutex
 	origins  *room.Origins
@@ -38,6 +44,7 @@
 	levels   *room.Levels
 	throttle *room.Throttle
 	calls    map[string]clock.Millis // when classes of calls of the local target end to count as such
+	closed   bool                    // the gate is logged as closed
 }
 
 // Option configures Rooms.
@@ -49,10 +56,16 @@
 // WithMeter sets the meter that counts calls and refusals.
 func WithMeter(m *meter.Meter) Option { return func(r *Rooms) { r.meter = m } }
 
+// WithRandom sets the source of random numbers from 0 up to 1 by which attempts are throttled.
+func WithRandom(f func() float64) Option { return func(r *Rooms) { r.random = f } }
+
+// WithLog sets the log of when the gate of the local target closes and opens.
+func WithLog(e *logrus.Entry) Option { return func(r *Rooms) { r.log = e } }
+
 // New returns Rooms that admit everything until they learn otherwise.
 func New(opts ...Option) *Rooms {
 	r := &Rooms{
-		clock: clock.New(), meter: meter.ForPart("room"), origins: room.NewOrigins(), demand: room.NewDemand(),
+		clock: clock.New(), random: rand.Float64, meter: meter.ForPart("room"), origins: room.NewOrigins(), demand: room.NewDemand(),
 		gate: room.NewGate(), levels: room.NewLevels(), throttle: room.NewThrottle(), calls: map[string]clock.Millis{},
 	}
 	for _, f := range opts {
@@ -121,7 +134,7 @@
 	now := r.clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.levels.Admits(class, id, now) {
+	if r.isCall(class, now) || r.levels.Admits(class, id, now) {
 		return false
 	}
 	r.meter.Add("refused_at_entry", 1)
@@ -134,7 +147,7 @@
 	now := r.clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.isCall(class, now) || !r.throttle.Refuses(class, rand.Float64(), now) {
+	if r.isCall(class, now) || !r.throttle.Refuses(class, r.random(), now) {
 		return false
 	}
 	r.throttle.Record(class, false, now)
@@ -153,6 +166,7 @@
 		r.rememberCall(class, now)
 		if told.Share() < room.Full {
 			r.gate.RecordShare(told.Priority(), told.Share(), now)
+			r.logGate(now)
 		}
 		return false
 	}
@@ -186,6 +200,7 @@
 		r.meter.Add("calls_refused", 1)
 	}
 	r.gate.RecordCall(lost, now)
+	r.logGate(now)
 }
 
 // lacksRoom reports whether a call failed for lack of room; nil is a response.
@@ -205,6 +220,23 @@
 	return false
 }
 
+// closedBelow is the share under which the gate is logged as closed, until it is open again.
+const closedBelow = 75
+
+// logGate logs that the gate closes or opens.
+func (r *Rooms) logGate(now clock.Millis) {
+	share := r.gate.Share(lowest, now)
+	switch {
+	case r.log == nil:
+	case !r.closed && share < closedBelow:
+		r.closed = true
+		r.log.WithField("admitted_percent", share).Info("rooms: calls of the local target find too little room, fewer new requests are admitted")
+	case r.closed && share >= room.Full:
+		r.closed = false
+		r.log.Info("rooms: calls of the local target find room again, all new requests are admitted")
+	}
+}
+
 // sent reports whether a target itself refused the request. A target that refuses while its daemon finds room has a fault,
 // and fewer outer requests would not end it.
 func sent(o result.Outcome) bool {
@@ -213,11 +245,12 @@
 }
 
 // SpreadOut returns the refusal with a time after which the caller returns that differs from one caller to the next, so
-// that those refused together don't return together. A refusal after which a retry can't succeed stays as it is.
-func SpreadOut(o result.Refused) result.Refused {
+// that those refused together don't return together. left is the time to the caller's latency goal. A refusal after which
+// a retry can't succeed stays as it is.
+func SpreadOut(o result.Refused, left clock.Millis) result.Refused {
 	after := retry.After(o)
 	if !lacksRoom(o) || after <= 0 {
 		return o
 	}
-	return o.WithRetryAfter(after + rand.N(spread))
+	return o.WithRetryAfter(after + rand.N(max(minSpread, left/spreadDivisor)))
 }
--- a/verbenad/command/rooms/spread_test.go
+++ b/verbenad/command/rooms/spread_test.go
@@ -16,9 +16,9 @@
 func TestSpreadOutKeepsWhatARefusalSays(t *testing.T) {
 	is := is.New(t)
 	for range 200 {
-		is.Equal(retry.After(rooms.SpreadOut(result.NewRefused(result.Expired, 0))), clock.Millis(0))
-		is.True(retry.After(rooms.SpreadOut(result.NewRefused(result.Overloaded, 0))) >= retry.AfterOverload)
-		named := retry.After(rooms.SpreadOut(result.NewRefused(result.Overloaded, 100)))
+		is.Equal(retry.After(rooms.SpreadOut(result.NewRefused(result.Expired, 0), 400*clock.Millisecond)), clock.Millis(0))
+		is.True(retry.After(rooms.SpreadOut(result.NewRefused(result.Overloaded, 0), 400*clock.Millisecond)) >= retry.AfterOverload)
+		named := retry.After(rooms.SpreadOut(result.NewRefused(result.Overloaded, 100), 400*clock.Millisecond))
 		is.True(named >= 100 && named < 500)
 	}
 }
--- a/verbenad/command/serve/options.go
+++ b/verbenad/command/serve/options.go
@@ -39,7 +39,9 @@
 
 // WithRooms lets calls of targets that run a request go before new requests, and limits new requests at targets whose
 // calls have too little room.
-func WithRooms() Option { return func(d *Daemon) { d.rooms = rooms.New(rooms.WithClock(d.clock)) } }
+func WithRooms() Option {
+	return func(d *Daemon) { d.rooms = rooms.New(rooms.WithClock(d.clock), rooms.WithLog(d.logger())) }
+}
 
 // WithAveragedCapacity places the keys of ordered services by service times that are averaged over the requests of a
 // window, if this daemon leads the control group.
