--- a/verbenad/adapt/front/closing.go
+++ b/verbenad/adapt/front/closing.go
@@ -71,6 +71,13 @@
 	return limits.IdleTimeout().Duration()
 }
 
+// idle reports whether the connection waits for a request and none is in flight.
+func (c *conn) idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.awaiting && !c.closing && c.inFlight.Load() == 0
+}
+
 // closeIfIdle closes the connection if no request is in flight.
 func (c *conn) closeIfIdle() {
 	c.mu.Lock()
--- a/verbenad/adapt/front/conn.go
+++ b/verbenad/adapt/front/conn.go
@@ -21,15 +21,19 @@
 // conn is the connection of a caller. One goroutine reads requests from it; each request is served by a
 // goroutine of its own, which writes its response after all earlier ones (HTTP pipelining).
 type conn struct {
-	server   *Server
-	net      net.Conn
-	reader   *bufio.Reader
-	share    *memory.Share
-	ctx      context.Context // cancelled when the caller disconnects
-	cancel   context.CancelFunc
-	inFlight atomic.Int32
-	slots    chan struct{} // semaphore: one element per request in flight
-	requests sync.WaitGroup
+	server        *Server
+	net           net.Conn
+	reader        *bufio.Reader
+	share         *memory.Share
+	ctx           context.Context // cancelled when the caller disconnects
+	cancel        context.CancelFunc
+	inFlight      atomic.Int32
+	writeDeadline atomic.Int64  // of the clock, in milliseconds; 0 if none is set
+	slots         chan struct{} // semaphore: one element per request in flight
+	requests      sync.WaitGroup
+
+	lastActive atomic.Int64 // when the connection was accepted, or its last request ended, in milliseconds of the clock
+	evicted    bool         // closed to make room; guarded by the server's mutex
 
 	mu           sync.Mutex
 	lastDone     chan struct{} // closed when the response to the newest request is written
@@ -44,6 +48,7 @@
 func newConn(s *Server, n net.Conn) *conn {
 	c := &conn{server: s, net: n, reader: bufio.NewReaderSize(n, idleBufferBytes), share: s.memory.NewShare(), slots: make(chan struct{}, MaxPipelined)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.lastActive.Store(int64(s.clock.Now()))
 	c.lastDone = make(chan struct{})
 	close(c.lastDone)
 	return c
@@ -73,6 +78,7 @@
 		return false
 	}
 	x := &exchange{conn: c, done: make(chan struct{}), startTime: c.server.clock.Now(), memory: c.share.NewTally()}
+	defer x.releaseUnlessStarted()
 	_ = c.net.SetReadDeadline(time.Now().Add(limits.HeaderTimeout().Duration()))
 	err := c.receiveHead(x)
 	if err == nil {
@@ -85,18 +91,15 @@
 	case isHeadTooLarge(err):
 		return c.rejectHead(x, result.HeadTooLarge)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		x.memory.Close()
 		c.stopReading(c.inFlight.Load() > 0)
 		return false
 	case errors.Is(err, io.EOF), isConnError(err):
-		x.memory.Close()
 		c.cancel()
 		return false
 	default:
 		return c.rejectHead(x, result.BadRequest)
 	}
 	if !c.enqueue(x) {
-		x.memory.Close()
 		return false
 	}
 	return x.start(limits)
@@ -168,11 +171,7 @@
 
 // rejectHead responds to a request whose head is invalid or too large, and closes the connection.
 func (c *conn) rejectHead(x *exchange, reason result.Reason) bool {
-	if !c.enqueue(x) {
-		x.memory.Close()
-		return false
-	}
-	return c.reject(x, reason)
+	return c.enqueue(x) && c.reject(x, reason)
 }
 
 // reject responds to a request without forwarding it, and closes the connection. It returns false,
@@ -189,6 +188,7 @@
 	c.slots <- struct{}{}
 	c.inFlight.Add(1)
 	c.requests.Add(1)
+	x.started = true
 	go func() {
 		defer c.requests.Done()
 		if c.server.catchPanic("serve a request", f) {
@@ -197,6 +197,7 @@
 		}
 		x.memory.Close()
 		close(x.done)
+		c.lastActive.Store(int64(c.server.clock.Now()))
 		c.inFlight.Add(-1)
 		c.closeIfFinished()
 		<-c.slots
--- a/verbenad/adapt/front/exchange.go
+++ b/verbenad/adapt/front/exchange.go
@@ -32,6 +32,7 @@
 	startTime       clock.Millis
 	memory          *memory.Tally // that the request holds
 	expectsContinue bool
+	started         bool // a goroutine serves the request, and releases its memory
 	info            RequestInfo
 	body            *relay.Body
 	responseStarted bool        // part of the response may have been written
@@ -80,6 +81,13 @@
 	}
 }
 
+// releaseUnlessStarted gives back the memory of a request that nothing serves. The reader calls it.
+func (x *exchange) releaseUnlessStarted() {
+	if !x.started {
+		x.memory.Close()
+	}
+}
+
 // bodyTimeout bounds the time to receive a request body.
 const bodyTimeout = 10 * time.Minute
 
@@ -95,7 +103,7 @@
 func (b *continueReader) Read(p []byte) (int, error) {
 	if x := b.exchange; !b.started && x.expectsContinue {
 		<-x.prevDone
-		_ = x.conn.net.SetWriteDeadline(time.Now().Add(writeTimeout))
+		x.conn.extendWriteDeadline()
 		if _, err := x.conn.net.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return 0, err
 		}
--- a/verbenad/adapt/front/front.go
+++ b/verbenad/adapt/front/front.go
@@ -100,6 +100,7 @@
 	mu        sync.Mutex
 	listeners []net.Listener
 	conns     map[*conn]struct{}
+	evicting  int // connections that are being closed to make room
 }
 
 // Option sets one property of a Server.
@@ -181,11 +182,16 @@
 	}
 }
 
-// addConn registers a connection. It reports false if MaxConnections are open, or the memory for one more is not granted.
+// addConn registers a connection. If MaxConnections are open, or the memory for one more is not granted, it closes the one
+// that has been idle for longest; it reports false if there is none.
 func (s *Server) addConn(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.conns) >= MaxConnections || !c.share.Take(connBytes, "connections") {
+	switch {
+	case len(s.conns) < MaxConnections && c.share.Take(connBytes, "connections"):
+	case s.evictIdle():
+		c.share.Force(connBytes)
+	default:
 		s.meter.Add("connections_refused", 1)
 		return false
 	}
@@ -193,11 +199,39 @@
 	return true
 }
 
+// maxEvicting bounds the connections that are being closed to make room.
+const maxEvicting = 64
+
+// evictIdle closes the connection that has waited for a request for longest, and reports whether there is one. s.mu must
+// be held.
+func (s *Server) evictIdle() bool {
+	if s.evicting >= maxEvicting {
+		return false
+	}
+	var oldest *conn
+	for c := range s.conns {
+		if !c.evicted && (oldest == nil || c.lastActive.Load() < oldest.lastActive.Load()) && c.idle() {
+			oldest = c
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	s.meter.Add("connections_evicted", 1)
+	oldest.evicted = true
+	s.evicting++
+	oldest.closeIfIdle()
+	return true
+}
+
 func (s *Server) removeConn(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
 	c.share.Give(connBytes)
+	if c.evicted {
+		s.evicting--
+	}
 }
 
 // DisableKeepAlives makes each connection close after its next response ("Connection: close"), so that callers
--- a/verbenad/adapt/front/head.go
+++ b/verbenad/adapt/front/head.go
@@ -23,8 +23,7 @@
 	for {
 		received, _ := c.reader.Peek(c.reader.Buffered())
 		if n := headLength(received); n > 0 {
-			lines := bytes.Count(received[:n], newline)
-			if !x.memory.Take(memory.RequestBytes+memory.HeadBytes(n, lines), "requests") {
+			if !x.memory.Take(memory.RequestBytes+memory.HeadBytes(n, memory.Lines(received[:n])), "requests") {
 				return errNoMemory
 			}
 			return nil
@@ -48,7 +47,6 @@
 }
 
 var (
-	newline  = []byte("\n")
 	endOfCRs = []byte("\r\n\r\n")
 	endOfLFs = []byte("\n\n")
 )
@@ -94,7 +92,7 @@
 // dropFields drops the fields of a large parsed head once they are not needed any more. What is left of the head tells the
 // method, the host, the path and whether the connection closes after the request.
 func (x *exchange) dropFields() {
-	if x.head.Len() <= maxKeptLines {
+	if memory.Lines(x.head.RawHeaders()) <= maxKeptLines {
 		return
 	}
 	var h fasthttp.RequestHeader
--- a/verbenad/adapt/front/respond.go
+++ b/verbenad/adapt/front/respond.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
+	"verbenabank/core/clock"
 	"verbenabank/core/state/call"
 	"verbenabank/core/state/result"
 	"verbenabank/verbenad/adapt/head"
@@ -26,8 +27,9 @@
 	// streamBytes is the memory that a streamed response holds: its chunk, the chunk with its framing, and what was
 	// received ahead from another daemon.
 	streamBytes = 2*streamChunkBytes + 64<<10
-	// writeTimeout bounds the time to write a response that was received completely.
-	writeTimeout = time.Minute
+	// writeTimeout bounds the time to write a response that was received completely. The deadline is set again once half
+	// of it has passed.
+	writeTimeout = 2 * clock.Minute
 )
 
 var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
@@ -128,7 +130,10 @@
 	}
 	if end, ok := ctx.Deadline(); ok {
 		_ = x.conn.net.SetWriteDeadline(end)
-		defer func() { _ = x.conn.net.SetWriteDeadline(time.Time{}) }()
+		defer func() {
+			_ = x.conn.net.SetWriteDeadline(time.Time{})
+			x.conn.writeDeadline.Store(0)
+		}()
 	}
 	b := buffers.Get().(*bytes.Buffer)
 	defer buffers.Put(b)
@@ -235,7 +240,7 @@
 // send writes a complete response; last says that the connection is closed after it.
 func (x *exchange) send(b *bytes.Buffer, last bool) {
 	x.sent.Store(true)
-	_ = x.conn.net.SetWriteDeadline(time.Now().Add(writeTimeout))
+	x.conn.extendWriteDeadline()
 	if _, err := x.conn.net.Write(b.Bytes()); err != nil {
 		x.reset(result.Cancelled)
 		return
@@ -245,6 +250,16 @@
 	}
 }
 
+// extendWriteDeadline gives the next write at least half of writeTimeout.
+func (c *conn) extendWriteDeadline() {
+	now := c.server.clock.Now()
+	if clock.Millis(c.writeDeadline.Load()).Sub(now) >= writeTimeout/2 {
+		return
+	}
+	c.writeDeadline.Store(int64(now + writeTimeout))
+	_ = c.net.SetWriteDeadline(time.Now().Add(writeTimeout.Duration()))
+}
+
 // bodyWriter writes a response in parts. The head is sent with the first part of the body.
 type bodyWriter struct {
 	conn    *conn
--- a/verbenad/command/entry/conn.go
+++ b/verbenad/command/entry/conn.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -169,27 +168,25 @@
 	finishing         // the handler has returned, and the response is written before the next read
 )
 
-// takeLines counts the lines of a head and takes the memory that their parsed form costs. It reports false if that is not
+// takeLines counts the lines and cookies of a head and takes the memory that their parsed form costs. It reports false if that is not
 // granted; nothing of the request has run then.
 func (c *conn) takeLines(p []byte) bool {
 	if c.phase.Load() == serving {
 		return true
 	}
 	before := max(c.lines, freeLines)
-	c.lines += bytes.Count(p, newline)
+	c.lines += memory.Lines(p)
 	if c.lines <= before {
 		return true
 	}
 	return c.request.Take(memory.HeadBytes(0, c.lines-before), "heads")
 }
 
-var newline = []byte("\n")
-
 // beginRequest takes the memory for a request whose head was read, and reports whether it is granted.
 func (c *conn) beginRequest(h *fasthttp.RequestHeader) bool {
 	c.release()
 	c.phase.Store(serving)
-	lines := max(0, h.Len()-max(c.lines, freeLines))
+	lines := max(0, memory.Lines(h.RawHeaders())-max(c.lines, freeLines))
 	return c.request.Take(memory.RequestBytes+memory.HeadBytes(len(h.RawHeaders()), lines), "requests")
 }
 
--- a/verbenad/command/entry/task.go
+++ b/verbenad/command/entry/task.go
@@ -10,6 +10,7 @@
 	"verbenabank/core/query/route"
 	"verbenabank/core/state/call"
 	"verbenabank/core/state/result"
+	"verbenabank/verbenad/command/memory"
 	"verbenabank/verbenad/command/relay"
 )
 
@@ -92,7 +93,7 @@
 // the method, the length of the body and whether the connection closes.
 func (t *task) dropHead() {
 	h := &t.http.Request.Header
-	if h.Len() <= maxKeptLines {
+	if memory.Lines(h.RawHeaders()) <= maxKeptLines {
 		return
 	}
 	var kept fasthttp.RequestHeader
--- a/verbenad/command/memory/memory.go
+++ b/verbenad/command/memory/memory.go
@@ -3,6 +3,7 @@
 package memory
 
 import (
+	"bytes"
 	"math"
 	"sync"
 	"sync/atomic"
@@ -15,7 +16,7 @@
 const (
 	// RequestBytes is the cost of a request in flight besides its head and body: its goroutines, buffers and streams.
 	RequestBytes = 24 << 10
-	// lineBytes is the cost of a header line besides its bytes: a parsed field, its copies and its messages.
+	// lineBytes is the cost of a header line or a cookie besides its bytes: a parsed field, its copies and its messages.
 	lineBytes = 256
 	// copies is how often the bytes of a head are held.
 	copies = 2
@@ -24,6 +25,11 @@
 // HeadBytes returns the cost of a head with a number of bytes and lines.
 func HeadBytes(size, lines int) int64 { return int64(size)*copies + int64(lines)*lineBytes }
 
+// Lines returns how many fields a head costs: its lines, and its semicolons, since each may separate two cookies.
+func Lines(head []byte) int { return bytes.Count(head, newline) + bytes.Count(head, semicolon) }
+
+var newline, semicolon = []byte("\n"), []byte(";")
+
 // Budget is the memory budget of a process. It is safe for concurrent use.
 type Budget struct {
 	meter  *meter.Meter
--- a/vload/crowd/crowd_test.go
+++ b/vload/crowd/crowd_test.go
@@ -99,6 +99,7 @@
 	for _, h := range hosts {
 		h.t.Helper()
 		h.check(what)
+		h.checkReturned()
 	}
 }
 
@@ -161,6 +162,15 @@
 	checkAll(hosts, "forwarded heads of many lines")
 }
 
+// TestHeadsOfManyCookies does the same with one line that lists very many cookies.
+func TestHeadsOfManyCookies(t *testing.T) {
+	hosts := platformFleet(t)
+	text := "GET /plain HTTP/1.1\r\nHost: h.example\r\nRequest-Id: pressing\r\nCookie: " + strings.Repeat("a=;", headBytes/3) + "\r\n\r\n"
+	press(t, hosts[1].callers(), crowdClients, crowdRounds, request(strings.Repeat(text, sentAhead), sentAhead))
+	hosts[1].awaitAnswer("after the crowd", "/plain")
+	checkAll(hosts, "heads of many cookies")
+}
+
 // adminClients is the size of the crowd at ports for the local server and for operators.
 const adminClients = 16
 
@@ -235,3 +245,26 @@
 		})
 	}
 }
+
+// TestIdleConnections guards against a crowd that opens all connections that a front takes and sends nothing: an ordinary
+// request on a new connection is answered while they are open.
+func TestIdleConnections(t *testing.T) {
+	hosts := platformFleetWith(t, strings.Replace(routes, `"idleTimeoutMs":15000`, `"idleTimeoutMs":600000`, 1))
+	const idle = 2100
+	opened := make(chan struct{})
+	var group sync.WaitGroup
+	for n := range idle {
+		c, err := net.DialTimeout("tcp", hosts[1].callers(), longest)
+		if err != nil {
+			t.Fatalf("connection %d: %v", n, err)
+		}
+		group.Go(func() {
+			<-opened
+			_ = c.Close()
+		})
+	}
+	hosts[1].awaitAnswer("beside the crowd", "/plain")
+	close(opened)
+	group.Wait()
+	checkAll(hosts, "idle connections")
+}
--- a/vload/crowd/fleet_test.go
+++ b/vload/crowd/fleet_test.go
@@ -113,6 +113,12 @@
 
 // platformFleet starts a control machine and two daemons with servers, with the program of the platform.
 func platformFleet(t *testing.T) []*host {
+	t.Helper()
+	return platformFleetWith(t, routes)
+}
+
+// platformFleetWith is platformFleet with another configuration.
+func platformFleetWith(t *testing.T, routes string) []*host {
 	t.Helper()
 	subnet := takeSubnet(t)
 	var hosts []*host
--- a/vload/crowd/host_test.go
+++ b/vload/crowd/host_test.go
@@ -5,6 +5,7 @@
 package crowd
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -173,6 +174,23 @@
 	}
 }
 
+// checkReturned checks that what the process has counted for the crowd is given back, so that no later caller is refused for
+// it.
+func (h *host) checkReturned() {
+	h.t.Helper()
+	await(h.t, h.name+" gives back what it held for the crowd", func() bool {
+		a, err := client.Get("http://" + h.admin() + "/debug/vars")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = a.Body.Close() }()
+		var vars struct {
+			Held int64 `json:"verbenad.memory_held_bytes"`
+		}
+		return json.NewDecoder(a.Body).Decode(&vars) == nil && vars.Held < 1<<20
+	})
+}
+
 // await polls until the condition holds. The limit only ends a test that hangs.
 func await(t *testing.T, condition string, holds func() bool) {
 	t.Helper()
