Bound the replicated log in memory by bytes, and the wait for large bodies at the admin port

At the admin port requests that waited for their turn ran into the read time-out and got 400, which ends an operator's call.

A large body waits for its turn for 2 s, then 503; one that is not received gets 408; both mean that nothing ran. Log lines of reports format only the rows that they show.

--- a/core/command/raft/log.go
+++ b/core/command/raft/log.go
@@ -66,6 +66,19 @@
 	return l.members, l.base
 }
 
+// trailingFrom returns the index after which the trailing entries up to end begin: at most count of them, of at most limit
+// bytes.
+func (l *memlog) trailingFrom(end, count peer.Index, limit int) peer.Index {
+	i, size := end, 0
+	for i > l.base && end-i < count {
+		if size += l.at(i).Size(); size > limit {
+			break
+		}
+		i--
+	}
+	return i
+}
+
 // compact discards the entries up to and including i, which becomes the new base.
 func (l *memlog) compact(i peer.Index) {
 	members, _ := l.membersAt(i)
--- a/core/command/raft/options.go
+++ b/core/command/raft/options.go
@@ -51,6 +51,11 @@
 	return func(n *Node) { n.trailing = peer.Index(entries) }
 }
 
+// WithTrailingBytes sets how many bytes the entries before a snapshot that stay in memory may have. The default is 8 MiB.
+func WithTrailingBytes(bytes int) Option {
+	return func(n *Node) { n.trailingBytes = bytes }
+}
+
 // WithChunkSize sets the maximum size in bytes of the part of a snapshot in one message. The default
 // is 256 KiB.
 func WithChunkSize(bytes int) Option {
--- a/core/command/raft/raft.go
+++ b/core/command/raft/raft.go
@@ -45,6 +45,7 @@
 	random          *rand.Rand
 	stored          peer.StoredState
 	trailing        peer.Index
+	trailingBytes   int
 	chunkSize       int // bytes of a snapshot in one message
 	maxRequestBytes int // bytes of entries in one message
 	timeoutScale    clock.Millis
@@ -81,7 +82,7 @@
 // New returns a node. Its first event must be Started.
 func New(opts ...Option) *Node {
 	n := &Node{
-		role: Blank{}, random: rand.New(rand.NewPCG(1, 1)), trailing: 4096, chunkSize: 256 << 10, maxRequestBytes: 256 << 10,
+		role: Blank{}, random: rand.New(rand.NewPCG(1, 1)), trailing: 4096, trailingBytes: 8 << 20, chunkSize: 256 << 10, maxRequestBytes: 256 << 10,
 		timeoutScale: 1,
 		addresses:    map[peer.ID]string{}, timer: noTimers(), discovery: newDiscovery(),
 	}
--- a/core/command/raft/snapshot.go
+++ b/core/command/raft/snapshot.go
@@ -18,8 +18,8 @@
 	}
 	members, _ := n.log.membersAt(c.index)
 	n.keepSnapshot(peer.NewSnapshot(c.index, n.log.termAt(c.index), members, c.data))
-	if c.index > n.log.base+n.trailing {
-		n.log.compact(c.index - n.trailing)
+	if i := n.log.trailingFrom(c.index, n.trailing, n.trailingBytes); i > n.log.base {
+		n.log.compact(i)
 	}
 }
 
--- a/verbenad/command/ctrl/ctrl.go
+++ b/verbenad/command/ctrl/ctrl.go
@@ -59,6 +59,7 @@
 	pending       map[uint64]pendingRequest
 	lastToken     uint64
 	snapshotIndex uint64
+	appliedBytes  int // of log entries since the last snapshot
 	failure       error
 	rulesSource   string // of the agent's current event
 }
--- a/verbenad/command/ctrl/replica.go
+++ b/verbenad/command/ctrl/replica.go
@@ -16,6 +16,9 @@
 // snapshotInterval is the number of log entries that are applied between two snapshots.
 const snapshotInterval = 4096
 
+// snapshotBytes is the size in bytes of the log entries that are applied between two snapshots, if it is reached earlier.
+const snapshotBytes = 8 << 20
+
 // pendingRequest is a request to the replicated log whose result has not arrived yet:
 // leaderConfirmation, pendingProposal or pendingRead. The log returns its token with the result.
 type pendingRequest interface{ pendingRequest() }
@@ -92,6 +95,7 @@
 		l.fail("apply", Undecodable, err)
 		return
 	}
+	l.appliedBytes += c.Entry().Size()
 	next, effects := apply.Apply(l.fleet, uint64(c.Entry().Index()), timestamp, command)
 	l.setFleet(next)
 	l.completeProposal(c.Token(), effects)
@@ -164,15 +168,15 @@
 	l.snapshotIndex = uint64(s.Index())
 }
 
-// takeSnapshot encodes the state if snapshotInterval entries were applied since the last snapshot. The
+// takeSnapshot encodes the state if snapshotInterval entries or snapshotBytes were applied since the last snapshot. The
 // encoding runs on a goroutine of its own, since it would block the control goroutine; the state is
 // immutable.
 func (l *Loop) takeSnapshot() {
 	f := l.fleet
-	if f.Index() < l.snapshotIndex+snapshotInterval {
+	if f.Index() < l.snapshotIndex+snapshotInterval && l.appliedBytes < snapshotBytes {
 		return
 	}
-	l.snapshotIndex = f.Index()
+	l.snapshotIndex, l.appliedBytes = f.Index(), 0
 	go func() {
 		data, err := codec.EncodeState(f)
 		if err != nil {
--- a/verbenad/command/notice/keylog.go
+++ b/verbenad/command/notice/keylog.go
@@ -59,25 +59,26 @@
 
 // formatRows formats ranges as "FIRST-LAST@EPOCH", separated by spaces.
 func formatRows(rows []grant.Row) string {
-	texts := make([]string, 0, len(rows))
-	for _, r := range rows {
+	texts := make([]string, 0, min(len(rows), maxLoggedRows))
+	for _, r := range rows[:min(len(rows), maxLoggedRows)] {
 		texts = append(texts, fmt.Sprintf("%d-%d@%d", r.First(), r.Last(), r.Epoch()))
 	}
-	return joinRows(texts)
+	return joinRows(texts, len(rows))
 }
 
 // formatFreed formats ranges as "FIRST-LAST", separated by spaces.
 func formatFreed(rows []grant.FreedRow) string {
-	texts := make([]string, 0, len(rows))
-	for _, r := range rows {
+	texts := make([]string, 0, min(len(rows), maxLoggedRows))
+	for _, r := range rows[:min(len(rows), maxLoggedRows)] {
 		texts = append(texts, fmt.Sprintf("%d-%d", r.First(), r.Last()))
 	}
-	return joinRows(texts)
+	return joinRows(texts, len(rows))
 }
 
-func joinRows(texts []string) string {
-	if len(texts) <= maxLoggedRows {
+// joinRows joins the texts of the first of count rows.
+func joinRows(texts []string, count int) string {
+	if count <= maxLoggedRows {
 		return strings.Join(texts, " ")
 	}
-	return fmt.Sprintf("%s and %d more", strings.Join(texts[:maxLoggedRows], " "), len(texts)-maxLoggedRows)
+	return fmt.Sprintf("%s and %d more", strings.Join(texts, " "), count-maxLoggedRows)
 }
--- a/verbenad/command/serve/bodies.go
+++ b/verbenad/command/serve/bodies.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/gofiber/fiber/v3"
 
@@ -29,8 +30,11 @@
 		return b.refuse(c, fiber.StatusRequestEntityTooLarge)
 	}
 	if length < 0 || length > smallBodyBytes {
-		b.turn <- struct{}{}
+		if !b.awaitTurn() {
+			return b.refuse(c, fiber.StatusServiceUnavailable)
+		}
 		defer func() { <-b.turn }()
+		_ = c.RequestCtx().Conn().SetReadDeadline(time.Now().Add(readTimeout))
 	}
 	stream := r.BodyStream()
 	if stream == nil {
@@ -39,7 +43,7 @@
 	content, err := io.ReadAll(io.LimitReader(stream, maxAdminBodyBytes+1))
 	switch {
 	case err != nil:
-		return b.refuse(c, fiber.StatusBadRequest)
+		return b.refuse(c, fiber.StatusRequestTimeout)
 	case len(content) > maxAdminBodyBytes:
 		return b.refuse(c, fiber.StatusRequestEntityTooLarge)
 	}
@@ -47,6 +51,21 @@
 	return c.Next()
 }
 
+// turnTimeout bounds how long a large body waits until others are handled.
+const turnTimeout = 2 * time.Second
+
+// awaitTurn waits until no other large body is handled. It reports false after turnTimeout.
+func (b *bodies) awaitTurn() bool {
+	t := time.NewTimer(turnTimeout)
+	defer t.Stop()
+	select {
+	case b.turn <- struct{}{}:
+		return true
+	case <-t.C:
+		return false
+	}
+}
+
 // refuse responds to a request without handling it, and closes the connection, since the body is not read.
 func (b *bodies) refuse(c fiber.Ctx, status int) error {
 	b.meter.Add("bodies_refused", 1)
--- a/vload/crowd/crowd_test.go
+++ b/vload/crowd/crowd_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"crypto/rand"
+	"encoding/base64"
 	"fmt"
 	"io"
 	"net"
@@ -206,6 +208,20 @@
 	checkAll(hosts, "configurations of many parts")
 }
 
+// TestManyLargeConfigurations guards against control replicas that keep large documents which were refused: each is an entry
+// of the replicated log, of which thousands stay in memory. The documents don't compress.
+func TestManyLargeConfigurations(t *testing.T) {
+	hosts := platformFleet(t)
+	press(t, hosts[0].admin(), 6, 40, func(c net.Conn, got *tally) {
+		part := make([]byte, 750<<10)
+		_, _ = rand.Read(part)
+		text := putText("/config", `{"version":"ff","resources":[`, `{"type":"`+base64.StdEncoding.EncodeToString(part)+`"}`, "]}", 0)
+		request(text, 1)(c, got)
+	})
+	hosts[1].awaitAnswer("after the crowd", "/plain")
+	checkAll(hosts, "many large configurations")
+}
+
 // TestAnswersOfManyLines guards against answers of a server whose head and trailer consist of very many short lines, for
 // clients that send ahead and read nothing.
 func TestAnswersOfManyLines(t *testing.T) {
