--- a/verbenad/adapt/grants/process_test.go
+++ b/verbenad/adapt/grants/process_test.go
@@ -46,7 +46,7 @@
 	cold  string
 }
 
-func startProcess(t *testing.T, name, address string) (*process, string) {
+func startProcess(t *testing.T, name, address string, configure ...func(*http.Server)) (*process, string) {
 	t.Helper()
 	l, err := net.Listen("tcp", address)
 	for end := time.Now().Add(time.Second); err != nil && time.Now().Before(end); l, err = net.Listen("tcp", address) {
@@ -57,6 +57,9 @@
 	}
 	p := &process{name: name}
 	p.server = &http.Server{Handler: p}
+	for _, f := range configure {
+		f(p.server)
+	}
 	go func() { _ = p.server.Serve(l) }()
 	t.Cleanup(func() { _ = p.server.Close() })
 	return p, l.Addr().String()
@@ -176,13 +179,14 @@
 // and those that don't say whether it is cold, are no answers.
 func TestQuestionsAboutColdStarts(t *testing.T) {
 	is := is.New(t)
-	p, address := startProcess(t, "first", "127.0.0.1:0")
 	var opened atomic.Int64
-	p.server.ConnState = func(_ net.Conn, s http.ConnState) {
-		if s == http.StateNew {
-			opened.Add(1)
+	p, address := startProcess(t, "first", "127.0.0.1:0", func(s *http.Server) {
+		s.ConnState = func(_ net.Conn, state http.ConnState) {
+			if state == http.StateNew {
+				opened.Add(1)
+			}
 		}
-	}
+	})
 	ask := func(c *grants.Client) string {
 		results := make(chan string, 1)
 		c.AskCold(func(left clock.Millis, ok bool) { results <- fmt.Sprint(int64(left), ok) })
