Give back all that a connection of a caller holds when it closes

Cause: a panic between the receipt of a head and the start of its request left the request's memory counted for good, 527 KB for a head of 1,900 lines. About 60 of them used the budget of a small machine up. Change: the share of a connection is closed with it.

--- a/verbenad/adapt/front/front.go
+++ b/verbenad/adapt/front/front.go
@@ -197,7 +197,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
-	c.share.Give(connBytes)
+	c.share.Close()
 }
 
 // DisableKeepAlives makes each connection close after its next response ("Connection: close"), so that callers
--- a/verbenad/adapt/front/front_test.go
+++ b/verbenad/adapt/front/front_test.go
@@ -71,7 +71,7 @@
 }
 
 // startServerWithHeaderTimeout is startServer with a limit on the time to receive a request head.
-func startServerWithHeaderTimeout(t *testing.T, timeout, head clock.Millis, serve func(ctx context.Context, r call.Request) call.Reply) (*front.Server, string) {
+func startServerWithHeaderTimeout(t *testing.T, timeout, head clock.Millis, serve func(ctx context.Context, r call.Request) call.Reply, opts ...front.Option) (*front.Server, string) {
 	t.Helper()
 	store := snap.NewStore()
 	limits := rules.NewLimits(rules.DefaultMaxHeaderBytes, rules.DefaultMaxBodyBytes, head, rules.DefaultIdleTimeout)
@@ -79,8 +79,8 @@
 		rules.WithIdempotency(rules.Repeatable{}), rules.WithTimes(timeout, timeout), rules.WithTrafficSplit(rules.NewWeightedService("s", 1))))
 	x := table.Empty().With(1, table.NewRulesSet(r), table.NewMemberSet(table.NewMember(7, "i", "z", "a", "s", table.Serving{})))
 	store.Publish(snap.New(x, 7, 1<<60, 1<<60))
-	f := front.New(front.WithDialect(testDialect{}), front.WithRelay(relay.New(relay.WithStore(store), relay.WithLocal(localTarget{serve}),
-		relay.WithRetry(retry.Routed{}))))
+	f := front.New(append(opts, front.WithDialect(testDialect{}), front.WithRelay(relay.New(relay.WithStore(store), relay.WithLocal(localTarget{serve}),
+		relay.WithRetry(retry.Routed{}))))...)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/verbenad/command/memory/memory.go
+++ b/verbenad/command/memory/memory.go
@@ -89,6 +89,13 @@
 	s.budget.budget.Give(&s.share, n)
 }
 
+// Close gives back all that the connection holds, also what was not given back after a panic. Nothing may be taken after it.
+func (s *Share) Close() {
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	s.budget.budget.Give(&s.share, s.share.Held())
+}
+
 // Tally is the sum of what one request holds of a share, so that it is given back at once. It is safe for concurrent use.
 type Tally struct {
 	share *Share
