--- a/verbenad/adapt/front/front.go
+++ b/verbenad/adapt/front/front.go
@@ -228,7 +228,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
-	c.share.Give(connBytes)
+	c.share.Close()
 	if c.evicted {
 		s.evicting--
 	}
