--- a/core/query/picker/picker.go
+++ b/core/query/picker/picker.go
@@ -1,9 +1,10 @@
-// Package picker picks a target of a pooled service: the less loaded of two random ones, with a
-// preference for the local availability zone.
+// Package picker picks a target of a pooled service, by one of two policies.
 //
-// Load is measured by this daemon alone: its own requests in flight at the target and the
-// latency of their responses. Health and load reports of targets are not used, since they lag and
-// mislead. Two random choices keep many daemons from converging on the same target (M.
+// LeastLatency takes the less loaded of two random targets, with a preference for the local
+// availability zone. Load is measured by this daemon alone: its own requests in flight at the
+// target and the latency of their responses. ExpectedWork takes the target with the earliest
+// expected completion among some random ones; what targets have left to do, as reported, is given
+// by the caller. Random choices keep many daemons from converging on the same target (M.
 // Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001).
 package picker
 
