Bound the time for which a target may ask for no requests

Cause: a Retry-After of years (found in review) left a target with a tenth of its share until it was replaced, and overflowed in the owner. Result: TestRetryAfterOfYearsIsBounded fails without the bound and passes with it.

--- a/core/command/eject/eject.go
+++ b/core/command/eject/eject.go
@@ -31,6 +31,9 @@
 	minShare = 0.05
 	// backoffShare multiplies the share of a target that has recently rejected a request.
 	backoffShare = 0.1
+	// minBackoff is the least time for which a target has backoffShare after a rejection. The longest is MaxEjectionTime,
+	// whatever the target asks for.
+	minBackoff = 100 * clock.Millisecond
 	// smoothing is the weight of the newest sample in the averages of latency and error rate.
 	smoothing = 0.2
 )
@@ -158,7 +161,7 @@
 	case Failed:
 		t.recordFailure(p, now)
 	case Rejected:
-		p.backoffUntil = now + max(s.retryAfter, 100*clock.Millisecond)
+		p.backoffUntil = now + max(minBackoff, min(s.retryAfter, MaxEjectionTime))
 	}
 	if now >= t.nextOutlierCheck {
 		t.nextOutlierCheck = now + OutlierInterval
--- a/core/command/eject/eject_test.go
+++ b/core/command/eject/eject_test.go
@@ -128,3 +128,15 @@
 	})
 	is.True(late > int(eject.RecoveryTime)/4/2) // at least half of an equal share
 }
+
+// TestRetryAfterOfYearsIsBounded guards against a target that asks for no requests for years, and would then never again
+// get its share.
+func TestRetryAfterOfYearsIsBounded(t *testing.T) {
+	is := is.New(t)
+	members := fleet(1)
+	m, k := members[0], eject.New()
+	k.SetMembers(members, 0)
+	k.Record(m.Incarnation(), eject.NewRejected(1<<60), 1)
+	is.True(k.View(m, 0, 2).Share() < 1)
+	is.Equal(k.View(m, 0, 1+eject.MaxEjectionTime).Share(), 1.0)
+}
--- a/verbenad/command/owner/exchange.go
+++ b/verbenad/command/owner/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -281,13 +282,16 @@
 	return false
 }
 
+// maxRetryAfter is the longest delay that a target may ask for.
+const maxRetryAfter = 24 * 60 * clock.Minute
+
 // retryAfter returns the delay of a Retry-After header field in seconds, 0 without one.
 func retryAfter(a call.Response) clock.Millis {
 	seconds, err := strconv.Atoi(a.Field("Retry-After"))
 	if err != nil || seconds < 0 {
 		return 0
 	}
-	return clock.Millis(seconds) * clock.Second
+	return min(clock.Millis(min(seconds, math.MaxInt32))*clock.Second, maxRetryAfter)
 }
 
 // finish records the outcome of the request for its caller. A submitted request keeps its slot
