Keep estimates of pooled targets only, and read the backlog of a reply in one place

Cause: reading the change again: attempts at keyed services were entered into the estimator of work, which nobody asks about them (work on the path of each keyed request); three places took the backlog out of a reply with the same switch; the owner had its own copy of what a server error is. Change: attemptKeyed no longer records; call.BacklogOf; result.Answered.Failed in place of errorStatus; Estimator.Backlogs, which nothing called, is gone. No decision changes: only pooled picks read the estimator.

--- a/core/command/balance/balance.go
+++ b/core/command/balance/balance.go
@@ -35,9 +35,6 @@
 	return e
 }
 
-// Backlogs returns the table of the last backlogs.
-func (e *Estimator) Backlogs() *backlog.Table { return e.backlogs }
-
 // Costs returns the model of the costs of requests and the speeds of targets.
 func (e *Estimator) Costs() *cost.Model { return e.costs }
 
@@ -56,10 +53,10 @@
 // Record takes over what the reply says of its target, and corrects later predictions by the error of this one. The
 // cost of requests is learned from successful ones only.
 func (e *Estimator) Record(s Sent, reply call.Reply, now clock.Millis) {
+	b := call.BacklogOf(reply)
+	e.backlogs.Record(s.target, b, now)
 	switch reply := reply.(type) {
 	case call.Response:
-		b := reply.Backlog()
-		e.backlogs.Record(s.target, b, now)
 		if b.Served() > 0 {
 			e.costs.Observe(s.target, s.class, float64(b.Served()), now)
 		}
@@ -68,7 +65,6 @@
 			e.backlogs.Replied(s.sent, now)
 		}
 	case call.Failure:
-		e.backlogs.Record(s.target, reply.Backlog(), now)
 		if o, ok := reply.Outcome().(result.Unknown); ok && o.Reason() == result.TimedOut {
 			e.backlogs.Overdue(s.sent, now)
 		}
--- a/core/state/call/reply.go
+++ b/core/state/call/reply.go
@@ -96,5 +96,16 @@
 // Backlog returns what the target has left to do, the zero value if that is not known.
 func (f Failure) Backlog() load.Backlog { return f.backlog }
 
+// BacklogOf returns what the target of a reply has left to do, the zero value if that is not known.
+func BacklogOf(r Reply) load.Backlog {
+	switch r := r.(type) {
+	case Response:
+		return r.backlog
+	case Failure:
+		return r.backlog
+	}
+	return load.Backlog{}
+}
+
 func (Response) reply() {}
 func (Failure) reply()  {}
--- a/verbenad/command/owner/report.go
+++ b/verbenad/command/owner/report.go
@@ -8,6 +8,7 @@
 	"verbenabank/core/clock"
 	"verbenabank/core/state/call"
 	"verbenabank/core/state/load"
+	"verbenabank/core/state/result"
 )
 
 const (
@@ -104,11 +105,8 @@
 			x.owner.report.record(r, now)
 		}
 	}
-	if a.Status() >= errorStatus || x.work == nil {
+	if result.NewAnswered(a.Status()).Failed() || x.work == nil {
 		return 0
 	}
 	return x.owner.work.Answered(x.work, now)
 }
-
-// errorStatus is the lowest HTTP status of an error of the target.
-const errorStatus = 500
--- a/verbenad/command/relay/attempt.go
+++ b/verbenad/command/relay/attempt.go
@@ -36,11 +36,7 @@
 func (t *task) attemptKeyed(s *snap.Snapshot, d route.Keyed) (reply call.Reply, served <-chan struct{}) {
 	m := d.Owner()
 	send := func() call.Reply {
-		sent := t.relay.work.Send(m.Incarnation(), t.costClass(), t.relay.clock.Now())
-		reply := t.forward(s, m, t.attemptRequest(call.WithKey(d.Key(), d.Shard()), call.WithMember(m.Incarnation())))
-		t.relay.work.Record(sent, reply, t.relay.clock.Now())
-		t.relay.work.End(sent, t.relay.clock.Now())
-		return reply
+		return t.forward(s, m, t.attemptRequest(call.WithKey(d.Key(), d.Shard()), call.WithMember(m.Incarnation())))
 	}
 	if m.Incarnation() == s.Self() {
 		return send(), nil
--- a/verbenad/command/relay/balancer.go
+++ b/verbenad/command/relay/balancer.go
@@ -11,7 +11,6 @@
 	"verbenabank/core/query/picker"
 	"verbenabank/core/query/route"
 	"verbenabank/core/state/call"
-	"verbenabank/core/state/load"
 	"verbenabank/core/state/result"
 	"verbenabank/core/state/table"
 )
@@ -165,13 +164,7 @@
 
 // recordCold records what the reply says about a cold start of the target.
 func (a *poolAttempt) recordCold(reply call.Reply) {
-	var l load.Backlog
-	switch reply := reply.(type) {
-	case call.Response:
-		l = reply.Backlog()
-	case call.Failure:
-		l = reply.Backlog()
-	}
+	l := call.BacklogOf(reply)
 	if !l.Known() {
 		return
 	}
--- a/verbenad/command/relay/relay.go
+++ b/verbenad/command/relay/relay.go
@@ -50,7 +50,6 @@
 	indexMu       sync.Mutex // held while an index is built, so that concurrent requests build it once
 	budgets       sync.Map   // service name to *budget.Budget
 	policyOfPools picker.Policy
-	work          *balance.Estimator
 	workOptions   []balance.Option
 	balancer      *balancer
 	breakers      *breakers
@@ -107,8 +106,7 @@
 	for _, o := range opts {
 		o(r)
 	}
-	r.work = balance.New(r.workOptions...)
-	r.balancer = newBalancer(r.clock, r.policyOfPools, r.work)
+	r.balancer = newBalancer(r.clock, r.policyOfPools, balance.New(r.workOptions...))
 	r.breakers = newBreakers(r.clock)
 	r.throttle = newThrottle(r.clock)
 	r.index.Store(route.NewIndex(r.store.Load().Table()))
--- a/verbenad/command/relay/room.go
+++ b/verbenad/command/relay/room.go
@@ -3,7 +3,6 @@
 import (
 	"verbenabank/core/clock"
 	"verbenabank/core/state/call"
-	"verbenabank/core/state/load"
 	"verbenabank/core/state/result"
 	"verbenabank/verbenad/command/rooms"
 )
@@ -47,19 +46,16 @@
 	if t.relay.rooms == nil {
 		return
 	}
-	switch reply := reply.(type) {
-	case call.Response:
-		t.learn(reply.Backlog(), false)
-	case call.Failure:
-		r, refused := reply.Outcome().(result.Refused)
-		t.learn(reply.Backlog(), refused && r.Reason() == result.Overloaded)
+	b := call.BacklogOf(reply)
+	if !b.Known() {
+		return
 	}
-}
-
-func (t *task) learn(b load.Backlog, refused bool) {
-	if b.Known() {
-		t.turnedAway = t.relay.rooms.Learn(t.request.class, t.request.id, b.Room(), refused)
+	overloaded := false
+	if f, failed := reply.(call.Failure); failed {
+		r, refused := f.Outcome().(result.Refused)
+		overloaded = refused && r.Reason() == result.Overloaded
 	}
+	t.turnedAway = t.relay.rooms.Learn(t.request.class, t.request.id, b.Room(), overloaded)
 }
 
 // recordEnd counts the outcome of a call of the local target; nil is a response.
