--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 PROCESS := verbenabank/vload/proof
 SOAK := verbenabank/platform/soak
 # The crowd tests press on processes until these refuse, so they run last and one at a time.
-CROWD := verbenabank/vload/crowd
+CROWD := verbenabank/platform/crowd
 PACKAGES = $(shell go list $(ALL) | grep -v -e '^$(PROCESS)$$' -e '^$(SOAK)$$' -e '^$(CROWD)$$')
 
 test: build
