--- /dev/null
+++ b/review/harness-2/cases.go
@@ -0,0 +1,337 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// cases are the scripts by the number of their folder. Each returns the breaks of the rule that it saw.
+var cases = map[string]func(root string, r *record, trouble bool) ([]string, error){
+	"drained": drainedSuccessor,
+	"extra":   extraAnswer,
+	"forged":  forgedHeartbeat,
+	"reborn":  rebornServer,
+}
+
+// deployment is a running cluster with a server next to each daemon.
+type deployment struct {
+	*cluster
+	servers []*server
+	clients []*client
+	stop    chan struct{}
+	group   sync.WaitGroup
+	results struct {
+		sync.Mutex
+		list []result
+	}
+}
+
+func repeat(service string, n int) []string {
+	var list []string
+	for range n {
+		list = append(list, service)
+	}
+	return list
+}
+
+// deploy starts a cluster, servers and the first configuration, and waits until all daemons are ready.
+func deploy(root string, r *record, services []string, sharded map[string]bool, routes []route, work func(*http.Request) time.Duration, prepare func(*server)) (*deployment, error) {
+	c, err := newCluster(root, r, services)
+	if err != nil {
+		return nil, err
+	}
+	d := &deployment{cluster: c, stop: make(chan struct{})}
+	if err := c.startAll(); err != nil {
+		return d, err
+	}
+	for _, m := range c.side {
+		s := newServer(r, m, newID(), 12, sharded[m.service], work)
+		if prepare != nil {
+			prepare(s)
+		}
+		if err := s.start(); err != nil {
+			return d, err
+		}
+		d.servers = append(d.servers, s)
+		d.clients = append(d.clients, &client{record: r, address: m.outbound()})
+	}
+	if err := c.putConfig("00000000", configBody("00000005", routes, sharded), 15*time.Second); err != nil {
+		return d, err
+	}
+	if err := c.awaitReady(15 * time.Second); err != nil {
+		return d, err
+	}
+	time.Sleep(4 * time.Second) // the first keys are placed
+	return d, nil
+}
+
+func (d *deployment) end() {
+	close(d.stop)
+	d.group.Wait()
+	d.stopAll()
+}
+
+// load sends requests from all machines until the deployment ends, perSecond in all.
+func (d *deployment) load(perSecond float64, one func(c *client) result) {
+	for _, c := range d.clients {
+		d.group.Add(1)
+		go func() {
+			defer d.group.Done()
+			gap := float64(time.Second) * float64(len(d.clients)) / perSecond
+			for {
+				select {
+				case <-d.stop:
+					return
+				case <-time.After(time.Duration(gap * (0.5 + rand.Float64()))):
+				}
+				d.group.Add(1)
+				go func() {
+					defer d.group.Done()
+					res := one(c)
+					d.results.Lock()
+					d.results.list = append(d.results.list, res)
+					d.results.Unlock()
+				}()
+			}
+		}()
+	}
+}
+
+func fixedWork(d time.Duration) func(*http.Request) time.Duration {
+	return func(*http.Request) time.Duration { return d }
+}
+
+// silence is for how long a server is silent before it is started anew: the for_s of srv_crash in the site file.
+const silence = 4500 * time.Millisecond
+
+// drainMs is the bound of the site.
+const drainMs = 2000
+
+// lateRuns returns the runs that began at a server later than drainMs after its daemon acknowledged that it drains.
+func lateRuns(r *record, s *server) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ack := s.drainAck.Load()
+	var late []string
+	cut := 0
+	for _, e := range s.runs {
+		if e.ran && ack > 0 && e.at > ack+drainMs {
+			late = append(late, fmt.Sprintf("DRAIN: request %s reaches server %s %d ms after the ack that it is draining (drainMs is %d)", e.id, s.id, e.at-ack, drainMs))
+			if e.status == 0 {
+				cut++
+			}
+		}
+	}
+	r.add("acknowledged at %.3f s; requests that ran at the server later than drainMs after that: %d; of these cut by its end: %d", float64(ack)/1000, len(late), cut)
+	return late
+}
+
+// drainAndLeave drains a server, which serves on for a while (drainMs "and a little longer (at times many seconds)"), and
+// ends it.
+func drainAndLeave(s *server, serves time.Duration) {
+	s.drain()
+	for end := time.Now().Add(5 * time.Second); s.drainAck.Load() == 0 && time.Now().Before(end); {
+		time.Sleep(20 * time.Millisecond)
+	}
+	time.Sleep(serves)
+	s.leave()
+	time.Sleep(2 * time.Second)
+}
+
+// drainedSuccessor: a server falls silent and is started anew by its supervisor, and the new server is drained soon
+// after. DRAIN: no request reaches it later than drainMs after the ack.
+func drainedSuccessor(root string, r *record, trouble bool) ([]string, error) {
+	const service, host, prefix = "bookings", "nony93.example", "/puba11/"
+	d, err := deploy(root, r, repeat(service, 8), nil, []route{{host, prefix, "unsafe", service}}, fixedWork(210*time.Millisecond), nil)
+	if d != nil {
+		defer d.end()
+	}
+	if err != nil {
+		return nil, err
+	}
+	d.load(80, func(c *client) result {
+		return c.send(http.MethodPost, host, prefix+"a", requestID(), -1, 1500*time.Millisecond)
+	})
+	time.Sleep(5 * time.Second)
+	s := d.servers[0]
+	if trouble {
+		old := s
+		old.hang()
+		time.Sleep(silence)
+		old.end("killed by its supervisor")
+		s = newServer(r, old.m, newID(), 12, false, fixedWork(210*time.Millisecond))
+		if err := s.start(); err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(300 * time.Millisecond)
+	drainAndLeave(s, 8*time.Second)
+	return lateRuns(r, s), nil
+}
+
+// forgedHeartbeat: a heartbeat of another writer, without the field born, comes under the id of a server; later that
+// server drains. DRAIN: no request reaches it later than drainMs after the ack.
+func forgedHeartbeat(root string, r *record, trouble bool) ([]string, error) {
+	const service, host, prefix = "bookings", "nony93.example", "/puba11/"
+	d, err := deploy(root, r, repeat(service, 8), nil, []route{{host, prefix, "unsafe", service}}, fixedWork(210*time.Millisecond), nil)
+	if d != nil {
+		defer d.end()
+	}
+	if err != nil {
+		return nil, err
+	}
+	d.load(80, func(c *client) result {
+		return c.send(http.MethodPost, host, prefix+"a", requestID(), -1, 1500*time.Millisecond)
+	})
+	time.Sleep(3 * time.Second)
+	s := d.servers[0]
+	if trouble {
+		body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","coldRemainingMs":0,"seq":5000}`,
+			s.m.service, s.m.app(), s.m.zone, s.slots)
+		req, _ := http.NewRequest(http.MethodPut, "http://"+s.m.control()+"/instances/"+s.id, strings.NewReader(body))
+		req.Header.Set("Content-Type", "application/json")
+		resp, err := beatClient.Do(req)
+		if err != nil {
+			return nil, err
+		}
+		_ = resp.Body.Close()
+		r.add("another writer sends PUT /instances/%s %s -> %d", s.id, body, resp.StatusCode)
+	}
+	time.Sleep(2 * time.Second)
+	drainAndLeave(s, 6*time.Second)
+	return lateRuns(r, s), nil
+}
+
+// extraAnswer: a faulty server sends the answer of a grant once more, late, where the answer of the release is due. OWNER:
+// no server is given a key on which another is still at work, before that one's hold would have run out.
+func extraAnswer(root string, r *record, trouble bool) ([]string, error) {
+	const service, host, prefix = "catalogue", "cubo38.example", "/levo940/"
+	var mu sync.Mutex
+	var broken []string
+	var all []*server
+	onGrant := func(g grantEvent) {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, o := range all {
+			if o == g.server || o.ended() {
+				continue
+			}
+			for _, e := range o.workingOn(g.first, g.last) {
+				hold := int64(0)
+				for _, x := range o.grantsOf(e.key) {
+					hold = max(hold, x.until)
+				}
+				if hold > g.at {
+					broken = append(broken, fmt.Sprintf("OWNER: server %s is given key %d (fence %d) while server %s is at work on it (request %s, begun %d ms before); that one's hold runs for %d ms more",
+						g.server.id, e.key, g.fence, o.id, e.id, g.at-e.at, hold-g.at))
+				}
+			}
+		}
+	}
+	work := func(*http.Request) time.Duration { // mean 160 ms, some five times as long
+		if rand.IntN(20) == 0 {
+			return 800 * time.Millisecond
+		}
+		return time.Duration(60+rand.IntN(160)) * time.Millisecond
+	}
+	d, err := deploy(root, r, repeat(service, 8), map[string]bool{service: true}, []route{{host, prefix, "safe", service}}, work, func(s *server) {
+		s.onGrant = onGrant
+		mu.Lock()
+		all = append(all, s)
+		mu.Unlock()
+	})
+	if d != nil {
+		defer d.end()
+	}
+	if err != nil {
+		return nil, err
+	}
+	d.load(320, func(c *client) result {
+		return c.send(http.MethodGet, host, prefix+"a", requestID(), rand.IntN(keyCount), 1200*time.Millisecond)
+	})
+	time.Sleep(6 * time.Second)
+	s := d.servers[0]
+	before := s.answers.Load()
+	if trouble {
+		s.extraAnswers.Store(4)
+	}
+	time.Sleep(4 * time.Second)
+	s.drain()
+	time.Sleep(time.Second)
+	s.extraAnswers.Store(0)
+	r.add("server %s sent %d answers in 5 s, of these %d once more; it is one of %d servers", s.id, s.answers.Load()-before, s.repeated.Load(), len(d.servers))
+	time.Sleep(3 * time.Second)
+	s.leave()
+	time.Sleep(2 * time.Second)
+	mu.Lock()
+	defer mu.Unlock()
+	return broken, nil
+}
+
+func (s *server) grantsOf(key int) []grantEvent {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []grantEvent
+	for _, g := range s.grants {
+		if g.first <= key && key <= g.last {
+			list = append(list, g)
+		}
+	}
+	return list
+}
+
+// rebornServer: a server crashes and starts again at once under the id that it had; its first heartbeat arrives late.
+// OWNER: a key goes to another life of the same server with a higher epoch number only.
+func rebornServer(root string, r *record, trouble bool) ([]string, error) {
+	const service, host, prefix = "catalogue", "cubo38.example", "/levo940/"
+	work := fixedWork(160 * time.Millisecond)
+	d, err := deploy(root, r, repeat(service, 8), map[string]bool{service: true}, []route{{host, prefix, "safe", service}}, work, nil)
+	if d != nil {
+		defer d.end()
+	}
+	if err != nil {
+		return nil, err
+	}
+	d.load(60, func(c *client) result {
+		return c.send(http.MethodGet, host, prefix+"a", requestID(), rand.IntN(keyCount), 1200*time.Millisecond)
+	})
+	time.Sleep(5 * time.Second)
+	boots := append([]*server(nil), d.servers...)
+	if trouble {
+		old := d.servers[0]
+		old.end("crash")
+		next := newServer(r, old.m, old.id, 12, true, work)
+		next.firstBeat = 2 * time.Second
+		if err := next.start(); err != nil {
+			return nil, err
+		}
+		boots = append(boots, next)
+	}
+	time.Sleep(8 * time.Second)
+	return epochBreaks(boots), nil
+}
+
+// epochBreaks returns the grants whose epoch number isn't above all with which other boots of servers had the key.
+func epochBreaks(boots []*server) []string {
+	var all []grantEvent
+	for _, s := range boots {
+		s.mu.Lock()
+		all = append(all, s.grants...)
+		s.mu.Unlock()
+	}
+	var broken []string
+	for _, g := range all {
+		for _, o := range all {
+			if o.server != g.server && o.at <= g.at && o.fence >= g.fence && o.first <= g.last && g.first <= o.last {
+				broken = append(broken, fmt.Sprintf("OWNER: server %s (born %d) takes keys %d-%d with epoch number %d; server %s (born %d) had keys %d-%d with %d before",
+					g.server.id, g.server.born, g.first, g.last, g.fence, o.server.id, o.server.born, o.first, o.last, o.fence))
+				break
+			}
+		}
+	}
+	return broken
+}
