--- a/review/harness-2/server.go
+++ b/review/harness-2/server.go
@@ -171,6 +171,9 @@
 			return
 		}
 		await() // sees that the caller closes the connection while the request is worked on
+		if s.ended() {
+			return
+		}
 		if s.silent.Load() {
 			<-s.stop
 			return
@@ -245,6 +248,10 @@
 	deadline, _ := strconv.ParseFloat(req.Header.Get("Deadline-Ms"), 64)
 	work := s.work(req)
 	s.mu.Lock()
+	if s.ended() {
+		s.mu.Unlock()
+		return nil
+	}
 	now := s.record.now()
 	if s.sharded {
 		key, _ = strconv.Atoi(req.Header.Get("Shard-Key"))
@@ -321,6 +328,10 @@
 		return answer(400, "", orderFields(id)...)
 	}
 	s.mu.Lock()
+	if s.ended() {
+		s.mu.Unlock()
+		return nil
+	}
 	now := s.record.now()
 	for k := g.From; k <= g.To; k++ {
 		if s.seen[k] > g.Fence {
