Review cases 7 to 9: a plain crash instead of silence, a withdrawn server that nobody heard; case 8 of before is dropped

Case 7 now lets a server crash while its service has no requests. The case of a server under its old id is 8 now; 9 is new: the DELETE of a server whose heartbeats are still on their way is acknowledged and forgotten.

--- a/review/harness-2/cases.go
+++ b/review/harness-2/cases.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 )
@@ -13,8 +12,8 @@
 var cases = map[string]func(root string, r *record, trouble bool) ([]string, error){
 	"drained": drainedSuccessor,
 	"extra":   extraAnswer,
-	"forged":  forgedHeartbeat,
 	"reborn":  rebornServer,
+	"unheard": unheardServer,
 }
 
 // deployment is a running cluster with a server next to each daemon.
@@ -105,8 +104,8 @@
 	return func(*http.Request) time.Duration { return d }
 }
 
-// silence is for how long a server is silent before it is started anew: the for_s of srv_crash in the site file.
-const silence = 4500 * time.Millisecond
+// downTime is for how long a server is down: the for_s of srv_crash in the site file.
+const downTime = 4500 * time.Millisecond
 
 // drainMs is the bound of the site.
 const drainMs = 2000
@@ -142,8 +141,8 @@
 	time.Sleep(2 * time.Second)
 }
 
-// drainedSuccessor: a server falls silent and is started anew by its supervisor, and the new server is drained soon
-// after. DRAIN: no request reaches it later than drainMs after the ack.
+// drainedSuccessor: while a service has no requests, one of its servers crashes; it is started anew and drained soon after.
+// Then requests come. DRAIN: none reaches the new server later than drainMs after the ack.
 func drainedSuccessor(root string, r *record, trouble bool) ([]string, error) {
 	const service, host, prefix = "bookings", "nony93.example", "/puba11/"
 	d, err := deploy(root, r, repeat(service, 8), nil, []route{{host, prefix, "unsafe", service}}, fixedWork(210*time.Millisecond), nil)
@@ -153,29 +152,28 @@
 	if err != nil {
 		return nil, err
 	}
-	d.load(80, func(c *client) result {
-		return c.send(http.MethodPost, host, prefix+"a", requestID(), -1, 1500*time.Millisecond)
-	})
-	time.Sleep(5 * time.Second)
+	time.Sleep(2 * time.Second)
 	s := d.servers[0]
 	if trouble {
 		old := s
-		old.hang()
-		time.Sleep(silence)
-		old.end("killed by its supervisor")
+		old.end("crash")
+		time.Sleep(downTime)
 		s = newServer(r, old.m, newID(), 12, false, fixedWork(210*time.Millisecond))
 		if err := s.start(); err != nil {
 			return nil, err
 		}
 	}
 	time.Sleep(300 * time.Millisecond)
+	d.load(80, func(c *client) result {
+		return c.send(http.MethodPost, host, prefix+"a", requestID(), -1, 1500*time.Millisecond)
+	})
 	drainAndLeave(s, 8*time.Second)
 	return lateRuns(r, s), nil
 }
 
-// forgedHeartbeat: a heartbeat of another writer, without the field born, comes under the id of a server; later that
-// server drains. DRAIN: no request reaches it later than drainMs after the ack.
-func forgedHeartbeat(root string, r *record, trouble bool) ([]string, error) {
+// unheardServer: a server leaves, and the next one at its address is withdrawn a second after its start, while its
+// heartbeats are still on their way. DRAIN: no request reaches it later than drainMs after the ack.
+func unheardServer(root string, r *record, trouble bool) ([]string, error) {
 	const service, host, prefix = "bookings", "nony93.example", "/puba11/"
 	d, err := deploy(root, r, repeat(service, 8), nil, []route{{host, prefix, "unsafe", service}}, fixedWork(210*time.Millisecond), nil)
 	if d != nil {
@@ -187,23 +185,22 @@
 	d.load(80, func(c *client) result {
 		return c.send(http.MethodPost, host, prefix+"a", requestID(), -1, 1500*time.Millisecond)
 	})
-	time.Sleep(3 * time.Second)
-	s := d.servers[0]
+	time.Sleep(2 * time.Second)
+	old := d.servers[0]
+	drainAndLeave(old, 3*time.Second)
+	s := newServer(r, old.m, newID(), 12, false, fixedWork(210*time.Millisecond))
 	if trouble {
-		body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","coldRemainingMs":0,"seq":5000}`,
-			s.m.service, s.m.app(), s.m.zone, s.slots)
-		req, _ := http.NewRequest(http.MethodPut, "http://"+s.m.control()+"/instances/"+s.id, strings.NewReader(body))
-		req.Header.Set("Content-Type", "application/json")
-		resp, err := beatClient.Do(req)
-		if err != nil {
-			return nil, err
-		}
-		_ = resp.Body.Close()
-		r.add("another writer sends PUT /instances/%s %s -> %d", s.id, body, resp.StatusCode)
+		s.beatDelay = 2 * time.Second
 	}
+	if err := s.start(); err != nil {
+		return nil, err
+	}
+	time.Sleep(time.Second)
+	s.sayGone()
+	time.Sleep(8 * time.Second) // it serves on for drainMs and "at times many seconds" more
+	s.end("it leaves")
 	time.Sleep(2 * time.Second)
-	drainAndLeave(s, 6*time.Second)
-	return lateRuns(r, s), nil
+	return append(lateRuns(r, old), lateRuns(r, s)...), nil
 }
 
 // extraAnswer: a faulty server sends the answer of a grant once more, late, where the answer of the release is due. OWNER:
--- a/review/harness-2/server.go
+++ b/review/harness-2/server.go
@@ -49,15 +49,16 @@
 	// connection and its answer is due later, since the server is still at work on those keys.
 	extraAnswers atomic.Int32
 	onGrant      func(g grantEvent)
-	firstBeat    time.Duration // when the first heartbeat arrives
+	firstBeat    time.Duration // when the first heartbeat is sent
+	beatDelay    time.Duration // how long heartbeats are on their way
 
 	listener net.Listener
 	stop     chan struct{}
-	silent   atomic.Bool // it answers nothing and sends nothing
 	seq      atomic.Int64
 	answers  atomic.Int64 // answers sent
 	repeated atomic.Int64 // of these, earlier answers that were sent once more
 	draining atomic.Bool
+	deleted  atomic.Bool  // it has said that it is gone, and sends no more heartbeats
 	drainAck atomic.Int64 // when the daemon acknowledged that the server is draining, 0 before
 
 	mu      sync.Mutex
@@ -135,12 +136,6 @@
 	}
 }
 
-// hang makes the server silent: it keeps its connections and accepts new ones, and neither answers nor sends anything.
-func (s *server) hang() {
-	s.record.add("server %s falls silent", s.id)
-	s.silent.Store(true)
-}
-
 func (s *server) serve(c net.Conn) {
 	defer func() {
 		s.mu.Lock()
@@ -174,10 +169,6 @@
 		if s.ended() {
 			return
 		}
-		if s.silent.Load() {
-			<-s.stop
-			return
-		}
 		if lastAnswer != nil && req.URL.Path == "/release" && s.isBusy(body) && s.extraAnswers.Add(-1) >= 0 {
 			s.answers.Add(1)
 			s.repeated.Add(1)
@@ -187,10 +178,7 @@
 			}
 		}
 		answer := s.handle(req, body, peek)
-		if answer == nil || s.silent.Load() || s.ended() {
-			if s.silent.Load() {
-				<-s.stop
-			}
+		if answer == nil || s.ended() {
 			return
 		}
 		s.answers.Add(1)
@@ -410,8 +398,14 @@
 		}
 	}
 	for {
-		if !s.silent.Load() {
-			s.sendBeat()
+		switch b := s.newBeat(); {
+		case s.deleted.Load():
+			return
+		case s.beatDelay > 0:
+			s.record.add("server %s sends heartbeat %d, which is %d ms on its way", s.id, b.seq, s.beatDelay.Milliseconds())
+			time.AfterFunc(s.beatDelay, func() { s.deliver(b) })
+		default:
+			s.deliver(b)
 		}
 		select {
 		case <-time.After(heartbeatInterval):
@@ -423,41 +417,68 @@
 
 var beatClient = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
-// sendBeat sends one heartbeat and reports whether it was acknowledged.
-func (s *server) sendBeat() bool {
+// heartbeat is one heartbeat with the state as it was when it was sent.
+type heartbeat struct {
+	seq   int64
+	state string
+}
+
+func (s *server) newBeat() heartbeat {
 	state := "ready"
 	if s.draining.Load() {
 		state = "draining"
 	}
+	return heartbeat{seq: s.seq.Add(1), state: state}
+}
+
+// deliver delivers a heartbeat to the daemon, also one that was sent by a server that has ended since.
+func (s *server) deliver(b heartbeat) {
 	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"coldRemainingMs":0,"seq":%d,"born":%d}`,
-		s.m.service, s.m.app(), s.m.zone, s.slots, state, s.seq.Add(1), s.born)
+		s.m.service, s.m.app(), s.m.zone, s.slots, b.state, b.seq, s.born)
 	req, _ := http.NewRequest(http.MethodPut, "http://"+s.m.control()+"/instances/"+s.id, strings.NewReader(body))
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := beatClient.Do(req)
 	if err != nil {
-		return false
+		return
 	}
 	_, _ = io.Copy(io.Discard, resp.Body)
 	_ = resp.Body.Close()
-	ok := resp.StatusCode/100 == 2
-	if ok && state == "draining" && s.drainAck.CompareAndSwap(0, s.record.now()) {
-		s.record.add("server %s: its daemon acknowledged that it is draining", s.id)
+	if resp.StatusCode/100 == 2 && b.state == "draining" {
+		s.acknowledged("draining")
+	}
+}
+
+// acknowledged records that the daemon has acknowledged that the server is draining or gone.
+func (s *server) acknowledged(what string) {
+	if s.drainAck.CompareAndSwap(0, s.record.now()) {
+		s.record.add("server %s: its daemon acknowledged that it is %s", s.id, what)
 	}
-	return ok
 }
 
-// drain reports to the daemon that the server is draining, at once and with each heartbeat, until it is acknowledged.
+// drain reports to the daemon that the server is draining, at once and with each heartbeat.
 func (s *server) drain() {
 	s.record.add("server %s is draining", s.id)
 	s.draining.Store(true)
-	s.sendBeat()
+	s.deliver(s.newBeat())
 }
 
-// leave takes the server out of the list and ends it.
-func (s *server) leave() {
+// sayGone takes the server out of the list.
+func (s *server) sayGone() {
+	s.deleted.Store(true)
+	s.record.add("server %s says that it is gone", s.id)
 	req, _ := http.NewRequest(http.MethodDelete, "http://"+s.m.control()+"/instances/"+s.id, strings.NewReader(fmt.Sprintf(`{"born":%d}`, s.born)))
-	if resp, err := beatClient.Do(req); err == nil {
-		_ = resp.Body.Close()
+	resp, err := beatClient.Do(req)
+	if err != nil {
+		return
 	}
+	_ = resp.Body.Close()
+	if resp.StatusCode/100 == 2 {
+		s.acknowledged("gone")
+	}
+}
+
+// leave takes the server out of the list and ends it.
+func (s *server) leave() {
+	s.sayGone()
 	s.end("it leaves")
 }
