--- a/review/harness-2/cases.go
+++ b/review/harness-2/cases.go
@@ -12,6 +12,7 @@
 var cases = map[string]func(root string, r *record, trouble bool) ([]string, error){
 	"drained": drainedSuccessor,
 	"extra":   extraAnswer,
+	"behind":  behindBrokenAnswer,
 	"reborn":  rebornServer,
 	"unheard": unheardServer,
 }
--- a/review/harness-2/server.go
+++ b/review/harness-2/server.go
@@ -18,6 +18,9 @@
 
 const keyCount = 65536
 
+// breakEvery is the number of answers of which a server breaks off one (0.02).
+const breakEvery = 50
+
 // runEvent is one run of a request at a server, or one that the server refused to run.
 type runEvent struct {
 	at, end int64 // milliseconds
@@ -48,9 +51,14 @@
 	// extraAnswers is how many answers the server still sends once more: each at the point where a release has arrived on a
 	// connection and its answer is due later, since the server is still at work on those keys.
 	extraAnswers atomic.Int32
-	onGrant      func(g grantEvent)
-	firstBeat    time.Duration // when the first heartbeat is sent
-	beatDelay    time.Duration // how long heartbeats are on their way
+	// breaksOff makes the server break off each fiftieth of its answers to requests, in the middle of the body.
+	breaksOff atomic.Bool
+	toRequest atomic.Int64 // answers to requests while it did so
+	broken    atomic.Int64 // of these, broken off
+	bodyBytes int          // size of the body of an answer, besides its text
+	onGrant   func(g grantEvent)
+	firstBeat time.Duration // when the first heartbeat is sent
+	beatDelay time.Duration // how long heartbeats are on their way
 
 	listener net.Listener
 	stop     chan struct{}
@@ -182,6 +190,12 @@
 			return
 		}
 		s.answers.Add(1)
+		if s.breaksOff.Load() && req.URL.Path != "/health" && s.toRequest.Add(1)%breakEvery == 0 {
+			s.broken.Add(1)
+			s.record.add("server %s breaks off its answer to %s", s.id, req.Header.Get("Request-Id"))
+			_, _ = c.Write(answer[:len(answer)/2])
+			return
+		}
 		lastAnswer = answer
 		if _, err := c.Write(answer); err != nil {
 			return
@@ -291,7 +305,7 @@
 		gone <- io.EOF
 		return nil
 	}
-	return answer(e.status, "run "+id, "Request-Id", id, "Response-Signature", "sig."+id)
+	return answer(e.status, "run "+id+strings.Repeat("x", s.bodyBytes), "Request-Id", id, "Response-Signature", "sig."+id)
 }
 
 type grantBody struct {
