--- a/review/harness-2/cases.go
+++ b/review/harness-2/cases.go
@@ -257,9 +257,10 @@
 	if trouble {
 		s.extraAnswers.Store(4)
 	}
+	end := time.NewTimer(5 * time.Second) // for_s
 	time.Sleep(4 * time.Second)
-	s.drain()
-	time.Sleep(time.Second)
+	go s.drain()
+	<-end.C
 	s.extraAnswers.Store(0)
 	r.add("server %s sent %d answers in 5 s, of these %d once more; it is one of %d servers", s.id, s.answers.Load()-before, s.repeated.Load(), len(d.servers))
 	time.Sleep(3 * time.Second)
@@ -303,7 +304,7 @@
 		old := d.servers[0]
 		old.end("crash")
 		next := newServer(r, old.m, old.id, 12, true, work)
-		next.firstBeat = 2 * time.Second
+		next.beatDelay = 2 * time.Second
 		if err := next.start(); err != nil {
 			return nil, err
 		}
