A broken response is no consent to an extension of leases

What happened: a status below 300 was taken for consent, whatever the response was. So a target in trouble "accepted" with status 000 or 099 (the parser takes both for 200), with 101, with a head whose field name holds a blank or starts with a blank, a tab or a newline, and with a 204 behind an interim response of that kind. A copy of a response that came late was taken for the response to the next extension too.

Cause: the extender had a client of its own, which asks the parser only, and uses a connection again on which something is unread.

Change: the extender sends by the client of requests to the target (adapt/target), which checks each head as it was received, skips interim responses, and doesn't use a connection again on which something is unread. Consent is a complete response with a status from 200 to 299. The end of ctx now ends the call, too.

Evidence: TestBrokenResponsesAreNoConsent failed for 9 of 17 responses on (the eight above and the odd interim one). TestConsentIsThatOfTheExtension failed for the late copy: the second extension counted as accepted on a connection whose second response is a refusal. What held before: an interim response alone or before a refusal, a redirect, a response that breaks off.

--- a/verbenad/adapt/extend/extend.go
+++ b/verbenad/adapt/extend/extend.go
@@ -3,15 +3,18 @@
 package extend
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"sync"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"verbenabank/core/clock"
+	"verbenabank/core/state/call"
+	"verbenabank/core/state/result"
+	"verbenabank/verbenad/adapt/target"
 )
 
 const (
@@ -26,7 +29,7 @@
 // Extender sends lease extensions to the current target. It is safe for concurrent use.
 type Extender struct {
 	timeout time.Duration
-	client  *fasthttp.Client
+	target  *target.Target
 
 	mu          sync.Mutex
 	address     string
@@ -46,14 +49,12 @@
 	for _, o := range opts {
 		o(e)
 	}
-	e.client = &fasthttp.Client{
-		MaxConnsPerHost:           1,
-		MaxConnWaitTimeout:        e.timeout,
-		MaxIdemponentCallAttempts: 1,
-		MaxResponseBodySize:       maxResponseBytes,
-		NoDefaultUserAgentHeader:  true,
+	t, stop := target.New(target.WithLinger(0))
+	e.target = t
+	return e, func() {
+		e.SetAddress("")
+		stop()
 	}
-	return e, func() { e.SetAddress("") }
 }
 
 // SetAddress sets the address of the target, "" for none, and closes idle connections. The new target
@@ -62,12 +63,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.address, e.unsupported = address, false
-	e.client.CloseIdleConnections()
+	e.target.SetAddress(address)
 }
 
 // Extend tells the target that the lease of the requests with these ids now ends at until, and
-// reports whether the target accepted that. It blocks for at most the timeout; ctx is checked only
-// before the call. A target that responds with status 404, 405 or 501 does not support extensions
+// reports whether the target accepted that: by a complete response with a status from 200 to 299. It blocks
+// for at most the timeout. A target that responds with status 404, 405 or 501 does not support extensions
 // and is not called again.
 func (e *Extender) Extend(ctx context.Context, until clock.Millis, requests []string) bool {
 	address, ok := e.supportedAddress()
@@ -81,28 +82,33 @@
 	if err != nil {
 		return false
 	}
-	status, err := e.put(address, body)
+	status, ok := e.put(ctx, body)
 	switch {
-	case err != nil:
+	case !ok:
 		return false
 	case status == http.StatusNotFound, status == http.StatusMethodNotAllowed, status == http.StatusNotImplemented:
 		e.markUnsupported(address)
 		return false
 	default:
-		return status < http.StatusMultipleChoices
+		return status >= http.StatusOK && status < http.StatusMultipleChoices
 	}
 }
 
-func (e *Extender) put(address string, body []byte) (int, error) {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI("http://" + address + Path)
-	request.Header.SetMethod(http.MethodPut)
-	request.Header.SetContentType("application/json")
-	request.SetBodyRaw(body)
-	err := e.client.DoTimeout(request, response, e.timeout)
-	return response.StatusCode(), err
+// put sends the body and returns the status of the response, and whether there is a complete one.
+func (e *Extender) put(ctx context.Context, body []byte) (int, bool) {
+	ctx, cancel := context.WithTimeout(ctx, e.timeout)
+	defer cancel()
+	r := call.NewRequest("", http.MethodPut, Path,
+		call.WithFields([]call.Field{call.NewField("Content-Type", "application/json")}),
+		call.WithBody(bytes.NewReader(body), int64(len(body))))
+	a := call.NewAttempt(func() (call.Request, result.Reason) { return r, "" }, func() {})
+	response, ok := e.target.Send(ctx, a).(call.Response)
+	if !ok {
+		return 0, false
+	}
+	defer func() { _ = response.Body().Close() }()
+	_, err := io.CopyN(io.Discard, response.Body(), maxResponseBytes+1)
+	return response.Status(), err == io.EOF
 }
 
 // supportedAddress returns the target's address, and whether there is one that may support
