Odd field names in the response of another daemon are no response

What callers could see: while daemons of two versions run, one of the earlier version passes on a response whose field names hold blanks (as its target sent them), and the daemon that took the request wrote them to the caller.

Cause: between daemons only the status of a response was checked.

Change: a response of another daemon with a field name that is no token has an unknown outcome, as one without a status code. Names come as messages or packed; both forms are covered.

--- a/verbenad/adapt/hop/exchange.go
+++ b/verbenad/adapt/hop/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"sync/atomic"
 
 	"github.com/sourcegraph/conc"
@@ -12,6 +13,7 @@
 
 	"verbenabank/core/state/call"
 	"verbenabank/core/state/result"
+	"verbenabank/core/wire/heads"
 	"verbenabank/core/wire/hopmsg"
 	"verbenabank/core/wire/wirepb"
 )
@@ -49,12 +51,13 @@
 	}
 	switch p := p.GetPart().(type) {
 	case *wirepb.AnswerPart_Head:
-		if !validStatus(p.Head.GetStatus()) {
+		a := hopmsg.DecodeResponse(p.Head, &responseBody{exchange: e})
+		if !validStatus(p.Head.GetStatus()) || !validNames(a.Fields()) {
 			e.cancel()
 			return call.Unknown(result.Interrupted)
 		}
 		e.responseStarted.Store(true)
-		return hopmsg.DecodeResponse(p.Head, &responseBody{exchange: e})
+		return a
 	case *wirepb.AnswerPart_Failure:
 		e.cancel()
 		return hopmsg.DecodeFailure(p.Failure)
@@ -72,6 +75,12 @@
 
 func validStatus(status uint32) bool { return minStatus <= status && status <= maxStatus }
 
+// validNames reports whether the names of all fields are tokens. A daemon of an earlier version passes on others that its
+// target has sent.
+func validNames(fields []call.Field) bool {
+	return !slices.ContainsFunc(fields, func(f call.Field) bool { return !heads.IsToken(f.Name()) })
+}
+
 // receiveFirst returns the first part of the response. If the body waits for an invitation, it is sent
 // as soon as that arrives: a request that is refused costs the network no more than its head.
 func (e *exchange) receiveFirst(waits bool) (*wirepb.AnswerPart, error) {
--- a/verbenad/adapt/hop/status_test.go
+++ b/verbenad/adapt/hop/status_test.go
@@ -43,6 +43,21 @@
 	}
 }
 
+// TestOddFieldNameFromAPeerIsNoResponse guards against a response that a daemon of an earlier version passes on although the
+// name of a field holds a blank or a control byte. Few fields and many come in different forms.
+func TestOddFieldNameFromAPeerIsNoResponse(t *testing.T) {
+	for _, name := range []string{"X Odd", "X-Odd ", " X-Odd", "\tX-Odd", "\nX-Odd", "X\x00Odd", "X\x7fOdd", "X\r\nOdd", "X:Odd", ""} {
+		for _, others := range []int{0, 100} {
+			is := is.New(t)
+			fields := append(manyFields(others), call.NewField(name, "v"))
+			address, _ := startPeer(t, fixedOwner{status: 200, fields: fields})
+			c, stop := hop.New()
+			defer stop()
+			is.Equal(c.Send(context.Background(), address, call.NewRequest("s", "GET", "/")), call.Reply(call.Unknown(result.Interrupted)))
+		}
+	}
+}
+
 // manyFields returns fields of a head of very many lines.
 func manyFields(count int) []call.Field {
 	fields := make([]call.Field, 0, count)
