Broken responses are no answers to grants, releases and health questions about a process

What happened: a grant or a release counted as done when the process answered 200 in a head whose field name holds a blank, starts with a blank, a tab or a newline, or behind an interim response with such a name. A health answer of that kind, or with status 000, named the process: grants were sent on its connection, and its cold time was used.

Cause: net/http's parser keeps blanks in names, joins lines, ends a head at a bare newline and takes 000.

Change: core/wire/heads.Conn, a connection that checks each head before the parser gets it; for clients that write a request in one piece and read its response before the next, as these do. It leaves out interim responses, bounds the size of a head (16 KiB) and their number (1000). The connections of grants use it, those that ask for the name of the process included. A broken answer to a call is none (Unanswered: it may take effect); a broken answer to the question leaves the call unsent (Unreached).

Held before: a control byte inside a name, status 000 for a call, a blank before the colon of Content-Length (the body had no end then, and the call timed out).

--- a/core/wire/heads/errors.go
+++ b/core/wire/heads/errors.go
@@ -10,6 +10,9 @@
 	OddStatus    Kind = "the status line has no status code"
 	OddFieldName Kind = "the name of a header field is missing, or holds a blank, a control byte or another one that no name may have"
 	BareNewline  Kind = "a line ends without a carriage return"
+	TooLarge     Kind = "the head is larger than 16 KiB"
+
+	TooManyInterim Kind = "more than 1000 interim responses"
 )
 
 // opCheck is the operation of all errors about the text of a head.
--- a/core/wire/heads/heads.go
+++ b/core/wire/heads/heads.go
@@ -31,7 +31,7 @@
 // Complete reports whether the head was received and checked completely.
 func (p Progress) Complete() bool { return p.complete }
 
-// Length returns the number of bytes that were checked: those of the head once it is complete.
+// Length returns the number of bytes in sound lines: those of the head once it is complete.
 func (p Progress) Length() int { return p.checked }
 
 // Status returns the status, 0 unless the status line was checked.
@@ -51,11 +51,10 @@
 		if end < 0 {
 			return p, nil
 		}
-		line := received[p.checked : p.checked+end]
-		p.checked += end + 1
-		if err := p.passLine(line); err != nil {
+		if err := p.passLine(received[p.checked : p.checked+end]); err != nil {
 			return p, err
 		}
+		p.checked += end + 1
 	}
 	return p, nil
 }
--- a/verbenad/adapt/grants/process.go
+++ b/verbenad/adapt/grants/process.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"verbenabank/core/wire/heads"
 )
 
 const (
@@ -125,7 +127,10 @@
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		s.onConnRefused()
 	}
-	return c, err
+	if err != nil {
+		return nil, err
+	}
+	return heads.NewConn(c), nil
 }
 
 // connect opens a connection to whatever listens at the address. It counts as one to the process until it is
@@ -140,7 +145,7 @@
 		return nil, err
 	}
 	s.open.Add(1)
-	return &processConn{Conn: c, onClose: sync.OnceFunc(func() { s.open.Add(-1) })}, nil
+	return &processConn{Conn: heads.NewConn(c), onClose: sync.OnceFunc(func() { s.open.Add(-1) })}, nil
 }
 
 // identify asks which process a new connection leads to. It returns an error unless it is the process of this
