Broken health responses do not show that a target is alive

What happened: a target in trouble counted as alive by health responses with status 000, or with a field name that holds a blank or that starts with a blank or a newline, and stayed in use.

Cause: any response that net/http parses counted as success.

Change: the probe connects by heads.DialContext, which checks heads as they are received. Any status counts as before.

Evidence: TestBrokenHealthResponsesAreNone failed for 6 of 7 responses on (a control byte inside a name was refused), and passes now. TestHealthResponsesOfAnyStatusCount (200, 503, and 204 behind an interim response) passed before and after, as did probes with endless responses (flood).

--- a/verbenad/adapt/probe/probe.go
+++ b/verbenad/adapt/probe/probe.go
@@ -16,6 +16,7 @@
 
 	"verbenabank/core/clock"
 	"verbenabank/core/command/agent"
+	"verbenabank/core/wire/heads"
 )
 
 const (
@@ -67,8 +68,10 @@
 		lastResponse: func() clock.Millis { return 0 },
 		post:         func(agent.Event) {},
 		log:          logrus.NewEntry(logrus.StandardLogger()),
-		client:       &http.Client{Timeout: timeout, Transport: &http.Transport{MaxIdleConns: 1, MaxResponseHeaderBytes: maxHeaderBytes}},
-		stop:         func() {},
+		client: &http.Client{Timeout: timeout, Transport: &http.Transport{
+			MaxIdleConns: 1, MaxResponseHeaderBytes: maxHeaderBytes, DialContext: heads.DialContext,
+		}},
+		stop: func() {},
 	}
 	for _, o := range opts {
 		o(p)
@@ -127,7 +130,7 @@
 	return nil
 }
 
-// check sends a health request. A response with any status counts as success.
+// check sends a health request. A response with any status counts as success, but one with a broken head is none.
 func (p *Probe) check(ctx context.Context, address string) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/health", nil)
 	if err != nil {
