The command line reports broken responses as errors

What operators saw: `verbena status` and the like made a report of a response with status 000, or with a head whose field name holds a blank, starts with one or has it before the colon, also in an interim response.

Cause: fasthttp's parser takes 000 for 200, and trims and joins what it reads.

Change: Get uses net/http on heads.DialContext, so the error says what is wrong with the head; through fasthttp a fault in the first line comes out as a closed connection, after five tries.

--- a/verbena/query/remote/remote.go
+++ b/verbena/query/remote/remote.go
@@ -4,14 +4,16 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
+	"net/http"
 	"net/netip"
 	"net/url"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/tailscale/hujson"
-	"github.com/valyala/fasthttp"
 
 	"verbenabank/core/clock"
+	"verbenabank/core/wire/heads"
 	"verbenabank/verbena/query/show"
 )
 
@@ -63,20 +65,15 @@
 }
 
 // Get sends q to the admin address of a daemon and returns the JSON body of the
-// response. It fails after 10 s, for a body above 64 MiB, and for any status
-// but 200; the error then has the first 500 bytes of the body.
+// response. It fails after 10 s, for a response that is broken or incomplete, for a
+// body above 64 MiB, and for any status but 200; the error then has the first 500
+// bytes of the body.
 func Get(daemon netip.AddrPort, q Query) ([]byte, error) {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI("http://" + daemon.String() + path(q))
-	client := fasthttp.Client{MaxResponseBodySize: maxResponseBytes}
-	defer client.CloseIdleConnections()
-	if err := client.DoTimeout(request, response, timeout.Duration()); err != nil {
+	code, body, err := get("http://" + daemon.String() + path(q))
+	if err != nil {
 		return nil, &Error{op: OpGet, kind: KindUnreachable, cause: merry.Wrap(err)}
 	}
-	body := bytes.Clone(response.Body())
-	if code := response.StatusCode(); code != fasthttp.StatusOK {
+	if code != http.StatusOK {
 		text := bytes.TrimSpace(body[:min(len(body), maxErrorBytes)])
 		return nil, &Error{op: OpGet, kind: KindRefused, cause: merry.Errorf("status %d: %s", code, text)}
 	}
@@ -86,6 +83,22 @@
 	return body, nil
 }
 
+// get returns the status and the body of a complete response.
+func get(address string) (int, []byte, error) {
+	client := http.Client{
+		Timeout:       timeout.Duration(),
+		Transport:     &http.Transport{DialContext: heads.DialContext, DisableKeepAlives: true, DisableCompression: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	r, err := client.Get(address)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = r.Body.Close() }()
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxResponseBytes))
+	return r.StatusCode, body, err
+}
+
 // GetReport sends q to a daemon and renders the response as a report.
 func GetReport(daemon netip.AddrPort, q Query) (show.Report, error) {
 	body, err := Get(daemon, q)
