vscale takes no figures from broken responses and failures

What happened: `make capacity` read figures of 0 from a response with status 000, with an odd field name, or with a status that says a failure, as long as its body was JSON.

Cause: net/http takes such heads, and the status was not looked at.

Change: the client connects by heads.DialContext; any status but 200 is an error.

Evidence: TestBrokenResponsesAreNoMetrics failed for 4 of 5 responses on and passes now; TestMetricsAreRead passed before and after.

--- a/vscale/adapt/stat/stat.go
+++ b/vscale/adapt/stat/stat.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -11,6 +12,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"verbenabank/core/wire/heads"
 )
 
 // requestTimeout limits a request for metrics.
@@ -74,15 +77,20 @@
 // unless the replica leads.
 func (m Metrics) Sessions() int { return m.sessions }
 
+// client requests metrics.
+var client = http.Client{Timeout: requestTimeout, Transport: &http.Transport{DialContext: heads.DialContext}}
+
 // ReadMetrics requests the metrics of a daemon at its admin address. It fails after
-// 2 s.
+// 2 s, for a response with a broken head, and for any status but 200.
 func ReadMetrics(admin string) (Metrics, error) {
-	client := http.Client{Timeout: requestTimeout}
 	r, err := client.Get("http://" + admin + "/debug/vars")
 	if err != nil {
 		return Metrics{}, fail("metrics of "+admin, err)
 	}
 	defer func() { _ = r.Body.Close() }()
+	if r.StatusCode != http.StatusOK {
+		return Metrics{}, fail("metrics of "+admin, errors.New(r.Status))
+	}
 	var wire struct {
 		Memory struct {
 			HeapAlloc float64
