--- a/verbenad/adapt/target/fuzz_test.go
+++ b/verbenad/adapt/target/fuzz_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"verbenabank/core/state/call"
+	"verbenabank/core/wire/heads"
 	"verbenabank/verbenad/adapt/target"
 	"verbenabank/verbenad/command/memory"
 	"verbenabank/verbenad/command/memory/memtest"
@@ -30,8 +31,8 @@
 func (*inputConn) SetReadDeadline(time.Time) error { return nil }
 func (*inputConn) Close() error                    { return nil }
 
-// FuzzResponse checks that a response of any bytes is a response or a failure, that its status is a status code, and that
-// what is kept of it is no more than its head costs in the memory budget.
+// FuzzResponse checks that a response of any bytes is a response or a failure, that its status is a status code and the names
+// of its fields are tokens, and that what is kept of it is no more than its head costs in the memory budget.
 func FuzzResponse(f *testing.F) {
 	const head = "HTTP/1.1 200 OK\r\n"
 	for _, s := range []string{
@@ -40,6 +41,7 @@
 		head + strings.Repeat("a:\r\n", 3000) + "\r\n", head + strings.Repeat("a:\n", 5000) + "\n", head + strings.Repeat("Set-Cookie: a\r\n", 1000) + "\r\n",
 		strings.Repeat("\r\n", 9000), head + "Set-Cookie: " + strings.Repeat("a=;", 5000) + "\r\n\r\n",
 		head + "Transfer-Encoding: chunked\r\n\r\n0\r\n" + strings.Repeat("a:\r\n", 5000) + "\r\n",
+		head + "A b: c\r\n\r\n", head + "A : b\r\n\r\n", head + "A: b\r\n C: d\r\n\r\n", head + "A: b\r\n\nC: d\r\n\r\n", head + "A\x00: b\r\n\r\n",
 	} {
 		f.Add([]byte(s))
 	}
@@ -60,6 +62,11 @@
 			if r.Status() < 200 || r.Status() > 999 {
 				t.Errorf("status %d", r.Status())
 			}
+			for _, f := range r.Fields() {
+				if !heads.IsToken(f.Name()) {
+					t.Errorf("field name %q", f.Name())
+				}
+			}
 			_, _ = io.Copy(io.Discard, r.Body())
 			_ = r.Body().Close()
 		}
