--- a/core/wire/heads/conn_test.go
+++ b/core/wire/heads/conn_test.go
@@ -1,7 +1,6 @@
 package heads_test
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -13,43 +12,9 @@
 	"github.com/matryer/is"
 
 	"verbenabank/core/wire/heads"
+	"verbenabank/core/wire/heads/headtest"
 )
 
-// startServer returns the address of a server that answers the requests on each connection with the texts in turn, in
-// pieces of so many bytes, and closes it then.
-func startServer(t *testing.T, piece int, texts ...string) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c, piece, texts)
-		}
-	}()
-	return l.Addr().String()
-}
-
-func serve(c net.Conn, piece int, texts []string) {
-	defer func() { _ = c.Close() }()
-	reader := bufio.NewReader(c)
-	for _, text := range texts {
-		if _, err := http.ReadRequest(reader); err != nil {
-			return
-		}
-		for rest := text; rest != ""; {
-			n := min(piece, len(rest))
-			_, _ = io.WriteString(c, rest[:n])
-			rest = rest[n:]
-		}
-	}
-}
-
 // post sends a request, which the client doesn't send again by itself, and returns the status and the body of the response.
 func post(client *http.Client, address string) (int, string, error) {
 	r, err := client.Post("http://"+address, "", http.NoBody)
@@ -61,13 +26,25 @@
 	return r.StatusCode, string(body), err
 }
 
+// pieceConn is a connection that is read in pieces of a size.
+type pieceConn struct {
+	net.Conn
+	size int
+}
+
+func (c pieceConn) Read(p []byte) (int, error) { return c.Conn.Read(p[:min(c.size, len(p))]) }
+
 // newClient returns a client of the standard library, which accepts blanks in names and joins lines, and the number of its
-// connections.
-func newClient(t *testing.T) (*http.Client, *int) {
+// connections. They are read in pieces of a size.
+func newClient(t *testing.T, size int) (*http.Client, *int) {
 	count := 0
-	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+	dial := func(_ context.Context, network, address string) (net.Conn, error) {
 		count++
-		return heads.DialContext(ctx, network, address)
+		c, err := net.Dial(network, address)
+		if err != nil {
+			return nil, err
+		}
+		return heads.NewConn(pieceConn{Conn: c, size: size}), nil
 	}
 	x := &http.Transport{DialContext: dial}
 	t.Cleanup(x.CloseIdleConnections)
@@ -80,10 +57,10 @@
 func TestConnPassesSoundResponses(t *testing.T) {
 	for _, piece := range []int{1, 7, 1 << 20} {
 		is := is.New(t)
-		client, count := newClient(t)
+		client, count := newClient(t, piece)
 		long := strings.Repeat("x", 100_000)
-		address := startServer(t, piece, sound, "HTTP/1.1 103 Early Hints\r\n\r\n"+sound, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 x\r\nA: b\r\n\r\n"+sound,
-			"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n"+long, "HTTP/1.1 404 Not Found\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\nbody")
+		address := headtest.Start(t, headtest.InTurn(sound, "HTTP/1.1 103 Early Hints\r\n\r\n"+sound, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 x\r\nA: b\r\n\r\n"+sound,
+			"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n"+long, "HTTP/1.1 404 Not Found\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\nbody"))
 		for n, want := range []int{200, 200, 200, 200, 404, 200} {
 			status, body, err := post(client, address)
 			is.NoErr(err)
@@ -114,8 +91,8 @@
 	} {
 		for _, before := range [][]string{nil, {sound}} {
 			is := is.New(t)
-			client, _ := newClient(t)
-			address := startServer(t, 1<<20, append(before, text)...)
+			client, _ := newClient(t, 1<<20)
+			address := headtest.Start(t, headtest.InTurn(append(before, text)...))
 			for range before {
 				_, _, err := post(client, address)
 				is.NoErr(err)
@@ -132,8 +109,8 @@
 func TestConnEndsWithItsPeer(t *testing.T) {
 	for _, text := range []string{"", "HTTP/1.1 200 OK\r\nA: b", "HTTP/1.1 103 x\r\n\r\n"} {
 		is := is.New(t)
-		client, _ := newClient(t)
-		_, _, err := post(client, startServer(t, 1<<20, text))
+		client, _ := newClient(t, 1<<20)
+		_, _, err := post(client, headtest.Start(t, headtest.Once(text)))
 		is.True(errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF))
 	}
 }
--- a/core/wire/heads/heads.go
+++ b/core/wire/heads/heads.go
@@ -2,10 +2,7 @@
 // blanks from names, joins lines that start with one to the value before them, and takes some invalid statuses for 200.
 package heads
 
-import (
-	"bufio"
-	"bytes"
-)
+import "bytes"
 
 // Limits of what precedes a response.
 const (
@@ -39,7 +36,7 @@
 
 // IsInterim reports whether the head is that of an interim response, which another one follows.
 func (p Progress) IsInterim() bool {
-	return p.complete && p.status < finalStatus && p.status != switchingProtocols
+	return p.complete && p.status > 0 && p.status < finalStatus && p.status != switchingProtocols
 }
 
 // Scan continues the check of a head whose first part was received. It returns an *Error for the first line that is
@@ -101,23 +98,3 @@
 	}
 	return status, true
 }
-
-// Await waits until a complete head is in the buffer of r, and checks it. It reads nothing from the buffer, which must
-// have room for the head, and returns an *Error if the head is not sound.
-func Await(r *bufio.Reader) (Progress, error) { return await(r, Progress{}) }
-
-// AwaitTrailer is Await for the trailer after the last chunk of a body.
-func AwaitTrailer(r *bufio.Reader) (Progress, error) { return await(r, StartOfTrailer()) }
-
-func await(r *bufio.Reader, p Progress) (Progress, error) {
-	for {
-		received, _ := r.Peek(r.Buffered())
-		var err error
-		if p, err = Scan(received, p); err != nil || p.Complete() {
-			return p, err
-		}
-		if _, err := r.Peek(len(received) + 1); err != nil {
-			return p, err
-		}
-	}
-}
--- a/verbena/query/remote/remote_test.go
+++ b/verbena/query/remote/remote_test.go
@@ -1,37 +1,18 @@
 package remote
 
 import (
-	"bufio"
 	"errors"
-	"io"
-	"net"
-	"net/http"
 	"net/netip"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"verbenabank/core/wire/heads/headtest"
 )
 
 // startDaemon returns the address of a daemon that answers each request with the text and closes the connection.
 func startDaemon(t *testing.T, text string) netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = io.WriteString(c, text)
-			}
-			_ = c.Close()
-		}
-	}()
-	return netip.MustParseAddrPort(l.Addr().String())
+	return netip.MustParseAddrPort(headtest.Start(t, headtest.Once(text)))
 }
 
 // TestBrokenResponsesAreErrors guards against a report made of a response that is broken: the operator would take it for
--- a/verbenad/adapt/grants/head_test.go
+++ b/verbenad/adapt/grants/head_test.go
@@ -1,9 +1,6 @@
 package grants_test
 
 import (
-	"bufio"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 
@@ -11,6 +8,7 @@
 
 	"verbenabank/core/clock"
 	"verbenabank/core/command/hold"
+	"verbenabank/core/wire/heads/headtest"
 )
 
 // oddHeads are heads of responses of a process in trouble, without their status lines.
@@ -30,38 +28,12 @@
 
 // startRaw returns the address of a process that answers health requests and calls with the texts.
 func startRaw(t *testing.T, health, answer string) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serveRaw(c, health, answer)
-		}
-	}()
-	return l.Addr().String()
-}
-
-func serveRaw(c net.Conn, health, answer string) {
-	defer func() { _ = c.Close() }()
-	reader := bufio.NewReader(c)
-	for {
-		r, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, r.Body)
-		text := answer
+	return headtest.Start(t, func(_ int, r *http.Request) (string, bool) {
 		if r.Method == http.MethodGet {
-			text = health
+			return health, true
 		}
-		_, _ = io.WriteString(c, text)
-	}
+		return answer, true
+	})
 }
 
 // TestBrokenResponsesAreNoAnswersToCalls guards against a grant or a release that counts as answered although the head
--- a/verbenad/adapt/probe/probe_test.go
+++ b/verbenad/adapt/probe/probe_test.go
@@ -1,14 +1,12 @@
 package probe_test
 
 import (
-	"bufio"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	"verbenabank/core/command/agent"
+	"verbenabank/core/wire/heads/headtest"
 	"verbenabank/verbenad/adapt/probe"
 )
 
@@ -17,30 +15,7 @@
 
 // startTarget returns the address of a target that answers each health request with the text.
 func startTarget(t *testing.T, text string) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	serve := func(c net.Conn) {
-		defer func() { _ = c.Close() }()
-		for reader := bufio.NewReader(c); ; {
-			if _, err := http.ReadRequest(reader); err != nil {
-				return
-			}
-			_, _ = io.WriteString(c, text)
-		}
-	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return l.Addr().String()
+	return headtest.Start(t, func(int, *http.Request) (string, bool) { return text, true })
 }
 
 // TestBrokenHealthResponsesAreNone guards against a target in trouble that counts as alive by responses whose heads are
--- a/vload/adapt/client/head_test.go
+++ b/vload/adapt/client/head_test.go
@@ -1,10 +1,6 @@
 package client
 
 import (
-	"bufio"
-	"io"
-	"net"
-	"net/http"
 	"testing"
 
 	"github.com/matryer/is"
@@ -12,32 +8,10 @@
 
 	"verbenabank/core/clock"
 	"verbenabank/core/state/result"
+	"verbenabank/core/wire/heads/headtest"
 	"verbenabank/vload/state/plan"
 )
 
-// startRaw returns the address of a server that answers each request with the text and closes the connection.
-func startRaw(t *testing.T, text string) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = io.Copy(io.Discard, r.Body)
-				_, _ = io.WriteString(c, text)
-			}
-			_ = c.Close()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // TestBrokenResponsesAreNoAnswers guards against a load generator that counts broken responses as answers, and waits for
 // processes by them.
 func TestBrokenResponsesAreNoAnswers(t *testing.T) {
@@ -51,7 +25,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			address := startRaw(t, text)
+			address := headtest.Start(t, headtest.Once(text))
 			c, stop := New(WithRouting(plan.Modulo{}))
 			defer stop()
 			is.Equal(c.Send(post, address, nearDeadline()).Outcome(), result.NewUnknown(result.Interrupted))
@@ -68,6 +42,6 @@
 	is := is.New(t)
 	c, stop := New(WithRouting(plan.Modulo{}))
 	defer stop()
-	address := startRaw(t, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 404 Not Found\r\nEmpty:\r\nA: b c\r\nContent-Length: 0\r\n\r\n")
+	address := headtest.Start(t, headtest.Once("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 404 Not Found\r\nEmpty:\r\nA: b c\r\nContent-Length: 0\r\n\r\n"))
 	is.Equal(c.Send(post, address, nearDeadline()).Outcome(), result.NewAnswered(404))
 }
