--- a/core/wire/heads/conn.go
+++ b/core/wire/heads/conn.go
@@ -20,8 +20,8 @@
 // the client gets it, and leaves out interim responses, which not all clients skip. Of a head that is not sound the
 // client gets the lines before the fault, and then an *Error.
 //
-// The client must write each request in one piece and read the response to it before it writes the next. Reads and
-// writes may be made by two goroutines.
+// The client must write a request completely before it reads the response (in one piece, if another goroutine reads
+// meanwhile), and read that completely before it writes the next request.
 type Conn struct {
 	net.Conn
 	awaited  atomic.Bool // a request was written, and the head of the response was not received yet
